Add the workspace, the design page and the core types

Cause: an empty repository. Change: Maven modules by duty, ids as value types, findings with places, bundle and settings parsers, and the interfaces between the modules.

--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/package-info.java
@@ -0,0 +1,2 @@
+/** Usage of workspaces: records, replication to a peer and settlement. */
+package org.godwithoist.accounting;
--- /dev/null
+++ b/admission/src/main/java/org/godwithoist/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Decides who may send work to a target. */
+package org.godwithoist.admission;
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/BundleParser.java
@@ -0,0 +1,229 @@
+package org.godwithoist.bundle;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.function.Function;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.json.Findings;
+import org.godwithoist.core.json.FindingsException;
+import org.godwithoist.core.json.JsonDocument;
+import org.godwithoist.core.json.ObjectReader;
+
+/** Reads a bundle from JSON with comments and checks it; reports all faults together. */
+public final class BundleParser {
+    /** Version of the format that this parser reads. */
+    public static final int FORMAT = 1;
+
+    private static final int MAX_SHARE = 1_000_000;
+    private static final int MAX_REQUESTS = 1_000_000;
+    private static final int MAX_SHARDS = 4_096;
+    private static final long MAX_TIME_MS = 3_600_000;
+
+    private final Findings findings = new Findings();
+
+    private BundleParser() {}
+
+    /**
+     * Reads a bundle.
+     *
+     * @param file name used in findings
+     * @param text JSON with comments
+     * @throws FindingsException with all faults and their places
+     */
+    public static Bundle parse(String file, String text) {
+        return new BundleParser().read(JsonDocument.parse(file, text));
+    }
+
+    private Bundle read(JsonDocument document) {
+        ObjectReader root = ObjectReader.root(document, findings);
+        int format = root.integer("format", 0, Integer.MAX_VALUE, 0);
+        if (format != FORMAT) {
+            root.add("format", "must be " + FORMAT + ", the only known format");
+        }
+        List<FailureDomainId> domains = root.texts("failureDomains", FailureDomainId::new);
+        List<Pool> pools = readPools(root);
+        List<Model> models = readModels(root, pools);
+        List<Workspace> workspaces = readWorkspaces(root);
+        List<ServiceLevel> levels = readServiceLevels(root);
+        root.finish();
+        findings.throwIfAny();
+        return Bundle.of(workspaces, models, pools, domains, levels);
+    }
+
+    // ---- sections
+
+    private List<Workspace> readWorkspaces(ObjectReader root) {
+        List<Workspace> list = new ArrayList<>();
+        Set<WorkspaceId> seen = new HashSet<>();
+        Set<String> seenKeys = new HashSet<>();
+        for (ObjectReader r : root.objects("workspaces")) {
+            var id = r.required("id", WorkspaceId::new);
+            List<String> keys = r.texts("keyHashes", BundleParser::keyHash);
+            int share = r.integer("share", 1, MAX_SHARE, 1);
+            Priority max = priority(r, "maxPriority", Priority.URGENT);
+            int limit = r.integer("maxConcurrent", 1, MAX_REQUESTS, 1_000);
+            r.finish();
+            for (String key : keys) {
+                if (!seenKeys.add(key)) {
+                    r.add("keyHashes", "has a key that another entry has too");
+                }
+            }
+            id.ifPresent(
+                    w -> {
+                        unique(r, seen.add(w), w);
+                        list.add(new Workspace(w, keys, share, max, limit));
+                    });
+        }
+        return distinct(list, Workspace::id);
+    }
+
+    private List<Model> readModels(ObjectReader root, List<Pool> pools) {
+        List<Model> list = new ArrayList<>();
+        Set<ModelId> seen = new HashSet<>();
+        for (ObjectReader r : root.objects("models")) {
+            var id = r.required("id", ModelId::new);
+            var pool = r.required("pool", PoolId::new);
+            String version = r.optional("version", v -> v).orElse("1");
+            List<String> adapters = r.texts("adapters", v -> v);
+            r.finish();
+            if (pool.isPresent() && pools.stream().noneMatch(p -> p.id().equals(pool.get()))) {
+                r.add("pool", "names the unknown pool " + pool.get());
+            }
+            if (id.isPresent() && pool.isPresent()) {
+                unique(r, seen.add(id.get()), id.get());
+                list.add(new Model(id.get(), pool.get(), version, adapters));
+            }
+        }
+        return distinct(list, Model::id);
+    }
+
+    private List<Pool> readPools(ObjectReader root) {
+        List<Pool> list = new ArrayList<>();
+        Set<PoolId> seen = new HashSet<>();
+        for (ObjectReader r : root.objects("pools")) {
+            var id = r.required("id", PoolId::new);
+            Pool.Kind kind = kind(r);
+            int shards = r.integer("shards", 1, MAX_SHARDS, 1);
+            AdmissionLimits limits = limits(r);
+            FencingMode fencing = fencing(r);
+            long cacheTokens = r.whole("cacheTokens", 0, Long.MAX_VALUE, 0);
+            r.finish();
+            id.ifPresent(
+                    p -> {
+                        unique(r, seen.add(p), p);
+                        list.add(new Pool(p, kind, shards, limits, fencing, cacheTokens));
+                    });
+        }
+        return distinct(list, Pool::id);
+    }
+
+    private AdmissionLimits limits(ObjectReader r) {
+        AdmissionLimits d = AdmissionLimits.DEFAULT;
+        var limits =
+                new AdmissionLimits(
+                        r.number("skewFactor", 1.01, 100, d.skewFactor()),
+                        r.integer("skewFloor", 1, MAX_REQUESTS, d.skewFloor()),
+                        r.integer("coldStartLimit", 1, MAX_REQUESTS, d.coldStartLimit()),
+                        r.integer("warmupAnswers", 1, MAX_REQUESTS, d.warmupAnswers()),
+                        r.number("coldFactor", 1.1, 1_000, d.coldFactor()),
+                        r.integer("maxConcurrent", 1, MAX_REQUESTS, d.maxConcurrent()),
+                        r.integer("reservedHolders", 0, 64, d.reservedHolders()),
+                        r.integer("reservedSlots", 0, MAX_REQUESTS, d.reservedSlots()));
+        int room = Math.min(limits.skewFloor(), limits.coldStartLimit());
+        if (limits.reservedTotal() > room) {
+            r.add(
+                    "reservedSlots",
+                    "times reservedHolders is "
+                            + limits.reservedTotal()
+                            + ", which exceeds the smaller of skewFloor and coldStartLimit, "
+                            + room);
+        }
+        return limits;
+    }
+
+    private List<ServiceLevel> readServiceLevels(ObjectReader root) {
+        List<ServiceLevel> list = new ArrayList<>();
+        Set<Priority> seen = new HashSet<>();
+        for (ObjectReader r : root.objects("serviceLevels")) {
+            Priority p = priority(r, "priority", null);
+            Duration first = r.millis("firstTokenMs", 1, MAX_TIME_MS, 1_000);
+            Duration between = r.millis("betweenTokensMs", 1, MAX_TIME_MS, 100);
+            Duration deadline = r.millis("deadlineMs", 1, MAX_TIME_MS, 60_000);
+            double objective = r.number("objective", 0.01, 0.99999, 0.99);
+            r.finish();
+            if (p != null) {
+                unique(r, seen.add(p), p.wireName());
+                list.add(new ServiceLevel(p, first, between, deadline, objective));
+            }
+        }
+        for (Priority p : Priority.values()) {
+            if (!seen.contains(p)) {
+                root.add("serviceLevels", "has no entry for priority " + p.wireName());
+            }
+        }
+        return distinct(list, ServiceLevel::priority);
+    }
+
+    // ---- single values
+
+    private static String keyHash(String text) {
+        if (!text.matches("[0-9a-f]{64}")) {
+            throw new IllegalArgumentException("must be a lower-case hexadecimal SHA-256 hash");
+        }
+        return text;
+    }
+
+    private static Priority priority(ObjectReader r, String name, Priority otherwise) {
+        var text = r.optional(name, v -> v);
+        if (text.isEmpty()) {
+            if (otherwise == null) {
+                r.add(name, "is missing");
+            }
+            return otherwise;
+        }
+        var found = Priority.fromWireName(text.get());
+        if (found.isEmpty()) {
+            r.add(name, "must be urgent, interactive or background, not " + text.get());
+        }
+        return found.orElse(otherwise);
+    }
+
+    private static Pool.Kind kind(ObjectReader r) {
+        String text = r.optional("kind", v -> v).orElse("engine");
+        for (Pool.Kind k : Pool.Kind.values()) {
+            if (k.name().toLowerCase(Locale.ROOT).equals(text)) {
+                return k;
+            }
+        }
+        r.add("kind", "must be engine or service, not " + text);
+        return Pool.Kind.ENGINE;
+    }
+
+    private static FencingMode fencing(ObjectReader r) {
+        String text = r.optional("fencing", v -> v).orElse("ignored");
+        var found = FencingMode.fromWireName(text);
+        if (found.isEmpty()) {
+            r.add("fencing", "must be checked or ignored, not " + text);
+        }
+        return found.orElse(FencingMode.IGNORED);
+    }
+
+    private static void unique(ObjectReader r, boolean added, Object id) {
+        if (!added) {
+            r.add("id", "repeats " + id);
+        }
+    }
+
+    private static <K, V> List<V> distinct(List<V> list, Function<V, K> id) {
+        Set<K> seen = new HashSet<>();
+        return list.stream().filter(v -> seen.add(id.apply(v))).toList();
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/package-info.java
@@ -0,0 +1,2 @@
+/** Bundles: the operators' versioned configuration of the fleet. */
+package org.godwithoist.bundle;
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/id/Endpoint.java
@@ -0,0 +1,51 @@
+package org.godwithoist.core.id;
+
+/**
+ * An IP address and port.
+ *
+ * @param ip IPv4 or IPv6 address as text; host names are not resolved
+ * @param port port from 1 to 65535, or 0 to let the system choose one when listening
+ */
+public record Endpoint(String ip, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    /**
+     * Checks the parts.
+     *
+     * @throws IllegalArgumentException if the address is not numeric or the port out of range
+     */
+    public Endpoint {
+        if (!ip.matches("[0-9.]+|[0-9a-fA-F:]+")) {
+            throw new IllegalArgumentException("'" + ip + "' is not an IP address");
+        }
+        if (port < 0 || port > MAX_PORT) {
+            throw new IllegalArgumentException("port must be from 0 to 65535, not " + port);
+        }
+    }
+
+    /**
+     * Reads {@code ip:port}; an IPv6 address stands in brackets.
+     *
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static Endpoint parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 1) {
+            throw new IllegalArgumentException("'" + text + "' is not of the form ip:port");
+        }
+        String ip = text.substring(0, colon);
+        if (ip.startsWith("[") && ip.endsWith("]")) {
+            ip = ip.substring(1, ip.length() - 1);
+        }
+        try {
+            return new Endpoint(ip, Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("'" + text + "' has no port number", e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return ip.indexOf(':') >= 0 ? "[" + ip + "]:" + port : ip + ":" + port;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/id/IdText.java
@@ -0,0 +1,26 @@
+package org.godwithoist.core.id;
+
+import java.util.Objects;
+
+/** Checks the text of ids, so that ids are safe in headers, table keys and log lines. */
+final class IdText {
+    private static final char FIRST_PRINTABLE = '!';
+    private static final char LAST_PRINTABLE = '~';
+
+    private IdText() {}
+
+    static void check(String type, String value, int maxLength) {
+        Objects.requireNonNull(value, type);
+        if (value.isEmpty() || value.length() > maxLength) {
+            throw new IllegalArgumentException(
+                    type + " must have 1 to " + maxLength + " characters, not " + value.length());
+        }
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c < FIRST_PRINTABLE || c > LAST_PRINTABLE) {
+                throw new IllegalArgumentException(
+                        type + " must be printable ASCII without spaces; see character " + i);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/id/TargetId.java
@@ -0,0 +1,31 @@
+package org.godwithoist.core.id;
+
+/**
+ * Identifies a target: an engine or a plain service that does work. Target ids come from the host
+ * list.
+ *
+ * @param value printable ASCII text without spaces, 1 to {@value #MAX_LENGTH} characters
+ */
+public record TargetId(String value) implements Comparable<TargetId> {
+    /** Longest permitted value, in characters. */
+    public static final int MAX_LENGTH = 100;
+
+    /**
+     * Checks the value.
+     *
+     * @throws IllegalArgumentException if the value is empty, too long or not printable ASCII
+     */
+    public TargetId {
+        IdText.check("TargetId", value, MAX_LENGTH);
+    }
+
+    @Override
+    public int compareTo(TargetId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/id/WorkspaceId.java
@@ -0,0 +1,31 @@
+package org.godwithoist.core.id;
+
+/**
+ * Identifies a workspace: a customer with keys, a share, limits and its own usage account.
+ * Workspaces are created by bundles.
+ *
+ * @param value printable ASCII text without spaces, 1 to {@value #MAX_LENGTH} characters
+ */
+public record WorkspaceId(String value) implements Comparable<WorkspaceId> {
+    /** Longest permitted value, in characters. */
+    public static final int MAX_LENGTH = 100;
+
+    /**
+     * Checks the value.
+     *
+     * @throws IllegalArgumentException if the value is empty, too long or not printable ASCII
+     */
+    public WorkspaceId {
+        IdText.check("WorkspaceId", value, MAX_LENGTH);
+    }
+
+    @Override
+    public int compareTo(WorkspaceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Value types for ids. */
+package org.godwithoist.core.id;
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/json/JsonDocument.java
@@ -0,0 +1,143 @@
+package org.godwithoist.core.json;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A JSON document with comments, read with the place of each value. The places are kept beside the
+ * tree, keyed by JSON pointer, because tree nodes carry no location.
+ */
+public final class JsonDocument {
+    private static final int MAX_DEPTH = 64;
+
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .build();
+
+    private final String file;
+    private final JsonNode root;
+    private final Map<String, Place> places;
+
+    private JsonDocument(String file, JsonNode root, Map<String, Place> places) {
+        this.file = file;
+        this.root = root;
+        this.places = places;
+    }
+
+    /**
+     * Reads a document.
+     *
+     * @param file name used in findings
+     * @param text JSON, with {@code //} and block comments and trailing commas permitted
+     * @throws FindingsException if the text is not JSON; the finding has the place
+     */
+    public static JsonDocument parse(String file, String text) {
+        Map<String, Place> places = new HashMap<>();
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            if (parser.nextToken() == null) {
+                throw single(new Place(file, 1, 1, ""), "the document is empty");
+            }
+            JsonNode root = readValue(parser, file, "", places, 0);
+            if (parser.nextToken() != null) {
+                throw single(
+                        place(file, parser.currentTokenLocation(), ""),
+                        "text after the end of the document");
+            }
+            return new JsonDocument(file, root, places);
+        } catch (JsonProcessingException e) {
+            throw single(place(file, e.getLocation(), ""), e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new IllegalStateException("reading from a string cannot fail", e);
+        }
+    }
+
+    /** Returns the root value. */
+    public JsonNode root() {
+        return root;
+    }
+
+    /** Returns the name of the file. */
+    public String file() {
+        return file;
+    }
+
+    /**
+     * Returns the place of the value at a JSON pointer. For a missing value it is the place of the
+     * nearest enclosing value, with the pointer of the missing one.
+     */
+    public Place place(String pointer) {
+        Place exact = places.get(pointer);
+        if (exact != null) {
+            return exact;
+        }
+        int slash = pointer.lastIndexOf('/');
+        if (slash < 0) {
+            return new Place(file, 1, 1, pointer);
+        }
+        Place parent = place(pointer.substring(0, slash));
+        return new Place(file, parent.line(), parent.column(), pointer);
+    }
+
+    private static JsonNode readValue(
+            JsonParser parser, String file, String path, Map<String, Place> places, int depth)
+            throws IOException {
+        places.put(path, place(file, parser.currentTokenLocation(), path));
+        if (depth > MAX_DEPTH) {
+            throw single(places.get(path), "values nest deeper than " + MAX_DEPTH + " levels");
+        }
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> readObject(parser, file, path, places, depth);
+            case START_ARRAY -> readArray(parser, file, path, places, depth);
+            default -> MAPPER.readTree(parser);
+        };
+    }
+
+    private static ObjectNode readObject(
+            JsonParser parser, String file, String path, Map<String, Place> places, int depth)
+            throws IOException {
+        ObjectNode node = MAPPER.createObjectNode();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            String child = path + "/" + name.replace("~", "~0").replace("/", "~1");
+            node.set(name, readValue(parser, file, child, places, depth + 1));
+        }
+        return node;
+    }
+
+    private static ArrayNode readArray(
+            JsonParser parser, String file, String path, Map<String, Place> places, int depth)
+            throws IOException {
+        ArrayNode node = MAPPER.createArrayNode();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            node.add(readValue(parser, file, path + "/" + node.size(), places, depth + 1));
+        }
+        return node;
+    }
+
+    private static Place place(String file, JsonLocation at, String path) {
+        if (at == null) {
+            return new Place(file, 1, 1, path);
+        }
+        return new Place(file, Math.max(1, at.getLineNr()), Math.max(1, at.getColumnNr()), path);
+    }
+
+    private static FindingsException single(Place place, String message) {
+        return new FindingsException(List.of(new Finding(place, message)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON with comments, read with the place of each value. */
+package org.godwithoist.core.json;
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/package-info.java
@@ -0,0 +1,2 @@
+/** Types that every other module uses. */
+package org.godwithoist.core;
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** Monotonic time, real and virtual, and deadlines. */
+package org.godwithoist.core.time;
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/Target.java
@@ -0,0 +1,25 @@
+package org.godwithoist.membership;
+
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+
+/**
+ * An engine or a plain service that does work.
+ *
+ * @param id the target
+ * @param host host on which it runs
+ * @param pool pool to which it belongs
+ * @param failureDomain failure domain of its host
+ * @param endpoint address at which it is called
+ * @param service whether it may get new work
+ */
+public record Target(
+        TargetId id,
+        HostId host,
+        PoolId pool,
+        FailureDomainId failureDomain,
+        Endpoint endpoint,
+        ServiceState service) {}
--- /dev/null
+++ b/settings/src/main/java/org/godwithoist/settings/DaemonSettings.java
@@ -0,0 +1,114 @@
+package org.godwithoist.settings;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.json.Findings;
+import org.godwithoist.core.json.FindingsException;
+import org.godwithoist.core.json.JsonDocument;
+import org.godwithoist.core.json.ObjectReader;
+
+/**
+ * Settings of one daemon. Immutable.
+ *
+ * @param host id of this host
+ * @param failureDomain failure domain of this host
+ * @param callers endpoint for callers
+ * @param operators endpoint for operators, metrics and health checks
+ * @param peers endpoint for the other daemons
+ * @param platform endpoint of the platform's services
+ * @param peerKeys keys of messages between daemons; the first signs, all verify
+ * @param operatorKeys operators; at least two, because author and signer differ
+ */
+public record DaemonSettings(
+        HostId host,
+        FailureDomainId failureDomain,
+        Endpoint callers,
+        Endpoint operators,
+        Endpoint peers,
+        Endpoint platform,
+        List<PeerKey> peerKeys,
+        List<OperatorKey> operatorKeys) {
+    private static final String NONE = "none";
+    private static final Endpoint NO_ENDPOINT = new Endpoint("0.0.0.0", 0);
+
+    /** Copies the lists. */
+    public DaemonSettings {
+        peerKeys = List.copyOf(peerKeys);
+        operatorKeys = List.copyOf(operatorKeys);
+    }
+
+    /**
+     * Reads settings from JSON with comments.
+     *
+     * @param file name used in findings
+     * @param text content of the file
+     * @throws FindingsException with all faults and their places
+     */
+    public static DaemonSettings parse(String file, String text) {
+        Findings findings = new Findings();
+        ObjectReader root = ObjectReader.root(JsonDocument.parse(file, text), findings);
+        HostId host = root.required("host", HostId::new).orElse(new HostId(NONE));
+        FailureDomainId domain =
+                root.required("failureDomain", FailureDomainId::new)
+                        .orElse(new FailureDomainId(NONE));
+        ObjectReader listen = root.object("listen");
+        Endpoint callers = endpoint(listen, "callers");
+        Endpoint operators = endpoint(listen, "operators");
+        Endpoint peers = endpoint(listen, "peers");
+        listen.finish();
+        Endpoint platform = endpoint(root, "platform");
+        List<PeerKey> peerKeys = readPeerKeys(root);
+        List<OperatorKey> operatorKeys = readOperatorKeys(root);
+        root.finish();
+        findings.throwIfAny();
+        return new DaemonSettings(
+                host, domain, callers, operators, peers, platform, peerKeys, operatorKeys);
+    }
+
+    private static Endpoint endpoint(ObjectReader r, String name) {
+        return r.required(name, Endpoint::parse).orElse(NO_ENDPOINT);
+    }
+
+    private static List<PeerKey> readPeerKeys(ObjectReader root) {
+        List<PeerKey> keys = new ArrayList<>();
+        Set<String> ids = new HashSet<>();
+        for (ObjectReader r : root.objects("peerKeys")) {
+            String id = r.text("id");
+            String secret = r.text("secret");
+            r.finish();
+            if (!ids.add(id)) {
+                r.add("id", "repeats " + id);
+            }
+            try {
+                keys.add(new PeerKey(id, secret));
+            } catch (IllegalArgumentException e) {
+                r.add("secret", e.getMessage());
+            }
+        }
+        if (keys.isEmpty()) {
+            root.add("peerKeys", "must have at least one key");
+        }
+        return keys;
+    }
+
+    private static List<OperatorKey> readOperatorKeys(ObjectReader root) {
+        List<OperatorKey> keys = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        for (ObjectReader r : root.objects("operators")) {
+            String name = r.text("name");
+            String hash = r.text("tokenHash");
+            String publicKey = r.text("publicKey");
+            r.finish();
+            if (!names.add(name)) {
+                r.add("name", "repeats " + name);
+            }
+            keys.add(new OperatorKey(name, hash, publicKey));
+        }
+        return keys;
+    }
+}
