--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/ServerProcess.java
@@ -0,0 +1,99 @@
+package org.godwithoist.acceptance;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A daemon or stand-in started by a test as a process of its own. */
+final class ServerProcess implements AutoCloseable {
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
+    private static final int PROBE_TIMEOUT_MS = 200;
+    private static final int PROBE_INTERVAL_MS = 25;
+    private static final int STOP_TIMEOUT_S = 20;
+
+    private final String name;
+    private final Process process;
+
+    private ServerProcess(String name, Process process) {
+        this.name = name;
+        this.process = process;
+    }
+
+    /** Starts a main class with the class path of this test and waits until its port answers. */
+    static ServerProcess start(Path logs, String name, Class<?> main, int port, String... args)
+            throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of("-cp", classPath(), main.getName()));
+        command.addAll(List.of(args));
+        Process process =
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(logs.resolve(name + ".log").toFile())
+                        .start();
+        ServerProcess server = new ServerProcess(name, process);
+        server.awaitPort(port);
+        return server;
+    }
+
+    /** Sends a signal, for example STOP or CONT. */
+    void signal(String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    }
+
+    /** Ends the process at once, without a chance to drain. */
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Asks the process to drain and returns its exit code. */
+    int drain() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(STOP_TIMEOUT_S, TimeUnit.SECONDS)) {
+            process.destroyForcibly();
+            throw new AssertionError(name + " did not stop within " + STOP_TIMEOUT_S + " s");
+        }
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    private void awaitPort(int port) throws IOException {
+        long end = System.nanoTime() + START_TIMEOUT.toNanos();
+        while (System.nanoTime() < end && process.isAlive()) {
+            try (Socket socket = new Socket()) {
+                socket.connect(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+                        PROBE_TIMEOUT_MS);
+                return;
+            } catch (IOException e) {
+                pause();
+            }
+        }
+        process.destroyForcibly();
+        throw new IOException(name + " does not listen on port " + port);
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PROBE_INTERVAL_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String classPath() {
+        String surefire = System.getProperty("surefire.test.class.path");
+        return surefire == null ? System.getProperty("java.class.path") : surefire;
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Transcript.java
@@ -0,0 +1,52 @@
+package org.godwithoist.acceptance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.regex.Pattern;
+
+/**
+ * A session as a conversation: what came in and what went out. Times and generated ids are
+ * normalised, values are not.
+ */
+final class Transcript {
+    private static final Path GOLDEN = Path.of("src", "test", "resources", "sessions");
+    private static final Pattern UUID =
+            Pattern.compile("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}");
+    private static final Pattern TIMESTAMP = Pattern.compile("\"(created|at)\": ?[0-9]+");
+
+    private final StringBuilder text = new StringBuilder();
+
+    void in(String line) {
+        text.append("> ").append(normalise(line)).append('\n');
+    }
+
+    void out(String line) {
+        for (String l : normalise(line).lines().toList()) {
+            text.append("< ").append(l).append('\n');
+        }
+    }
+
+    void note(String line) {
+        text.append("# ").append(normalise(line)).append('\n');
+    }
+
+    /** Compares with the golden file; with -DupdateGolden=true writes it instead. */
+    void compare(String session) throws IOException {
+        Path file = GOLDEN.resolve(session + ".golden");
+        if (Boolean.getBoolean("updateGolden")) {
+            Files.createDirectories(GOLDEN);
+            Files.writeString(file, text);
+            return;
+        }
+        String expected = Files.exists(file) ? Files.readString(file) : "";
+        assertEquals(expected, text.toString(), "session " + session + " differs from " + file);
+    }
+
+    private static String normalise(String line) {
+        String ids = UUID.matcher(line).replaceAll("<id>");
+        return TIMESTAMP.matcher(ids).replaceAll("\"$1\":<time>");
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/org/godwithoist/admission/FixedShareAdmission.java
@@ -0,0 +1,70 @@
+package org.godwithoist.admission;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.godwithoist.core.id.TargetId;
+
+/**
+ * Gives this daemon a fixed number of slots at every target. A baseline: it bounds the load by
+ * construction, but idle parts of other daemons stay unused.
+ */
+public final class FixedShareAdmission implements Admission {
+    private final int slotsPerTarget;
+    private final Map<TargetId, Semaphore> free = new ConcurrentHashMap<>();
+
+    /** Makes an admission with the given number of slots at every target. */
+    public FixedShareAdmission(int slotsPerTarget) {
+        this.slotsPerTarget = slotsPerTarget;
+    }
+
+    @Override
+    public Optional<Slot> acquire(SlotRequest request, Duration patience) {
+        Semaphore s =
+                free.computeIfAbsent(request.target(), t -> new Semaphore(slotsPerTarget, true));
+        try {
+            boolean acquired = s.tryAcquire(patience.toNanos(), TimeUnit.NANOSECONDS);
+            return acquired ? Optional.of(new FixedSlot(request.target(), s)) : Optional.empty();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public Duration expectedWait(TargetId target) {
+        return Duration.ZERO;
+    }
+
+    private static final class FixedSlot implements Slot {
+        private final TargetId target;
+        private final Semaphore origin;
+        private final AtomicBoolean released = new AtomicBoolean();
+
+        FixedSlot(TargetId target, Semaphore origin) {
+            this.target = target;
+            this.origin = origin;
+        }
+
+        @Override
+        public TargetId target() {
+            return target;
+        }
+
+        @Override
+        public boolean use() {
+            return true;
+        }
+
+        @Override
+        public void release(Outcome outcome, Duration firstToken) {
+            if (released.compareAndSet(false, true)) {
+                origin.release();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRequest.java
@@ -0,0 +1,33 @@
+package org.godwithoist.chat;
+
+import java.util.Optional;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.Deadline;
+
+/**
+ * A caller's request, free of its encoding.
+ *
+ * @param id request id, echoed to the caller
+ * @param workspace authenticated workspace
+ * @param chat chat to which the request belongs
+ * @param model model asked for
+ * @param priority priority after the workspace's limit was applied
+ * @param deadline instant by which the answer must be complete
+ * @param promptTokens estimated tokens of the prompt
+ * @param body body for the engine; opaque to decisions
+ * @param resumeAfter offset after which a reconnecting caller wants the answer
+ */
+public record ChatRequest(
+        RequestId id,
+        WorkspaceId workspace,
+        ChatId chat,
+        ModelId model,
+        Priority priority,
+        Deadline deadline,
+        long promptTokens,
+        String body,
+        Optional<Long> resumeAfter) {}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/EngineStream.java
@@ -0,0 +1,16 @@
+package org.godwithoist.chat;
+
+import io.smallrye.mutiny.Uni;
+
+/** An open stream from an engine. Not thread-safe: one task reads it. */
+public interface EngineStream extends AutoCloseable {
+    /**
+     * Returns the next event. It fails with {@link EngineException} if the connection is lost;
+     * after {@link EngineEvent.End} there is no further event.
+     */
+    Uni<EngineEvent> next();
+
+    /** Closes the connection; does not cancel the request at the engine. */
+    @Override
+    void close();
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/http/HttpEngineStream.java
@@ -0,0 +1,121 @@
+package org.godwithoist.chat.http;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.accounting.Usage;
+import org.godwithoist.chat.EngineEvent;
+import org.godwithoist.chat.EngineException;
+import org.godwithoist.chat.EngineStream;
+
+/**
+ * Reads the events of one response. The response is paused while {@value #HIGH_WATER} events wait,
+ * so that a slow caller bounds the memory that its answer takes.
+ */
+final class HttpEngineStream implements EngineStream {
+    private static final int HIGH_WATER = 64;
+    private static final String DONE = "[DONE]";
+
+    private final String engine;
+    private final HttpClientResponse response;
+    private final SseDecoder decoder = new SseDecoder();
+    private final Queue<EngineEvent> ready = new ArrayDeque<>();
+    private CompletableFuture<EngineEvent> waiting;
+    private EngineException failure;
+    private Usage usage = Usage.NONE;
+    private boolean ended;
+
+    HttpEngineStream(String engine, HttpClientResponse response) {
+        this.engine = engine;
+        this.response = response;
+        response.handler(this::received);
+        response.exceptionHandler(e -> lost("connection to " + engine + " was lost", e));
+        response.endHandler(v -> lost("stream from " + engine + " ended early", null));
+        response.resume();
+    }
+
+    @Override
+    public Uni<EngineEvent> next() {
+        return Uni.createFrom().completionStage(this::nextFuture);
+    }
+
+    @Override
+    public synchronized void close() {
+        ended = true;
+        response.request().reset();
+    }
+
+    private synchronized CompletableFuture<EngineEvent> nextFuture() {
+        EngineEvent event = ready.poll();
+        if (event != null) {
+            if (ready.isEmpty()) {
+                response.resume();
+            }
+            return CompletableFuture.completedFuture(event);
+        }
+        if (failure != null) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        waiting = new CompletableFuture<>();
+        return waiting;
+    }
+
+    private synchronized void received(Buffer bytes) {
+        if (ended) {
+            return;
+        }
+        try {
+            decoder.feed(bytes).forEach(this::take);
+        } catch (RuntimeException e) {
+            lost(engine + " sent an event that cannot be read", e);
+        }
+    }
+
+    private void take(SseDecoder.Event event) {
+        if (event.comment()) {
+            deliver(new EngineEvent.KeepAlive());
+            return;
+        }
+        if (event.data().equals(DONE)) {
+            ended = true;
+            deliver(new EngineEvent.End(usage));
+            return;
+        }
+        JsonObject chunk = new JsonObject(event.data());
+        JsonObject counted = chunk.getJsonObject("usage");
+        if (counted != null) {
+            usage = ChatJson.usage(counted);
+        }
+        event.id()
+                .ifPresent(
+                        offset ->
+                                deliver(
+                                        new EngineEvent.Piece(
+                                                offset, ChatJson.deltaText(chunk), event.data())));
+    }
+
+    private void deliver(EngineEvent event) {
+        if (waiting != null && !waiting.isDone()) {
+            waiting.complete(event);
+            return;
+        }
+        ready.add(event);
+        if (ready.size() >= HIGH_WATER) {
+            response.pause();
+        }
+    }
+
+    private synchronized void lost(String message, Throwable cause) {
+        if (ended || failure != null) {
+            return;
+        }
+        failure = new EngineException(EngineException.Kind.LOST, message, cause);
+        if (waiting != null && ready.isEmpty()) {
+            waiting.completeExceptionally(failure);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -0,0 +1,84 @@
+package org.godwithoist.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.ext.web.Router;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.godwithoist.accounting.MemoryUsageRecorder;
+import org.godwithoist.admission.FixedShareAdmission;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.BundleParser;
+import org.godwithoist.chat.ChatService;
+import org.godwithoist.chat.http.ChatFront;
+import org.godwithoist.chat.http.HttpEngineClient;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.membership.HostListDirectory;
+import org.godwithoist.platform.Row;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.http.PlatformClient;
+import org.godwithoist.settings.DaemonSettings;
+
+/** One router daemon: builds the parts, connects them and starts to listen. */
+public final class Daemon {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
+    private static final int EVENT_LOOPS = 2;
+    private static final int SLOTS_PER_TARGET = 4;
+    private static final String HEAD_KEY = "head";
+
+    private final DaemonSettings settings;
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
+    private final AtomicReference<Bundle> bundle = new AtomicReference<>();
+    private final HostListDirectory targets = new HostListDirectory();
+
+    /** Makes a daemon that does nothing yet. */
+    public Daemon(DaemonSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Starts to listen; returns when callers can connect. */
+    public void start() {
+        var platform = new PlatformClient(vertx, settings.platform(), STORE_TIMEOUT);
+        Tasks.start("platform-poll", () -> poll(platform));
+        var service =
+                new ChatService(
+                        bundle::get,
+                        targets,
+                        new FixedShareAdmission(SLOTS_PER_TARGET),
+                        new HttpEngineClient(vertx),
+                        new MemoryUsageRecorder());
+        Router callers = Router.router(vertx);
+        new ChatFront(() -> Optional.ofNullable(bundle.get()), service).mount(callers);
+        Endpoint endpoint = settings.callers();
+        HttpServer server =
+                Await.result(
+                        vertx.createHttpServer()
+                                .requestHandler(callers)
+                                .listen(endpoint.port(), endpoint.ip()),
+                        START_TIMEOUT);
+        LOG.atInfo().log(
+                "daemon %s listens for callers on %s:%d",
+                settings.host(), endpoint.ip(), server.actualPort());
+    }
+
+    private void poll(PlatformClient platform) {
+        do {
+            try {
+                targets.update(Await.result(platform.list(), STORE_TIMEOUT));
+                Await.result(platform.read(Table.BUNDLE_HEAD, HEAD_KEY), STORE_TIMEOUT)
+                        .map(Row::value)
+                        .ifPresent(text -> bundle.set(BundleParser.parse("bundle", text)));
+            } catch (RuntimeException e) {
+                LOG.atWarning().withCause(e).log("cannot read from the platform");
+            }
+        } while (Tasks.sleep(POLL_INTERVAL));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The router daemon: wiring and lifecycle. */
+package org.godwithoist.daemon;
--- /dev/null
+++ b/routing/src/main/java/org/godwithoist/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the target to which a chat should go. */
+package org.godwithoist.routing;
--- /dev/null
+++ b/standins/src/main/java/org/godwithoist/standins/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a model engine. */
+package org.godwithoist.standins.engine;
--- /dev/null
+++ b/standins/src/main/java/org/godwithoist/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for the platform's services. */
+package org.godwithoist.standins.platform;
