Give the stand-ins the faults of the outside systems

Cause: the thin stand-ins could not cut, mute or lose anything, so no promise could be shown under failure. Change: engines batch, cache prompts in limited memory, queue by priority, resume, cancel and log each accept with their own count; the platform loses requests and answers; a plain service cuts before or after a call. The answer depends only on the prompt, so that a checker can tell a whole one. Conclusion: lost answers are told apart from refusals by the client.

--- a/standins/src/main/java/org/godwithoist/standins/StandinKind.java
+++ b/standins/src/main/java/org/godwithoist/standins/StandinKind.java
@@ -4,30 +4,39 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
 import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.standins.engine.EngineOptions;
 import org.godwithoist.standins.engine.EngineStandin;
 import org.godwithoist.standins.platform.PlatformStandin;
+import org.godwithoist.standins.service.ServiceStandin;
 
 /** Kinds of stand-ins. */
 public enum StandinKind {
     /** The platform's table service, object store, host list and weight store. */
     PLATFORM {
         @Override
-        public Future<Integer> start(Vertx vertx, Endpoint endpoint, String id) {
-            return new PlatformStandin(vertx).listen(endpoint).map(HttpServer::actualPort);
+        Future<HttpServer> listen(
+                Vertx vertx, Endpoint endpoint, String id, EngineOptions options) {
+            return new PlatformStandin(vertx).listen(endpoint);
         }
     },
     /** A model engine. */
     ENGINE {
         @Override
-        public Future<Integer> start(Vertx vertx, Endpoint endpoint, String id) {
-            return new EngineStandin(vertx, id).listen(endpoint).map(HttpServer::actualPort);
+        Future<HttpServer> listen(
+                Vertx vertx, Endpoint endpoint, String id, EngineOptions options) {
+            return new EngineStandin(vertx, id, options).listen(endpoint);
+        }
+    },
+    /** A plain service. */
+    SERVICE {
+        @Override
+        Future<HttpServer> listen(
+                Vertx vertx, Endpoint endpoint, String id, EngineOptions options) {
+            return new ServiceStandin(vertx, id).listen(endpoint);
         }
     };
 
-    /**
-     * Starts a stand-in.
-     *
-     * @return the port on which it listens
-     */
-    public abstract Future<Integer> start(Vertx vertx, Endpoint endpoint, String id);
+    /** Starts a stand-in; only engines use the options. */
+    abstract Future<HttpServer> listen(
+            Vertx vertx, Endpoint endpoint, String id, EngineOptions options);
 }
--- /dev/null
+++ b/standins/src/main/java/org/godwithoist/standins/engine/LoadHistory.java
@@ -0,0 +1,37 @@
+package org.godwithoist.standins.engine;
+
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Load reports of the recent past; readers see the newest one that is old enough. */
+final class LoadHistory {
+    private record Entry(long atMillis, JsonObject report) {}
+
+    private final long lagMillis;
+    private final Deque<Entry> entries = new ArrayDeque<>();
+
+    LoadHistory(long lagMillis) {
+        this.lagMillis = lagMillis;
+    }
+
+    void add(JsonObject report) {
+        entries.addLast(new Entry(System.currentTimeMillis(), report));
+    }
+
+    /** Returns the lagged report with its age. */
+    JsonObject read() {
+        long now = System.currentTimeMillis();
+        while (entries.size() > 1 && secondIsOldEnough(now)) {
+            entries.removeFirst();
+        }
+        Entry e = entries.getFirst();
+        return e.report().copy().put("age_ms", now - e.atMillis());
+    }
+
+    private boolean secondIsOldEnough(long now) {
+        var it = entries.iterator();
+        it.next();
+        return it.next().atMillis() <= now - lagMillis;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/godwithoist/standins/engine/PromptCache.java
@@ -0,0 +1,86 @@
+package org.godwithoist.standins.engine;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * Prompt cache of limited size that evicts the least recently used chat and publishes events late.
+ */
+final class PromptCache {
+    private static final int INITIAL_CAPACITY = 64;
+    private static final float LOAD_FACTOR = 0.75f;
+    private static final int PERCENT = 100;
+
+    private final long capacity;
+    private final long eventLagMillis;
+    private final int lossPercent;
+    private final Random random = new Random(1);
+    private final Map<String, Long> tokensByChat =
+            new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
+    private final List<JsonObject> events = new ArrayList<>();
+    private long used;
+    private long lastSeq;
+
+    PromptCache(EngineOptions options) {
+        capacity = options.cacheTokens();
+        eventLagMillis = options.eventLagMillis();
+        lossPercent = options.eventLossPercent();
+    }
+
+    /** Returns the cached tokens of a chat and marks it as used. */
+    long cached(String chat) {
+        return tokensByChat.getOrDefault(chat, 0L);
+    }
+
+    void store(String chat, long tokens) {
+        Long old = tokensByChat.put(chat, tokens);
+        used += tokens - (old == null ? 0 : old);
+        publish("stored", chat, tokens);
+        Iterator<Map.Entry<String, Long>> oldest = tokensByChat.entrySet().iterator();
+        while (used > capacity && oldest.hasNext()) {
+            Map.Entry<String, Long> e = oldest.next();
+            if (e.getKey().equals(chat)) {
+                continue;
+            }
+            oldest.remove();
+            used -= e.getValue();
+            publish("evicted", e.getKey(), e.getValue());
+        }
+    }
+
+    void clear() {
+        tokensByChat.clear();
+        used = 0;
+    }
+
+    JsonArray eventsAfter(long seq) {
+        long visibleUntil = System.currentTimeMillis() - eventLagMillis;
+        JsonArray visible = new JsonArray();
+        for (JsonObject e : events) {
+            if (e.getLong("seq") > seq && e.getLong("at") <= visibleUntil) {
+                visible.add(e);
+            }
+        }
+        return visible;
+    }
+
+    private void publish(String kind, String chat, long tokens) {
+        lastSeq++;
+        if (random.nextInt(PERCENT) < lossPercent) {
+            return;
+        }
+        events.add(
+                new JsonObject()
+                        .put("seq", lastSeq)
+                        .put("kind", kind)
+                        .put("chat", chat)
+                        .put("tokens", tokens)
+                        .put("at", System.currentTimeMillis()));
+    }
+}
--- a/standins/src/main/java/org/godwithoist/standins/platform/PlatformStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/platform/PlatformStandin.java
@@ -12,21 +12,33 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.godwithoist.core.id.Endpoint;
 
-/** Keeps tables, objects and the host list in memory. All handlers run on one event loop. */
+/**
+ * Keeps tables, objects and the host list in memory and counts what it is asked. All handlers run
+ * on one event loop, so the state needs no lock; the process must have a single event loop.
+ */
 public final class PlatformStandin {
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
     private static final long ANY = -1;
+    private static final long WEIGHT_INTERVAL_MS = 1_000;
 
     private final Vertx vertx;
+    private final PlatformFaults faults = new PlatformFaults();
     private final Map<String, NavigableMap<String, JsonObject>> tables = new HashMap<>();
     private final Map<String, Buffer> objects = new HashMap<>();
-    private JsonArray hosts = new JsonArray();
+    private final Map<String, Long> weightGrants = new HashMap<>();
+    private final Map<String, Long> writesByTable = new TreeMap<>();
+    private final HostHistory hosts = new HostHistory();
     private long lastVersion;
+    private long reads;
+    private long writes;
 
     /** Makes a stand-in with empty stores. */
     public PlatformStandin(Vertx vertx) {
@@ -43,61 +55,116 @@
     private Router routes() {
         Router router = Router.router(vertx);
         router.route().handler(BodyHandler.create(false));
+        router.post("/faults").handler(this::setFaults);
+        router.get("/log").handler(this::showCounts);
+        router.put("/hosts").handler(this::putHosts);
+        router.route().handler(this::applyFaults);
         router.get("/tables/:table/rows/:key").handler(this::read);
         router.get("/tables/:table/rows").handler(this::scan);
         router.post("/commit").handler(this::commit);
         router.put("/objects/:key").handler(this::putObject);
         router.get("/objects/:key").handler(this::getObject);
-        router.get("/hosts").handler(c -> c.json(new JsonObject().put("hosts", hosts)));
-        router.put("/hosts").handler(this::putHosts);
+        router.get("/hosts").handler(this::listHosts);
+        router.post("/weights/:name/acquire").handler(this::acquireWeight);
         return router;
     }
 
+    // ---- faults
+
+    private void setFaults(RoutingContext c) {
+        faults.set(c.body().asJsonObject());
+        c.json(new JsonObject());
+    }
+
+    private void applyFaults(RoutingContext c) {
+        if (faults.down()) {
+            c.response().setStatusCode(UNAVAILABLE).end();
+            return;
+        }
+        if (faults.silent()) {
+            return;
+        }
+        if (faults.delayMillis() == 0) {
+            c.next();
+            return;
+        }
+        vertx.setTimer(faults.delayMillis(), t -> c.next());
+    }
+
+    private void showCounts(RoutingContext c) {
+        JsonObject byTable = new JsonObject();
+        writesByTable.forEach(byTable::put);
+        c.json(
+                new JsonObject()
+                        .put("reads", reads)
+                        .put("writes", writes)
+                        .put("writes_by_table", byTable));
+    }
+
+    // ---- tables
+
     private void read(RoutingContext c) {
+        reads++;
         JsonObject row = table(c.pathParam("table")).get(c.pathParam("key"));
         if (row == null) {
-            c.fail(NOT_FOUND);
+            c.response().setStatusCode(NOT_FOUND).end();
             return;
         }
         c.json(row);
     }
 
     private void scan(RoutingContext c) {
-        String prefix = c.queryParams().get("prefix");
+        reads++;
+        String prefix = Optional.ofNullable(c.queryParams().get("prefix")).orElse("");
         JsonArray rows = new JsonArray();
-        for (var e : table(c.pathParam("table")).tailMap(prefix).entrySet()) {
-            if (!e.getKey().startsWith(prefix)) {
-                break;
-            }
-            rows.add(e.getValue());
-        }
+        table(c.pathParam("table")).tailMap(prefix, true).entrySet().stream()
+                .takeWhile(e -> e.getKey().startsWith(prefix))
+                .forEach(e -> rows.add(e.getValue()));
         c.json(new JsonObject().put("rows", rows));
     }
 
     private void commit(RoutingContext c) {
-        JsonArray writes = c.body().asJsonObject().getJsonArray("writes");
-        for (Object o : writes) {
+        if (faults.takeLostRequest()) {
+            c.request().connection().close();
+            return;
+        }
+        JsonArray list = c.body().asJsonObject().getJsonArray("writes");
+        Optional<JsonObject> conflict = findConflict(list);
+        if (conflict.isPresent()) {
+            c.response().setStatusCode(CONFLICT);
+            c.json(conflict.get());
+            return;
+        }
+        JsonArray versions = new JsonArray();
+        for (Object o : list) {
+            versions.add(apply((JsonObject) o));
+        }
+        if (faults.takeLostAnswer()) {
+            c.request().connection().close();
+            return;
+        }
+        c.json(new JsonObject().put("versions", versions));
+    }
+
+    private Optional<JsonObject> findConflict(JsonArray list) {
+        for (Object o : list) {
             JsonObject w = (JsonObject) o;
             JsonObject row = table(w.getString("table")).get(w.getString("key"));
             long version = row == null ? 0 : row.getLong("version");
             long expected = w.getLong("expected");
             if (expected != ANY && expected != version) {
-                c.response().setStatusCode(CONFLICT);
-                c.json(
+                return Optional.of(
                         new JsonObject()
                                 .put("table", w.getString("table"))
                                 .put("key", w.getString("key")));
-                return;
             }
         }
-        JsonArray versions = new JsonArray();
-        for (Object o : writes) {
-            versions.add(apply((JsonObject) o));
-        }
-        c.json(new JsonObject().put("versions", versions));
+        return Optional.empty();
     }
 
     private long apply(JsonObject w) {
+        writes++;
+        writesByTable.merge(w.getString("table"), 1L, Long::sum);
         var table = table(w.getString("table"));
         String key = w.getString("key");
         if (w.getString("value") == null) {
@@ -114,15 +181,23 @@
         return lastVersion;
     }
 
+    private NavigableMap<String, JsonObject> table(String name) {
+        return tables.computeIfAbsent(name, n -> new TreeMap<>());
+    }
+
+    // ---- objects, hosts and weights
+
     private void putObject(RoutingContext c) {
+        writes++;
         objects.put(c.pathParam("key"), c.body().buffer());
         c.json(new JsonObject());
     }
 
     private void getObject(RoutingContext c) {
+        reads++;
         Buffer content = objects.get(c.pathParam("key"));
         if (content == null) {
-            c.fail(NOT_FOUND);
+            c.response().setStatusCode(NOT_FOUND).end();
             return;
         }
         c.end(content);
@@ -131,14 +206,28 @@
     private void putHosts(RoutingContext c) {
         JsonObject body = c.body().asJsonObject();
         if (body == null || body.getJsonArray("hosts") == null) {
-            c.fail(BAD_REQUEST);
+            c.response().setStatusCode(BAD_REQUEST).end();
             return;
         }
-        hosts = body.getJsonArray("hosts");
+        hosts.add(body.getJsonArray("hosts"));
         c.json(new JsonObject());
     }
 
-    private NavigableMap<String, JsonObject> table(String name) {
-        return tables.computeIfAbsent(name, n -> new TreeMap<>());
+    private void listHosts(RoutingContext c) {
+        reads++;
+        c.json(new JsonObject().put("hosts", hosts.read(faults.hostLagMillis())));
+    }
+
+    private void acquireWeight(RoutingContext c) {
+        String name = c.pathParam("name");
+        long now = System.currentTimeMillis();
+        Long last = weightGrants.get(name);
+        if (last != null && now - last < WEIGHT_INTERVAL_MS) {
+            c.response().putHeader("Retry-After", "1");
+            c.response().setStatusCode(TOO_MANY).end();
+            return;
+        }
+        weightGrants.put(name, now);
+        c.json(new JsonObject().put("granted", true));
     }
 }
--- /dev/null
+++ b/standins/src/main/java/org/godwithoist/standins/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in for a plain service. */
+package org.godwithoist.standins.service;
--- /dev/null
+++ b/standins/src/test/java/org/godwithoist/standins/platform/PlatformStandinTest.java
@@ -0,0 +1,172 @@
+package org.godwithoist.standins.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.WebClient;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.platform.ConditionFailedException;
+import org.godwithoist.platform.OutcomeUnknownException;
+import org.godwithoist.platform.Row;
+import org.godwithoist.platform.StoreUnavailableException;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.Write;
+import org.godwithoist.platform.http.PlatformClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a platform client that reports a lost answer as a failed or a successful write.
+ */
+class PlatformStandinTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration CLIENT_TIMEOUT = Duration.ofMillis(500);
+
+    private Vertx vertx;
+    private Endpoint endpoint;
+    private PlatformClient client;
+
+    @BeforeEach
+    void start() {
+        vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+        var server =
+                Await.result(
+                        new PlatformStandin(vertx).listen(new Endpoint("127.0.0.1", 0)), TIMEOUT);
+        endpoint = new Endpoint("127.0.0.1", server.actualPort());
+        client = new PlatformClient(vertx, endpoint, CLIENT_TIMEOUT);
+    }
+
+    @AfterEach
+    void stop() {
+        Await.result(vertx.close(), TIMEOUT);
+    }
+
+    private void setFault(String name, Object value) {
+        Buffer body = new JsonObject().put(name, value).toBuffer();
+        Await.result(
+                WebClient.create(vertx)
+                        .post(endpoint.port(), endpoint.ip(), "/faults")
+                        .sendBuffer(body),
+                TIMEOUT);
+    }
+
+    private List<Long> commit(Write... writes) {
+        return Await.result(client.commit(List.of(writes)), TIMEOUT);
+    }
+
+    private Optional<Row> read(String key) {
+        return Await.result(client.read(Table.CLAIM, key), TIMEOUT);
+    }
+
+    @Nested
+    class WhenTheStoreAnswers {
+        @Test
+        void writesAllRowsOrNone() {
+            long version = commit(Write.insert(Table.CLAIM, "a/1", "x")).get(0);
+            assertThrows(
+                    ConditionFailedException.class,
+                    () ->
+                            commit(
+                                    Write.replace(Table.CLAIM, "a/1", version, "y"),
+                                    Write.replace(Table.CLAIM, "a/2", 7, "z")));
+            assertEquals("x", read("a/1").orElseThrow().value());
+        }
+
+        @Test
+        void scansByPrefixInKeyOrder() {
+            commit(
+                    Write.put(Table.CLAIM, "b 2", "2"),
+                    Write.put(Table.CLAIM, "b 1", "1"),
+                    Write.put(Table.CLAIM, "c", "3"));
+            List<Row> rows = Await.result(client.scan(Table.CLAIM, "b "), TIMEOUT);
+            assertEquals(List.of("1", "2"), rows.stream().map(Row::value).toList());
+        }
+
+        @Test
+        void keepsObjects() {
+            Await.result(client.put("k", "content".getBytes(StandardCharsets.UTF_8)), TIMEOUT);
+            byte[] read = Await.result(client.get("k"), TIMEOUT).orElseThrow();
+            assertEquals("content", new String(read, StandardCharsets.UTF_8));
+            assertTrue(Await.result(client.get("other"), TIMEOUT).isEmpty());
+        }
+    }
+
+    @Nested
+    class WhenAnAnswerIsLost {
+        @Test
+        void reportsAnUnknownOutcomeOfAWriteThatTookEffect() {
+            setFault("lose_commit_answers", 1);
+            assertThrows(
+                    OutcomeUnknownException.class,
+                    () -> commit(Write.insert(Table.CLAIM, "k", "v")));
+            assertEquals("v", read("k").orElseThrow().value());
+        }
+
+        @Test
+        void reportsAnUnknownOutcomeOfAWriteThatTookNoEffect() {
+            setFault("lose_commit_requests", 1);
+            assertThrows(
+                    OutcomeUnknownException.class,
+                    () -> commit(Write.insert(Table.CLAIM, "k", "v")));
+            assertTrue(read("k").isEmpty());
+        }
+    }
+
+    @Nested
+    class WhenTheStoreIsDown {
+        @Test
+        void reportsRefusedReadsAndWritesAsUnavailable() {
+            setFault("down", true);
+            assertThrows(StoreUnavailableException.class, () -> read("k"));
+            assertThrows(
+                    StoreUnavailableException.class,
+                    () -> commit(Write.insert(Table.CLAIM, "k", "v")));
+        }
+
+        @Test
+        void givesUpOnASilentStore() {
+            setFault("silent", true);
+            assertThrows(StoreUnavailableException.class, () -> read("k"));
+            assertThrows(
+                    OutcomeUnknownException.class,
+                    () -> commit(Write.insert(Table.CLAIM, "k", "v")));
+        }
+    }
+
+    @Nested
+    class WhenTheHostListLags {
+        @Test
+        void showsAnOldList() {
+            setFault("host_lag_ms", 60_000);
+            JsonObject host =
+                    new JsonObject()
+                            .put("host", "h1")
+                            .put("kind", "daemon")
+                            .put("failure_domain", "d1")
+                            .put("address", "127.0.0.1:1")
+                            .put("state", "leaving");
+            Buffer body = new JsonObject().put("hosts", new JsonArray().add(host)).toBuffer();
+            Await.result(
+                    WebClient.create(vertx)
+                            .put(endpoint.port(), endpoint.ip(), "/hosts")
+                            .sendBuffer(body),
+                    TIMEOUT);
+            assertTrue(Await.result(client.list(), TIMEOUT).isEmpty());
+            setFault("host_lag_ms", 0);
+            assertEquals(1, Await.result(client.list(), TIMEOUT).size());
+        }
+    }
+}
