--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/Demo.java
@@ -0,0 +1,286 @@
+package org.godwithoist.loadtool.demo;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.HttpResponse;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.godwithoist.bundle.AdmissionLimits;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.Booking;
+import org.godwithoist.loadtool.load.ChatCaller;
+import org.godwithoist.loadtool.load.EngineChecks;
+import org.godwithoist.loadtool.load.FleetMap;
+import org.godwithoist.loadtool.load.HttpCalls;
+import org.godwithoist.loadtool.load.Operator;
+import org.godwithoist.loadtool.load.Summary;
+import org.godwithoist.loadtool.load.TurnResult;
+import org.godwithoist.loadtool.trace.ChatPlan;
+import org.godwithoist.loadtool.trace.Trace;
+
+/** The steps of the demonstration, in order. */
+final class Demo {
+    private static final WorkspaceId WORKSPACE = new WorkspaceId("workspace-0");
+    private static final FailureDomainId DOMAIN = new FailureDomainId("domain-1");
+    private static final Duration DEADLINE = Duration.ofSeconds(20);
+    private static final Duration DEPARTURE_TIME = Duration.ofSeconds(3);
+    private static final Duration SETTLE_TIME = Duration.ofSeconds(12);
+    private static final Duration TIMELINE_SPAN = Duration.ofSeconds(5);
+    private static final int TURNS = 4;
+    private static final double MEDIAN = 50;
+    private static final double P95 = 95;
+
+    private final Vertx vertx;
+    private final FleetMap fleet;
+    private final DemoOptions options;
+    private final HttpCalls calls;
+    private final Operator operator;
+    private final Summary summary = new Summary();
+    private final Findings findings = new Findings();
+
+    /** Broken promises, printed as they are found. */
+    private static final class Findings {
+        private final List<String> list = new ArrayList<>();
+
+        void check(boolean holds, String promise) {
+            System.out.println((holds ? "  ok      " : "  BROKEN  ") + promise);
+            if (!holds) {
+                list.add(promise);
+            }
+        }
+
+        boolean none() {
+            return list.isEmpty();
+        }
+    }
+
+    Demo(Vertx vertx, FleetMap fleet, DemoOptions options) {
+        this.vertx = vertx;
+        this.fleet = fleet;
+        this.options = options;
+        this.calls = new HttpCalls(vertx);
+        this.operator = new Operator(calls, fleet);
+    }
+
+    /** Runs all steps; returns whether every promise held. */
+    boolean run() throws IOException {
+        streamOneAnswer();
+        bookTwice();
+        long start = System.currentTimeMillis();
+        List<Thread> callers = startLoad();
+        long third = options.seconds() * 1_000L / 3;
+        Tasks.sleep(Duration.ofMillis(third));
+        long outAt = order(true);
+        Tasks.sleep(Duration.ofMillis(third));
+        long inAt = order(false);
+        join(callers);
+        System.out.println("waiting " + SETTLE_TIME.toSeconds() + " s for usage to settle");
+        Tasks.sleep(SETTLE_TIME);
+        report(start, outAt, inAt);
+        return findings.none();
+    }
+
+    // ---- steps
+
+    private void streamOneAnswer() {
+        System.out.println("one answer, streamed:");
+        var turn = new ChatPlan.TurnPlan(Duration.ZERO, "My ring needs a new size.", 24);
+        var plan =
+                new ChatPlan(
+                        new ChatId("demo-stream"), WORKSPACE, Priority.INTERACTIVE, List.of(turn));
+        System.out.print("  ");
+        TurnResult result =
+                new ChatCaller(vertx, fleet, DEADLINE)
+                        .say(
+                                plan,
+                                text -> {
+                                    System.out.print(text);
+                                    System.out.flush();
+                                });
+        System.out.println();
+        findings.check(result.outcome().complete(), "the streamed answer is whole");
+        summary.add(result);
+    }
+
+    private void bookTwice() {
+        System.out.println("a booking, repeated with the same key at another daemon:");
+        Booking booking = new Booking(calls, fleet);
+        String key = "demo-booking-" + options.seed();
+        HttpResponse<Buffer> first = booking.book(0, WORKSPACE, key, "ring 54");
+        HttpResponse<Buffer> second = booking.book(1, WORKSPACE, key, "ring 54");
+        HttpResponse<Buffer> other = booking.book(2, WORKSPACE, key, "ring 60");
+        System.out.println("  first   " + first.statusCode() + " " + first.bodyAsString());
+        System.out.println("  repeat  " + second.statusCode() + " " + second.bodyAsString());
+        System.out.println("  other   " + other.statusCode() + " " + other.bodyAsString());
+        findings.check(booking.executions(key) == 1, "the booking ran once");
+        findings.check(
+                first.bodyAsString().equals(second.bodyAsString()),
+                "the repeat got the answer of the first call");
+        findings.check(other.statusCode() == 409, "the same key with another body is refused");
+    }
+
+    private List<Thread> startLoad() {
+        System.out.printf(
+                Locale.ROOT,
+                "load: %d chats of %d turns for about %d s, %s%n",
+                options.chats(),
+                TURNS,
+                options.seconds(),
+                options.deployment().wireName());
+        Duration pause = Duration.ofSeconds(options.seconds()).dividedBy(TURNS + 1);
+        var plans = Trace.draw(options.deployment(), options.seed(), options.chats(), TURNS, pause);
+        ChatCaller caller = new ChatCaller(vertx, fleet, DEADLINE);
+        List<Thread> threads = new ArrayList<>();
+        for (ChatPlan plan : plans) {
+            threads.add(
+                    Tasks.start(
+                            "chat-" + plan.chat(),
+                            () -> caller.play(plan, options.seed(), summary::add)));
+        }
+        return threads;
+    }
+
+    private long order(boolean out) {
+        System.out.printf(
+                Locale.ROOT,
+                "%5d turns answered; failure domain %s %s%n",
+                summary.turns(),
+                DOMAIN,
+                out ? "out of service" : "back in service");
+        operator.order(DOMAIN, out);
+        return System.currentTimeMillis();
+    }
+
+    private static void join(List<Thread> threads) {
+        try {
+            for (Thread t : threads) {
+                t.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    // ---- closing table
+
+    private void report(long start, long outAt, long inAt) throws IOException {
+        EngineChecks checks = new EngineChecks(AdmissionLimits.DEFAULT);
+        for (FleetMap.TargetAddress e : fleet.engines()) {
+            checks.add(
+                    e.id(),
+                    e.failureDomain(),
+                    calls.get(e.endpoint(), "/log", Map.of()).getJsonArray("log"));
+        }
+        System.out.println("answers by time:");
+        System.out.print(summary.timeline(start, TIMELINE_SPAN));
+        printAnswers();
+        EngineChecks.Skew skew = checks.skew();
+        System.out.printf(
+                Locale.ROOT,
+                "load: %d accepts, peak %d at one engine, peak over mean %.2f%n",
+                skew.accepts(),
+                skew.peakLoad(),
+                skew.peakRatio());
+        printControlTraffic();
+        long late = checks.accepts(DOMAIN, outAt + DEPARTURE_TIME.toMillis(), inAt);
+        System.out.println("promises:");
+        findings.check(summary.count(TurnResult.Outcome.WRONG) == 0, "no answer was mixed or cut");
+        findings.check(summary.count(TurnResult.Outcome.LOST) == 0, "no answer was lost");
+        findings.check(skew.violations() == 0, "no engine was above the skew bound");
+        findings.check(skew.coldViolations() == 0, "no cold engine was above its limit");
+        findings.check(late == 0, "no new work in the domain 3 s after it was taken out");
+        checkUsage(checks);
+        printBurn();
+    }
+
+    private void printAnswers() {
+        System.out.printf(
+                Locale.ROOT,
+                "answers: %d turns, %d whole, %d late, %d wrong, %d refused, %d lost; "
+                        + "%d refusals repeated by callers%n",
+                summary.turns(),
+                summary.count(TurnResult.Outcome.WHOLE),
+                summary.count(TurnResult.Outcome.LATE),
+                summary.count(TurnResult.Outcome.WRONG),
+                summary.count(TurnResult.Outcome.REFUSED),
+                summary.count(TurnResult.Outcome.LOST),
+                summary.refusals());
+        System.out.printf(
+                Locale.ROOT, "cache reuse: %.1f %% of prompt tokens%n", summary.reuse() * 100);
+        for (Priority p : Priority.values()) {
+            System.out.printf(
+                    Locale.ROOT,
+                    "first token, %-11s p50 %4d ms, p95 %4d ms%n",
+                    p.wireName() + ":",
+                    summary.firstToken(MEDIAN, r -> r.priority() == p).toMillis(),
+                    summary.firstToken(P95, r -> r.priority() == p).toMillis());
+        }
+    }
+
+    private void printControlTraffic() {
+        for (FleetMap.DaemonAddress d : fleet.daemons()) {
+            JsonObject status = operator.read(d.operators(), "/v1/status");
+            System.out.printf(
+                    Locale.ROOT,
+                    "control traffic of %s: %.2f KB/s%n",
+                    d.host(),
+                    status.getDouble("control_bytes_per_second", 0.0) / 1_000);
+        }
+    }
+
+    private void checkUsage(EngineChecks checks) {
+        System.out.println("usage (requests, prompt tokens, completion tokens):");
+        Map<String, long[]> counted = checks.usage();
+        JsonObject accounts = operator.read("/v1/usage").getJsonObject("workspaces");
+        boolean equal = true;
+        for (var e : counted.entrySet()) {
+            JsonObject settled =
+                    accounts.getJsonObject(e.getKey(), new JsonObject())
+                            .getJsonObject("settled", new JsonObject());
+            long[] c = e.getValue();
+            boolean same =
+                    settled.getLong("prompt_tokens", 0L) == c[1]
+                            && settled.getLong("completion_tokens", 0L) == c[2];
+            equal &= same;
+            System.out.printf(
+                    Locale.ROOT,
+                    "  %-14s engines %5d %8d %7d   accounts %8d %7d%s%n",
+                    e.getKey(),
+                    c[0],
+                    c[1],
+                    c[2],
+                    settled.getLong("prompt_tokens", 0L),
+                    settled.getLong("completion_tokens", 0L),
+                    same ? "" : "   differ");
+        }
+        findings.check(equal, "the accounts equal what the engines counted");
+    }
+
+    private void printBurn() throws IOException {
+        System.out.println("service-level burn:");
+        System.out.println(operator.read("/v1/report/burn").encodePrettily());
+        if (options.burnHtml() == null) {
+            return;
+        }
+        var page =
+                calls.send(
+                        HttpMethod.GET,
+                        fleet.daemons().get(0).operators(),
+                        "/v1/report/burn.html",
+                        Map.of("Authorization", "Bearer " + fleet.operatorToken()),
+                        Buffer.buffer());
+        Files.writeString(options.burnHtml(), page.bodyAsString());
+        System.out.println("burn report written to " + options.burnHtml());
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The demonstration on real processes. */
+package org.godwithoist.loadtool.demo;
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/EngineChecks.java
@@ -0,0 +1,131 @@
+package org.godwithoist.loadtool.load;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.godwithoist.bundle.AdmissionLimits;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.TargetId;
+
+/**
+ * Checks promises from the engines' own logs. The processes run on one machine, so the times of
+ * their entries can be compared.
+ */
+public final class EngineChecks {
+    /** The bound refers to the largest mean load within this time. */
+    private static final long MEAN_WINDOW_MS = 10_000;
+
+    private final AdmissionLimits limits;
+    private final List<Entry> entries = new ArrayList<>();
+    private int engines;
+
+    private record Entry(
+            long atMillis,
+            TargetId engine,
+            FailureDomainId domain,
+            String kind,
+            JsonObject fields) {}
+
+    /**
+     * Result of the skew check.
+     *
+     * @param accepts requests accepted
+     * @param peakRatio largest load of an engine over the mean at an accept, where the mean is at
+     *     least the floor
+     * @param peakLoad largest number of requests in progress at one engine
+     * @param violations accepts above the bound
+     * @param coldViolations accepts above the cold-start limit
+     */
+    public record Skew(
+            int accepts, double peakRatio, int peakLoad, int violations, int coldViolations) {}
+
+    /** Makes checks against the limits of the bundle. */
+    public EngineChecks(AdmissionLimits limits) {
+        this.limits = limits;
+    }
+
+    /** Adds the log of an engine. */
+    public void add(TargetId engine, FailureDomainId domain, JsonArray log) {
+        engines++;
+        for (Object o : log) {
+            JsonObject e = (JsonObject) o;
+            entries.add(new Entry(e.getLong("at"), engine, domain, e.getString("kind"), e));
+        }
+        entries.sort(Comparator.comparingLong(Entry::atMillis));
+    }
+
+    /** Checks the skew bound and the cold-start limit at each accept. */
+    public Skew skew() {
+        Map<TargetId, Integer> load = new TreeMap<>();
+        List<double[]> means = new ArrayList<>();
+        int accepts = 0;
+        int peakLoad = 0;
+        int violations = 0;
+        int coldViolations = 0;
+        double peakRatio = 0;
+        for (Entry e : entries) {
+            int now = load.merge(e.engine(), change(e.kind()), Integer::sum);
+            double mean =
+                    load.values().stream().mapToInt(Integer::intValue).sum() / (double) engines;
+            means.add(new double[] {e.atMillis(), mean});
+            if (!e.kind().equals("accepted")) {
+                continue;
+            }
+            accepts++;
+            peakLoad = Math.max(peakLoad, now);
+            double largest = largestMean(means, e.atMillis());
+            violations += now > limits.skewBound(largest) ? 1 : 0;
+            boolean cold = e.fields().getBoolean("cold", false);
+            coldViolations += cold && now > limits.coldStartLimit() ? 1 : 0;
+            peakRatio = Math.max(peakRatio, now / Math.max(limits.skewFloor(), largest));
+        }
+        return new Skew(accepts, peakRatio, peakLoad, violations, coldViolations);
+    }
+
+    /** Counts the requests that engines of a failure domain accepted in a span of time. */
+    public long accepts(FailureDomainId domain, long fromMillis, long toMillis) {
+        return entries.stream()
+                .filter(e -> e.kind().equals("accepted") && e.domain().equals(domain))
+                .filter(e -> e.atMillis() >= fromMillis && e.atMillis() < toMillis)
+                .count();
+    }
+
+    /** Sums what the engines counted for each workspace: requests, prompt and completion tokens. */
+    public Map<String, long[]> usage() {
+        Map<String, long[]> sums = new TreeMap<>();
+        for (Entry e : entries) {
+            if (change(e.kind()) >= 0) {
+                continue;
+            }
+            JsonObject u = e.fields().getJsonObject("usage");
+            long[] sum = sums.computeIfAbsent(e.fields().getString("workspace"), w -> new long[3]);
+            sum[0]++;
+            sum[1] += u.getLong("prompt_tokens");
+            sum[2] += u.getLong("completion_tokens");
+        }
+        return sums;
+    }
+
+    private static int change(String kind) {
+        return switch (kind) {
+            case "accepted" -> 1;
+            case "finished", "cancelled" -> -1;
+            default -> 0;
+        };
+    }
+
+    private static double largestMean(List<double[]> means, long atMillis) {
+        double largest = 0;
+        for (int i = means.size() - 1; i >= 0; i--) {
+            largest = Math.max(largest, means.get(i)[1]);
+            if (means.get(i)[0] < atMillis - MEAN_WINDOW_MS) {
+                break;
+            }
+        }
+        return largest;
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/FleetMap.java
@@ -0,0 +1,85 @@
+package org.godwithoist.loadtool.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.json.JsonDocument;
+
+/**
+ * The processes of a running fleet, as the script that started them wrote them down.
+ *
+ * @param daemons the daemons
+ * @param engines the engine stand-ins
+ * @param services the service stand-ins
+ * @param platform the platform stand-in
+ * @param keys the key of each workspace
+ * @param operatorToken token of an operator
+ */
+public record FleetMap(
+        List<DaemonAddress> daemons,
+        List<TargetAddress> engines,
+        List<TargetAddress> services,
+        Endpoint platform,
+        Map<WorkspaceId, String> keys,
+        String operatorToken) {
+    /**
+     * A daemon.
+     *
+     * @param host its host
+     * @param callers endpoint for callers
+     * @param operators endpoint for operators
+     */
+    public record DaemonAddress(HostId host, Endpoint callers, Endpoint operators) {}
+
+    /**
+     * A target.
+     *
+     * @param id the target
+     * @param failureDomain its failure domain
+     * @param endpoint its address
+     */
+    public record TargetAddress(TargetId id, FailureDomainId failureDomain, Endpoint endpoint) {}
+
+    /** Reads a map from JSON. */
+    public static FleetMap parse(String file, String text) {
+        JsonNode root = JsonDocument.parse(file, text).root();
+        List<DaemonAddress> daemons = new ArrayList<>();
+        for (JsonNode d : root.get("daemons")) {
+            daemons.add(
+                    new DaemonAddress(
+                            new HostId(d.get("host").asText()),
+                            Endpoint.parse(d.get("callers").asText()),
+                            Endpoint.parse(d.get("operators").asText())));
+        }
+        Map<WorkspaceId, String> keys = new TreeMap<>();
+        root.get("keys")
+                .properties()
+                .forEach(e -> keys.put(new WorkspaceId(e.getKey()), e.getValue().asText()));
+        return new FleetMap(
+                daemons,
+                targets(root.get("engines")),
+                targets(root.get("services")),
+                Endpoint.parse(root.get("platform").asText()),
+                keys,
+                root.get("operatorToken").asText());
+    }
+
+    private static List<TargetAddress> targets(JsonNode list) {
+        List<TargetAddress> targets = new ArrayList<>();
+        for (JsonNode t : list) {
+            targets.add(
+                    new TargetAddress(
+                            new TargetId(t.get("id").asText()),
+                            new FailureDomainId(t.get("failureDomain").asText()),
+                            Endpoint.parse(t.get("endpoint").asText())));
+        }
+        return targets;
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/HttpCalls.java
@@ -0,0 +1,38 @@
+package org.godwithoist.loadtool.load;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.HttpRequest;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import java.time.Duration;
+import java.util.Map;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Await;
+
+/** Short calls to daemons and stand-ins; each blocks the calling virtual thread. */
+public final class HttpCalls {
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+    private final WebClient client;
+
+    /** Makes the calls on the given Vert.x instance. */
+    public HttpCalls(Vertx vertx) {
+        client = WebClient.create(vertx);
+    }
+
+    /** Reads a JSON document. */
+    public JsonObject get(Endpoint to, String path, Map<String, String> headers) {
+        return send(HttpMethod.GET, to, path, headers, Buffer.buffer()).bodyAsJsonObject();
+    }
+
+    /** Sends a request and returns the whole answer. */
+    public HttpResponse<Buffer> send(
+            HttpMethod method, Endpoint to, String path, Map<String, String> headers, Buffer body) {
+        HttpRequest<Buffer> request = client.request(method, to.port(), to.ip(), path);
+        headers.forEach(request::putHeader);
+        return Await.result(request.timeout(TIMEOUT.toMillis()).sendBuffer(body), TIMEOUT);
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/Operator.java
@@ -0,0 +1,57 @@
+package org.godwithoist.loadtool.load;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+
+/** Gives orders and reads reports on the operators' port of a daemon. */
+public final class Operator {
+    private static final int OK = 200;
+
+    private final HttpCalls calls;
+    private final FleetMap fleet;
+
+    /** Makes an operator with the token of the fleet map. */
+    public Operator(HttpCalls calls, FleetMap fleet) {
+        this.calls = calls;
+        this.fleet = fleet;
+    }
+
+    /** Takes a failure domain out of service or back in. */
+    public void order(FailureDomainId domain, boolean out) {
+        Buffer body =
+                new JsonObject()
+                        .put("subject", "domain:" + domain)
+                        .put("state", out ? "out" : "in")
+                        .toBuffer();
+        var answer = calls.send(HttpMethod.POST, any(), "/v1/orders", headers(), body);
+        if (answer.statusCode() != OK) {
+            throw new IllegalStateException(
+                    "the order was answered with "
+                            + answer.statusCode()
+                            + " "
+                            + answer.bodyAsString());
+        }
+    }
+
+    /** Reads a JSON document from a daemon's operators' port. */
+    public JsonObject read(Endpoint daemon, String path) {
+        return calls.get(daemon, path, headers());
+    }
+
+    /** Reads a JSON document from the first daemon. */
+    public JsonObject read(String path) {
+        return read(any(), path);
+    }
+
+    private Endpoint any() {
+        return fleet.daemons().get(0).operators();
+    }
+
+    private Map<String, String> headers() {
+        return Map.of("Authorization", "Bearer " + fleet.operatorToken());
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/Summary.java
@@ -0,0 +1,90 @@
+package org.godwithoist.loadtool.load;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+
+/** Collects the results of all turns. Thread-safe. */
+public final class Summary {
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    private final List<TurnResult> results = new ArrayList<>();
+
+    /** Adds a result. */
+    public synchronized void add(TurnResult result) {
+        results.add(result);
+    }
+
+    /** Returns the number of turns so far. */
+    public synchronized int turns() {
+        return results.size();
+    }
+
+    /** Returns the number of turns with an outcome. */
+    public synchronized long count(TurnResult.Outcome outcome) {
+        return results.stream().filter(r -> r.outcome() == outcome).count();
+    }
+
+    /** Returns the refusals that callers repeated. */
+    public synchronized long refusals() {
+        return results.stream().mapToLong(TurnResult::refusals).sum();
+    }
+
+    /** Returns the share of prompt tokens that came from a cache. */
+    public synchronized double reuse() {
+        long prompt = results.stream().mapToLong(TurnResult::promptTokens).sum();
+        long cached = results.stream().mapToLong(TurnResult::cachedTokens).sum();
+        return prompt == 0 ? 0 : cached / (double) prompt;
+    }
+
+    /** Returns a percentile of the time to the first token. */
+    public synchronized Duration firstToken(double percentile, Predicate<TurnResult> filter) {
+        Histogram h = new Histogram(SIGNIFICANT_DIGITS);
+        results.stream()
+                .filter(r -> r.outcome().complete())
+                .filter(filter)
+                .forEach(r -> h.recordValue(r.firstToken().toNanos()));
+        return Duration.ofNanos(h.getValueAtPercentile(percentile));
+    }
+
+    /** Returns the answers, late answers and mean reuse of each span of time. */
+    public synchronized String timeline(long startMillis, Duration span) {
+        Map<Long, List<TurnResult>> bySpan = new TreeMap<>();
+        for (TurnResult r : results) {
+            long n = (r.startedMillis() - startMillis) / span.toMillis();
+            bySpan.computeIfAbsent(n, k -> new ArrayList<>()).add(r);
+        }
+        StringBuilder table = new StringBuilder("  from s  turns  whole  late  other  reuse\n");
+        bySpan.forEach(
+                (n, list) ->
+                        table.append(
+                                String.format(
+                                        Locale.ROOT,
+                                        "  %6d %6d %6d %5d %6d %6.2f%n",
+                                        n * span.toSeconds(),
+                                        list.size(),
+                                        outcomes(list).getOrDefault(TurnResult.Outcome.WHOLE, 0),
+                                        outcomes(list).getOrDefault(TurnResult.Outcome.LATE, 0),
+                                        list.stream().filter(r -> !r.outcome().complete()).count(),
+                                        reuse(list))));
+        return table.toString();
+    }
+
+    private static Map<TurnResult.Outcome, Integer> outcomes(List<TurnResult> list) {
+        Map<TurnResult.Outcome, Integer> counts = new EnumMap<>(TurnResult.Outcome.class);
+        list.forEach(r -> counts.merge(r.outcome(), 1, Integer::sum));
+        return counts;
+    }
+
+    private static double reuse(List<TurnResult> list) {
+        long prompt = list.stream().mapToLong(TurnResult::promptTokens).sum();
+        long cached = list.stream().mapToLong(TurnResult::cachedTokens).sum();
+        return prompt == 0 ? 0 : cached / (double) prompt;
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/package-info.java
@@ -0,0 +1,2 @@
+/** Load generator, checkers and experiments. */
+package org.godwithoist.loadtool;
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/trace/Trace.java
@@ -0,0 +1,81 @@
+package org.godwithoist.loadtool.trace;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.WorkspaceId;
+
+/** Draws chats from a seed; the same seed gives the same chats. */
+public final class Trace {
+    private static final int MIN_ANSWER_WORDS = 10;
+    private static final int ANSWER_WORDS_RANGE = 30;
+    private static final int HUNDRED = 100;
+
+    private final Deployment deployment;
+    private final Random random;
+
+    private Trace(Deployment deployment, long seed) {
+        this.deployment = deployment;
+        this.random = new Random(seed);
+    }
+
+    /**
+     * Draws a trace.
+     *
+     * @param chats number of chats
+     * @param turns turns of each chat
+     * @param meanPause mean pause between turns; the distribution is exponential
+     */
+    public static List<ChatPlan> draw(
+            Deployment deployment, long seed, int chats, int turns, Duration meanPause) {
+        Trace trace = new Trace(deployment, seed);
+        List<ChatPlan> plans = new ArrayList<>();
+        for (int i = 0; i < chats; i++) {
+            plans.add(trace.chat(i, turns, meanPause));
+        }
+        return plans;
+    }
+
+    private ChatPlan chat(int number, int turns, Duration meanPause) {
+        List<ChatPlan.TurnPlan> list = new ArrayList<>();
+        for (int t = 0; t < turns; t++) {
+            int words = t == 0 ? deployment.firstPromptWords() : deployment.turnWords();
+            int spread = words / 2 + random.nextInt(words);
+            int answer = MIN_ANSWER_WORDS + random.nextInt(ANSWER_WORDS_RANGE);
+            list.add(
+                    new ChatPlan.TurnPlan(
+                            exponential(meanPause), message(number, t, spread), answer));
+        }
+        return new ChatPlan(
+                new ChatId(deployment.wireName() + "-" + number),
+                workspace(),
+                deployment.priority(random),
+                list);
+    }
+
+    private WorkspaceId workspace() {
+        int n = random.nextInt(HUNDRED);
+        List<Integer> weights = deployment.workspaceWeights();
+        int i = 0;
+        while (n >= weights.get(i)) {
+            n -= weights.get(i);
+            i++;
+        }
+        return new WorkspaceId("workspace-" + i);
+    }
+
+    private Duration exponential(Duration mean) {
+        double factor = -Math.log(1 - random.nextDouble());
+        return Duration.ofNanos((long) (mean.toNanos() * factor));
+    }
+
+    private String message(int chat, int turn, int words) {
+        StringBuilder text = new StringBuilder("chat " + chat + " turn " + turn + ":");
+        for (int i = 0; i < words; i++) {
+            text.append(' ').append((char) ('a' + random.nextInt(26))).append(random.nextInt(10));
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/trace/package-info.java
@@ -0,0 +1,2 @@
+/** Seeded traces of returning chats. */
+package org.godwithoist.loadtool.trace;
