Send orders to engines under a lease with fencing numbers

Cause: nothing loaded models, and two daemons could have ordered at once. Change: one lease for each pool in the table service; its epoch is the fencing number. Engines that ignore the number get the first order of a new holder only 30 s after it took the lease. Loads ask the weight store first. Conclusion: one writer at a time, on the stated assumption that a holder is never paused for more than 30 s between its check and its order.

--- /dev/null
+++ b/orders/src/main/java/org/godwithoist/orders/EngineOrder.java
@@ -0,0 +1,42 @@
+package org.godwithoist.orders;
+
+import java.util.Locale;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.TargetId;
+
+/**
+ * An order to an engine.
+ *
+ * @param kind what the engine should do
+ * @param target the engine
+ * @param model model concerned
+ * @param name name of the adapter or role; the model's name for a model
+ * @param version version to load; empty for a role
+ */
+public record EngineOrder(Kind kind, TargetId target, ModelId model, String name, String version) {
+    /** Kinds of orders. */
+    public enum Kind {
+        /** Load the weights of a model. */
+        LOAD_MODEL(true),
+        /** Load an adapter. */
+        LOAD_ADAPTER(true),
+        /** Change the role of the engine. */
+        SET_ROLE(false);
+
+        private final boolean readsWeights;
+
+        Kind(boolean readsWeights) {
+            this.readsWeights = readsWeights;
+        }
+
+        /** Returns whether the engine reads from the rate-limited weight store. */
+        public boolean readsWeights() {
+            return readsWeights;
+        }
+
+        /** Returns the name used in the engines' protocol. */
+        public String wireName() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+}
--- /dev/null
+++ b/orders/src/main/java/org/godwithoist/orders/EngineState.java
@@ -0,0 +1,42 @@
+package org.godwithoist.orders;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.TargetId;
+
+/**
+ * What an engine has loaded, as far as this daemon knows.
+ *
+ * @param target the engine
+ * @param incarnation number of the engine's run; a new run has nothing loaded
+ * @param models loaded models with their versions
+ * @param adapters loaded adapters
+ */
+public record EngineState(
+        TargetId target, long incarnation, Map<ModelId, String> models, Set<String> adapters) {
+    /** Copies the collections. */
+    public EngineState {
+        models = Map.copyOf(models);
+        adapters = Set.copyOf(adapters);
+    }
+
+    /** Returns the state of an engine that has nothing loaded. */
+    public static EngineState empty(TargetId target, long incarnation) {
+        return new EngineState(target, incarnation, Map.of(), Set.of());
+    }
+
+    /** Returns the state after an order was carried out. */
+    public EngineState after(EngineOrder order) {
+        var newModels = new HashMap<>(models);
+        var newAdapters = new HashSet<>(adapters);
+        switch (order.kind()) {
+            case LOAD_MODEL -> newModels.put(order.model(), order.version());
+            case LOAD_ADAPTER -> newAdapters.add(order.name());
+            case SET_ROLE -> {}
+        }
+        return new EngineState(target, incarnation, newModels, newAdapters);
+    }
+}
--- /dev/null
+++ b/orders/src/main/java/org/godwithoist/orders/OrderDispatcher.java
@@ -0,0 +1,193 @@
+package org.godwithoist.orders;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.Pool;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.Target;
+import org.godwithoist.membership.TargetDirectory;
+import org.godwithoist.platform.ConditionFailedException;
+import org.godwithoist.platform.OutcomeUnknownException;
+import org.godwithoist.platform.Row;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.TableStore;
+import org.godwithoist.platform.WeightStore;
+import org.godwithoist.platform.Write;
+
+/**
+ * Brings the engines of one pool to what the bundle asks for. One task runs it for each pool; only
+ * the holder of the pool's lease sends orders.
+ */
+public final class OrderDispatcher {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration ROUND = Duration.ofMillis(500);
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(5);
+
+    private final PoolId pool;
+    private final Supplier<Optional<Bundle>> bundle;
+    private final TargetDirectory targets;
+    private final TableStore store;
+    private final WeightStore weights;
+    private final EngineOrders engines;
+    private final IncarnationSource incarnations;
+    private final Ticker ticker;
+    private final OrderLease lease;
+    private final Map<TargetId, EngineState> states = new HashMap<>();
+
+    /** Tells the run of an engine, from its load reports. */
+    @FunctionalInterface
+    public interface IncarnationSource {
+        /** Returns the incarnation of an engine, or empty if it has not reported yet. */
+        Optional<Long> incarnation(TargetId target);
+    }
+
+    /** Makes the dispatcher of a pool. */
+    public OrderDispatcher(
+            HostId self,
+            PoolId pool,
+            Supplier<Optional<Bundle>> bundle,
+            TargetDirectory targets,
+            TableStore store,
+            WeightStore weights,
+            EngineOrders engines,
+            IncarnationSource incarnations,
+            Ticker ticker) {
+        this.pool = pool;
+        this.bundle = bundle;
+        this.targets = targets;
+        this.store = store;
+        this.weights = weights;
+        this.engines = engines;
+        this.incarnations = incarnations;
+        this.ticker = ticker;
+        this.lease = new OrderLease(self, ticker);
+    }
+
+    /** Starts the task; it ends when it is interrupted. */
+    public Thread start() {
+        return Tasks.start("orders-" + pool, this::run);
+    }
+
+    private void run() {
+        do {
+            try {
+                round();
+            } catch (RuntimeException e) {
+                LOG.atWarning().withCause(e).log("orders for pool %s are delayed", pool);
+            }
+        } while (Tasks.sleep(ROUND));
+    }
+
+    /** Does one round: keeps the lease and sends the orders that are due. */
+    void round() {
+        keepLease();
+        Optional<Bundle> current = bundle.get();
+        Optional<Pool> definition = current.map(b -> b.pools().get(pool));
+        if (definition.isEmpty() || !lease.mayOrder(definition.get().fencing())) {
+            return;
+        }
+        for (EngineOrder order : OrderPlan.missing(current.get(), pool, knownStates())) {
+            if (!dispatch(order)) {
+                return;
+            }
+        }
+    }
+
+    // ---- lease
+
+    private void keepLease() {
+        Optional<Row> row =
+                Await.result(store.read(Table.ENGINE_ORDER, pool.value()), STORE_TIMEOUT);
+        lease.observe(row.map(r -> OrderRows.decode(r.value())));
+        OrderLease.Step step = lease.next();
+        if (!step.writes()) {
+            return;
+        }
+        OrderLease.Holding proposal = lease.proposal();
+        long sentAt = ticker.nanos();
+        Write write =
+                new Write(
+                        Table.ENGINE_ORDER,
+                        pool.value(),
+                        row.map(Row::version).orElse(Write.ABSENT),
+                        Optional.of(OrderRows.encode(proposal)));
+        try {
+            Await.result(store.commit(List.of(write)), STORE_TIMEOUT);
+            lease.written(proposal, sentAt);
+            if (step == OrderLease.Step.TAKE) {
+                states.clear();
+            }
+        } catch (ConditionFailedException e) {
+            LOG.atInfo().log("another daemon holds the order lease of pool %s", pool);
+        } catch (OutcomeUnknownException e) {
+            // Holder, epoch and renewal identify the write, so reading it back tells its outcome.
+            confirm(proposal, sentAt, step);
+        }
+    }
+
+    private void confirm(OrderLease.Holding proposal, long sentAt, OrderLease.Step step) {
+        Optional<Row> row =
+                Await.result(store.read(Table.ENGINE_ORDER, pool.value()), STORE_TIMEOUT);
+        if (row.map(r -> OrderRows.decode(r.value()).equals(proposal)).orElse(false)) {
+            lease.written(proposal, sentAt);
+            if (step == OrderLease.Step.TAKE) {
+                states.clear();
+            }
+        }
+    }
+
+    // ---- orders
+
+    private List<EngineState> knownStates() {
+        return targets.targets(pool).stream()
+                .filter(t -> t.service().acceptsWork())
+                .map(Target::id)
+                .flatMap(id -> incarnations.incarnation(id).map(i -> state(id, i)).stream())
+                .toList();
+    }
+
+    private EngineState state(TargetId id, long incarnation) {
+        return states.compute(
+                id,
+                (k, old) ->
+                        old == null || old.incarnation() != incarnation
+                                ? EngineState.empty(id, incarnation)
+                                : old);
+    }
+
+    /** Returns false if no further order may be sent in this round. */
+    private boolean dispatch(EngineOrder order) {
+        if (order.kind().readsWeights()
+                && !Await.result(weights.acquire(order.model()), STORE_TIMEOUT)) {
+            return false;
+        }
+        Optional<Target> engine = targets.find(order.target());
+        if (engine.isEmpty()) {
+            return true;
+        }
+        if (!lease.mayOrder()) {
+            return false;
+        }
+        EngineOrders.Result result =
+                Await.result(engines.send(engine.get(), order, lease.fencing()), ORDER_TIMEOUT);
+        if (result == EngineOrders.Result.FENCED) {
+            LOG.atWarning().log(
+                    "%s refused an order with number %d", engine.get().id(), lease.fencing());
+            return false;
+        }
+        states.computeIfPresent(order.target(), (id, s) -> s.after(order));
+        return true;
+    }
+}
--- /dev/null
+++ b/orders/src/main/java/org/godwithoist/orders/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP adapter for orders to engines. */
+package org.godwithoist.orders.http;
--- /dev/null
+++ b/orders/src/test/java/org/godwithoist/orders/OrderDispatcherTest.java
@@ -0,0 +1,171 @@
+package org.godwithoist.orders;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.bundle.AdmissionLimits;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.FencingMode;
+import org.godwithoist.bundle.Model;
+import org.godwithoist.bundle.Pool;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.membership.HostListDirectory;
+import org.godwithoist.membership.Target;
+import org.godwithoist.platform.HostEntry;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.fake.FakeTableStore;
+import org.godwithoist.platform.fake.StoreFault;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against doubled orders, orders of a lapsed holder and loads above the weight store's rate.
+ */
+class OrderDispatcherTest {
+    private static final PoolId POOL = new PoolId("assistants");
+    private static final TargetId ENGINE = new TargetId("engine-1");
+
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final FakeTableStore store = new FakeTableStore();
+    private final HostListDirectory targets = new HostListDirectory();
+    private final FakeEngine engine = new FakeEngine();
+    private int weightPermits = Integer.MAX_VALUE;
+
+    /** Checks fencing numbers and remembers what it carried out. */
+    private static final class FakeEngine implements EngineOrders {
+        private final List<String> done = new ArrayList<>();
+        private long highest;
+
+        @Override
+        public Uni<Result> send(Target target, EngineOrder order, long fencing) {
+            if (fencing < highest) {
+                return Uni.createFrom().item(Result.FENCED);
+            }
+            highest = fencing;
+            done.add(order.kind() + " " + order.name() + " " + order.version());
+            return Uni.createFrom().item(Result.DONE);
+        }
+    }
+
+    private OrderDispatcher dispatcher(String host, FencingMode mode) {
+        targets.update(
+                List.of(
+                        new HostEntry(
+                                new HostId("h"),
+                                HostEntry.Kind.ENGINE,
+                                Optional.of(ENGINE),
+                                Optional.of(POOL),
+                                new FailureDomainId("d"),
+                                new Endpoint("127.0.0.1", 1),
+                                HostEntry.State.LIVE)));
+        Pool pool = new Pool(POOL, Pool.Kind.ENGINE, 1, AdmissionLimits.DEFAULT, mode, 0);
+        Model model = new Model(new ModelId("assistant"), POOL, "7", List.of("rings"));
+        Bundle bundle = Bundle.of(List.of(), List.of(model), List.of(pool), List.of(), List.of());
+        return new OrderDispatcher(
+                new HostId(host),
+                POOL,
+                () -> Optional.of(bundle),
+                targets,
+                store,
+                m -> CompletableFuture.completedFuture(weightPermits-- > 0),
+                engine,
+                t -> Optional.of(1L),
+                ticker);
+    }
+
+    @Nested
+    class WhenAnEngineJoins {
+        @Test
+        void itGetsTheModelAndThenItsAdapters() {
+            OrderDispatcher d = dispatcher("a", FencingMode.CHECKED);
+            d.round();
+            d.round();
+            assertEquals(List.of("LOAD_MODEL assistant 7", "LOAD_ADAPTER rings 7"), engine.done);
+        }
+    }
+
+    @Nested
+    class WhenTheWeightStoreIsBusy {
+        @Test
+        void ordersWait() {
+            weightPermits = 1;
+            OrderDispatcher d = dispatcher("a", FencingMode.CHECKED);
+            d.round();
+            assertEquals(List.of("LOAD_MODEL assistant 7"), engine.done);
+            weightPermits = 1;
+            d.round();
+            assertEquals(2, engine.done.size());
+        }
+    }
+
+    @Nested
+    class WhenTwoDaemonsRace {
+        @Test
+        void onlyTheHolderSendsOrders() {
+            OrderDispatcher a = dispatcher("a", FencingMode.CHECKED);
+            OrderDispatcher b = dispatcher("b", FencingMode.CHECKED);
+            a.round();
+            b.round();
+            assertEquals(2, engine.done.size());
+        }
+
+        @Test
+        void anEngineRefusesAPausedHolderThatWakes() {
+            OrderDispatcher a = dispatcher("a", FencingMode.CHECKED);
+            OrderDispatcher b = dispatcher("b", FencingMode.CHECKED);
+            weightPermits = 0;
+            a.round();
+            b.round();
+            ticker.advance(OrderLease.DURATION.plus(Duration.ofSeconds(1)));
+            weightPermits = 2;
+            b.round();
+            assertEquals(2, engine.done.size());
+            assertEquals(2, engine.highest);
+            assertEquals(
+                    EngineOrders.Result.FENCED, engine.send(null, null, 1).await().indefinitely());
+        }
+
+        @Test
+        void theNextHolderWaitsWhereFencingIsIgnored() {
+            OrderDispatcher a = dispatcher("a", FencingMode.IGNORED);
+            OrderDispatcher b = dispatcher("b", FencingMode.IGNORED);
+            weightPermits = 0;
+            a.round();
+            b.round();
+            weightPermits = 10;
+            ticker.advance(OrderLease.DURATION.plus(Duration.ofSeconds(1)));
+            b.round();
+            assertTrue(engine.done.isEmpty());
+        }
+    }
+
+    @Nested
+    class WhenTheStoreLosesAnAnswer {
+        @Test
+        void theHolderReadsItsRecordBack() {
+            store.faultNextCommit(StoreFault.ANSWER_LOST);
+            dispatcher("a", FencingMode.CHECKED).round();
+            assertEquals(2, engine.done.size());
+        }
+
+        @Test
+        void aLostRequestLeavesTheLeaseFree() {
+            store.faultNextCommit(StoreFault.REQUEST_LOST);
+            dispatcher("a", FencingMode.CHECKED).round();
+            assertTrue(engine.done.isEmpty());
+            assertTrue(store.read(Table.ENGINE_ORDER, POOL.value()).join().isEmpty());
+        }
+    }
+}
