--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/http/AdmitHandler.java
@@ -0,0 +1,39 @@
+package org.godwithoist.daemon.http;
+
+import io.vertx.core.Handler;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.RoutingContext;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.daemon.Lifecycle;
+
+/** Counts requests in and out, and refuses new ones while the daemon starts or drains. */
+public final class AdmitHandler implements Handler<RoutingContext> {
+    private final Lifecycle lifecycle;
+
+    /** Makes the handler of a daemon's life. */
+    public AdmitHandler(Lifecycle lifecycle) {
+        this.lifecycle = lifecycle;
+    }
+
+    @Override
+    public void handle(RoutingContext c) {
+        if (lifecycle.enter()) {
+            c.addEndHandler(v -> lifecycle.exit());
+            c.next();
+            return;
+        }
+        JsonObject error =
+                new JsonObject()
+                        .put("code", ErrorCode.NOT_READY.wireName())
+                        .put("message", "this daemon is " + lifecycle.stage() + "; use another one")
+                        .put("run_state", RunState.NOT_RUN.wireName());
+        c.response()
+                .setStatusCode(ErrorCode.NOT_READY.httpStatus())
+                .putHeader("Connection", "close")
+                .putHeader("Retry-After", "1")
+                .putHeader("X-Run-State", RunState.NOT_RUN.wireName())
+                .putHeader("Content-Type", "application/json")
+                .end(new JsonObject().put("error", error).encode());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/http/HealthRoutes.java
@@ -0,0 +1,52 @@
+package org.godwithoist.daemon.http;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import org.godwithoist.daemon.Lifecycle;
+
+/** Liveness, readiness and metrics. */
+public final class HealthRoutes {
+    private static final int UNAVAILABLE = 503;
+
+    private final Lifecycle lifecycle;
+    private final PrometheusRegistry registry;
+    private final PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.builder().build();
+
+    /** Makes the routes of a daemon. */
+    public HealthRoutes(Lifecycle lifecycle, PrometheusRegistry registry) {
+        this.lifecycle = lifecycle;
+        this.registry = registry;
+    }
+
+    /** Adds the routes to a router. */
+    public void mount(Router router) {
+        router.get("/healthz").handler(c -> c.json(new JsonObject().put("status", "ok")));
+        router.get("/readyz").handler(this::ready);
+        router.get("/metrics").handler(this::metrics);
+    }
+
+    private void ready(RoutingContext c) {
+        if (!lifecycle.stage().acceptsRequests()) {
+            c.response().setStatusCode(UNAVAILABLE);
+        }
+        c.json(new JsonObject().put("stage", lifecycle.stage().name()));
+    }
+
+    private void metrics(RoutingContext c) {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        try {
+            writer.write(text, registry.scrape());
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory cannot fail", e);
+        }
+        c.response()
+                .putHeader("Content-Type", writer.getContentType())
+                .end(Buffer.buffer(text.toByteArray()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP routes of the daemon itself: health, metrics and status. */
+package org.godwithoist.daemon.http;
