Split bundles into content-named parts with signed heads

Cause: a bundle was one text that every daemon read from the head row, with no author, signer or history. The parser compared each model with each pool, and the look-up of a key hash scanned all workspaces.

Bundle is a class with an index of key hashes. The settings check the operators' names, token hashes and public keys.

Conclusion: parsing and look-up no longer grow with the square of the size.

--- a/bundle/src/main/java/org/godwithoist/bundle/Bundle.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/Bundle.java
@@ -1,7 +1,9 @@
 package org.godwithoist.bundle;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -12,30 +14,39 @@
 import org.godwithoist.core.id.WorkspaceId;
 
 /**
- * The content of one bundle revision. Immutable; look-ups by id and key hash take constant time.
- *
- * @param workspaces workspaces by id
- * @param models models by name
- * @param pools pools by id
- * @param failureDomains failure domains that may serve
- * @param serviceLevels deadline and objective of each priority
+ * The content of one bundle revision. Immutable; look-ups by id and key hash take constant time. It
+ * is a class and not a record because of the index of key hashes, which is no part of its value.
  */
-public record Bundle(
-        Map<WorkspaceId, Workspace> workspaces,
-        Map<ModelId, Model> models,
-        Map<PoolId, Pool> pools,
-        List<FailureDomainId> failureDomains,
-        Map<Priority, ServiceLevel> serviceLevels) {
+public final class Bundle {
+    private final Map<WorkspaceId, Workspace> workspaces;
+    private final Map<ModelId, Model> models;
+    private final Map<PoolId, Pool> pools;
+    private final List<FailureDomainId> failureDomains;
+    private final Map<Priority, ServiceLevel> serviceLevels;
+    private final Map<String, Workspace> byKeyHash = new HashMap<>();
+
     /** Copies the collections. */
-    public Bundle {
-        workspaces = Map.copyOf(workspaces);
-        models = Map.copyOf(models);
-        pools = Map.copyOf(pools);
-        failureDomains = List.copyOf(failureDomains);
-        serviceLevels = Map.copyOf(serviceLevels);
+    public Bundle(
+            Map<WorkspaceId, Workspace> workspaces,
+            Map<ModelId, Model> models,
+            Map<PoolId, Pool> pools,
+            List<FailureDomainId> failureDomains,
+            Map<Priority, ServiceLevel> serviceLevels) {
+        this.workspaces = Map.copyOf(workspaces);
+        this.models = Map.copyOf(models);
+        this.pools = Map.copyOf(pools);
+        this.failureDomains = List.copyOf(failureDomains);
+        this.serviceLevels = Map.copyOf(serviceLevels);
+        for (Workspace w : this.workspaces.values()) {
+            w.keyHashes().forEach(k -> byKeyHash.put(k, w));
+        }
     }
 
-    /** Makes a bundle from lists whose ids are unique. */
+    /**
+     * Makes a bundle from lists.
+     *
+     * @throws IllegalStateException if a list repeats an id
+     */
     public static Bundle of(
             List<Workspace> workspaces,
             List<Model> models,
@@ -50,11 +61,34 @@
                 byId(serviceLevels, ServiceLevel::priority));
     }
 
+    /** Returns the workspaces by id. */
+    public Map<WorkspaceId, Workspace> workspaces() {
+        return workspaces;
+    }
+
+    /** Returns the models by name. */
+    public Map<ModelId, Model> models() {
+        return models;
+    }
+
+    /** Returns the pools by id. */
+    public Map<PoolId, Pool> pools() {
+        return pools;
+    }
+
+    /** Returns the failure domains that may serve. */
+    public List<FailureDomainId> failureDomains() {
+        return failureDomains;
+    }
+
+    /** Returns deadline and objective of each priority. */
+    public Map<Priority, ServiceLevel> serviceLevels() {
+        return serviceLevels;
+    }
+
     /** Returns the workspace with the given key hash, or empty if there is none. */
     public Optional<Workspace> workspaceByKeyHash(String keyHash) {
-        return workspaces.values().stream()
-                .filter(w -> w.keyHashes().contains(keyHash))
-                .findFirst();
+        return Optional.ofNullable(byKeyHash.get(keyHash));
     }
 
     /** Returns the pool that serves a model, or empty if the model is unknown. */
@@ -62,6 +96,32 @@
         return Optional.ofNullable(models.get(model)).map(m -> pools.get(m.pool()));
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Bundle b
+                && workspaces.equals(b.workspaces)
+                && models.equals(b.models)
+                && pools.equals(b.pools)
+                && failureDomains.equals(b.failureDomains)
+                && serviceLevels.equals(b.serviceLevels);
+    }
+
+    @Override
+    public int hashCode() {
+        return Objects.hash(workspaces, models, pools, failureDomains, serviceLevels);
+    }
+
+    @Override
+    public String toString() {
+        return "Bundle["
+                + workspaces.size()
+                + " workspaces, "
+                + models.size()
+                + " models, "
+                + pools.size()
+                + " pools]";
+    }
+
     private static <K, V> Map<K, V> byId(List<V> list, Function<V, K> id) {
         return list.stream().collect(Collectors.toMap(id, Function.identity()));
     }
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/BundleDiff.java
@@ -0,0 +1,130 @@
+package org.godwithoist.bundle;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Says in plain words how two bundles differ. */
+public final class BundleDiff {
+    private static final int SHORT_HASH = 8;
+
+    private final List<Change> changes = new ArrayList<>();
+
+    private BundleDiff() {}
+
+    /** Returns all differences, sorted by kind of entry and id. */
+    public static List<Change> between(Bundle before, Bundle after) {
+        BundleDiff d = new BundleDiff();
+        d.field(
+                "fleet",
+                "failureDomains",
+                text(before.failureDomains()),
+                text(after.failureDomains()));
+        d.entries("service level", before.serviceLevels(), after.serviceLevels(), p -> fields(p));
+        d.entries("workspace", before.workspaces(), after.workspaces(), w -> fields(w));
+        d.entries("model", before.models(), after.models(), m -> fields(m));
+        d.entries("pool", before.pools(), after.pools(), p -> fields(p));
+        return List.copyOf(d.changes);
+    }
+
+    private <K, V> void entries(
+            String noun,
+            Map<K, V> before,
+            Map<K, V> after,
+            Function<V, Map<String, String>> fields) {
+        Map<String, K> keys = new LinkedHashMap<>();
+        before.keySet().forEach(k -> keys.put(text(k), k));
+        after.keySet().forEach(k -> keys.put(text(k), k));
+        for (String name : new TreeSet<>(keys.keySet())) {
+            V old = before.get(keys.get(name));
+            V now = after.get(keys.get(name));
+            String subject = noun + " " + name;
+            if (old == null) {
+                String values =
+                        fields.apply(now).entrySet().stream()
+                                .map(e -> e.getKey() + " " + e.getValue())
+                                .collect(Collectors.joining(", "));
+                changes.add(new Change(Change.Kind.ADDED, subject, "", "", values));
+            } else if (now == null) {
+                changes.add(new Change(Change.Kind.REMOVED, subject, "", "", ""));
+            } else if (!old.equals(now)) {
+                Map<String, String> values = fields.apply(now);
+                fields.apply(old).forEach((f, v) -> field(subject, f, v, values.get(f)));
+            }
+        }
+    }
+
+    private void field(String subject, String field, String before, String after) {
+        if (!before.equals(after)) {
+            changes.add(new Change(Change.Kind.CHANGED, subject, field, before, after));
+        }
+    }
+
+    // ---- fields of each kind of entry
+
+    private static Map<String, String> fields(Workspace w) {
+        Map<String, String> f = new LinkedHashMap<>();
+        // The first digits tell keys apart and keep the line readable.
+        f.put(
+                "keyHashes",
+                w.keyHashes().stream()
+                        .map(k -> k.substring(0, SHORT_HASH))
+                        .collect(Collectors.joining(", ", "[", "]")));
+        f.put("share", text(w.share()));
+        f.put("maxPriority", w.maxPriority().wireName());
+        f.put("maxConcurrent", text(w.maxConcurrent()));
+        return f;
+    }
+
+    private static Map<String, String> fields(Model m) {
+        Map<String, String> f = new LinkedHashMap<>();
+        f.put("pool", text(m.pool()));
+        f.put("version", m.version());
+        f.put("adapters", text(m.adapters()));
+        return f;
+    }
+
+    private static Map<String, String> fields(Pool p) {
+        AdmissionLimits l = p.limits();
+        Map<String, String> f = new LinkedHashMap<>();
+        f.put("kind", p.kind().name().toLowerCase(Locale.ROOT));
+        f.put("shards", text(p.shards()));
+        f.put("skewFactor", text(l.skewFactor()));
+        f.put("skewFloor", text(l.skewFloor()));
+        f.put("coldStartLimit", text(l.coldStartLimit()));
+        f.put("warmupAnswers", text(l.warmupAnswers()));
+        f.put("coldFactor", text(l.coldFactor()));
+        f.put("maxConcurrent", text(l.maxConcurrent()));
+        f.put("reservedHolders", text(l.reservedHolders()));
+        f.put("reservedSlots", text(l.reservedSlots()));
+        f.put("fencing", p.fencing().wireName());
+        f.put("cacheTokens", text(p.cacheTokens()));
+        return f;
+    }
+
+    private static Map<String, String> fields(ServiceLevel l) {
+        Map<String, String> f = new LinkedHashMap<>();
+        f.put("firstTokenMs", text(l.firstToken()));
+        f.put("betweenTokensMs", text(l.betweenTokens()));
+        f.put("deadlineMs", text(l.deadline()));
+        f.put("objective", text(l.objective()));
+        return f;
+    }
+
+    private static String text(Object value) {
+        return switch (value) {
+            case Duration d -> Long.toString(d.toMillis());
+            case Enum<?> e -> e.name().toLowerCase(Locale.ROOT);
+            case Collection<?> c ->
+                    c.stream().map(BundleDiff::text).collect(Collectors.joining(", ", "[", "]"));
+            default -> value.toString();
+        };
+    }
+}
--- a/bundle/src/main/java/org/godwithoist/bundle/BundleParser.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/BundleParser.java
@@ -1,10 +1,12 @@
 package org.godwithoist.bundle;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import org.godwithoist.core.Priority;
@@ -50,14 +52,45 @@
         }
         List<FailureDomainId> domains = root.texts("failureDomains", FailureDomainId::new);
         List<Pool> pools = readPools(root);
-        List<Model> models = readModels(root, pools);
+        Set<PoolId> poolIds = new HashSet<>();
+        pools.forEach(p -> poolIds.add(p.id()));
+        List<Model> models = readModels(root, Optional.of(poolIds));
         List<Workspace> workspaces = readWorkspaces(root);
         List<ServiceLevel> levels = readServiceLevels(root);
+        for (Priority p : Priority.values()) {
+            if (levels.stream().noneMatch(l -> l.priority() == p)) {
+                root.add("serviceLevels", "has no entry for priority " + p.wireName());
+            }
+        }
         root.finish();
         findings.throwIfAny();
         return Bundle.of(workspaces, models, pools, domains, levels);
     }
 
+    /**
+     * Reads one part. References to entries of other parts are not checked here.
+     *
+     * @throws FindingsException with all faults; the part's name stands in place of a file
+     */
+    static PartContent parsePart(PartName name, byte[] content) {
+        String text = new String(content, StandardCharsets.UTF_8);
+        return new BundleParser().readPart(JsonDocument.parse(name.toString(), text));
+    }
+
+    private PartContent readPart(JsonDocument document) {
+        ObjectReader root = ObjectReader.root(document, findings);
+        var part =
+                new PartContent(
+                        readWorkspaces(root),
+                        readModels(root, Optional.empty()),
+                        readPools(root),
+                        root.texts("failureDomains", FailureDomainId::new),
+                        readServiceLevels(root));
+        root.finish();
+        findings.throwIfAny();
+        return part;
+    }
+
     // ---- sections
 
     private List<Workspace> readWorkspaces(ObjectReader root) {
@@ -85,7 +118,7 @@
         return distinct(list, Workspace::id);
     }
 
-    private List<Model> readModels(ObjectReader root, List<Pool> pools) {
+    private List<Model> readModels(ObjectReader root, Optional<Set<PoolId>> poolIds) {
         List<Model> list = new ArrayList<>();
         Set<ModelId> seen = new HashSet<>();
         for (ObjectReader r : root.objects("models")) {
@@ -94,7 +127,7 @@
             String version = r.optional("version", v -> v).orElse("1");
             List<String> adapters = r.texts("adapters", v -> v);
             r.finish();
-            if (pool.isPresent() && pools.stream().noneMatch(p -> p.id().equals(pool.get()))) {
+            if (pool.isPresent() && poolIds.isPresent() && !poolIds.get().contains(pool.get())) {
                 r.add("pool", "names the unknown pool " + pool.get());
             }
             if (id.isPresent() && pool.isPresent()) {
@@ -164,18 +197,13 @@
                 list.add(new ServiceLevel(p, first, between, deadline, objective));
             }
         }
-        for (Priority p : Priority.values()) {
-            if (!seen.contains(p)) {
-                root.add("serviceLevels", "has no entry for priority " + p.wireName());
-            }
-        }
         return distinct(list, ServiceLevel::priority);
     }
 
     // ---- single values
 
     private static String keyHash(String text) {
-        if (!text.matches("[0-9a-f]{64}")) {
+        if (!ContentHash.isHash(text)) {
             throw new IllegalArgumentException("must be a lower-case hexadecimal SHA-256 hash");
         }
         return text;
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/Manifest.java
@@ -0,0 +1,68 @@
+package org.godwithoist.bundle;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The parts of one bundle revision. Immutable; named by the hash of its encoding, which is unique
+ * for the same parts.
+ *
+ * @param parts content of each part by name
+ */
+public record Manifest(SortedMap<PartName, ContentHash> parts) {
+    private static final String FIRST_LINE = "godwithoist-manifest 1";
+    private static final int MAX_BYTES = 4 << 20;
+
+    /** Copies the map. */
+    public Manifest {
+        parts = Collections.unmodifiableSortedMap(new TreeMap<>(parts));
+    }
+
+    /** Returns the text form: a version line and one line for each part, in the order of names. */
+    public byte[] encode() {
+        StringBuilder b = new StringBuilder(FIRST_LINE).append('\n');
+        parts.forEach((name, hash) -> b.append(name).append(' ').append(hash).append('\n'));
+        return b.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Reads the text form.
+     *
+     * @throws IllegalArgumentException if it has another form
+     */
+    public static Manifest decode(byte[] bytes) {
+        if (bytes.length > MAX_BYTES) {
+            throw new IllegalArgumentException("a manifest has at most " + MAX_BYTES + " bytes");
+        }
+        TreeMap<PartName, ContentHash> parts = new TreeMap<>();
+        boolean first = true;
+        for (String line : new String(bytes, StandardCharsets.UTF_8).lines().toList()) {
+            if (first) {
+                if (!line.equals(FIRST_LINE)) {
+                    throw new IllegalArgumentException("not a manifest of a known version");
+                }
+                first = false;
+                continue;
+            }
+            int space = line.indexOf(' ');
+            if (space < 0) {
+                throw new IllegalArgumentException("manifest line '" + line + "' has no hash");
+            }
+            PartName name = PartName.parse(line.substring(0, space));
+            if (parts.put(name, new ContentHash(line.substring(space + 1))) != null) {
+                throw new IllegalArgumentException("the manifest repeats " + name);
+            }
+        }
+        if (first) {
+            throw new IllegalArgumentException("the manifest is empty");
+        }
+        return new Manifest(parts);
+    }
+
+    /** Returns the name of this manifest. */
+    public ContentHash hash() {
+        return ContentHash.of(encode());
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/OperatorKeys.java
@@ -0,0 +1,65 @@
+package org.godwithoist.bundle;
+
+import java.security.PublicKey;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.godwithoist.settings.OperatorKey;
+
+/** The operators' public keys from the settings; decides whether signatures are valid. */
+public final class OperatorKeys {
+    private final Map<OperatorName, PublicKey> keys = new HashMap<>();
+
+    /**
+     * Reads the keys.
+     *
+     * @throws IllegalArgumentException if a key is malformed
+     */
+    public OperatorKeys(List<OperatorKey> operators) {
+        for (OperatorKey o : operators) {
+            keys.put(new OperatorName(o.name()), o.verificationKey());
+        }
+    }
+
+    /** Returns why one signature is not valid, or empty if it is. */
+    public Optional<String> fault(
+            OperatorSignature signature,
+            SignatureRole role,
+            long revision,
+            ContentHash manifest,
+            OperatorName author) {
+        PublicKey key = keys.get(signature.operator());
+        if (key == null) {
+            return Optional.of("operator " + signature.operator() + " is not in the settings");
+        }
+        if (!signature.verifies(key, role.statement(revision, manifest, author))) {
+            return Optional.of(
+                    "the signature of operator " + signature.operator() + " does not verify");
+        }
+        return Optional.empty();
+    }
+
+    /** Returns why a head must not be adopted, or empty if its signatures are valid. */
+    public Optional<String> fault(Head head) {
+        OperatorName author = head.author().operator();
+        OperatorName signer = head.signer().operator();
+        if (author.equals(signer)) {
+            return Optional.of("author and signer are both " + author);
+        }
+        Optional<String> fault =
+                fault(head.author(), SignatureRole.AUTHOR, head.revision(), head.manifest(), author)
+                        .or(
+                                () ->
+                                        fault(
+                                                head.signer(),
+                                                SignatureRole.SIGNER,
+                                                head.revision(),
+                                                head.manifest(),
+                                                author));
+        if (fault.isEmpty() && keys.get(author).equals(keys.get(signer))) {
+            return Optional.of("author and signer have the same key");
+        }
+        return fault;
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/OperatorName.java
@@ -0,0 +1,35 @@
+package org.godwithoist.bundle;
+
+import java.util.regex.Pattern;
+
+/**
+ * Name of an operator as the settings list it.
+ *
+ * @param value letters, digits, dots, underscores, hyphens and at signs, 1 to 100 characters
+ */
+public record OperatorName(String value) {
+    private static final int MAX_LENGTH = 100;
+    private static final Pattern FORM = Pattern.compile("[A-Za-z0-9._@-]+");
+
+    /**
+     * Checks the value. Names stand in signed statements, one on a line, so spaces and line ends
+     * must not occur in them.
+     *
+     * @throws IllegalArgumentException if the value has another form
+     */
+    public OperatorName {
+        if (value.isEmpty() || value.length() > MAX_LENGTH) {
+            throw new IllegalArgumentException(
+                    "an operator's name must have 1 to " + MAX_LENGTH + " characters");
+        }
+        if (!FORM.matcher(value).matches()) {
+            throw new IllegalArgumentException(
+                    "an operator's name may have letters, digits, '.', '_', '-' and '@' only");
+        }
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/PartContent.java
@@ -0,0 +1,69 @@
+package org.godwithoist.bundle;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.PoolId;
+
+/**
+ * The entries of one part, or of all parts together.
+ *
+ * @param workspaces workspaces
+ * @param models models
+ * @param pools pools
+ * @param failureDomains failure domains
+ * @param serviceLevels service levels
+ */
+public record PartContent(
+        List<Workspace> workspaces,
+        List<Model> models,
+        List<Pool> pools,
+        List<FailureDomainId> failureDomains,
+        List<ServiceLevel> serviceLevels) {
+    /** Copies the lists. */
+    public PartContent {
+        workspaces = List.copyOf(workspaces);
+        models = List.copyOf(models);
+        pools = List.copyOf(pools);
+        failureDomains = List.copyOf(failureDomains);
+        serviceLevels = List.copyOf(serviceLevels);
+    }
+
+    /**
+     * Joins the entries of all parts.
+     *
+     * @throws IllegalArgumentException if entries contradict each other
+     */
+    static Bundle join(Collection<PartContent> parts) {
+        List<Pool> pools = parts.stream().flatMap(p -> p.pools().stream()).toList();
+        List<Model> models = parts.stream().flatMap(p -> p.models().stream()).toList();
+        List<ServiceLevel> levels =
+                parts.stream().flatMap(p -> p.serviceLevels().stream()).toList();
+        Set<PoolId> known = pools.stream().map(Pool::id).collect(Collectors.toSet());
+        for (Model m : models) {
+            if (!known.contains(m.pool())) {
+                throw new IllegalArgumentException(
+                        "model " + m.id() + " names the unknown pool " + m.pool());
+            }
+        }
+        Set<Priority> priorities = new HashSet<>();
+        levels.forEach(l -> priorities.add(l.priority()));
+        if (priorities.size() != Priority.values().length) {
+            throw new IllegalArgumentException("a priority has no service level");
+        }
+        try {
+            return Bundle.of(
+                    parts.stream().flatMap(p -> p.workspaces().stream()).toList(),
+                    models,
+                    pools,
+                    parts.stream().flatMap(p -> p.failureDomains().stream()).toList(),
+                    levels);
+        } catch (IllegalStateException e) {
+            throw new IllegalArgumentException("two parts have the same entry", e);
+        }
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/Stage.java
@@ -0,0 +1,108 @@
+package org.godwithoist.bundle;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** Stage of a proposal; decides who may take it to the next stage. */
+public enum Stage {
+    /** Only the author has it. */
+    DRAFT("submit") {
+        @Override
+        public Optional<Stage> next() {
+            return Optional.of(SUBMITTED);
+        }
+
+        @Override
+        public Optional<String> refusal(Proposal p, OperatorName by) {
+            return by.equals(p.author().operator())
+                    ? Optional.empty()
+                    : Optional.of("the author's own signature is needed to submit a bundle");
+        }
+    },
+    /** Stored, so that others can read it. */
+    SUBMITTED("review") {
+        @Override
+        public Optional<Stage> next() {
+            return Optional.of(REVIEWED);
+        }
+
+        @Override
+        public Optional<String> refusal(Proposal p, OperatorName by) {
+            return notAuthor(p, by);
+        }
+    },
+    /** Read by an operator other than the author. */
+    REVIEWED("sign") {
+        @Override
+        public Optional<Stage> next() {
+            return Optional.of(SIGNED);
+        }
+
+        @Override
+        public Optional<String> refusal(Proposal p, OperatorName by) {
+            return notAuthor(p, by);
+        }
+    },
+    /** Signed by an operator other than the author. */
+    SIGNED("roll") {
+        @Override
+        public Optional<Stage> next() {
+            return Optional.of(ROLLED);
+        }
+
+        @Override
+        public Optional<String> refusal(Proposal p, OperatorName by) {
+            return Optional.empty();
+        }
+    },
+    /** In force, now or earlier. */
+    ROLLED("") {
+        @Override
+        public Optional<Stage> next() {
+            return Optional.empty();
+        }
+
+        @Override
+        public Optional<String> refusal(Proposal p, OperatorName by) {
+            return Optional.of("a rolled bundle has no further stage");
+        }
+    };
+
+    private final String action;
+
+    Stage(String action) {
+        this.action = action;
+    }
+
+    /** Returns the operator's action that leads to the next stage; empty after the last. */
+    public String action() {
+        return action;
+    }
+
+    /** Returns the stage after this one, or empty after the last. */
+    public abstract Optional<Stage> next();
+
+    /** Returns why an operator may not take the proposal to the next stage, or empty. */
+    public abstract Optional<String> refusal(Proposal p, OperatorName by);
+
+    /** Returns the name used in rows and answers. */
+    public String wireName() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the stage with the given name, or empty if there is none. */
+    public static Optional<Stage> fromWireName(String name) {
+        for (Stage s : values()) {
+            if (s.wireName().equals(name)) {
+                return Optional.of(s);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<String> notAuthor(Proposal p, OperatorName by) {
+        return by.equals(p.author().operator())
+                ? Optional.of("the author " + by + " must not review or sign the own bundle")
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/json/package-info.java
@@ -0,0 +1,2 @@
+/** The JSON form of parts, heads and proposals. */
+package org.godwithoist.bundle.json;
--- /dev/null
+++ b/bundle/src/test/java/org/godwithoist/bundle/HeadStateTest.java
@@ -0,0 +1,134 @@
+package org.godwithoist.bundle;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.godwithoist.bundle.json.BundleSplit;
+import org.godwithoist.settings.OperatorKey;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HeadStateTest {
+    private final Fixture fixture = new Fixture();
+    private final HeadState state = new HeadState(fixture.keys());
+    private final Revision content = BundleSplit.split(BundleParser.parse("b", Fixture.text(2, 1)));
+
+    private Head head(long revision) {
+        return fixture.head(revision, content.hash(), Fixture.ANNA, Fixture.BEN);
+    }
+
+    @Nested
+    class ValidHeads {
+        /** Guards against a replayed old revision that takes the place of a newer one. */
+        @Test
+        void replaceOnlyLowerRevisions() {
+            assertEquals(Verdict.NEWER, state.adopt(head(2), content));
+            assertEquals(Verdict.CURRENT, state.judge(head(2)));
+            assertEquals(Verdict.OLD, state.adopt(head(1), content));
+            assertEquals(2, state.revisionNumber());
+            assertEquals(Verdict.NEWER, state.adopt(head(5), content));
+        }
+
+        /** Guards against a head that is put in force with another head's content. */
+        @Test
+        void needTheirOwnContent() {
+            Revision other = BundleSplit.split(BundleParser.parse("b", Fixture.text(3, 1)));
+            assertThrows(IllegalArgumentException.class, () -> state.adopt(head(1), other));
+        }
+    }
+
+    @Nested
+    class InvalidSignatures {
+        private void refused(Head head) {
+            assertEquals(Verdict.INVALID, state.adopt(head, content));
+            assertTrue(state.inForce().isEmpty());
+        }
+
+        /** Guards against a single operator who puts a bundle in force alone. */
+        @Test
+        void authorSignsOwnBundle() {
+            refused(fixture.head(1, content.hash(), Fixture.ANNA, Fixture.ANNA));
+        }
+
+        /** Guards against an operator listed twice with one key. */
+        @Test
+        void sameKeyUnderTwoNames() {
+            List<OperatorKey> operators = fixture.operators();
+            OperatorKey anna = operators.getFirst();
+            OperatorKey twin = new OperatorKey("ben", anna.tokenHash(), anna.publicKey());
+            OperatorKeys keys = new OperatorKeys(List.of(anna, twin));
+            OperatorSignature first =
+                    fixture.sign(
+                            Fixture.ANNA, SignatureRole.AUTHOR, 1, content.hash(), Fixture.ANNA);
+            OperatorSignature second =
+                    fixture.sign(
+                            Fixture.ANNA, SignatureRole.SIGNER, 1, content.hash(), Fixture.ANNA);
+            Head head =
+                    new Head(
+                            1,
+                            content.hash(),
+                            first,
+                            new OperatorSignature(Fixture.BEN, second.base64()));
+            assertEquals("author and signer have the same key", keys.fault(head).orElseThrow());
+        }
+
+        /** Guards against signatures of strangers. */
+        @Test
+        void unknownOperator() {
+            refused(fixture.head(1, content.hash(), Fixture.ANNA, Fixture.MALLORY));
+            refused(fixture.head(1, content.hash(), Fixture.MALLORY, Fixture.BEN));
+        }
+
+        /** Guards against a missing, forged, garbled or transferred signature. */
+        @Test
+        void forgedOrMissing() {
+            Head good = head(1);
+            for (String base64 : List.of("", "%%%", "AAAA", good.author().base64())) {
+                OperatorSignature forged = new OperatorSignature(Fixture.BEN, base64);
+                refused(new Head(1, content.hash(), good.author(), forged));
+                refused(
+                        new Head(
+                                1,
+                                content.hash(),
+                                new OperatorSignature(Fixture.ANNA, forged.base64() + "A"),
+                                good.signer()));
+            }
+            refused(new Head(2, content.hash(), good.author(), good.signer()));
+            ContentHash other = ContentHash.of(new byte[1]);
+            assertEquals(
+                    Verdict.INVALID, state.judge(new Head(1, other, good.author(), good.signer())));
+        }
+    }
+
+    @Nested
+    class Stages {
+        /** Guards against a proposal that skips a stage or that its author approves. */
+        @Test
+        void followEachOther() {
+            for (Stage s : Stage.values()) {
+                assertFalse(s.next().equals(java.util.Optional.of(s)));
+            }
+            Proposal draft =
+                    Proposal.draft(
+                            1,
+                            content.hash(),
+                            fixture.sign(
+                                    Fixture.ANNA,
+                                    SignatureRole.AUTHOR,
+                                    1,
+                                    content.hash(),
+                                    Fixture.ANNA));
+            assertThrows(RuntimeException.class, () -> draft.advance(event(Stage.SIGNED)));
+            Proposal submitted = draft.advance(event(Stage.SUBMITTED));
+            assertThrows(RuntimeException.class, () -> submitted.advance(event(Stage.REVIEWED)));
+            assertThrows(RuntimeException.class, submitted::head);
+        }
+
+        private StageEvent event(Stage stage) {
+            return new StageEvent(stage, Fixture.ANNA, java.time.Instant.EPOCH, "attempt");
+        }
+    }
+}
--- /dev/null
+++ b/bundle/src/test/java/org/godwithoist/bundle/json/BundleSplitTest.java
@@ -0,0 +1,103 @@
+package org.godwithoist.bundle.json;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.BundleDiff;
+import org.godwithoist.bundle.BundleParser;
+import org.godwithoist.bundle.Change;
+import org.godwithoist.bundle.ContentHash;
+import org.godwithoist.bundle.Fixture;
+import org.godwithoist.bundle.Manifest;
+import org.godwithoist.bundle.Revision;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class BundleSplitTest {
+    private static Bundle bundle(int workspaces, int share) {
+        return BundleParser.parse("b.json", Fixture.text(workspaces, share));
+    }
+
+    @Nested
+    class Parts {
+        /** Guards against a bundle that changes on its way through the parts. */
+        @Test
+        void giveBackTheSameBundle() {
+            Bundle bundle = bundle(200, 3);
+            Revision split = BundleSplit.split(bundle);
+            Manifest manifest = Manifest.decode(split.manifest().encode());
+            Revision read = Revision.assemble(manifest, split.objects(), h -> Optional.empty());
+            assertEquals(bundle, read.bundle());
+            assertEquals(split.hash(), read.hash());
+        }
+
+        /** Guards against a small change that moves more than its own part and the manifest. */
+        @Test
+        void differInOneGroupAfterAChangeOfOneWorkspace() {
+            Revision before = BundleSplit.split(bundle(2_300, 1));
+            Revision after = BundleSplit.split(bundle(2_300, 2));
+            Set<ContentHash> moved = new HashSet<>(after.objects().keySet());
+            moved.removeAll(before.objects().keySet());
+            assertEquals(2, moved.size());
+        }
+
+        /** Guards against hashes that depend on layout, comments or the order of entries. */
+        @Test
+        void doNotDependOnLayout() {
+            String text = Fixture.text(3, 1);
+            String other = text.replace("{\"format\"", "/* note */ {  \"format\"");
+            assertEquals(
+                    BundleSplit.split(BundleParser.parse("a", text)).hash(),
+                    BundleSplit.split(BundleParser.parse("b", other)).hash());
+            assertNotEquals(
+                    BundleSplit.split(bundle(3, 1)).hash(), BundleSplit.split(bundle(3, 2)).hash());
+        }
+
+        /** Guards against a manifest whose parts contradict each other or are not complete. */
+        @Test
+        void thatDoNotFitTogetherAreRejected() {
+            Revision split = BundleSplit.split(bundle(3, 1));
+            Map<ContentHash, byte[]> fewer = new HashMap<>(split.objects());
+            fewer.remove(split.manifest().parts().lastEntry().getValue());
+            assertThrows(
+                    IllegalArgumentException.class,
+                    () -> Revision.assemble(split.manifest(), fewer, h -> Optional.empty()));
+            var names = new java.util.TreeMap<>(split.manifest().parts());
+            names.keySet().removeIf(n -> n.kind() == org.godwithoist.bundle.PartKind.POOL);
+            assertThrows(
+                    IllegalArgumentException.class,
+                    () ->
+                            Revision.assemble(
+                                    new Manifest(names), split.objects(), h -> Optional.empty()));
+        }
+    }
+
+    @Nested
+    class Differences {
+        /** Guards against a change that a reviewer does not get to see. */
+        @Test
+        void areWordedForEachKindOfChange() {
+            List<String> lines =
+                    BundleDiff.between(bundle(2, 1), bundle(3, 5)).stream()
+                            .map(Change::describe)
+                            .toList();
+            assertEquals(
+                    List.of(
+                            "workspace workspace-0: share changes from 1 to 5",
+                            "workspace workspace-2 is added: keyHashes [00000000], share 1,"
+                                    + " maxPriority urgent, maxConcurrent 1000"),
+                    lines);
+            assertEquals(
+                    "workspace workspace-1 is removed",
+                    BundleDiff.between(bundle(2, 1), bundle(1, 1)).getFirst().describe());
+        }
+    }
+}
--- a/settings/src/main/java/org/godwithoist/settings/DaemonSettings.java
+++ b/settings/src/main/java/org/godwithoist/settings/DaemonSettings.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.regex.Pattern;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
@@ -34,6 +35,8 @@
         List<PeerKey> peerKeys,
         List<OperatorKey> operatorKeys) {
     private static final String NONE = "none";
+    private static final Pattern OPERATOR_NAME = Pattern.compile("[A-Za-z0-9._@-]{1,100}");
+    private static final Pattern TOKEN_HASH = Pattern.compile("[0-9a-f]{64}");
     private static final Endpoint NO_ENDPOINT = new Endpoint("0.0.0.0", 0);
 
     /** Copies the lists. */
@@ -107,7 +110,19 @@
             if (!names.add(name)) {
                 r.add("name", "repeats " + name);
             }
-            keys.add(new OperatorKey(name, hash, publicKey));
+            if (!OPERATOR_NAME.matcher(name).matches()) {
+                r.add("name", "must be 1 to 100 letters, digits, '.', '_', '-' or '@'");
+            }
+            if (!TOKEN_HASH.matcher(hash).matches()) {
+                r.add("tokenHash", "must be a lower-case hexadecimal SHA-256 hash");
+            }
+            OperatorKey key = new OperatorKey(name, hash, publicKey);
+            try {
+                key.verificationKey();
+            } catch (IllegalArgumentException e) {
+                r.add("publicKey", e.getMessage());
+            }
+            keys.add(key);
         }
         return keys;
     }
--- a/settings/src/main/java/org/godwithoist/settings/OperatorKey.java
+++ b/settings/src/main/java/org/godwithoist/settings/OperatorKey.java
@@ -1,5 +1,11 @@
 package org.godwithoist.settings;
 
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.PublicKey;
+import java.security.spec.X509EncodedKeySpec;
+import java.util.Base64;
+
 /**
  * An operator who may give orders and roll bundles.
  *
@@ -7,4 +13,20 @@
  * @param tokenHash lower-case hexadecimal SHA-256 hash of the bearer token
  * @param publicKey Base64 of the X.509 encoding of the Ed25519 key that verifies signatures
  */
-public record OperatorKey(String name, String tokenHash, String publicKey) {}
+public record OperatorKey(String name, String tokenHash, String publicKey) {
+    /**
+     * Returns the key that verifies the operator's signatures.
+     *
+     * @throws IllegalArgumentException if {@link #publicKey()} is not an Ed25519 key
+     */
+    public PublicKey verificationKey() {
+        try {
+            byte[] encoded = Base64.getDecoder().decode(publicKey);
+            return KeyFactory.getInstance("Ed25519")
+                    .generatePublic(new X509EncodedKeySpec(encoded));
+        } catch (GeneralSecurityException | IllegalArgumentException e) {
+            throw new IllegalArgumentException(
+                    "must be the Base64 of an Ed25519 public key in X.509 form", e);
+        }
+    }
+}
