Roll bundles by conditional writes and read lost answers again

Cause: nothing wrote the head row, and an operator could not tell a lost answer from a lost race.

Change: the package store writes proposals and the head by conditional commits. Each write carries a random attempt in the proposal's row; after a lost answer the row is read again and the attempt tells whether the own write took effect. Rolling writes the head and the proposal's stage in one commit. Parts are saved before the proposal and loaded before the roll.

Conclusion: a racing operator gets a conflict, and an uncertain write is reported as unknown.

--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/store/BundleOperations.java
@@ -0,0 +1,272 @@
+package org.godwithoist.bundle.store;
+
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.godwithoist.bundle.BundleDiff;
+import org.godwithoist.bundle.BundleParser;
+import org.godwithoist.bundle.Change;
+import org.godwithoist.bundle.ContentHash;
+import org.godwithoist.bundle.Head;
+import org.godwithoist.bundle.HeadPush;
+import org.godwithoist.bundle.HeadState;
+import org.godwithoist.bundle.OperatorKeys;
+import org.godwithoist.bundle.OperatorName;
+import org.godwithoist.bundle.OperatorSignature;
+import org.godwithoist.bundle.Proposal;
+import org.godwithoist.bundle.ProposalId;
+import org.godwithoist.bundle.Revision;
+import org.godwithoist.bundle.SignatureRole;
+import org.godwithoist.bundle.Stage;
+import org.godwithoist.bundle.StageEvent;
+import org.godwithoist.bundle.json.BundleSplit;
+import org.godwithoist.bundle.store.BundleTables.Versioned;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.json.FindingsException;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * What operators do with bundles. Methods block and belong into a virtual thread; they fail with
+ * {@link RequestException} or {@link FindingsException}.
+ */
+public final class BundleOperations {
+    private static final int MAX_HISTORY = 1_000;
+
+    private final BundleTables tables;
+    private final RevisionStore revisions;
+    private final HeadState state;
+    private final OperatorKeys keys;
+    private final HeadPush push;
+    private final InstantSource clock;
+
+    /**
+     * Makes the operations.
+     *
+     * @param push puts a rolled head in force here and at the peers
+     * @param clock wall clock for the history
+     */
+    public BundleOperations(
+            BundleTables tables,
+            RevisionStore revisions,
+            HeadState state,
+            OperatorKeys keys,
+            HeadPush push,
+            InstantSource clock) {
+        this.tables = tables;
+        this.revisions = revisions;
+        this.state = state;
+        this.keys = keys;
+        this.push = push;
+        this.clock = clock;
+    }
+
+    /**
+     * A bundle that passed the checks.
+     *
+     * @param revision revision that it can be submitted as, as far as this daemon knows
+     * @param manifest name of its manifest, which author and signer sign
+     * @param changes differences from the bundle in force; empty if none is in force
+     */
+    public record Draft(long revision, ContentHash manifest, List<Change> changes) {}
+
+    /**
+     * An accepted bundle.
+     *
+     * @param head the head in force
+     * @param report members that have it in force
+     * @param storeTime time to write the head row
+     * @param totalTime time until all peers in contact had answered
+     */
+    public record Rolled(
+            Head head, HeadPush.Report report, Duration storeTime, Duration totalTime) {}
+
+    /**
+     * What is in force and what is on its way.
+     *
+     * @param inForce head in force at this daemon
+     * @param stored head in the store; empty if there is none or the store does not answer
+     * @param storeAnswers whether the store answered
+     * @param open proposals for the next revision
+     */
+    public record Status(
+            Optional<Head> inForce,
+            Optional<Head> stored,
+            boolean storeAnswers,
+            List<Proposal> open) {}
+
+    // ---- stages
+
+    /** Checks a bundle; needs no store. */
+    public Draft validate(String file, String text) {
+        Revision revision = BundleSplit.split(BundleParser.parse(file, text));
+        List<Change> changes =
+                state.bundle().map(b -> BundleDiff.between(b, revision.bundle())).orElse(List.of());
+        return new Draft(state.revisionNumber() + 1, revision.hash(), changes);
+    }
+
+    /**
+     * Stores a bundle as a proposal.
+     *
+     * @param revision revision in the author's signature; must be the next one
+     * @param signature Base64 of the author's signature
+     */
+    public Proposal submit(
+            OperatorName author, String file, String text, long revision, String signature) {
+        Revision content = BundleSplit.split(BundleParser.parse(file, text));
+        OperatorSignature signed = new OperatorSignature(author, signature);
+        checkSignature(signed, SignatureRole.AUTHOR, revision, content.hash(), author);
+        checkNext(revision, tables.head().value());
+        Proposal p = Proposal.draft(revision, content.hash(), signed);
+        revisions.save(content);
+        Proposal submitted = p.advance(event(Stage.SUBMITTED, author));
+        tables.advance(submitted, 0);
+        return submitted;
+    }
+
+    /** Records that an operator other than the author has read a proposal. */
+    public Proposal review(OperatorName reviewer, ProposalId id) {
+        Versioned<Proposal> p = tables.proposal(id);
+        Proposal reviewed = p.value().advance(event(Stage.REVIEWED, reviewer));
+        tables.advance(reviewed, p.version());
+        return reviewed;
+    }
+
+    /**
+     * Adds the signer's signature.
+     *
+     * @param signature Base64 of the signature
+     */
+    public Proposal sign(OperatorName signer, ProposalId id, String signature) {
+        Versioned<Proposal> p = tables.proposal(id);
+        Proposal signed = p.value().advance(event(Stage.SIGNED, signer));
+        OperatorSignature by = new OperatorSignature(signer, signature);
+        checkSignature(
+                by,
+                SignatureRole.SIGNER,
+                signed.revision(),
+                signed.manifest(),
+                signed.author().operator());
+        Proposal next = signed.withSigner(by);
+        tables.advance(next, p.version());
+        return next;
+    }
+
+    /**
+     * Puts a signed proposal in force. All parts are in memory before the head row is written, so
+     * that the peers get them from here even if the store fails right after.
+     */
+    public Rolled roll(OperatorName operator, ProposalId id) {
+        long start = Ticker.SYSTEM.nanos();
+        Versioned<Proposal> p = tables.proposal(id);
+        Proposal rolled = p.value().advance(event(Stage.ROLLED, operator));
+        Head head = rolled.head();
+        keys.fault(head)
+                .ifPresent(
+                        reason -> {
+                            throw RequestException.notRun(ErrorCode.FORBIDDEN, reason);
+                        });
+        revisions.load(head.manifest(), List.of(revisions.store()));
+        Versioned<Optional<Head>> current = tables.head();
+        checkNext(head.revision(), current.value());
+        tables.roll(rolled, p.version(), current.version());
+        Duration storeTime = since(start);
+        HeadPush.Report report = push.push(head);
+        return new Rolled(head, report, storeTime, since(start));
+    }
+
+    // ---- reads
+
+    /** Returns what is in force and what is on its way. */
+    public Status status() {
+        Optional<Head> inForce = state.inForce().map(HeadState.InForce::head);
+        try {
+            Optional<Head> stored = tables.head().value();
+            long next = stored.map(Head::revision).orElse(0L) + 1;
+            List<Proposal> open = tables.proposals(ProposalId.prefix(next));
+            return new Status(inForce, stored, true, open);
+        } catch (RequestException e) {
+            return new Status(inForce, Optional.empty(), false, List.of());
+        }
+    }
+
+    /** Returns the rolled proposals, newest first. */
+    public List<Proposal> history(int limit) {
+        long head = tables.head().value().map(Head::revision).orElse(0L);
+        return tables.history(head, Math.clamp(limit, 1, MAX_HISTORY));
+    }
+
+    /**
+     * Says how two bundles differ.
+     *
+     * @param from revision number or proposal id; the bundle in force if empty
+     * @param to revision number or proposal id
+     */
+    public List<Change> diff(Optional<String> from, String to) {
+        Supplier<Revision> inForce =
+                () ->
+                        state.inForce()
+                                .map(HeadState.InForce::revision)
+                                .orElseThrow(
+                                        () ->
+                                                RequestException.notRun(
+                                                        ErrorCode.NOT_READY,
+                                                        "no bundle is in force"));
+        Revision before = from.map(this::find).orElseGet(inForce);
+        return BundleDiff.between(before.bundle(), find(to).bundle());
+    }
+
+    private Revision find(String reference) {
+        Proposal p =
+                reference.matches("[0-9]{1,10}")
+                        ? rolled(Long.parseLong(reference))
+                        : tables.proposal(new ProposalId(reference)).value();
+        return revisions.load(p.manifest(), List.of(revisions.store()));
+    }
+
+    private Proposal rolled(long revision) {
+        return tables.proposals(ProposalId.prefix(revision)).stream()
+                .filter(p -> p.stage() == Stage.ROLLED)
+                .findFirst()
+                .orElseThrow(
+                        () ->
+                                RequestException.notRun(
+                                        ErrorCode.NOT_FOUND,
+                                        "revision " + revision + " was never rolled"));
+    }
+
+    // ---- checks
+
+    private static void checkNext(long revision, Optional<Head> current) {
+        long next = current.map(Head::revision).orElse(0L) + 1;
+        if (revision != next) {
+            throw RequestException.notRun(
+                    ErrorCode.CONFLICT,
+                    "the next revision is " + next + ", not " + revision + "; submit again");
+        }
+    }
+
+    private void checkSignature(
+            OperatorSignature signature,
+            SignatureRole role,
+            long revision,
+            ContentHash manifest,
+            OperatorName author) {
+        keys.fault(signature, role, revision, manifest, author)
+                .ifPresent(
+                        reason -> {
+                            throw RequestException.notRun(ErrorCode.FORBIDDEN, reason);
+                        });
+    }
+
+    private StageEvent event(Stage stage, OperatorName operator) {
+        return new StageEvent(stage, operator, clock.instant(), UUID.randomUUID().toString());
+    }
+
+    private static Duration since(long start) {
+        return Duration.ofNanos(Ticker.SYSTEM.nanos() - start);
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/store/BundleTables.java
@@ -0,0 +1,212 @@
+package org.godwithoist.bundle.store;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.bundle.Head;
+import org.godwithoist.bundle.Proposal;
+import org.godwithoist.bundle.ProposalId;
+import org.godwithoist.bundle.json.BundleRows;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.AwaitTimeoutException;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.platform.ConditionFailedException;
+import org.godwithoist.platform.OutcomeUnknownException;
+import org.godwithoist.platform.Row;
+import org.godwithoist.platform.StoreUnavailableException;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.TableStore;
+import org.godwithoist.platform.Write;
+
+/** Rows of bundles in the table service. Every write is conditional. Thread-safe. */
+public final class BundleTables {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String HEAD_KEY = "head";
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
+    private static final int WRITE_ATTEMPTS = 4;
+
+    private final TableStore store;
+
+    /** Makes the tables over a store. */
+    public BundleTables(TableStore store) {
+        this.store = store;
+    }
+
+    /**
+     * A value and the version of its row.
+     *
+     * @param value the value
+     * @param version version for a conditional write; {@link Write#ABSENT} if there is no row
+     */
+    public record Versioned<T>(T value, long version) {}
+
+    // ---- reads
+
+    /**
+     * Reads the head row.
+     *
+     * @throws RequestException with {@code STORE_UNAVAILABLE} if the store does not answer
+     */
+    public Versioned<Optional<Head>> head() {
+        Optional<Row> row = await(store.read(Table.BUNDLE_HEAD, HEAD_KEY));
+        return new Versioned<>(
+                row.map(r -> BundleRows.readHead(r.value())),
+                row.map(Row::version).orElse(Write.ABSENT));
+    }
+
+    /**
+     * Reads a proposal.
+     *
+     * @throws RequestException with {@code NOT_FOUND} if there is none, with {@code
+     *     STORE_UNAVAILABLE} if the store does not answer
+     */
+    public Versioned<Proposal> proposal(ProposalId id) {
+        Row row =
+                await(store.read(Table.BUNDLE_STAGE, id.value()))
+                        .orElseThrow(
+                                () ->
+                                        RequestException.notRun(
+                                                ErrorCode.NOT_FOUND, "no proposal " + id));
+        return new Versioned<>(BundleRows.readProposal(row.value()), row.version());
+    }
+
+    /** Reads the proposals whose ids start with a prefix, in the order of ids. */
+    public List<Proposal> proposals(String prefix) {
+        return await(store.scan(Table.BUNDLE_STAGE, prefix)).stream()
+                .map(r -> BundleRows.readProposal(r.value()))
+                .toList();
+    }
+
+    private static <T> T await(CompletableFuture<T> future) {
+        try {
+            return Await.result(future, STORE_TIMEOUT);
+        } catch (StoreUnavailableException | OutcomeUnknownException | AwaitTimeoutException e) {
+            throw RequestException.notRun(
+                            ErrorCode.STORE_UNAVAILABLE, "the table service does not answer")
+                    .withCause(e);
+        }
+    }
+
+    // ---- writes
+
+    /**
+     * Writes a proposal's new stage.
+     *
+     * @param next the proposal, whose last event carries the attempt of this write
+     * @param expected version that its row must have
+     * @throws RequestException see {@link #roll}
+     */
+    public void advance(Proposal next, long expected) {
+        commit(next, List.of(stageWrite(next, expected)));
+    }
+
+    /**
+     * Writes the head and the proposal's stage in one transaction.
+     *
+     * @param rolled the rolled proposal, whose last event carries the attempt of this write
+     * @param expected version that its row must have
+     * @param expectedHead version that the head row must have
+     * @throws RequestException with {@code CONFLICT} if another operator was first (not run), with
+     *     {@code STORE_UNAVAILABLE} if the store does not answer; its run state is {@code unknown}
+     *     if the write may have taken effect
+     */
+    public void roll(Proposal rolled, long expected, long expectedHead) {
+        String head = BundleRows.write(rolled.head());
+        commit(
+                rolled,
+                List.of(
+                        Write.replace(Table.BUNDLE_HEAD, HEAD_KEY, expectedHead, head),
+                        stageWrite(rolled, expected)));
+    }
+
+    private static Write stageWrite(Proposal p, long expected) {
+        return Write.replace(Table.BUNDLE_STAGE, p.id().value(), expected, BundleRows.write(p));
+    }
+
+    /**
+     * Commits until the outcome is certain or the attempts are used up. A repeat is safe, because
+     * the versions that the writes expect exist only before the first success. The attempt in the
+     * proposal's row tells an own success from another operator's.
+     */
+    private void commit(Proposal next, List<Write> writes) {
+        boolean mayBeWritten = false;
+        RuntimeException last = null;
+        for (int i = 0; i < WRITE_ATTEMPTS; i++) {
+            if (i > 0 && !Tasks.sleep(RETRY_PAUSE)) {
+                break;
+            }
+            try {
+                Await.result(store.commit(writes), STORE_TIMEOUT);
+                return;
+            } catch (ConditionFailedException e) {
+                last = e;
+                Optional<Boolean> own = isWritten(next);
+                if (own.orElse(false)) {
+                    return;
+                }
+                if (own.isPresent() || !mayBeWritten) {
+                    throw RequestException.notRun(
+                                    ErrorCode.CONFLICT,
+                                    "another operator was first; see status and history")
+                            .withCause(e);
+                }
+            } catch (OutcomeUnknownException | AwaitTimeoutException e) {
+                last = e;
+                mayBeWritten = true;
+                LOG.atInfo().log("lost the answer to a write of proposal %s", next.id());
+                if (isWritten(next).orElse(false)) {
+                    return;
+                }
+            } catch (StoreUnavailableException e) {
+                last = e;
+            }
+        }
+        if (mayBeWritten) {
+            throw RequestException.unknown(
+                            ErrorCode.STORE_UNAVAILABLE,
+                            "the table service does not answer; the write may have taken effect,"
+                                    + " see status")
+                    .withCause(last);
+        }
+        throw RequestException.notRun(
+                        ErrorCode.STORE_UNAVAILABLE,
+                        "the table service does not answer; nothing was written")
+                .withCause(last);
+    }
+
+    /** Reads whether the row carries the attempt of a proposal; empty if it cannot be read. */
+    private Optional<Boolean> isWritten(Proposal next) {
+        try {
+            String attempt = next.events().getLast().attempt();
+            return Optional.of(
+                    await(store.read(Table.BUNDLE_STAGE, next.id().value()))
+                            .map(r -> BundleRows.readProposal(r.value()).hasAttempt(attempt))
+                            .orElse(false));
+        } catch (RequestException e) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the rolled proposals up to a revision, newest first. */
+    public List<Proposal> history(long head, int limit) {
+        List<Proposal> rolled = new ArrayList<>();
+        for (long at = head; at >= 0 && rolled.size() < limit; at -= ProposalId.PAGE_SIZE) {
+            List<Proposal> page = proposals(ProposalId.hundredPrefix(at));
+            for (int i = page.size() - 1; i >= 0 && rolled.size() < limit; i--) {
+                if (page.get(i).stage().next().isEmpty()) {
+                    rolled.add(page.get(i));
+                }
+            }
+            if (at < ProposalId.PAGE_SIZE) {
+                break;
+            }
+        }
+        return rolled;
+    }
+}
--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/store/RevisionStore.java
@@ -0,0 +1,233 @@
+package org.godwithoist.bundle.store;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.LongAdder;
+import org.godwithoist.bundle.ContentHash;
+import org.godwithoist.bundle.HeadState;
+import org.godwithoist.bundle.Manifest;
+import org.godwithoist.bundle.PartContent;
+import org.godwithoist.bundle.Revision;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.platform.ObjectStore;
+
+/**
+ * Saves revisions to the object store and loads them from peers or the store. Parts of the revision
+ * in force and of those loaded last are reused, so that only changed parts travel. Thread-safe.
+ */
+public final class RevisionStore {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String KEY_PREFIX = "bundle/";
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
+    private static final int PUT_ATTEMPTS = 3;
+
+    /** Bounds the load that one daemon puts on the object store. */
+    private static final int IN_FLIGHT = 16;
+
+    /** Proposals under review and their predecessors; beyond these, parts are fetched again. */
+    private static final int KEPT_REVISIONS = 4;
+
+    private final ObjectStore objects;
+    private final HeadState state;
+    private final Deque<Revision> recent = new ArrayDeque<>();
+    private final LongAdder fetchedBytes = new LongAdder();
+
+    /** Makes a store that reuses parts of the revision in force. */
+    public RevisionStore(ObjectStore objects, HeadState state) {
+        this.objects = objects;
+        this.state = state;
+    }
+
+    // ---- what this daemon has
+
+    /** Returns the bytes of a part or manifest that this daemon has in memory. */
+    public Optional<byte[]> find(ContentHash hash) {
+        return known().stream().map(r -> r.objects().get(hash)).filter(b -> b != null).findFirst();
+    }
+
+    /** Returns the bytes of parts and manifests fetched so far. */
+    public long fetchedBytes() {
+        return fetchedBytes.sum();
+    }
+
+    /** Keeps a revision for reuse. */
+    public void keep(Revision revision) {
+        synchronized (recent) {
+            recent.removeIf(r -> r.hash().equals(revision.hash()));
+            recent.addFirst(revision);
+            if (recent.size() > KEPT_REVISIONS) {
+                recent.removeLast();
+            }
+        }
+    }
+
+    private List<Revision> known() {
+        List<Revision> list = new ArrayList<>();
+        state.inForce().ifPresent(f -> list.add(f.revision()));
+        synchronized (recent) {
+            list.addAll(recent);
+        }
+        return list;
+    }
+
+    private static Optional<PartContent> parsed(List<Revision> known, ContentHash hash) {
+        for (Revision r : known) {
+            Optional<PartContent> part = r.parsed(hash);
+            if (part.isPresent()) {
+                return part;
+            }
+        }
+        return Optional.empty();
+    }
+
+    // ---- load
+
+    /**
+     * Loads a revision; asks the sources in turn for what is missing.
+     *
+     * @throws RequestException with {@code STORE_UNAVAILABLE} if no source has all parts
+     * @throws IllegalArgumentException if the content is not a valid bundle
+     */
+    public Revision load(ContentHash manifest, List<ObjectSource> sources) {
+        List<Revision> known = known();
+        for (Revision r : known) {
+            if (r.hash().equals(manifest)) {
+                return r;
+            }
+        }
+        Manifest parts = Manifest.decode(fetch(Set.of(manifest), known, sources).get(manifest));
+        Map<ContentHash, byte[]> content =
+                fetch(new HashSet<>(parts.parts().values()), known, sources);
+        Revision revision = Revision.assemble(parts, content, hash -> parsed(known, hash));
+        keep(revision);
+        return revision;
+    }
+
+    private Map<ContentHash, byte[]> fetch(
+            Set<ContentHash> wanted, List<Revision> known, List<ObjectSource> sources) {
+        Map<ContentHash, byte[]> found = new HashMap<>();
+        Set<ContentHash> missing = new HashSet<>();
+        for (ContentHash hash : wanted) {
+            known.stream()
+                    .map(r -> r.objects().get(hash))
+                    .filter(b -> b != null)
+                    .findFirst()
+                    .ifPresentOrElse(b -> found.put(hash, b), () -> missing.add(hash));
+        }
+        for (ObjectSource source : sources) {
+            if (missing.isEmpty()) {
+                break;
+            }
+            try {
+                source.fetch(Set.copyOf(missing))
+                        .forEach((hash, bytes) -> accept(hash, bytes, missing, found));
+            } catch (RuntimeException e) {
+                LOG.atFine().withCause(e).log("a source of bundle parts failed");
+            }
+        }
+        if (!missing.isEmpty()) {
+            throw RequestException.notRun(
+                    ErrorCode.STORE_UNAVAILABLE,
+                    missing.size() + " parts of the bundle are not available from any source");
+        }
+        return found;
+    }
+
+    private void accept(
+            ContentHash hash,
+            byte[] bytes,
+            Set<ContentHash> missing,
+            Map<ContentHash, byte[]> found) {
+        if (!ContentHash.of(bytes).equals(hash)) {
+            LOG.atWarning().log("content received for part %s has another hash", hash);
+            return;
+        }
+        if (missing.remove(hash)) {
+            fetchedBytes.add(bytes.length);
+            found.put(hash, bytes);
+        }
+    }
+
+    /** Returns the object store as a source. */
+    public ObjectSource store() {
+        return wanted -> {
+            Map<ContentHash, byte[]> found = new HashMap<>();
+            Map<ContentHash, CompletableFuture<Optional<byte[]>>> batch = new LinkedHashMap<>();
+            for (ContentHash hash : wanted) {
+                batch.put(hash, objects.get(KEY_PREFIX + hash));
+                if (batch.size() == IN_FLIGHT) {
+                    collect(batch, found);
+                }
+            }
+            collect(batch, found);
+            return found;
+        };
+    }
+
+    private static void collect(
+            Map<ContentHash, CompletableFuture<Optional<byte[]>>> batch,
+            Map<ContentHash, byte[]> found) {
+        batch.forEach(
+                (hash, future) ->
+                        Await.result(future, STORE_TIMEOUT).ifPresent(b -> found.put(hash, b)));
+        batch.clear();
+    }
+
+    // ---- save
+
+    /**
+     * Saves the parts that the revision in force does not have, then the manifest, so that a stored
+     * manifest always has its parts. Repeating it changes nothing.
+     *
+     * @throws RequestException with {@code STORE_UNAVAILABLE} if the store does not answer
+     */
+    public void save(Revision revision) {
+        Set<ContentHash> stored = new HashSet<>();
+        state.inForce().ifPresent(f -> stored.addAll(f.revision().objects().keySet()));
+        List<ContentHash> parts =
+                revision.manifest().parts().values().stream()
+                        .distinct()
+                        .filter(h -> !stored.contains(h))
+                        .toList();
+        for (int from = 0; from < parts.size(); from += IN_FLIGHT) {
+            put(revision, parts.subList(from, Math.min(parts.size(), from + IN_FLIGHT)));
+        }
+        put(revision, List.of(revision.hash()));
+        keep(revision);
+    }
+
+    private void put(Revision revision, List<ContentHash> hashes) {
+        Set<ContentHash> left = new HashSet<>(hashes);
+        RuntimeException last = null;
+        for (int attempt = 0; attempt < PUT_ATTEMPTS && !left.isEmpty(); attempt++) {
+            Map<ContentHash, CompletableFuture<Void>> batch = new LinkedHashMap<>();
+            left.forEach(h -> batch.put(h, objects.put(KEY_PREFIX + h, revision.objects().get(h))));
+            for (var e : batch.entrySet()) {
+                try {
+                    Await.result(e.getValue(), STORE_TIMEOUT);
+                    left.remove(e.getKey());
+                } catch (RuntimeException failure) {
+                    last = failure;
+                }
+            }
+        }
+        if (!left.isEmpty()) {
+            throw RequestException.notRun(
+                            ErrorCode.STORE_UNAVAILABLE, "the object store does not take parts")
+                    .withCause(last);
+        }
+    }
+}
--- /dev/null
+++ b/bundle/src/test/java/org/godwithoist/bundle/store/BundleOperationsTest.java
@@ -0,0 +1,242 @@
+package org.godwithoist.bundle.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import org.godwithoist.bundle.Fixture;
+import org.godwithoist.bundle.Head;
+import org.godwithoist.bundle.HeadState;
+import org.godwithoist.bundle.Proposal;
+import org.godwithoist.bundle.ProposalId;
+import org.godwithoist.bundle.SignatureRole;
+import org.godwithoist.bundle.Stage;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.platform.fake.FakeObjectStore;
+import org.godwithoist.platform.fake.FakeTableStore;
+import org.godwithoist.platform.fake.StoreFault;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class BundleOperationsTest {
+    private static final String SMALL = Fixture.text(3, 1);
+    private static final String CHANGED = Fixture.text(3, 2);
+
+    private final Fixture fixture = new Fixture();
+    private final FakeTableStore table = new FakeTableStore();
+    private final FakeObjectStore objects = new FakeObjectStore();
+    private final Desk desk = desk();
+
+    private Desk desk() {
+        return new Desk(fixture, new HeadState(fixture.keys()), table, objects);
+    }
+
+    private Optional<Head> stored() {
+        return desk.tables.head().value();
+    }
+
+    private static RequestException fails(ErrorCode code, Runnable action) {
+        RequestException e = assertThrows(RequestException.class, action::run);
+        assertEquals(code, e.code(), e.getMessage());
+        return e;
+    }
+
+    @Nested
+    class Stages {
+        /** Guards against a bundle that is rolled without a review or a signature. */
+        @Test
+        void cannotBeSkipped() {
+            Proposal p = desk.submit(1, SMALL);
+            fails(ErrorCode.CONFLICT, () -> desk.sign(p));
+            fails(ErrorCode.CONFLICT, () -> desk.operations.roll(Fixture.BEN, p.id()));
+            desk.operations.review(Fixture.BEN, p.id());
+            fails(ErrorCode.CONFLICT, () -> desk.operations.roll(Fixture.BEN, p.id()));
+            assertTrue(stored().isEmpty());
+        }
+
+        /** Guards against an author who reviews or signs the own bundle. */
+        @Test
+        void needASecondOperator() {
+            Proposal p = desk.submit(1, SMALL);
+            fails(ErrorCode.FORBIDDEN, () -> desk.operations.review(Fixture.ANNA, p.id()));
+            desk.operations.review(Fixture.BEN, p.id());
+            String own =
+                    fixture.sign(Fixture.ANNA, SignatureRole.SIGNER, 1, p.manifest(), Fixture.ANNA)
+                            .base64();
+            fails(ErrorCode.FORBIDDEN, () -> desk.operations.sign(Fixture.ANNA, p.id(), own));
+            fails(ErrorCode.FORBIDDEN, () -> desk.operations.sign(Fixture.BEN, p.id(), own));
+            assertEquals(Stage.REVIEWED, desk.tables.proposal(p.id()).value().stage());
+        }
+
+        /** Guards against a proposal under another operator's name. */
+        @Test
+        void needTheAuthorsSignature() {
+            fails(
+                    ErrorCode.FORBIDDEN,
+                    () -> desk.operations.submit(Fixture.ANNA, "b", SMALL, 1, "AAAA"));
+            assertEquals(0, table.writes());
+        }
+    }
+
+    @Nested
+    class RacingOperators {
+        /** Guards against two bundles that both become the same revision. */
+        @Test
+        void rollDifferentProposals() {
+            ProposalId first = desk.signed(1, SMALL);
+            ProposalId second = desk.signed(1, CHANGED);
+            desk.operations.roll(Fixture.ANNA, first);
+            var e = fails(ErrorCode.CONFLICT, () -> desk.operations.roll(Fixture.BEN, second));
+            assertEquals(RunState.NOT_RUN, e.runState());
+            assertEquals(Desk.manifest(SMALL), stored().orElseThrow().manifest());
+        }
+
+        /** Guards against two operators at two daemons who are both told that they were first. */
+        @Test
+        void rollAtTheSameTime() throws InterruptedException {
+            List<ProposalId> ids = List.of(desk.signed(1, SMALL), desk.signed(1, CHANGED));
+            List<String> outcomes = Collections.synchronizedList(new ArrayList<>());
+            CountDownLatch go = new CountDownLatch(1);
+            List<Thread> threads = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                ProposalId id = ids.get(i % 2);
+                Desk own = desk();
+                threads.add(
+                        Thread.ofVirtual()
+                                .start(
+                                        () -> {
+                                            try {
+                                                go.await();
+                                                own.operations.roll(Fixture.BEN, id);
+                                                outcomes.add("rolled");
+                                            } catch (RequestException e) {
+                                                outcomes.add(e.code().wireName());
+                                            } catch (InterruptedException e) {
+                                                outcomes.add("interrupted");
+                                            }
+                                        }));
+            }
+            go.countDown();
+            for (Thread t : threads) {
+                t.join();
+            }
+            assertEquals(1, Collections.frequency(outcomes, "rolled"), outcomes::toString);
+            assertEquals(7, Collections.frequency(outcomes, "conflict"), outcomes::toString);
+        }
+
+        /** Guards against a signed proposal for a revision number that has been used since. */
+        @Test
+        void rollAnOldNumber() {
+            ProposalId late = desk.signed(1, CHANGED);
+            desk.operations.roll(Fixture.ANNA, desk.signed(1, SMALL));
+            desk.operations.roll(Fixture.ANNA, desk.signed(2, CHANGED));
+            fails(ErrorCode.CONFLICT, () -> desk.operations.roll(Fixture.BEN, late));
+            fails(ErrorCode.CONFLICT, () -> desk.submit(2, SMALL));
+            assertEquals(2, stored().orElseThrow().revision());
+        }
+    }
+
+    @Nested
+    class LostAnswers {
+        /** Guards against a write that is reported as failed or done twice after a lost answer. */
+        @ParameterizedTest
+        @EnumSource(names = {"ANSWER_LOST", "REQUEST_LOST", "DOWN"})
+        void atEachWrite(StoreFault fault) {
+            table.faultNextCommit(fault);
+            Proposal p = desk.submit(1, SMALL);
+            table.faultNextCommit(fault);
+            desk.operations.review(Fixture.BEN, p.id());
+            table.faultNextCommit(fault);
+            desk.sign(p);
+            table.faultNextCommit(fault);
+            desk.operations.roll(Fixture.BEN, p.id());
+            assertEquals(1, stored().orElseThrow().revision());
+            Proposal rolled = desk.tables.proposal(p.id()).value();
+            assertEquals(4, rolled.events().size());
+            assertEquals(5, table.writes());
+        }
+
+        /** Guards against an operator who is told of success when another one won the race. */
+        @Test
+        void whileAnotherOperatorWins() {
+            ProposalId mine = desk.signed(1, SMALL);
+            ProposalId other = desk.signed(1, CHANGED);
+            var head = desk.tables.head();
+            var row = desk.tables.proposal(mine);
+            desk.operations.roll(Fixture.BEN, other);
+            table.faultNextCommit(StoreFault.ANSWER_LOST);
+            Proposal late = row.value().advance(event());
+            fails(ErrorCode.CONFLICT, () -> desk.tables.roll(late, row.version(), head.version()));
+        }
+
+        /** Guards against an answer of "nothing was written" when that is not certain. */
+        @Test
+        void withAStoreThatStaysSilent() {
+            ProposalId id = desk.signed(1, SMALL);
+            var row = desk.tables.proposal(id);
+            Proposal rolled = row.value().advance(event());
+            table.faultNextCommit(StoreFault.ANSWER_LOST);
+            table.setFault(StoreFault.DOWN);
+            var e =
+                    fails(
+                            ErrorCode.STORE_UNAVAILABLE,
+                            () -> desk.tables.roll(rolled, row.version(), 0));
+            assertEquals(RunState.UNKNOWN, e.runState());
+            table.setFault(StoreFault.NONE);
+            assertEquals(1, stored().orElseThrow().revision());
+        }
+
+        private org.godwithoist.bundle.StageEvent event() {
+            return new org.godwithoist.bundle.StageEvent(
+                    Stage.ROLLED, Fixture.ANNA, java.time.Instant.EPOCH, "own attempt");
+        }
+    }
+
+    @Nested
+    class StoreOutage {
+        /** Guards against a refusal that hides whether something was written. */
+        @Test
+        void refusesAsNotRun() {
+            ProposalId id = desk.signed(1, SMALL);
+            table.setFault(StoreFault.DOWN);
+            var e = fails(ErrorCode.STORE_UNAVAILABLE, () -> desk.operations.roll(Fixture.BEN, id));
+            assertEquals(RunState.NOT_RUN, e.runState());
+            assertEquals(false, desk.operations.status().storeAnswers());
+        }
+
+        /** Guards against a submitted proposal whose parts are not stored. */
+        @Test
+        void ofTheObjectsStopsASubmission() {
+            objects.setFault(StoreFault.DOWN);
+            fails(ErrorCode.STORE_UNAVAILABLE, () -> desk.submit(1, SMALL));
+            assertEquals(0, table.writes());
+        }
+    }
+
+    @Nested
+    class Reading {
+        /** Guards against a history or diff that misses a revision beyond one page of ids. */
+        @Test
+        void coversAllRevisions() {
+            for (int r = 1; r <= 102; r++) {
+                desk.operations.roll(Fixture.BEN, desk.signed(r, Fixture.text(3, r)));
+            }
+            List<Long> history =
+                    desk.operations.history(4).stream().map(Proposal::revision).toList();
+            assertEquals(List.of(102L, 101L, 100L, 99L), history);
+            assertEquals(102, desk.operations.history(500).size());
+            assertEquals(
+                    "workspace workspace-0: share changes from 99 to 102",
+                    desk.operations.diff(Optional.of("99"), "102").getFirst().describe());
+        }
+    }
+}
