--- /dev/null
+++ b/bundle/src/main/java/org/godwithoist/bundle/http/OperatorAnswers.java
@@ -0,0 +1,60 @@
+package org.godwithoist.bundle.http;
+
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.RoutingContext;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.json.Finding;
+import org.godwithoist.core.json.FindingsException;
+
+/** Answers to operators in the common JSON form. */
+final class OperatorAnswers {
+    private OperatorAnswers() {}
+
+    static void send(RoutingContext c, JsonObject body) {
+        answer(c, 200, body);
+    }
+
+    static void fail(RoutingContext c, RequestException e) {
+        answer(c, e.code().httpStatus(), new JsonObject().put("error", error(e)));
+    }
+
+    /** Answers with all findings and their places. */
+    static void fail(RoutingContext c, FindingsException e) {
+        JsonArray list = new JsonArray();
+        for (Finding f : e.findings()) {
+            list.add(
+                    new JsonObject()
+                            .put("file", f.place().file())
+                            .put("line", f.place().line())
+                            .put("column", f.place().column())
+                            .put("path", f.place().path())
+                            .put("message", f.message()));
+        }
+        RequestException summary =
+                RequestException.notRun(
+                        ErrorCode.BAD_REQUEST, "the bundle has " + list.size() + " findings");
+        answer(
+                c,
+                ErrorCode.BAD_REQUEST.httpStatus(),
+                new JsonObject().put("error", error(summary)).put("findings", list));
+    }
+
+    private static JsonObject error(RequestException e) {
+        return new JsonObject()
+                .put("code", e.code().wireName())
+                .put("message", e.getMessage())
+                .put("run_state", e.runState().wireName());
+    }
+
+    private static void answer(RoutingContext c, int status, JsonObject body) {
+        HttpServerResponse response = c.response();
+        if (!response.ended() && !response.closed()) {
+            response.setStatusCode(status)
+                    .putHeader("Content-Type", "application/json")
+                    .end(body.toBuffer());
+        }
+    }
+}
