Add the operators' command line

Cause: operators could reach a daemon only by raw HTTP requests, and nothing made their keys and tokens.

Change: bin/godwithoist has the commands bundle (validate, diff, submit, review, sign, roll, status, history), domain and host (out, in, list), status, usage, report burn and keygen. Nine documented exit codes tell refusals, conflicts, outages and uncertain writes apart. Secrets come from files or environment variables.

Conclusion: a bundle can be taken from a file to all daemons with the command line alone.

--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/BundleCommands.java
@@ -0,0 +1,306 @@
+package org.godwithoist.cli;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.security.PrivateKey;
+import org.godwithoist.bundle.BundleParser;
+import org.godwithoist.bundle.ContentHash;
+import org.godwithoist.bundle.OperatorName;
+import org.godwithoist.bundle.OperatorSignature;
+import org.godwithoist.bundle.SignatureRole;
+import org.godwithoist.bundle.json.BundleSplit;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** Commands about bundles. */
+public final class BundleCommands extends Group {
+    private static final String BASE = "/v1/bundles/";
+
+    @Argument(
+            required = true,
+            metaVar = "ACTION",
+            usage = "validate, diff, submit, review, sign, roll, status or history",
+            handler = SubCommandHandler.class)
+    @SubCommands({
+        @SubCommand(name = "validate", impl = Validate.class),
+        @SubCommand(name = "diff", impl = Diff.class),
+        @SubCommand(name = "submit", impl = Submit.class),
+        @SubCommand(name = "review", impl = Review.class),
+        @SubCommand(name = "sign", impl = Sign.class),
+        @SubCommand(name = "roll", impl = Roll.class),
+        @SubCommand(name = "status", impl = Status.class),
+        @SubCommand(name = "history", impl = History.class),
+    })
+    private Command command;
+
+    @Override
+    Command member() {
+        return command;
+    }
+
+    @Override
+    String description() {
+        return "godwithoist bundle ACTION: checks, proposes and rolls bundles.";
+    }
+
+    /** Checks a file here and returns the name of its manifest, which operators sign. */
+    private static ContentHash manifest(String file, String text) {
+        return BundleSplit.split(BundleParser.parse(file, text)).hash();
+    }
+
+    private static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8);
+    }
+
+    // ---- checks
+
+    /** Checks a bundle file. */
+    public static final class Validate extends DaemonCommand {
+        @Argument(required = true, metaVar = "FILE", usage = "bundle file")
+        private String file;
+
+        @Override
+        String description() {
+            return "godwithoist bundle validate FILE: reports all findings of a bundle file; with a"
+                    + " daemon also the differences from the bundle in force.";
+        }
+
+        @Override
+        ExitCode run(Console console) {
+            if (hasDaemon(console)) {
+                return super.run(console);
+            }
+            ContentHash manifest = manifest(file, Credentials.read(file));
+            console.print(new JsonObject().put("manifest", manifest.hex()), isJson());
+            return ExitCode.OK;
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            JsonObject body =
+                    new JsonObject().put("file", file).put("text", Credentials.read(file));
+            return show(console, client.post(BASE + "validate", body));
+        }
+    }
+
+    /** Shows the differences between two bundles. */
+    public static final class Diff extends DaemonCommand {
+        @Argument(required = true, metaVar = "TO", usage = "revision number or proposal")
+        private String to;
+
+        @Option(
+                name = "--from",
+                metaVar = "FROM",
+                usage = "revision number or proposal; default: the bundle in force")
+        private String from;
+
+        @Override
+        String description() {
+            return "godwithoist bundle diff TO: shows in plain words how two bundles differ.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            String start = from == null ? "" : "from=" + encode(from) + "&";
+            return show(console, client.get(BASE + "diff?" + start + "to=" + encode(to)));
+        }
+    }
+
+    // ---- stages
+
+    abstract static class SigningCommand extends DaemonCommand {
+        @Option(
+                name = "--operator",
+                metaVar = "NAME",
+                usage = "own name; default: environment variable GODWITHOIST_OPERATOR")
+        private String operator;
+
+        @Option(
+                name = "--key-file",
+                metaVar = "FILE",
+                usage =
+                        "file with the operator's private key; default: environment variables"
+                                + " GODWITHOIST_KEY_FILE or GODWITHOIST_KEY")
+        private String keyFile;
+
+        OperatorName operator(Console console) {
+            String name =
+                    console.setting(operator, "GODWITHOIST_OPERATOR")
+                            .orElseThrow(
+                                    () ->
+                                            new CliException(
+                                                    ExitCode.USAGE,
+                                                    "no name: give --operator or set"
+                                                            + " GODWITHOIST_OPERATOR"));
+            try {
+                return new OperatorName(name);
+            } catch (IllegalArgumentException e) {
+                throw new CliException(ExitCode.USAGE, e.getMessage(), e);
+            }
+        }
+
+        PrivateKey key(Console console) {
+            return Credentials.key(console, keyFile);
+        }
+    }
+
+    /** Proposes a bundle. */
+    public static final class Submit extends SigningCommand {
+        @Argument(required = true, metaVar = "FILE", usage = "bundle file")
+        private String file;
+
+        @Override
+        String description() {
+            return "godwithoist bundle submit FILE: signs a bundle as its author and stores it as a"
+                    + " proposal for the next revision.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            String text = Credentials.read(file);
+            ContentHash manifest = manifest(file, text);
+            OperatorName author = operator(console);
+            JsonObject status = expect(client.get(BASE + "status"));
+            if (!status.getBoolean("store_answers", false)) {
+                throw new CliException(ExitCode.UNAVAILABLE, "the table service does not answer");
+            }
+            JsonObject stored = status.getJsonObject("stored", new JsonObject());
+            long revision = stored.getLong("revision", 0L) + 1;
+            OperatorSignature signature =
+                    OperatorSignature.sign(
+                            author,
+                            key(console),
+                            SignatureRole.AUTHOR.statement(revision, manifest, author));
+            JsonObject body =
+                    new JsonObject()
+                            .put("file", file)
+                            .put("text", text)
+                            .put("revision", revision)
+                            .put("signature", signature.base64());
+            return show(console, client.post(BASE + "submit", body));
+        }
+    }
+
+    /** Records a review. */
+    public static final class Review extends DaemonCommand {
+        @Argument(required = true, metaVar = "PROPOSAL", usage = "id of the proposal")
+        private String proposal;
+
+        @Override
+        String description() {
+            return "godwithoist bundle review PROPOSAL: records that an operator other than the"
+                    + " author has read the proposal; see 'bundle diff PROPOSAL'.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            JsonObject body = new JsonObject().put("proposal", proposal);
+            return show(console, client.post(BASE + "review", body));
+        }
+    }
+
+    /** Signs a reviewed proposal. */
+    public static final class Sign extends SigningCommand {
+        @Argument(required = true, metaVar = "PROPOSAL", usage = "id of the proposal")
+        private String proposal;
+
+        @Option(
+                name = "--file",
+                metaVar = "FILE",
+                usage = "signs only if the proposal has the content of this bundle file")
+        private String file;
+
+        @Override
+        String description() {
+            return "godwithoist bundle sign PROPOSAL: signs a reviewed proposal as an operator"
+                    + " other than its author.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            JsonObject p = find(expect(client.get(BASE + "status")));
+            ContentHash manifest;
+            byte[] statement;
+            try {
+                manifest = new ContentHash(p.getString("manifest", ""));
+                OperatorName author = new OperatorName(p.getString("author", ""));
+                statement = SignatureRole.SIGNER.statement(p.getLong("revision"), manifest, author);
+            } catch (IllegalArgumentException e) {
+                throw new CliException(ExitCode.FAILED, "the daemon's answer is malformed", e);
+            }
+            if (file != null && !manifest(file, Credentials.read(file)).equals(manifest)) {
+                throw new CliException(
+                        ExitCode.FAILED, proposal + " has another content than " + file);
+            }
+            OperatorSignature signature =
+                    OperatorSignature.sign(operator(console), key(console), statement);
+            JsonObject body =
+                    new JsonObject().put("proposal", proposal).put("signature", signature.base64());
+            return show(console, client.post(BASE + "sign", body));
+        }
+
+        private JsonObject find(JsonObject status) {
+            for (Object o : status.getJsonArray("proposals", new JsonArray())) {
+                if (o instanceof JsonObject p && proposal.equals(p.getString("proposal"))) {
+                    return p;
+                }
+            }
+            throw new CliException(
+                    ExitCode.CONFLICT, proposal + " is no open proposal for the next revision");
+        }
+    }
+
+    /** Puts a signed proposal in force. */
+    public static final class Roll extends DaemonCommand {
+        @Argument(required = true, metaVar = "PROPOSAL", usage = "id of the proposal")
+        private String proposal;
+
+        @Override
+        String description() {
+            return "godwithoist bundle roll PROPOSAL: puts a signed proposal in force everywhere;"
+                    + " names the members that did not acknowledge.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            JsonObject body = new JsonObject().put("proposal", proposal);
+            return show(console, client.post(BASE + "roll", body));
+        }
+    }
+
+    // ---- reads
+
+    /** Shows what is in force and what is proposed. */
+    public static final class Status extends DaemonCommand {
+        @Override
+        String description() {
+            return "godwithoist bundle status: shows the bundle in force and open proposals.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            return show(console, client.get(BASE + "status"));
+        }
+    }
+
+    /** Shows the last revisions. */
+    public static final class History extends DaemonCommand {
+        @Option(name = "--limit", metaVar = "N", usage = "how many revisions; default: 20")
+        private int limit = 20;
+
+        @Override
+        String description() {
+            return "godwithoist bundle history: shows the last revisions and who brought them about.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            return show(console, client.get(BASE + "history?limit=" + limit));
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/Credentials.java
@@ -0,0 +1,63 @@
+package org.godwithoist.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.PrivateKey;
+import java.security.spec.PKCS8EncodedKeySpec;
+import java.util.Base64;
+import java.util.Optional;
+
+/** Reads the operator's secrets from files or environment variables; no message shows them. */
+final class Credentials {
+    private Credentials() {}
+
+    /** Returns the bearer token. */
+    static String token(Console console, String file) {
+        return secret(console, file, "GODWITHOIST_TOKEN", "--token-file");
+    }
+
+    /** Returns the private key that signs bundles. */
+    static PrivateKey key(Console console, String file) {
+        String base64 = secret(console, file, "GODWITHOIST_KEY", "--key-file");
+        try {
+            byte[] encoded = Base64.getDecoder().decode(base64);
+            return KeyFactory.getInstance("Ed25519")
+                    .generatePrivate(new PKCS8EncodedKeySpec(encoded));
+        } catch (GeneralSecurityException | IllegalArgumentException e) {
+            // The cause may quote the key, so it is left out.
+            throw new CliException(
+                    ExitCode.DENIED, "the key is not the Base64 of an Ed25519 key in PKCS 8 form");
+        }
+    }
+
+    private static String secret(Console console, String file, String variable, String option) {
+        Optional<String> path = console.setting(file, variable + "_FILE");
+        if (path.isPresent()) {
+            return read(path.get()).strip();
+        }
+        return console.setting(null, variable)
+                .map(String::strip)
+                .orElseThrow(
+                        () ->
+                                new CliException(
+                                        ExitCode.DENIED,
+                                        "no credential: give "
+                                                + option
+                                                + " or set "
+                                                + variable
+                                                + "_FILE or "
+                                                + variable));
+    }
+
+    /** Reads a text file. */
+    static String read(String file) {
+        try {
+            return Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new CliException(ExitCode.FAILED, "cannot read the file " + file, e);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/DaemonClient.java
@@ -0,0 +1,86 @@
+package org.godwithoist.cli;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import io.vertx.ext.web.client.WebClientOptions;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.List;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Await;
+
+/** Calls the operators' port of a daemon; tries the next one if a connection is refused. */
+final class DaemonClient implements AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
+
+    /** A roll waits for four writes to the store and for the peers, about 12 s at worst. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+    private final Vertx vertx =
+            Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+    private final WebClient client =
+            WebClient.create(
+                    vertx,
+                    new WebClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+    private final List<Endpoint> daemons;
+    private final String token;
+
+    DaemonClient(List<Endpoint> daemons, String token) {
+        this.daemons = daemons;
+        this.token = token;
+    }
+
+    Reply get(String path) {
+        return send(HttpMethod.GET, path, null, "application/json");
+    }
+
+    Reply getHtml(String path) {
+        return send(HttpMethod.GET, path, null, "text/html");
+    }
+
+    Reply post(String path, JsonObject body) {
+        return send(HttpMethod.POST, path, body.toBuffer(), "application/json");
+    }
+
+    private Reply send(HttpMethod method, String path, Buffer body, String accept) {
+        for (Endpoint daemon : daemons) {
+            var request =
+                    client.request(method, daemon.port(), daemon.ip(), path)
+                            .timeout(TIMEOUT.toMillis())
+                            .putHeader("Accept", accept)
+                            .bearerTokenAuthentication(token);
+            try {
+                HttpResponse<Buffer> r =
+                        Await.result(
+                                body == null ? request.send() : request.sendBuffer(body),
+                                TIMEOUT.plus(CONNECT_TIMEOUT));
+                String text = r.bodyAsString();
+                return new Reply(r.statusCode(), text == null ? "" : text);
+            } catch (RuntimeException e) {
+                if (isRefused(e)) {
+                    continue;
+                }
+                // The request may have arrived; only a read certainly changed nothing.
+                ExitCode code =
+                        method.equals(HttpMethod.GET) ? ExitCode.UNAVAILABLE : ExitCode.UNKNOWN;
+                throw new CliException(code, "no answer from daemon " + daemon, e);
+            }
+        }
+        throw new CliException(ExitCode.UNAVAILABLE, "no daemon accepts a connection: " + daemons);
+    }
+
+    private static boolean isRefused(Throwable e) {
+        return e instanceof ConnectException || e.getCause() instanceof ConnectException;
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        Await.result(vertx.close(), TIMEOUT);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/DaemonCommand.java
@@ -0,0 +1,107 @@
+package org.godwithoist.cli;
+
+import io.vertx.core.json.JsonObject;
+import java.util.Arrays;
+import java.util.List;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.json.Finding;
+import org.godwithoist.core.json.Place;
+import org.kohsuke.args4j.Option;
+
+/** A command that asks a daemon. */
+abstract class DaemonCommand extends Command {
+    private static final String DAEMON_VARIABLE = "GODWITHOIST_DAEMON";
+
+    @Option(name = "--json", usage = "prints the answer as JSON")
+    private boolean json;
+
+    @Option(
+            name = "--daemon",
+            metaVar = "IP:PORT",
+            usage =
+                    "operators' port of a daemon, or several separated by commas; default:"
+                            + " environment variable GODWITHOIST_DAEMON")
+    private String daemon;
+
+    @Option(
+            name = "--token-file",
+            metaVar = "FILE",
+            usage =
+                    "file with the operator's token; default: environment variables"
+                            + " GODWITHOIST_TOKEN_FILE or GODWITHOIST_TOKEN")
+    private String tokenFile;
+
+    @Override
+    boolean isJson() {
+        return json;
+    }
+
+    /** Runs the command with a connection. */
+    abstract ExitCode run(Console console, DaemonClient client);
+
+    @Override
+    ExitCode run(Console console) {
+        try (DaemonClient client = new DaemonClient(daemons(console), token(console))) {
+            return run(console, client);
+        }
+    }
+
+    private String token(Console console) {
+        return Credentials.token(console, tokenFile);
+    }
+
+    boolean hasDaemon(Console console) {
+        return console.setting(daemon, DAEMON_VARIABLE).isPresent();
+    }
+
+    private List<Endpoint> daemons(Console console) {
+        String text =
+                console.setting(daemon, DAEMON_VARIABLE)
+                        .orElseThrow(
+                                () ->
+                                        new CliException(
+                                                ExitCode.USAGE,
+                                                "no daemon: give --daemon or set "
+                                                        + DAEMON_VARIABLE));
+        try {
+            return Arrays.stream(text.split(",")).map(String::strip).map(Endpoint::parse).toList();
+        } catch (IllegalArgumentException e) {
+            throw new CliException(ExitCode.USAGE, e.getMessage(), e);
+        }
+    }
+
+    /** Prints an answer, or a failure with all its findings, and returns the exit code. */
+    ExitCode show(Console console, Reply reply) {
+        ExitCode code = ExitCode.of(reply);
+        if (code == ExitCode.OK || code == ExitCode.INCOMPLETE) {
+            console.print(reply.body(), json);
+            return code;
+        }
+        if (json) {
+            console.print(reply.body(), true);
+            return code;
+        }
+        console.err().println(reply.message());
+        for (Object o : reply.findings()) {
+            JsonObject f = (JsonObject) o;
+            // The same form as that of findings made here.
+            Place place =
+                    new Place(
+                            f.getString("file"),
+                            f.getInteger("line"),
+                            f.getInteger("column"),
+                            f.getString("path"));
+            console.err().println(new Finding(place, f.getString("message")));
+        }
+        return code;
+    }
+
+    /** Returns a daemon's answer if it succeeded; ends the command with its failure otherwise. */
+    static JsonObject expect(Reply reply) {
+        ExitCode code = ExitCode.of(reply);
+        if (code != ExitCode.OK) {
+            throw new CliException(code, reply.message());
+        }
+        return reply.body();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/ExitCode.java
@@ -0,0 +1,67 @@
+package org.godwithoist.cli;
+
+/** Exit status of the process; scripts rely on these numbers. */
+public enum ExitCode {
+    /** Done. */
+    OK(0, "done"),
+    /** Refused or failed for a reason without a code of its own; nothing was changed. */
+    FAILED(1, "refused or failed; nothing was changed"),
+    /** The command line is wrong. */
+    USAGE(2, "wrong command line"),
+    /** The bundle has findings. */
+    FINDINGS(3, "the bundle has findings"),
+    /** Another operator was first, or the stage is not right. */
+    CONFLICT(4, "another operator was first, or the proposal is at another stage"),
+    /** The credential is missing or wrong, or the operator may not do this. */
+    DENIED(5, "credential missing or wrong, or not permitted"),
+    /** No daemon or no store answers; nothing was changed. */
+    UNAVAILABLE(6, "no daemon or no store answers; nothing was changed"),
+    /** The answer was lost; the change may have taken effect. */
+    UNKNOWN(7, "the answer was lost; the change may have taken effect"),
+    /** Accepted, but not acknowledged by all members. */
+    INCOMPLETE(8, "accepted, but not acknowledged by all members");
+
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_BAD_REQUEST = 400;
+    private static final int STATUS_UNAUTHENTICATED = 401;
+    private static final int STATUS_FORBIDDEN = 403;
+    private static final int STATUS_CONFLICT = 409;
+    private static final int STATUS_SERVER_ERRORS = 500;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    private final int status;
+    private final String meaning;
+
+    ExitCode(int status, String meaning) {
+        this.status = status;
+        this.meaning = meaning;
+    }
+
+    /** Returns the exit status. */
+    public int status() {
+        return status;
+    }
+
+    /** Returns what the code means, for the help text. */
+    public String meaning() {
+        return meaning;
+    }
+
+    /** Decides by a daemon's answer. */
+    static ExitCode of(Reply reply) {
+        if (reply.status() == STATUS_OK) {
+            return reply.isIncomplete() ? INCOMPLETE : OK;
+        }
+        // Only the daemon's own "not_run" makes it certain that a failed request changed nothing.
+        if (reply.status() >= STATUS_SERVER_ERRORS && !reply.runState().equals("not_run")) {
+            return UNKNOWN;
+        }
+        return switch (reply.status()) {
+            case STATUS_BAD_REQUEST -> reply.findings().isEmpty() ? FAILED : FINDINGS;
+            case STATUS_UNAUTHENTICATED, STATUS_FORBIDDEN -> DENIED;
+            case STATUS_CONFLICT -> CONFLICT;
+            case STATUS_UNAVAILABLE -> UNAVAILABLE;
+            default -> FAILED;
+        };
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/HumanView.java
@@ -0,0 +1,127 @@
+package org.godwithoist.cli;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * Shows any JSON answer as text: single values as lines, lists of objects as tables. Commands need
+ * no layout of their own, so a field that a daemon adds is shown without a change here.
+ */
+final class HumanView {
+    private static final String GAP = "  ";
+
+    /**
+     * Long texts such as signatures and hashes are cut in tables; {@code --json} has them whole.
+     */
+    private static final int MAX_CELL = 40;
+
+    private final StringBuilder text = new StringBuilder();
+
+    private HumanView() {}
+
+    static String of(JsonObject body) {
+        HumanView view = new HumanView();
+        view.object("", body);
+        return view.text.toString();
+    }
+
+    private void object(String title, JsonObject o) {
+        if (!title.isEmpty()) {
+            text.append(title).append(":\n");
+        }
+        String indent = title.isEmpty() ? "" : GAP;
+        List<List<String>> rows = new ArrayList<>();
+        for (Map.Entry<String, Object> e : o) {
+            if (!(e.getValue() instanceof JsonObject) && !isTable(e.getValue())) {
+                rows.add(List.of(label(e.getKey()), cell(e.getValue(), Integer.MAX_VALUE)));
+            }
+        }
+        rows(indent, rows);
+        for (Map.Entry<String, Object> e : o) {
+            String name = title.isEmpty() ? label(e.getKey()) : title + " " + label(e.getKey());
+            if (e.getValue() instanceof JsonObject child) {
+                object(name, child);
+            } else if (isTable(e.getValue())) {
+                table(name, (JsonArray) e.getValue());
+            }
+        }
+    }
+
+    private static boolean isTable(Object value) {
+        return value instanceof JsonArray a && !a.isEmpty();
+    }
+
+    private void table(String title, JsonArray list) {
+        text.append(title).append(":\n");
+        Set<String> columns = new LinkedHashSet<>();
+        for (Object row : list) {
+            if (row instanceof JsonObject o) {
+                columns.addAll(o.fieldNames());
+            }
+        }
+        List<List<String>> rows = new ArrayList<>();
+        if (!columns.isEmpty()) {
+            rows.add(columns.stream().map(HumanView::label).toList());
+        }
+        for (Object row : list) {
+            if (row instanceof JsonObject o) {
+                rows.add(columns.stream().map(c -> cell(o.getValue(c), MAX_CELL)).toList());
+            } else {
+                rows.add(List.of(cell(row, Integer.MAX_VALUE)));
+            }
+        }
+        rows(GAP, rows);
+    }
+
+    private void rows(String indent, List<List<String>> rows) {
+        List<Integer> widths = new ArrayList<>();
+        for (List<String> row : rows) {
+            for (int i = 0; i < row.size(); i++) {
+                if (i == widths.size()) {
+                    widths.add(0);
+                }
+                widths.set(i, Math.max(widths.get(i), row.get(i).length()));
+            }
+        }
+        for (List<String> row : rows) {
+            StringBuilder line = new StringBuilder(indent);
+            for (int i = 0; i < row.size(); i++) {
+                line.append(row.get(i));
+                if (i < row.size() - 1) {
+                    line.append(" ".repeat(widths.get(i) - row.get(i).length())).append(GAP);
+                }
+            }
+            text.append(line.toString().stripTrailing()).append('\n');
+        }
+    }
+
+    private static String label(String name) {
+        return name.replace('_', ' ');
+    }
+
+    private static String cell(Object value, int max) {
+        String s =
+                switch (value) {
+                    case null -> "-";
+                    case JsonArray a ->
+                            a.isEmpty()
+                                    ? "none"
+                                    : a.stream()
+                                            .map(v -> cell(v, max))
+                                            .collect(Collectors.joining(", "));
+                    case JsonObject o ->
+                            o.stream()
+                                    .map(e -> label(e.getKey()) + " " + cell(e.getValue(), max))
+                                    .collect(Collectors.joining(" "));
+                    default -> value.toString();
+                };
+        boolean plain = !(value instanceof JsonArray) && !(value instanceof JsonObject);
+        return plain && s.length() > max ? s.substring(0, max - 1) + "…" : s;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/OrderCommands.java
@@ -0,0 +1,163 @@
+package org.godwithoist.cli;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** Orders that take failure domains and hosts out of service and back. */
+public final class OrderCommands {
+    private static final String PATH = "/v1/orders";
+
+    private OrderCommands() {}
+
+    /** What an order is about. */
+    enum Subject {
+        DOMAIN("domain"),
+        HOST("host");
+
+        private final String wireName;
+
+        Subject(String wireName) {
+            this.wireName = wireName;
+        }
+
+        /** Returns the start of the subjects of this kind. */
+        String prefix() {
+            return wireName + ":";
+        }
+    }
+
+    // ---- groups
+
+    abstract static class Orders extends Group {
+        private final Subject subject;
+
+        @Argument(
+                required = true,
+                metaVar = "ACTION",
+                usage = "out, in or list",
+                handler = SubCommandHandler.class)
+        @SubCommands({
+            @SubCommand(name = "out", impl = Out.class),
+            @SubCommand(name = "in", impl = In.class),
+            @SubCommand(name = "list", impl = ListOrders.class),
+        })
+        private Command command;
+
+        Orders(Subject subject) {
+            this.subject = subject;
+        }
+
+        @Override
+        Command member() {
+            if (command instanceof OrderCommand order) {
+                order.subject = subject;
+            }
+            return command;
+        }
+
+        @Override
+        String description() {
+            return "godwithoist "
+                    + subject.wireName
+                    + " out|in|list: takes a "
+                    + subject.wireName
+                    + " out of service, takes it back, or lists the orders.";
+        }
+    }
+
+    /** Orders about failure domains. */
+    public static final class Domains extends Orders {
+        /** Makes the group. */
+        public Domains() {
+            super(Subject.DOMAIN);
+        }
+    }
+
+    /** Orders about hosts. */
+    public static final class Hosts extends Orders {
+        /** Makes the group. */
+        public Hosts() {
+            super(Subject.HOST);
+        }
+    }
+
+    // ---- commands
+
+    abstract static class OrderCommand extends DaemonCommand {
+        Subject subject;
+    }
+
+    abstract static class Change extends OrderCommand {
+        private final String state;
+
+        @Argument(required = true, metaVar = "ID", usage = "failure domain or host")
+        private String id;
+
+        Change(String state) {
+            this.state = state;
+        }
+
+        @Override
+        String description() {
+            return "godwithoist "
+                    + subject.wireName
+                    + " "
+                    + state
+                    + " ID: puts the order "
+                    + state
+                    + " in force at all members; names those that did not acknowledge.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            JsonObject order =
+                    new JsonObject().put("subject", subject.prefix() + id).put("state", state);
+            return show(console, client.post(PATH, order));
+        }
+    }
+
+    /** Takes a subject out of service. */
+    public static final class Out extends Change {
+        /** Makes the command. */
+        public Out() {
+            super("out");
+        }
+    }
+
+    /** Takes a subject back into service. */
+    public static final class In extends Change {
+        /** Makes the command. */
+        public In() {
+            super("in");
+        }
+    }
+
+    /** Lists the orders about one kind of subject. */
+    public static final class ListOrders extends OrderCommand {
+        @Override
+        String description() {
+            return "godwithoist " + subject.wireName + " list: lists the orders in force.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            Reply reply = client.get(PATH);
+            if (ExitCode.of(reply) != ExitCode.OK) {
+                return show(console, reply);
+            }
+            JsonArray orders = new JsonArray();
+            for (Object o : reply.body().getJsonArray("orders", new JsonArray())) {
+                if (o instanceof JsonObject order
+                        && order.getString("subject", "").startsWith(subject.prefix())) {
+                    orders.add(order);
+                }
+            }
+            console.print(new JsonObject().put("orders", orders), isJson());
+            return ExitCode.OK;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/ReadCommands.java
@@ -0,0 +1,93 @@
+package org.godwithoist.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** Commands that only read. */
+public final class ReadCommands {
+    private ReadCommands() {}
+
+    /** Shows a daemon's state. */
+    public static final class Status extends DaemonCommand {
+        @Override
+        String description() {
+            return "godwithoist status: shows the state of a daemon, its members and its targets.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            return show(console, client.get("/v1/status"));
+        }
+    }
+
+    /** Shows the accounts of the workspaces. */
+    public static final class UsageAccounts extends DaemonCommand {
+        @Override
+        String description() {
+            return "godwithoist usage: shows the usage of each workspace, settled and unsettled.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            return show(console, client.get("/v1/usage"));
+        }
+    }
+
+    /** Reports about service levels. */
+    public static final class Reports extends Group {
+        @Argument(
+                required = true,
+                metaVar = "REPORT",
+                usage = "burn",
+                handler = SubCommandHandler.class)
+        @SubCommands(@SubCommand(name = "burn", impl = Burn.class))
+        private Command command;
+
+        @Override
+        Command member() {
+            return command;
+        }
+
+        @Override
+        String description() {
+            return "godwithoist report REPORT: reports about service levels.";
+        }
+    }
+
+    /** Shows how fast the error budgets are used up. */
+    public static final class Burn extends DaemonCommand {
+        @Option(
+                name = "--html",
+                metaVar = "FILE",
+                usage = "writes the report as an HTML page to a file")
+        private String html;
+
+        @Override
+        String description() {
+            return "godwithoist report burn: shows how fast the error budgets are used up.";
+        }
+
+        @Override
+        ExitCode run(Console console, DaemonClient client) {
+            if (html == null) {
+                return show(console, client.get("/v1/report/burn"));
+            }
+            Reply reply = client.getHtml("/v1/report/burn?format=html");
+            if (ExitCode.of(reply) != ExitCode.OK) {
+                return show(console, reply);
+            }
+            try {
+                Files.writeString(Path.of(html), reply.text());
+            } catch (IOException e) {
+                throw new CliException(ExitCode.FAILED, "cannot write the file " + html, e);
+            }
+            return ExitCode.OK;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line {@code godwithoist}. */
+package org.godwithoist.cli;
--- /dev/null
+++ b/cli/src/test/java/org/godwithoist/cli/CliMainTest.java
@@ -0,0 +1,346 @@
+package org.godwithoist.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.handler.BodyHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.godwithoist.bundle.HeadPush;
+import org.godwithoist.bundle.HeadState;
+import org.godwithoist.bundle.OperatorKeys;
+import org.godwithoist.bundle.http.BundleRoutes;
+import org.godwithoist.bundle.http.OperatorAuth;
+import org.godwithoist.bundle.store.BundleOperations;
+import org.godwithoist.bundle.store.BundleTables;
+import org.godwithoist.bundle.store.RevisionStore;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.platform.fake.FakeObjectStore;
+import org.godwithoist.platform.fake.FakeTableStore;
+import org.godwithoist.platform.fake.StoreFault;
+import org.godwithoist.settings.OperatorKey;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CliMainTest {
+    private static final Duration LIMIT = Duration.ofSeconds(5);
+    private static final String BUNDLE =
+            """
+            {"format": 1, // a comment
+             "workspaces": [{"id": "antwerp", "share": SHARE}],
+             "serviceLevels": [{"priority": "urgent"}, {"priority": "interactive"},
+                               {"priority": "background"}]}
+            """;
+
+    @TempDir Path directory;
+    private final Vertx vertx = Vertx.vertx();
+    private final FakeTableStore table = new FakeTableStore();
+    private final List<JsonObject> orders = new ArrayList<>();
+    private final List<OperatorKey> operators = new ArrayList<>();
+    private volatile HeadPush.Report report =
+            new HeadPush.Report(List.of(new HostId("host-0")), List.of(), List.of());
+    private int port;
+    private String out = "";
+    private String err = "";
+
+    @BeforeEach
+    void listen() {
+        for (String name : List.of("anna", "ben")) {
+            assertEquals(
+                    ExitCode.OK,
+                    run(null, "keygen", name, "--out", directory.toString(), "--json"));
+            JsonObject o = new JsonObject(out);
+            operators.add(
+                    new OperatorKey(
+                            o.getString("name"),
+                            o.getString("tokenHash"),
+                            o.getString("publicKey")));
+        }
+        OperatorKeys keys = new OperatorKeys(operators);
+        HeadState state = new HeadState(keys);
+        RevisionStore revisions = new RevisionStore(new FakeObjectStore(), state);
+        HeadPush push =
+                head -> {
+                    state.adopt(head, revisions.load(head.manifest(), List.of()));
+                    return report;
+                };
+        var operations =
+                new BundleOperations(
+                        new BundleTables(table),
+                        revisions,
+                        state,
+                        keys,
+                        push,
+                        InstantSource.system());
+        OperatorAuth auth = new OperatorAuth(operators);
+        Router router = Router.router(vertx);
+        new BundleRoutes(operations, auth).mount(router);
+        router.route("/v1/*").handler(auth);
+        router.route("/v1/*").handler(BodyHandler.create(false));
+        router.post("/v1/orders")
+                .handler(
+                        c -> {
+                            orders.add(c.body().asJsonObject());
+                            if (orders.getLast().getString("subject").endsWith("lost")) {
+                                c.request().connection().close();
+                                return;
+                            }
+                            c.json(new JsonObject().put("unacknowledged", new JsonArray()));
+                        });
+        router.get("/v1/orders")
+                .handler(
+                        c ->
+                                c.json(
+                                        new JsonObject()
+                                                .put(
+                                                        "orders",
+                                                        new JsonArray()
+                                                                .add(order("domain:d1"))
+                                                                .add(order("host:h1")))));
+        router.get("/v1/status").handler(c -> c.json(new JsonObject().put("members", 6)));
+        router.get("/v1/usage").handler(c -> c.request().connection().close());
+        router.get("/v1/report/burn").handler(c -> c.end("<html>burn</html>"));
+        var server = vertx.createHttpServer().requestHandler(router);
+        port = Await.result(server.listen(0, "127.0.0.1"), LIMIT).actualPort();
+    }
+
+    private static JsonObject order(String subject) {
+        return new JsonObject().put("subject", subject).put("state", "out");
+    }
+
+    @AfterEach
+    void stop() {
+        Await.result(vertx.close(), LIMIT);
+    }
+
+    private ExitCode run(String operator, String... args) {
+        var o = new ByteArrayOutputStream();
+        var e = new ByteArrayOutputStream();
+        Map<String, String> environment = new HashMap<>();
+        if (operator != null) {
+            environment.put("GODWITHOIST_DAEMON", "127.0.0.1:" + port);
+            environment.put("GODWITHOIST_OPERATOR", operator);
+            environment.put("GODWITHOIST_TOKEN_FILE", directory.resolve(operator + ".token") + "");
+            environment.put("GODWITHOIST_KEY_FILE", directory.resolve(operator + ".key") + "");
+        }
+        ExitCode code =
+                CliMain.run(
+                        args,
+                        environment,
+                        new PrintStream(o, true, StandardCharsets.UTF_8),
+                        new PrintStream(e, true, StandardCharsets.UTF_8));
+        out = o.toString(StandardCharsets.UTF_8);
+        err = e.toString(StandardCharsets.UTF_8);
+        return code;
+    }
+
+    private String file(int share) {
+        return write("bundle.json", BUNDLE.replace("SHARE", Integer.toString(share)));
+    }
+
+    private String write(String name, String text) {
+        try {
+            return Files.writeString(directory.resolve(name), text).toString();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Takes a bundle through the stages before the roll and returns its proposal. */
+    private String signed(int share) {
+        String file = file(share);
+        assertEquals(ExitCode.OK, run("anna", "bundle", "submit", file, "--json"), err);
+        String id = new JsonObject(out).getString("proposal");
+        assertEquals(ExitCode.OK, run("ben", "bundle", "review", id), err);
+        assertEquals(ExitCode.OK, run("ben", "bundle", "sign", id, "--file", file), err);
+        return id;
+    }
+
+    @Nested
+    class Bundles {
+        /** Guards against a step that the command line cannot take or does not show. */
+        @Test
+        void goThroughAllStages() {
+            assertEquals(ExitCode.OK, run("ben", "bundle", "roll", signed(1)), err);
+            assertEquals(ExitCode.OK, run("ben", "bundle", "roll", signed(2)), err);
+            assertTrue(out.contains("host-0"), out);
+            assertEquals(ExitCode.OK, run("ben", "bundle", "diff", "2", "--from", "1"), err);
+            assertTrue(out.contains("workspace antwerp: share changes from 1 to 2"), out);
+            assertEquals(ExitCode.OK, run("ben", "bundle", "history", "--limit", "1"), err);
+            assertTrue(out.contains("rolled") && out.contains("anna"), out);
+            assertEquals(ExitCode.OK, run("ben", "bundle", "status", "--json"), err);
+            assertEquals(2, new JsonObject(out).getJsonObject("in_force").getInteger("revision"));
+            assertEquals(ExitCode.OK, run("ben", "bundle", "validate", file(3)), err);
+        }
+
+        /** Guards against a signature for a content that the signer has not read. */
+        @Test
+        void areSignedOnlyWithTheExpectedContent() {
+            run("anna", "bundle", "submit", file(1), "--json");
+            String id = new JsonObject(out).getString("proposal");
+            run("ben", "bundle", "review", id);
+            assertEquals(ExitCode.FAILED, run("ben", "bundle", "sign", id, "--file", file(9)), err);
+            assertEquals(ExitCode.DENIED, run("anna", "bundle", "sign", id), err);
+        }
+    }
+
+    @Nested
+    class ExitCodes {
+        /** Guards against findings that are cut off or lose their places. */
+        @Test
+        void findings() {
+            String bad = write("bad.json", "{\"format\": 1,\n \"pools\": [{\"id\": \"a b\"}]}");
+            for (String operator : new String[] {null, "anna"}) {
+                assertEquals(ExitCode.FINDINGS, run(operator, "bundle", "validate", bad));
+                assertTrue(err.contains("bad.json:2:19 /pools/0/id: "), err);
+                assertEquals(3, err.split("serviceLevels", -1).length - 1, err);
+                assertEquals(ExitCode.FINDINGS, run(operator, "bundle", "validate", bad, "--json"));
+                assertEquals(4, new JsonObject(out).getJsonArray("findings").size(), out);
+            }
+        }
+
+        /** Guards against a lost race or an incomplete roll that a script takes for success. */
+        @Test
+        void conflictAndIncomplete() {
+            String first = signed(1);
+            String second = signed(2);
+            report = new HeadPush.Report(List.of(), List.of(new HostId("host-7")), List.of());
+            assertEquals(ExitCode.INCOMPLETE, run("anna", "bundle", "roll", first));
+            assertTrue(out.contains("host-7"), out);
+            assertEquals(ExitCode.CONFLICT, run("ben", "bundle", "roll", second));
+        }
+
+        /** Guards against a certain answer about an uncertain write. */
+        @Test
+        void unavailableAndUnknown() {
+            String id = signed(1);
+            table.setFault(StoreFault.DOWN);
+            assertEquals(ExitCode.UNAVAILABLE, run("ben", "bundle", "roll", id));
+            table.setFault(StoreFault.REQUEST_LOST);
+            // Reads fail in this state too, so that the roll does not get as far as the write.
+            assertEquals(ExitCode.UNAVAILABLE, run("ben", "bundle", "roll", id));
+            assertEquals(ExitCode.UNAVAILABLE, run("ben", "usage"));
+            assertEquals(
+                    ExitCode.UNAVAILABLE, run("ben", "status", "--daemon", "127.0.0.1:1"), err);
+            assertEquals(ExitCode.UNKNOWN, run("ben", "host", "out", "lost"));
+            Reply lost = new Reply(503, "{\"error\": {\"run_state\": \"unknown\"}}");
+            assertEquals(ExitCode.UNKNOWN, ExitCode.of(lost));
+            assertEquals(ExitCode.UNKNOWN, ExitCode.of(new Reply(502, "gateway")));
+        }
+
+        /** Guards against a second daemon that is not tried when the first one is gone. */
+        @Test
+        void nextDaemonAnswers() {
+            String both = "127.0.0.1:1,127.0.0.1:" + port;
+            assertEquals(ExitCode.OK, run("ben", "status", "--daemon", both), err);
+            assertEquals("members  6\n", out);
+        }
+    }
+
+    @Nested
+    class Secrets {
+        /** Guards against a token or key that reaches the screen, and against open files. */
+        @Test
+        void areNeverPrinted() throws IOException {
+            String token = Files.readString(directory.resolve("anna.token")).strip();
+            write("wrong", token + "x");
+            String key = directory.resolve("anna.key").toString();
+            String wrong = directory.resolve("wrong").toString();
+            assertEquals(ExitCode.DENIED, run("anna", "status", "--token-file", wrong));
+            assertFalse((out + err).contains(token));
+            assertEquals(
+                    ExitCode.DENIED, run("anna", "bundle", "submit", file(1), "--key-file", wrong));
+            assertFalse((out + err).contains(token));
+            assertEquals(ExitCode.FAILED, run(null, "keygen", "anna", "--out", directory + ""));
+            assertEquals(
+                    "rw-------",
+                    PosixFilePermissions.toString(Files.getPosixFilePermissions(Path.of(key))));
+            assertEquals(ExitCode.DENIED, run(null, "status", "--daemon", "127.0.0.1:1"));
+        }
+    }
+
+    @Nested
+    class Orders {
+        /** Guards against an order about the wrong kind of subject. */
+        @Test
+        void nameTheirSubject() {
+            assertEquals(ExitCode.OK, run("anna", "domain", "out", "d1"), err);
+            assertEquals(ExitCode.OK, run("anna", "host", "in", "h1"), err);
+            assertEquals("domain:d1 out", text(orders.get(0)));
+            assertEquals("host:h1 in", text(orders.get(1)));
+            assertEquals(ExitCode.OK, run("anna", "host", "list", "--json"), err);
+            assertEquals(1, new JsonObject(out).getJsonArray("orders").size());
+        }
+
+        private static String text(JsonObject order) {
+            return order.getString("subject") + " " + order.getString("state");
+        }
+    }
+
+    @Nested
+    class Help {
+        /** Guards against a command without help. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "",
+                    "bundle",
+                    "bundle validate",
+                    "bundle diff",
+                    "bundle submit",
+                    "bundle review",
+                    "bundle sign",
+                    "bundle roll",
+                    "bundle status",
+                    "bundle history",
+                    "domain",
+                    "domain out",
+                    "domain in",
+                    "domain list",
+                    "host",
+                    "host out",
+                    "host in",
+                    "host list",
+                    "status",
+                    "usage",
+                    "report",
+                    "report burn",
+                    "keygen"
+                })
+        void isThereForEachCommand(String command) {
+            assertEquals(ExitCode.OK, run(null, (command + " --help").strip().split(" ")));
+            assertTrue(out.startsWith("godwithoist " + command) && out.contains("Exit codes"), out);
+            assertEquals(ExitCode.USAGE, run(null, (command + " --bogus").strip().split(" ")));
+        }
+
+        /** Guards against a report that is not written to its file. */
+        @Test
+        void burnReportGoesToAFile() throws IOException {
+            String html = directory.resolve("burn.html").toString();
+            assertEquals(ExitCode.OK, run("ben", "report", "burn", "--html", html), err);
+            assertEquals("<html>burn</html>", Files.readString(Path.of(html)));
+        }
+    }
+}
