--- /dev/null
+++ b/settings/src/test/java/org/godwithoist/settings/DaemonSettingsTest.java
@@ -0,0 +1,55 @@
+package org.godwithoist.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.godwithoist.core.json.FindingsException;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DaemonSettingsTest {
+    private static String example() throws IOException {
+        String page = Files.readString(Path.of("../docs/settings-reference.md"));
+        int start = page.indexOf("```json\n") + "```json\n".length();
+        return page.substring(start, page.indexOf("```", start));
+    }
+
+    @Nested
+    class ExampleOfTheReference {
+        /** Guards against a documented example that a daemon does not accept. */
+        @Test
+        void isAccepted() throws IOException {
+            DaemonSettings settings = DaemonSettings.parse("settings.json", example());
+            assertEquals("entry-3", settings.host().value());
+            assertEquals(2, settings.peerKeys().size());
+            assertEquals(2, settings.operatorKeys().size());
+        }
+    }
+
+    @Nested
+    class Operators {
+        /** Guards against a faulty operator that is found only when a signature is checked. */
+        @Test
+        void areCheckedTogether() throws IOException {
+            String bad =
+                    example()
+                            .replace("\"anna\"", "\"an na\"")
+                            .replace("9f86d081", "9F86d081")
+                            .replaceFirst("\"MCow[^\"]*\"", "\"MCow\"");
+            var e =
+                    assertThrows(
+                            FindingsException.class, () -> DaemonSettings.parse("s.json", bad));
+            List<String> paths = e.findings().stream().map(f -> f.place().path()).toList();
+            assertEquals(
+                    List.of(
+                            "/operators/0/name",
+                            "/operators/0/tokenHash",
+                            "/operators/0/publicKey"),
+                    paths);
+        }
+    }
+}
