Report malformed rows as faults and bound what operators send

Cause: a malformed head row was answered like findings of the operator's bundle, a refused head was logged with each exchange, a body of 16 MB could exceed the heap, and the diff took bare strings.

Change: a malformed row gives the code internal; the log line appears at most every 10 s; bodies have at most 4 MiB; BundleReference names what to compare. A test loses the answer to the first write of each part.

--- a/bundle/src/main/java/org/godwithoist/bundle/HeadState.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/HeadState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -13,6 +14,9 @@
 public final class HeadState {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    /** A peer offers a refused head again with each exchange. */
+    private static final int LOG_INTERVAL_S = 10;
+
     private final OperatorKeys keys;
     private final List<Consumer<InForce>> listeners = new CopyOnWriteArrayList<>();
     private volatile InForce inForce;
@@ -58,7 +62,7 @@
         Optional<String> fault = keys.fault(head);
         fault.ifPresent(
                 reason ->
-                        LOG.atWarning().log(
+                        LOG.atWarning().atMostEvery(LOG_INTERVAL_S, TimeUnit.SECONDS).log(
                                 "head of revision %d refused: %s", head.revision(), reason));
         return fault.isPresent() ? Verdict.INVALID : Verdict.NEWER;
     }
--- a/bundle/src/main/java/org/godwithoist/bundle/http/BundleRoutes.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/http/BundleRoutes.java
@@ -9,6 +9,7 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import java.util.List;
 import java.util.Optional;
+import org.godwithoist.bundle.BundleReference;
 import org.godwithoist.bundle.Change;
 import org.godwithoist.bundle.Head;
 import org.godwithoist.bundle.OperatorName;
@@ -27,8 +28,8 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final String BASE = "/v1/bundles";
 
-    /** A bundle of 2,300 workspaces has about 0.4 MB. */
-    private static final long MAX_BODY_BYTES = 16L << 20;
+    /** A bundle of 2,300 workspaces has about 0.4 MB; parsing takes several times the body. */
+    private static final long MAX_BODY_BYTES = 4L << 20;
 
     private static final int DEFAULT_HISTORY = 20;
 
@@ -145,10 +146,12 @@
     }
 
     private JsonObject diff(RoutingContext c) {
-        Optional<String> from = c.queryParam("from").stream().findFirst();
-        String to =
+        Optional<BundleReference> from =
+                c.queryParam("from").stream().findFirst().map(BundleReference::parse);
+        BundleReference to =
                 c.queryParam("to").stream()
                         .findFirst()
+                        .map(BundleReference::parse)
                         .orElseThrow(() -> new IllegalArgumentException("to is missing"));
         return new JsonObject().put("changes", changes(operations.diff(from, to)));
     }
--- a/bundle/src/main/java/org/godwithoist/bundle/http/OperatorAnswers.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/http/OperatorAnswers.java
@@ -11,10 +11,12 @@
 
 /** Answers to operators in the common JSON form. */
 final class OperatorAnswers {
+    private static final int OK = 200;
+
     private OperatorAnswers() {}
 
     static void send(RoutingContext c, JsonObject body) {
-        answer(c, 200, body);
+        answer(c, OK, body);
     }
 
     static void fail(RoutingContext c, RequestException e) {
--- a/bundle/src/main/java/org/godwithoist/bundle/store/BundleOperations.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/store/BundleOperations.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.godwithoist.bundle.BundleDiff;
 import org.godwithoist.bundle.BundleParser;
+import org.godwithoist.bundle.BundleReference;
 import org.godwithoist.bundle.Change;
 import org.godwithoist.bundle.ContentHash;
 import org.godwithoist.bundle.Head;
@@ -202,10 +203,9 @@
     /**
      * Says how two bundles differ.
      *
-     * @param from revision number or proposal id; the bundle in force if empty
-     * @param to revision number or proposal id
+     * @param from the bundle in force if empty
      */
-    public List<Change> diff(Optional<String> from, String to) {
+    public List<Change> diff(Optional<BundleReference> from, BundleReference to) {
         Supplier<Revision> inForce =
                 () ->
                         state.inForce()
@@ -219,11 +219,12 @@
         return BundleDiff.between(before.bundle(), find(to).bundle());
     }
 
-    private Revision find(String reference) {
+    private Revision find(BundleReference reference) {
         Proposal p =
-                reference.matches("[0-9]{1,10}")
-                        ? rolled(Long.parseLong(reference))
-                        : tables.proposal(new ProposalId(reference)).value();
+                reference
+                        .proposal()
+                        .map(id -> tables.proposal(id).value())
+                        .orElseGet(() -> rolled(reference.revision()));
         return revisions.load(p.manifest(), List.of(revisions.store()));
     }
 
--- a/bundle/src/main/java/org/godwithoist/bundle/store/BundleTables.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/store/BundleTables.java
@@ -6,12 +6,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.godwithoist.bundle.Head;
 import org.godwithoist.bundle.Proposal;
 import org.godwithoist.bundle.ProposalId;
 import org.godwithoist.bundle.json.BundleRows;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.json.FindingsException;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.AwaitTimeoutException;
 import org.godwithoist.core.task.Tasks;
@@ -56,7 +58,7 @@
     public Versioned<Optional<Head>> head() {
         Optional<Row> row = await(store.read(Table.BUNDLE_HEAD, HEAD_KEY));
         return new Versioned<>(
-                row.map(r -> BundleRows.readHead(r.value())),
+                row.map(r -> readable(r, BundleRows::readHead)),
                 row.map(Row::version).orElse(Write.ABSENT));
     }
 
@@ -73,16 +75,28 @@
                                 () ->
                                         RequestException.notRun(
                                                 ErrorCode.NOT_FOUND, "no proposal " + id));
-        return new Versioned<>(BundleRows.readProposal(row.value()), row.version());
+        return new Versioned<>(readable(row, BundleRows::readProposal), row.version());
     }
 
     /** Reads the proposals whose ids start with a prefix, in the order of ids. */
     public List<Proposal> proposals(String prefix) {
         return await(store.scan(Table.BUNDLE_STAGE, prefix)).stream()
-                .map(r -> BundleRows.readProposal(r.value()))
+                .map(r -> readable(r, BundleRows::readProposal))
                 .toList();
     }
 
+    /** Reads a row; a malformed row is a fault of its writer and not of the operator's bundle. */
+    private static <T> T readable(Row row, Function<String, T> reader) {
+        try {
+            return reader.apply(row.value());
+        } catch (FindingsException e) {
+            throw RequestException.notRun(
+                            ErrorCode.INTERNAL,
+                            "row " + row.key() + " is malformed: " + e.getMessage())
+                    .withCause(e);
+        }
+    }
+
     private static <T> T await(CompletableFuture<T> future) {
         try {
             return Await.result(future, STORE_TIMEOUT);
--- a/bundle/src/test/java/org/godwithoist/bundle/store/BundleOperationsTest.java
+++ b/bundle/src/test/java/org/godwithoist/bundle/store/BundleOperationsTest.java
@@ -4,11 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import org.godwithoist.bundle.BundleReference;
 import org.godwithoist.bundle.Fixture;
 import org.godwithoist.bundle.Head;
 import org.godwithoist.bundle.HeadState;
@@ -16,9 +21,14 @@
 import org.godwithoist.bundle.ProposalId;
 import org.godwithoist.bundle.SignatureRole;
 import org.godwithoist.bundle.Stage;
+import org.godwithoist.bundle.StageEvent;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
 import org.godwithoist.core.error.RunState;
+import org.godwithoist.platform.ObjectStore;
+import org.godwithoist.platform.StoreUnavailableException;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.Write;
 import org.godwithoist.platform.fake.FakeObjectStore;
 import org.godwithoist.platform.fake.FakeTableStore;
 import org.godwithoist.platform.fake.StoreFault;
@@ -165,6 +175,33 @@
             assertEquals(5, table.writes());
         }
 
+        /** Guards against a submission that gives up when the answer to one part is lost. */
+        @Test
+        void atEachPart() {
+            Set<String> seen = new HashSet<>();
+            ObjectStore flaky =
+                    new ObjectStore() {
+                        @Override
+                        public CompletableFuture<Void> put(String key, byte[] content) {
+                            CompletableFuture<Void> done = objects.put(key, content);
+                            return seen.add(key)
+                                    ? CompletableFuture.failedFuture(
+                                            new StoreUnavailableException("lost answer"))
+                                    : done;
+                        }
+
+                        @Override
+                        public CompletableFuture<Optional<byte[]>> get(String key) {
+                            return objects.get(key);
+                        }
+                    };
+            Desk own = new Desk(fixture, new HeadState(fixture.keys()), table, flaky);
+            ProposalId id = own.signed(1, SMALL);
+            // Another daemon, which has nothing in memory, finds all parts in the store.
+            desk.operations.roll(Fixture.BEN, id);
+            assertEquals(1, stored().orElseThrow().revision());
+        }
+
         /** Guards against an operator who is told of success when another one won the race. */
         @Test
         void whileAnotherOperatorWins() {
@@ -195,9 +232,8 @@
             assertEquals(1, stored().orElseThrow().revision());
         }
 
-        private org.godwithoist.bundle.StageEvent event() {
-            return new org.godwithoist.bundle.StageEvent(
-                    Stage.ROLLED, Fixture.ANNA, java.time.Instant.EPOCH, "own attempt");
+        private StageEvent event() {
+            return new StageEvent(Stage.ROLLED, Fixture.ANNA, Instant.EPOCH, "own attempt");
         }
     }
 
@@ -222,6 +258,16 @@
         }
     }
 
+    @Nested
+    class MalformedRows {
+        /** Guards against a broken head row that is reported as findings of a bundle. */
+        @Test
+        void areAFaultOfTheirWriter() {
+            table.commit(List.of(Write.put(Table.BUNDLE_HEAD, "head", "{\"format\": 1}"))).join();
+            fails(ErrorCode.INTERNAL, () -> desk.submit(1, SMALL));
+        }
+    }
+
     @Nested
     class Reading {
         /** Guards against a history or diff that misses a revision beyond one page of ids. */
@@ -236,7 +282,12 @@
             assertEquals(102, desk.operations.history(500).size());
             assertEquals(
                     "workspace workspace-0: share changes from 99 to 102",
-                    desk.operations.diff(Optional.of("99"), "102").getFirst().describe());
+                    desk.operations
+                            .diff(
+                                    Optional.of(BundleReference.parse("99")),
+                                    BundleReference.parse("102"))
+                            .getFirst()
+                            .describe());
         }
     }
 }
--- a/bundle/src/test/java/org/godwithoist/bundle/wire/SpreadFigures.java
+++ b/bundle/src/test/java/org/godwithoist/bundle/wire/SpreadFigures.java
@@ -24,7 +24,8 @@
     public static void main(String[] args) {
         parse();
         adopt();
-        spread();
+        int members = args.length > 0 ? Integer.parseInt(args[0]) : 6;
+        spread(members);
     }
 
     private static void parse() {
@@ -57,11 +58,21 @@
             times[i] = System.nanoTime() - start;
         }
         print("adopt one change (verify, parse, index), ms", times);
+        System.gc();
+        Runtime r = Runtime.getRuntime();
+        System.out.println(
+                "heap in use at revision "
+                        + state.revisionNumber()
+                        + ", "
+                        + revisions.fetchedBytes()
+                        + " bytes fetched: "
+                        + (r.totalMemory() - r.freeMemory())
+                        + " bytes");
     }
 
-    private static void spread() {
+    private static void spread(int members) {
         int rounds = 50;
-        try (FakeFleet fleet = new FakeFleet(6, Duration.ofNanos(1_500_000), 1)) {
+        try (FakeFleet fleet = new FakeFleet(members, Duration.ofNanos(1_500_000), 1)) {
             var desk = fleet.get(0).desk();
             long[] times = new long[rounds];
             long peer = 0;
@@ -74,9 +85,9 @@
                 peer = fleet.get(1).desk().revisions.fetchedBytes() - fetched;
                 wire = fleet.network.bytes.sum() - sent;
             }
-            print("roll to in force at 6 members, ms", times);
+            print("roll to in force at " + members + " members, ms", times);
             System.out.println("one change: parts fetched by a peer, bytes: " + peer);
-            System.out.println("one change: all messages to 5 peers, bytes: " + wire);
+            System.out.println("one change: all messages, bytes: " + wire);
             long total =
                     fleet
                             .get(0)
