--- a/cli/src/main/java/org/godwithoist/cli/CliMain.java
+++ b/cli/src/main/java/org/godwithoist/cli/CliMain.java
@@ -53,7 +53,7 @@
      * @param out receives results
      * @param err receives failures
      */
-    static ExitCode run(
+    public static ExitCode run(
             String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
         Console console = new Console(environment, out, err);
         CliMain main = new CliMain();
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoSetup.java
@@ -0,0 +1,249 @@
+package org.godwithoist.loadtool.demo;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import org.godwithoist.loadtool.trace.Deployment;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/**
+ * Writes the files of a small fleet into a folder: the settings of each daemon, a bundle, the map
+ * of the fleet and the list of the processes that a script has to start.
+ */
+public final class DemoSetup {
+    private static final int USAGE_ERROR = 2;
+    private static final String LOOPBACK = "127.0.0.1:";
+    private static final String PEER_SECRET = "a-shared-secret-of-the-demonstration";
+    private static final int SERVICE_TARGETS = 2;
+
+    @Option(name = "--dir", required = true, metaVar = "DIR", usage = "folder for the files")
+    private Path dir;
+
+    @Option(name = "--deployment", metaVar = "NAME", usage = "atelierwerk or rybnikov")
+    private String deployment = Deployment.ATELIERWERK.wireName();
+
+    @Option(name = "--daemons", metaVar = "N", usage = "number of daemons")
+    private int daemons = 3;
+
+    @Option(
+            name = "--engines",
+            metaVar = "N",
+            usage = "number of engines; 0 takes the deployment's")
+    private int engines;
+
+    private final JsonArray hosts = new JsonArray();
+    private final JsonArray engineMap = new JsonArray();
+    private final JsonArray serviceMap = new JsonArray();
+    private final JsonArray daemonMap = new JsonArray();
+    private final List<String> processes = new ArrayList<>();
+
+    private DemoSetup() {}
+
+    /** Runs the program. */
+    public static void main(String[] args) throws IOException {
+        DemoSetup setup = new DemoSetup();
+        CmdLineParser parser = new CmdLineParser(setup);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            System.exit(USAGE_ERROR);
+        }
+        setup.write();
+    }
+
+    private void write() throws IOException {
+        Deployment d = Deployment.valueOf(deployment.toUpperCase(Locale.ROOT));
+        int platform = freePort();
+        processes.add("standin platform PLATFORM " + LOOPBACK + platform);
+        int engineCount = engines == 0 ? d.engines() : engines;
+        for (int i = 1; i <= engineCount; i++) {
+            addTarget("engine-" + i, "ENGINE", "assistants", i, d, engineMap);
+        }
+        for (int i = 1; i <= SERVICE_TARGETS; i++) {
+            addTarget("booking-" + i, "SERVICE", "bookings", i, d, serviceMap);
+        }
+        for (int i = 1; i <= daemons; i++) {
+            addDaemon("entry-" + i, domain(i, d), platform);
+        }
+        writeBundle(d);
+        writeMap(d, platform);
+        Files.write(dir.resolve("processes"), processes);
+    }
+
+    private void addTarget(
+            String id, String kind, String pool, int number, Deployment d, JsonArray map)
+            throws IOException {
+        int port = freePort();
+        processes.add("standin " + id + " " + kind + " " + LOOPBACK + port);
+        hosts.add(
+                new JsonObject()
+                        .put("host", "host-" + id)
+                        .put("target", id)
+                        .put("kind", kind.toLowerCase(Locale.ROOT))
+                        .put("pool", pool)
+                        .put("failure_domain", domain(number, d))
+                        .put("address", LOOPBACK + port)
+                        .put("state", "live"));
+        map.add(
+                new JsonObject()
+                        .put("id", id)
+                        .put("failureDomain", domain(number, d))
+                        .put("endpoint", LOOPBACK + port));
+    }
+
+    private void addDaemon(String host, String domain, int platform) throws IOException {
+        String callers = LOOPBACK + freePort();
+        String operators = LOOPBACK + freePort();
+        String peers = LOOPBACK + freePort();
+        JsonObject settings =
+                new JsonObject()
+                        .put("host", host)
+                        .put("failureDomain", domain)
+                        .put(
+                                "listen",
+                                new JsonObject()
+                                        .put("callers", callers)
+                                        .put("operators", operators)
+                                        .put("peers", peers))
+                        .put("platform", LOOPBACK + platform)
+                        .put(
+                                "peerKeys",
+                                new JsonArray()
+                                        .add(
+                                                new JsonObject()
+                                                        .put("id", "key-1")
+                                                        .put("secret", PEER_SECRET)))
+                        .put("operators", operatorEntries());
+        Path file = dir.resolve(host + ".json");
+        Files.writeString(file, settings.encodePrettily());
+        processes.add("daemon " + host + " " + file);
+        hosts.add(
+                new JsonObject()
+                        .put("host", host)
+                        .put("kind", "daemon")
+                        .put("failure_domain", domain)
+                        .put("address", peers)
+                        .put("state", "live"));
+        daemonMap.add(
+                new JsonObject()
+                        .put("host", host)
+                        .put("callers", callers)
+                        .put("operators", operators));
+    }
+
+    /** Reads the entries that the command line wrote for the operators of the demonstration. */
+    private JsonArray operatorEntries() throws IOException {
+        JsonArray entries = new JsonArray();
+        for (String name : List.of("anna", "ben")) {
+            entries.add(new JsonObject(Files.readString(dir.resolve(name + ".entry"))));
+        }
+        return entries;
+    }
+
+    private void writeBundle(Deployment d) throws IOException {
+        JsonArray workspaces = new JsonArray();
+        for (int i = 0; i < d.workspaceWeights().size(); i++) {
+            String id = "workspace-" + i;
+            workspaces.add(
+                    new JsonObject()
+                            .put("id", id)
+                            .put("share", d.workspaceWeights().get(i))
+                            .put("keyHashes", new JsonArray().add(sha256(key(id)))));
+        }
+        JsonArray domains = new JsonArray();
+        for (int i = 1; i <= d.failureDomains(); i++) {
+            domains.add("domain-" + i);
+        }
+        JsonArray pools =
+                new JsonArray()
+                        .add(
+                                new JsonObject()
+                                        .put("id", "assistants")
+                                        .put("kind", "engine")
+                                        .put("cacheTokens", 100_000)
+                                        .put("fencing", "checked"))
+                        .add(new JsonObject().put("id", "bookings").put("kind", "service"));
+        JsonArray levels =
+                new JsonArray()
+                        .add(level("urgent", 500, 10_000))
+                        .add(level("interactive", 1_000, 20_000))
+                        .add(level("background", 20_000, 60_000));
+        JsonObject bundle =
+                new JsonObject()
+                        .put("format", 1)
+                        .put("failureDomains", domains)
+                        .put("workspaces", workspaces)
+                        .put(
+                                "models",
+                                new JsonArray()
+                                        .add(
+                                                new JsonObject()
+                                                        .put("id", "assistant")
+                                                        .put("pool", "assistants")))
+                        .put("pools", pools)
+                        .put("serviceLevels", levels);
+        Files.writeString(dir.resolve("bundle.json"), bundle.encodePrettily());
+    }
+
+    private static JsonObject level(String priority, int firstTokenMs, int deadlineMs) {
+        return new JsonObject()
+                .put("priority", priority)
+                .put("firstTokenMs", firstTokenMs)
+                .put("deadlineMs", deadlineMs);
+    }
+
+    private void writeMap(Deployment d, int platform) throws IOException {
+        JsonObject keys = new JsonObject();
+        for (int i = 0; i < d.workspaceWeights().size(); i++) {
+            keys.put("workspace-" + i, key("workspace-" + i));
+        }
+        JsonObject map =
+                new JsonObject()
+                        .put("daemons", daemonMap)
+                        .put("engines", engineMap)
+                        .put("services", serviceMap)
+                        .put("platform", LOOPBACK + platform)
+                        .put("keys", keys)
+                        .put("operatorToken", Files.readString(dir.resolve("anna.token")).strip());
+        Files.writeString(dir.resolve("fleet.json"), map.encodePrettily());
+        Files.writeString(
+                dir.resolve("hosts.json"), new JsonObject().put("hosts", hosts).encodePrettily());
+    }
+
+    private static String domain(int number, Deployment d) {
+        return "domain-" + ((number - 1) % d.failureDomains() + 1);
+    }
+
+    private static String key(String workspace) {
+        return "key-of-" + workspace;
+    }
+
+    private static String sha256(String text) {
+        try {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/PublishHosts.java
@@ -0,0 +1,53 @@
+package org.godwithoist.loadtool.demo;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.FleetMap;
+import org.godwithoist.loadtool.load.HttpCalls;
+
+/** Gives the platform stand-in its host list; waits until the stand-in answers. */
+public final class PublishHosts {
+    private static final int ATTEMPTS = 100;
+    private static final Duration INTERVAL = Duration.ofMillis(100);
+    private static final int OK = 200;
+
+    private PublishHosts() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args the folder that {@link DemoSetup} wrote
+     */
+    public static void main(String[] args) throws IOException {
+        Path dir = Path.of(args[0]);
+        Path file = dir.resolve("fleet.json");
+        Endpoint platform = FleetMap.parse(file.toString(), Files.readString(file)).platform();
+        Buffer hosts = Buffer.buffer(Files.readString(dir.resolve("hosts.json")));
+        Vertx vertx = Vertx.vertx();
+        boolean done = publish(new HttpCalls(vertx), platform, hosts);
+        vertx.close();
+        System.exit(done ? 0 : 1);
+    }
+
+    private static boolean publish(HttpCalls calls, Endpoint platform, Buffer hosts) {
+        for (int i = 0; i < ATTEMPTS; i++) {
+            try {
+                var answer = calls.send(HttpMethod.PUT, platform, "/hosts", Map.of(), hosts);
+                return answer.statusCode() == OK;
+            } catch (RuntimeException e) {
+                // The stand-in is still starting.
+                Tasks.sleep(INTERVAL);
+            }
+        }
+        System.err.println("the platform stand-in does not answer on " + platform);
+        return false;
+    }
+}
