membership: add the state of members, orders and targets

Cause: the module had interfaces and a target directory with lookups over a list; members, contact and orders did not exist.

--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/FleetTargets.java
@@ -0,0 +1,87 @@
+package org.godwithoist.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.platform.HostEntry;
+
+/**
+ * The targets of the host list with the state that the list and the orders give them. A lookup is
+ * one access to a hash table; the cost of building the tables falls on changes. Thread-safe.
+ */
+public final class FleetTargets implements TargetDirectory {
+    private record Snapshot(
+            long version, Map<TargetId, Target> byId, Map<PoolId, List<Target>> byPool) {}
+
+    private final OrderBook orders;
+    private List<HostEntry> hosts = List.of();
+    private volatile Snapshot snapshot = new Snapshot(0, Map.of(), Map.of());
+
+    /** Makes an empty directory that follows the orders. */
+    public FleetTargets(OrderBook orders) {
+        this.orders = orders;
+        orders.onChange(this::rebuild);
+    }
+
+    /** Takes a host list. */
+    public synchronized void update(List<HostEntry> list) {
+        hosts = list.stream().filter(h -> h.kind().isTarget()).toList();
+        rebuild();
+    }
+
+    private synchronized void rebuild() {
+        Map<TargetId, Target> byId = new HashMap<>();
+        for (HostEntry h : hosts) {
+            Target t = target(h);
+            // While a target moves, the list may name it twice; the entry that may get less
+            // work counts.
+            byId.merge(t.id(), t, (a, b) -> a.service().compareTo(b.service()) >= 0 ? a : b);
+        }
+        if (byId.equals(snapshot.byId())) {
+            return;
+        }
+        Map<PoolId, List<Target>> byPool = new HashMap<>();
+        byId.values().stream()
+                .sorted(Comparator.comparing(Target::id))
+                .forEach(t -> byPool.computeIfAbsent(t.pool(), k -> new ArrayList<>()).add(t));
+        byPool.replaceAll((pool, list) -> List.copyOf(list));
+        snapshot = new Snapshot(snapshot.version() + 1, byId, byPool);
+    }
+
+    private Target target(HostEntry h) {
+        return new Target(
+                h.target().orElseThrow(),
+                h.host(),
+                h.pool().orElseThrow(),
+                h.failureDomain(),
+                h.address(),
+                service(h));
+    }
+
+    private ServiceState service(HostEntry h) {
+        if (orders.isOut(h.host(), h.failureDomain())) {
+            return ServiceState.OUT;
+        }
+        return h.state().acceptsWork() ? ServiceState.IN : ServiceState.LEAVING;
+    }
+
+    @Override
+    public List<Target> targets(PoolId pool) {
+        return snapshot.byPool().getOrDefault(pool, List.of());
+    }
+
+    @Override
+    public Optional<Target> find(TargetId id) {
+        return Optional.ofNullable(snapshot.byId().get(id));
+    }
+
+    @Override
+    public long version() {
+        return snapshot.version();
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/OrderOutcome.java
@@ -0,0 +1,15 @@
+package org.godwithoist.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.godwithoist.core.id.HostId;
+
+/**
+ * What became of an order that was given here.
+ *
+ * @param order the order
+ * @param supersededBy the order in force instead, if another operator's order has a higher stamp
+ * @param unacknowledged members that have not acknowledged the order, in host order
+ */
+public record OrderOutcome(
+        Order order, Optional<Order> supersededBy, List<HostId> unacknowledged) {}
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/OrderStamp.java
@@ -0,0 +1,33 @@
+package org.godwithoist.membership;
+
+import java.util.Comparator;
+import org.godwithoist.core.id.HostId;
+
+/**
+ * Lamport stamp of an order.
+ *
+ * @param time Lamport time, at least 1
+ * @param host host at which the order was given; decides between equal times
+ */
+public record OrderStamp(long time, HostId host) implements Comparable<OrderStamp> {
+    /**
+     * Highest permitted time. It leaves room to count on, so that no received stamp can make the
+     * clock overflow.
+     */
+    public static final long MAX_TIME = Long.MAX_VALUE >> 1;
+
+    private static final Comparator<OrderStamp> ORDER =
+            Comparator.comparingLong(OrderStamp::time).thenComparing(OrderStamp::host);
+
+    /** Checks the time. */
+    public OrderStamp {
+        if (time < 1 || time > MAX_TIME) {
+            throw new IllegalArgumentException("time of a stamp out of range: " + time);
+        }
+    }
+
+    @Override
+    public int compareTo(OrderStamp other) {
+        return ORDER.compare(this, other);
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/OrderBookTest.java
@@ -0,0 +1,130 @@
+package org.godwithoist.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.platform.HostEntry;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class OrderBookTest {
+    private static final OrderSubject DOMAIN = OrderSubject.parse("domain:d0");
+    private static final OperatorName ANNA = new OperatorName("anna");
+
+    static Order order(String subject, OrderState state, long time, String host) {
+        return new Order(
+                OrderSubject.parse(subject), state, new OrderStamp(time, new HostId(host)), ANNA);
+    }
+
+    @Nested
+    class RacingOrders {
+        /** Guards against an order given after another was seen, but stamped before it. */
+        @Test
+        void clockFollowsWhatWasSeen() {
+            OrderBook book = new OrderBook(new HostId("a"));
+            Order seen = order("host:x", OrderState.OUT, 41, "z");
+            book.merge(List.of(seen));
+            assertEquals(42, book.give(DOMAIN, OrderState.OUT, ANNA).stamp().time());
+        }
+
+        /** Guards against a loser that is not told, and a winner that is replaced. */
+        @Test
+        void hostBreaksTies() {
+            OrderBook book = new OrderBook(new HostId("b"));
+            Order mine = book.give(DOMAIN, OrderState.OUT, ANNA);
+            Order lower = order("domain:d0", OrderState.IN, 1, "a");
+            Order higher = order("domain:d0", OrderState.IN, 1, "c");
+            assertEquals(List.of(mine), book.merge(List.of(lower)));
+            assertEquals(List.of(), book.merge(List.of(higher)));
+            assertEquals(Optional.of(higher), book.find(DOMAIN));
+        }
+
+        /** Guards against disagreement when a restarted daemon uses a stamp twice. */
+        @Test
+        void equalStampsGoToOut() {
+            Order in = order("domain:d0", OrderState.IN, 1, "a");
+            Order out = order("domain:d0", OrderState.OUT, 1, "a");
+            OrderBook first = new OrderBook(new HostId("x"));
+            first.merge(List.of(in, out));
+            OrderBook second = new OrderBook(new HostId("y"));
+            second.merge(List.of(out, in));
+            assertEquals(Optional.of(out), first.find(DOMAIN));
+            assertEquals(first.digest(), second.digest());
+        }
+    }
+
+    @Nested
+    class Targets {
+        private final OrderBook book = new OrderBook(new HostId("a"));
+        private final FleetTargets targets = new FleetTargets(book);
+
+        private HostEntry engine(int n, HostEntry.State state) {
+            return new HostEntry(
+                    new HostId("t" + n),
+                    HostEntry.Kind.ENGINE,
+                    Optional.of(new TargetId("e" + n)),
+                    Optional.of(new PoolId("p" + n % 100)),
+                    new FailureDomainId("d" + n % 2),
+                    new Endpoint("127.0.0.1", 9),
+                    state);
+        }
+
+        private ServiceState state(int n) {
+            return targets.find(new TargetId("e" + n)).orElseThrow().service();
+        }
+
+        /** Guards against work for a host that only one of its two orders keeps out. */
+        @Test
+        void domainAndHostOrdersBothCount() {
+            targets.update(
+                    List.of(
+                            engine(0, HostEntry.State.LIVE),
+                            engine(1, HostEntry.State.LEAVING),
+                            engine(2, HostEntry.State.LIVE)));
+            assertEquals(ServiceState.LEAVING, state(1));
+            book.give(DOMAIN, OrderState.OUT, ANNA);
+            book.give(OrderSubject.parse("host:t0"), OrderState.OUT, ANNA);
+            assertEquals(ServiceState.OUT, state(0));
+            assertEquals(ServiceState.OUT, state(2));
+            assertEquals(ServiceState.LEAVING, state(1));
+            book.give(DOMAIN, OrderState.IN, ANNA);
+            assertEquals(ServiceState.OUT, state(0));
+            assertEquals(ServiceState.IN, state(2));
+        }
+
+        /** Guards against callers that recompute although nothing changed, or do not if it did. */
+        @Test
+        void versionGrowsWithChangesOnly() {
+            targets.update(List.of(engine(0, HostEntry.State.LIVE)));
+            long version = targets.version();
+            targets.update(List.of(engine(0, HostEntry.State.LIVE)));
+            book.give(OrderSubject.parse("host:other"), OrderState.OUT, ANNA);
+            assertEquals(version, targets.version());
+            book.give(DOMAIN, OrderState.OUT, ANNA);
+            assertTrue(targets.version() > version);
+        }
+
+        /** Guards against a pool list that is built anew for each lookup. */
+        @Test
+        void lookupsReturnPreparedLists() {
+            targets.update(
+                    IntStream.range(0, 10_000)
+                            .mapToObj(n -> engine(n, HostEntry.State.LIVE))
+                            .toList());
+            PoolId pool = new PoolId("p7");
+            assertEquals(100, targets.targets(pool).size());
+            assertSame(targets.targets(pool), targets.targets(pool));
+            assertFalse(targets.find(new TargetId("none")).isPresent());
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/OrderMergePropertiesTest.java
@@ -0,0 +1,37 @@
+package org.godwithoist.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.godwithoist.core.id.HostId;
+
+class OrderMergePropertiesTest {
+    /** Guards against daemons that end with different orders for the same messages. */
+    @Property(tries = 200)
+    void mergeDoesNotDependOnSequenceOrRepetition(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<Order> given = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            given.add(
+                    OrderBookTest.order(
+                            "host:s" + random.nextInt(4),
+                            random.nextBoolean() ? OrderState.IN : OrderState.OUT,
+                            1 + random.nextInt(5),
+                            "h" + random.nextInt(3)));
+        }
+        OrderBook first = new OrderBook(new HostId("a"));
+        first.merge(given);
+        List<Order> again = new ArrayList<>(given);
+        again.addAll(given);
+        Collections.shuffle(again, random);
+        OrderBook second = new OrderBook(new HostId("b"));
+        again.forEach(o -> second.merge(List.of(o)));
+        assertEquals(first.snapshot().orders(), second.snapshot().orders());
+        assertEquals(first.digest(), second.digest());
+    }
+}
