membership: add the signed gRPC transport and the exchange messages

Cause: daemons had no way to call each other. Conclusion: strangers, changed messages, other versions and replays do not reach a handler.

--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/ExchangeMessage.java
@@ -0,0 +1,45 @@
+package org.godwithoist.membership;
+
+import java.util.List;
+import java.util.Optional;
+
+/** Contents of the messages that daemons exchange, free of their encoding. */
+public final class ExchangeMessage {
+    private ExchangeMessage() {}
+
+    /**
+     * One round.
+     *
+     * @param incarnation run of the sender
+     * @param ordersDigest digest of the sender's orders
+     * @param orders orders for the receiver
+     * @param sender the sender itself, until the receiver knows this run of it
+     * @param wantMembers asks for the members that the receiver is in contact with
+     * @param leaving the sender stops
+     */
+    public record Request(
+            long incarnation,
+            long ordersDigest,
+            List<Order> orders,
+            Optional<Member> sender,
+            boolean wantMembers,
+            boolean leaving) {}
+
+    /**
+     * Answer to a round.
+     *
+     * @param incarnation run of the receiver
+     * @param ordersDigest digest of the receiver's orders after the merge
+     * @param newerOrders orders that supersede one of the request
+     * @param membersDigest digest of the members that the receiver is in contact with
+     * @param members those members, if asked for
+     * @param senderUnknown the receiver does not know this run of the sender
+     */
+    public record Response(
+            long incarnation,
+            long ordersDigest,
+            List<Order> newerOrders,
+            long membersDigest,
+            List<Member> members,
+            boolean senderUnknown) {}
+}
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/wire/GrpcPeerTransport.java
@@ -0,0 +1,469 @@
+package org.godwithoist.membership.wire;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.grpc.client.GrpcClientResponse;
+import io.vertx.grpc.client.InvalidStatusException;
+import io.vertx.grpc.common.GrpcMessageDecoder;
+import io.vertx.grpc.common.GrpcMessageEncoder;
+import io.vertx.grpc.common.GrpcStatus;
+import io.vertx.grpc.common.ServiceMethod;
+import io.vertx.grpc.common.ServiceName;
+import io.vertx.grpc.server.GrpcServer;
+import io.vertx.grpc.server.GrpcServerOptions;
+import io.vertx.grpc.server.GrpcServerRequest;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.PeerTransport;
+import org.godwithoist.settings.PeerKey;
+
+/**
+ * Calls between daemons over gRPC. Both directions are signed with HMAC-SHA-256. A request names
+ * the run of its receiver, so that a recorded request cannot be played to a later run, which no
+ * longer knows what it has seen; a sender that does not know the run yet, or whose peer restarted,
+ * is told the run in a signed refusal and repeats the call once.
+ *
+ * <p>The transport has an event loop of its own, so that streams of callers do not delay control
+ * messages and all bytes on it are control traffic.
+ */
+public final class GrpcPeerTransport implements PeerTransport {
+    /** Version of the protocol between daemons. */
+    public static final String VERSION = "1";
+
+    /** Longest message; far above the largest set of orders or members. */
+    static final long MAX_MESSAGE_BYTES = 4L << 20;
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration LISTEN_TIMEOUT = Duration.ofSeconds(10);
+    // A peer that replaced a silent connection cannot tell its old receiver; the receiver closes
+    // connections on which nothing has arrived for this long.
+    private static final int IDLE_SECONDS = 30;
+    private static final int LOG_SECONDS = 10;
+
+    private static final String H_VERSION = "g-version";
+    private static final String H_KEY = "g-key";
+    private static final String H_HOST = "g-host";
+    private static final String H_RUN = "g-run";
+    private static final String H_TO_RUN = "g-to-run";
+    private static final String H_SEQUENCE = "g-seq";
+    private static final String H_SIGNATURE = "g-sig";
+    private static final String H_REASON = "g-reason";
+
+    private record Endpoints<Q extends MessageLite, R extends MessageLite>(
+            Method<Q, R> method, Handler<Q, R> handler) {
+        byte[] handle(HostId from, byte[] body) throws InvalidProtocolBufferException {
+            return handler.handle(from, method.requestParser().parseFrom(body)).toByteArray();
+        }
+    }
+
+    private record Answer(Optional<Rejection> rejection, Buffer body) {
+        static Answer of(byte[] body) {
+            return new Answer(Optional.empty(), Buffer.buffer(body));
+        }
+
+        static Answer refusal(Rejection reason) {
+            return new Answer(Optional.of(reason), Buffer.buffer());
+        }
+
+        boolean isRefusal(Rejection reason) {
+            return rejection.filter(r -> r == reason).isPresent();
+        }
+    }
+
+    private final HostId self;
+    private final long incarnation;
+    private final MessageSigner signer;
+    private final Function<HostId, Optional<Endpoint>> addresses;
+    private final Ticker ticker;
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final Map<String, Endpoints<?, ?>> served = new ConcurrentHashMap<>();
+    private final Map<HostId, PeerLink> links = new ConcurrentHashMap<>();
+    private final Map<HostId, ReplayWindow> windows = new ConcurrentHashMap<>();
+    private final Vertx vertx =
+            Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+
+    /**
+     * Makes a transport that does not listen yet.
+     *
+     * @param incarnation run of this daemon; must be higher than that of every earlier run
+     * @param keys one key or two; the first signs, all verify
+     * @param addresses finds the endpoint of a peer
+     */
+    public GrpcPeerTransport(
+            HostId self,
+            long incarnation,
+            List<PeerKey> keys,
+            Function<HostId, Optional<Endpoint>> addresses,
+            Ticker ticker) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.signer = new MessageSigner(keys);
+        this.addresses = addresses;
+        this.ticker = ticker;
+    }
+
+    /** Returns the counters of the control traffic. */
+    public PeerTraffic traffic() {
+        return traffic;
+    }
+
+    /** Closes all connections and stops to listen. Must not be called on an event loop. */
+    public void close() {
+        links.values().forEach(PeerLink::close);
+        Await.result(vertx.close(), LISTEN_TIMEOUT);
+    }
+
+    // ---- server
+
+    @Override
+    public <Q extends MessageLite, R extends MessageLite> void serve(
+            Method<Q, R> method, Handler<Q, R> handler) {
+        served.put(fullName(method), new Endpoints<>(method, handler));
+    }
+
+    /**
+     * Starts to listen; blocks the calling thread until done.
+     *
+     * @return the port
+     */
+    public int listen(Endpoint endpoint) {
+        GrpcServer grpc =
+                GrpcServer.server(
+                        vertx, new GrpcServerOptions().setMaxMessageSize(MAX_MESSAGE_BYTES));
+        for (Endpoints<?, ?> e : served.values()) {
+            ServiceMethod<Buffer, Buffer> method =
+                    ServiceMethod.server(
+                            ServiceName.create(e.method().service()),
+                            e.method().name(),
+                            GrpcMessageEncoder.IDENTITY,
+                            GrpcMessageDecoder.IDENTITY);
+            grpc.callHandler(method, this::receive);
+        }
+        HttpServer server =
+                vertx.createHttpServer(
+                                new HttpServerOptions()
+                                        .setHttp2ClearTextEnabled(true)
+                                        .setIdleTimeout(IDLE_SECONDS)
+                                        .setIdleTimeoutUnit(TimeUnit.SECONDS))
+                        .connectionHandler(c -> traffic.watch(c, () -> {}))
+                        .requestHandler(grpc);
+        return Await.result(server.listen(endpoint.port(), endpoint.ip()), LISTEN_TIMEOUT)
+                .actualPort();
+    }
+
+    private void receive(GrpcServerRequest<Buffer, Buffer> request) {
+        Context context = vertx.getOrCreateContext();
+        request.last()
+                .onSuccess(
+                        body -> {
+                            if (body == null) {
+                                refuse(request, Rejection.MALFORMED);
+                            } else {
+                                check(context, request, body.getBytes());
+                            }
+                        })
+                .onFailure(e -> traffic.countRejected(Rejection.MALFORMED));
+    }
+
+    private void check(Context context, GrpcServerRequest<Buffer, Buffer> request, byte[] body) {
+        MultiMap headers = request.headers();
+        Optional<MessageSigner.Envelope> read =
+                read(MessageSigner.Kind.REQUEST, request.fullMethodName(), headers, self, 0);
+        if (read.isEmpty()) {
+            refuse(request, Rejection.MALFORMED);
+            return;
+        }
+        MessageSigner.Envelope envelope = read.get();
+        if (!envelope.version().equals(VERSION)) {
+            refuse(request, Rejection.VERSION);
+            return;
+        }
+        if (!signer.verify(headers.get(H_KEY), headers.get(H_SIGNATURE), envelope, body)) {
+            refuse(request, Rejection.SIGNATURE);
+            return;
+        }
+        if (envelope.receiverIncarnation() != incarnation) {
+            // Signed, because it tells the sender a number that it will use.
+            answer(request, envelope, Answer.refusal(Rejection.OLD_RECEIVER));
+            return;
+        }
+        Optional<Rejection> replay =
+                windows.computeIfAbsent(envelope.sender(), h -> new ReplayWindow())
+                        .accept(envelope.senderIncarnation(), envelope.sequence());
+        if (replay.isPresent()) {
+            refuse(request, replay.get());
+            return;
+        }
+        Endpoints<?, ?> endpoints = served.get(request.fullMethodName());
+        Tasks.start(
+                "call-" + envelope.sender(),
+                () -> {
+                    Answer answer = run(endpoints, envelope.sender(), body);
+                    context.runOnContext(v -> answer(request, envelope, answer));
+                });
+    }
+
+    private static Answer run(Endpoints<?, ?> endpoints, HostId from, byte[] body) {
+        try {
+            return Answer.of(endpoints.handle(from, body));
+        } catch (InvalidProtocolBufferException | RuntimeException e) {
+            LOG.atWarning().withCause(e).log("message of member %s failed", from);
+            return Answer.refusal(Rejection.FAILED);
+        }
+    }
+
+    private void answer(
+            GrpcServerRequest<Buffer, Buffer> request,
+            MessageSigner.Envelope received,
+            Answer answer) {
+        int code = answer.rejection().map(r -> r.status().code).orElse(GrpcStatus.OK.code);
+        var envelope =
+                new MessageSigner.Envelope(
+                        MessageSigner.Kind.RESPONSE,
+                        VERSION,
+                        received.method(),
+                        self,
+                        received.sender(),
+                        incarnation,
+                        received.senderIncarnation(),
+                        received.sequence(),
+                        code);
+        write(request.response().headers(), envelope, answer.body().getBytes());
+        if (answer.rejection().isEmpty()) {
+            request.response().end(answer.body());
+            return;
+        }
+        Rejection reason = answer.rejection().get();
+        traffic.countRejected(reason);
+        request.response().status(reason.status()).end();
+    }
+
+    private void refuse(GrpcServerRequest<Buffer, Buffer> request, Rejection reason) {
+        traffic.countRejected(reason);
+        LOG.atWarning().atMostEvery(LOG_SECONDS, TimeUnit.SECONDS).log(
+                "message from %s dropped: %s",
+                request.connection().remoteAddress(), reason.wireName());
+        request.response().headers().set(H_REASON, reason.wireName());
+        request.response().status(reason.status()).end();
+    }
+
+    // ---- client
+
+    @Override
+    public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> call(
+            HostId peer, Method<Q, R> method, Q request, Duration timeout) {
+        Optional<Endpoint> endpoint = addresses.apply(peer);
+        if (endpoint.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new PeerCallException(peer, "the peer is not known"));
+        }
+        PeerLink link = link(peer, endpoint.get());
+        byte[] body = request.toByteArray();
+        PeerLink.Pool pool = link.pool();
+        // The timer of the platform, not the one of the connection: it also covers connecting.
+        return attempt(peer, link, pool, method, body)
+                .compose(
+                        answer ->
+                                answer.isRefusal(Rejection.OLD_RECEIVER)
+                                        ? attempt(peer, link, pool, method, body)
+                                        : Future.succeededFuture(answer))
+                .map(answer -> parse(peer, method, answer))
+                .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
+                .recover(e -> Future.failedFuture(failure(peer, link, pool, timeout, e)))
+                .toCompletionStage()
+                .toCompletableFuture();
+    }
+
+    private PeerLink link(HostId peer, Endpoint endpoint) {
+        return links.compute(
+                peer,
+                (h, old) -> {
+                    if (old != null && old.endpoint().equals(endpoint)) {
+                        return old;
+                    }
+                    if (old != null) {
+                        old.close();
+                    }
+                    return new PeerLink(vertx, peer, endpoint, old, traffic, ticker);
+                });
+    }
+
+    private Future<Answer> attempt(
+            HostId peer, PeerLink link, PeerLink.Pool pool, Method<?, ?> method, byte[] body) {
+        ServiceMethod<Buffer, Buffer> service =
+                ServiceMethod.client(
+                        ServiceName.create(method.service()),
+                        method.name(),
+                        GrpcMessageEncoder.IDENTITY,
+                        GrpcMessageDecoder.IDENTITY);
+        var envelope =
+                new MessageSigner.Envelope(
+                        MessageSigner.Kind.REQUEST,
+                        VERSION,
+                        fullName(method),
+                        self,
+                        peer,
+                        incarnation,
+                        link.incarnation(),
+                        link.nextSequence(),
+                        0);
+        return pool.client()
+                .request(link.address(), service)
+                .compose(
+                        call -> {
+                            write(call.headers(), envelope, body);
+                            pool.sending(call.connection());
+                            // Registered before the end of the request, as the answer may come
+                            // before this call returns.
+                            var response = call.response();
+                            call.end(Buffer.buffer(body));
+                            return response;
+                        })
+                .compose(r -> body(r).map(b -> verify(peer, link, envelope, r, b)));
+    }
+
+    /** Returns the body of an answer; a refusal has none. */
+    private static Future<Buffer> body(GrpcClientResponse<Buffer, Buffer> response) {
+        return response.last()
+                .recover(
+                        e ->
+                                e instanceof InvalidStatusException
+                                        ? Future.succeededFuture(Buffer.buffer())
+                                        : Future.failedFuture(e));
+    }
+
+    private Answer verify(
+            HostId peer,
+            PeerLink link,
+            MessageSigner.Envelope sent,
+            GrpcClientResponse<Buffer, Buffer> response,
+            Buffer received) {
+        GrpcStatus status = response.status();
+        String reason = response.headers().get(H_REASON);
+        if (reason != null) {
+            throw new PeerCallException(peer, "refused: " + reason);
+        }
+        byte[] body = received == null ? new byte[0] : received.getBytes();
+        MultiMap headers = response.headers();
+        Optional<MessageSigner.Envelope> read =
+                read(
+                        MessageSigner.Kind.RESPONSE,
+                        sent.method(),
+                        headers,
+                        self,
+                        status == null ? -1 : status.code);
+        boolean valid =
+                read.filter(
+                                e ->
+                                        e.sender().equals(peer)
+                                                && e.receiverIncarnation() == incarnation
+                                                && e.sequence() == sent.sequence()
+                                                && e.version().equals(VERSION)
+                                                && signer.verify(
+                                                        headers.get(H_KEY),
+                                                        headers.get(H_SIGNATURE),
+                                                        e,
+                                                        body))
+                        .isPresent();
+        if (!valid) {
+            traffic.countRejected(Rejection.SIGNATURE);
+            throw new PeerCallException(
+                    peer, "the answer with status " + status + " is not signed by the peer");
+        }
+        link.learnIncarnation(read.get().senderIncarnation());
+        if (status == GrpcStatus.OK) {
+            return Answer.of(body);
+        }
+        return Answer.refusal(
+                status == Rejection.OLD_RECEIVER.status()
+                        ? Rejection.OLD_RECEIVER
+                        : Rejection.FAILED);
+    }
+
+    private static <R extends MessageLite> R parse(
+            HostId peer, Method<?, R> method, Answer answer) {
+        if (answer.rejection().isPresent()) {
+            throw new PeerCallException(peer, "refused: " + answer.rejection().get().wireName());
+        }
+        try {
+            return method.responseParser().parseFrom(answer.body().getBytes());
+        } catch (InvalidProtocolBufferException e) {
+            throw new PeerCallException(peer, "the answer cannot be read", e);
+        }
+    }
+
+    private static PeerCallException failure(
+            HostId peer, PeerLink link, PeerLink.Pool pool, Duration timeout, Throwable cause) {
+        if (cause instanceof PeerCallException e) {
+            return e;
+        }
+        if (cause instanceof TimeoutException) {
+            link.timedOut(pool);
+            return new PeerCallException(
+                    peer, "no answer within " + timeout.toMillis() + " ms", cause);
+        }
+        return new PeerCallException(peer, "the connection failed", cause);
+    }
+
+    // ---- metadata
+
+    private void write(MultiMap headers, MessageSigner.Envelope e, byte[] body) {
+        headers.set(H_VERSION, e.version());
+        headers.set(H_KEY, signer.keyId());
+        headers.set(H_HOST, e.sender().value());
+        headers.set(H_RUN, Long.toString(e.senderIncarnation()));
+        headers.set(H_TO_RUN, Long.toString(e.receiverIncarnation()));
+        headers.set(H_SEQUENCE, Long.toString(e.sequence()));
+        headers.set(H_SIGNATURE, signer.sign(e, body));
+    }
+
+    private static Optional<MessageSigner.Envelope> read(
+            MessageSigner.Kind kind, String method, MultiMap headers, HostId receiver, int status) {
+        for (String name :
+                List.of(H_VERSION, H_KEY, H_HOST, H_RUN, H_TO_RUN, H_SEQUENCE, H_SIGNATURE)) {
+            if (headers.get(name) == null) {
+                return Optional.empty();
+            }
+        }
+        try {
+            return Optional.of(
+                    new MessageSigner.Envelope(
+                            kind,
+                            headers.get(H_VERSION),
+                            method,
+                            new HostId(headers.get(H_HOST)),
+                            receiver,
+                            Long.parseLong(headers.get(H_RUN)),
+                            Long.parseLong(headers.get(H_TO_RUN)),
+                            Long.parseLong(headers.get(H_SEQUENCE)),
+                            status));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String fullName(Method<?, ?> method) {
+        return method.service() + "/" + method.name();
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/wire/ReplayWindow.java
@@ -0,0 +1,55 @@
+package org.godwithoist.membership.wire;
+
+import java.util.BitSet;
+import java.util.Optional;
+
+/**
+ * Remembers which messages of one sender have arrived. Messages may arrive out of order by less
+ * than {@link #SIZE}; older ones are refused because it is not known whether they arrived.
+ * Thread-safe.
+ */
+final class ReplayWindow {
+    /** A peer has far fewer calls than this in progress at once. */
+    static final int SIZE = 1024;
+
+    private final BitSet seen = new BitSet(SIZE);
+    private long incarnation;
+    private long highest;
+
+    /** Takes a message whose signature is valid; returns why it must be dropped, if so. */
+    synchronized Optional<Rejection> accept(long senderIncarnation, long sequence) {
+        if (senderIncarnation < incarnation) {
+            return Optional.of(Rejection.OLD_SENDER);
+        }
+        if (senderIncarnation > incarnation) {
+            incarnation = senderIncarnation;
+            highest = 0;
+            seen.clear();
+        }
+        if (sequence < 1 || sequence <= highest - SIZE) {
+            return Optional.of(Rejection.REPLAY);
+        }
+        if (sequence > highest) {
+            forget(sequence);
+            highest = sequence;
+        } else if (seen.get(slot(sequence))) {
+            return Optional.of(Rejection.REPLAY);
+        }
+        seen.set(slot(sequence));
+        return Optional.empty();
+    }
+
+    private void forget(long upTo) {
+        if (upTo - highest >= SIZE) {
+            seen.clear();
+            return;
+        }
+        for (long s = highest + 1; s <= upTo; s++) {
+            seen.clear(slot(s));
+        }
+    }
+
+    private static int slot(long sequence) {
+        return (int) (sequence % SIZE);
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between daemons: authentication, connections, encoding of the exchange and of rows. */
+package org.godwithoist.membership.wire;
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/wire/MuteRelay.java
@@ -0,0 +1,81 @@
+package org.godwithoist.membership.wire;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Tasks;
+
+/**
+ * Forwards TCP connections and can make the open ones silent for ever while new ones work, as a
+ * middlebox does that has lost its connection state.
+ */
+final class MuteRelay implements AutoCloseable {
+    private final ServerSocket server;
+    private final Endpoint target;
+    private final List<AtomicBoolean> mutes = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+
+    MuteRelay(Endpoint target) throws IOException {
+        this.target = target;
+        this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Tasks.start("relay", this::accept);
+    }
+
+    Endpoint endpoint() {
+        return new Endpoint("127.0.0.1", server.getLocalPort());
+    }
+
+    int connections() {
+        return mutes.size();
+    }
+
+    void muteOpenConnections() {
+        mutes.forEach(m -> m.set(true));
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket in = server.accept();
+                Socket out = new Socket(target.ip(), target.port());
+                AtomicBoolean mute = new AtomicBoolean();
+                sockets.addAll(List.of(in, out));
+                mutes.add(mute);
+                Tasks.start("relay-out", () -> copy(in, out, mute));
+                Tasks.start("relay-in", () -> copy(out, in, mute));
+            }
+        } catch (IOException e) {
+            // The relay was closed.
+        }
+    }
+
+    private static void copy(Socket from, Socket to, AtomicBoolean mute) {
+        try (InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream()) {
+            byte[] buffer = new byte[8192];
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                if (!mute.get()) {
+                    out.write(buffer, 0, n);
+                    out.flush();
+                }
+            }
+        } catch (IOException e) {
+            // One side closed the connection.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+}
