--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -0,0 +1,292 @@
+package org.godwithoist.membership;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.platform.HostList;
+
+/**
+ * The membership of one daemon: its state and the tasks that keep it up to date. There is one task
+ * for each peer, one for the host list, one for the orders in the store and one that ends and
+ * starts the tasks of the peers.
+ */
+public final class FleetMembership {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private record PeerTask(Thread thread, Semaphore wake) {}
+
+    private final MembershipConfig config;
+    private final HostList hostList;
+    private final OrderStore store;
+    private final FleetMembers members;
+    private final OrderBook orders;
+    private final FleetTargets targets;
+    private final ExchangeRounds rounds;
+    private final Map<HostId, PeerTask> peerTasks = new ConcurrentHashMap<>();
+    private final Map<HostId, ContactState> logged = new HashMap<>();
+    private final Semaphore storeWake = new Semaphore(0);
+    private volatile boolean storeAnswers = true;
+    private volatile boolean hostListAnswers = true;
+    private volatile boolean stopping;
+    private List<Thread> tasks = List.of();
+    private PeerExchange exchange;
+
+    /**
+     * Makes a membership that does nothing yet.
+     *
+     * @param self this daemon
+     * @param seeds members known from the settings; may be empty
+     */
+    public FleetMembership(
+            Member self,
+            Collection<Member> seeds,
+            MembershipConfig config,
+            Ticker ticker,
+            HostList hostList,
+            OrderStore store) {
+        this.config = config;
+        this.hostList = hostList;
+        this.store = store;
+        this.members = new FleetMembers(self, seeds, config, ticker);
+        this.orders = new OrderBook(self.host());
+        this.targets = new FleetTargets(orders);
+        this.rounds = new ExchangeRounds(members, orders, config, ticker);
+    }
+
+    /** Returns the members. */
+    public FleetMembers members() {
+        return members;
+    }
+
+    /** Returns the targets. */
+    public FleetTargets targets() {
+        return targets;
+    }
+
+    /** Returns the orders. */
+    public OrderBook orders() {
+        return orders;
+    }
+
+    /** Returns the rounds of the exchange; the wire endpoint answers with them. */
+    public ExchangeRounds rounds() {
+        return rounds;
+    }
+
+    /** Returns whether the last operation on the table of orders worked. */
+    public boolean storeAnswers() {
+        return storeAnswers;
+    }
+
+    // ---- life
+
+    /** Starts the tasks. The wire endpoint must be listening. */
+    public synchronized void start(PeerExchange peerExchange) {
+        exchange = peerExchange;
+        tasks =
+                List.of(
+                        Tasks.start("host-list", this::followHostList),
+                        Tasks.start("order-store", this::followStore),
+                        Tasks.start("peer-tasks", this::keepPeerTasks));
+    }
+
+    /** Tells the members that this daemon stops, and ends the tasks. */
+    public synchronized void stop() {
+        if (exchange != null) {
+            rounds.sayLeaving(exchange);
+        }
+        abort();
+    }
+
+    /** Ends the tasks without a word to the members. */
+    public synchronized void abort() {
+        stopping = true;
+        tasks.forEach(Thread::interrupt);
+        peerTasks.values().forEach(t -> t.thread().interrupt());
+    }
+
+    // ---- orders
+
+    /**
+     * Gives an order: puts it in force here, sends it to all members at once and waits for their
+     * acknowledgements up to the configured time. Needs no store. Called from a virtual thread.
+     */
+    public OrderOutcome give(OrderSubject subject, OrderState state, OperatorName operator) {
+        Order order = orders.give(subject, state, operator);
+        long revision = orders.snapshot().revision();
+        LOG.atInfo().log("%s ordered %s %s", operator, subject, state.wireName());
+        peerTasks.values().forEach(t -> t.wake().release());
+        storeWake.release();
+        var missing = rounds.awaitAcknowledgements(revision, config.ackWait());
+        var winner = orders.find(subject).filter(o -> !o.equals(order));
+        List<HostId> unacknowledged = missing.stream().sorted().toList();
+        if (winner.isPresent()) {
+            LOG.atWarning().log(
+                    "order of %s for %s is superseded by the one of %s",
+                    operator, subject, winner.get().operator());
+        }
+        if (!unacknowledged.isEmpty()) {
+            LOG.atWarning().log("order for %s is not acknowledged by %s", subject, unacknowledged);
+        }
+        return new OrderOutcome(order, winner, unacknowledged);
+    }
+
+    // ---- tasks of the peers
+
+    private void keepPeerTasks() {
+        do {
+            members.tick();
+            for (Member m : members.members()) {
+                if (!m.host().equals(members.self().host())) {
+                    peerTasks.computeIfAbsent(m.host(), this::startPeerTask);
+                    logContact(m.host());
+                }
+            }
+        } while (!stopping && Tasks.sleep(config.round()));
+    }
+
+    private PeerTask startPeerTask(HostId host) {
+        Semaphore wake = new Semaphore(0);
+        return new PeerTask(Tasks.start("peer-" + host, () -> followPeer(host, wake)), wake);
+    }
+
+    private void followPeer(HostId host, Semaphore wake) {
+        // A random first wait keeps the rounds of the peers apart, so that the traffic is even.
+        Duration wait =
+                Duration.ofNanos(ThreadLocalRandom.current().nextLong(config.round().toNanos()));
+        do {
+            exchangeWith(host);
+            if (!pause(wake, wait)) {
+                break;
+            }
+            wait = config.round();
+        } while (isMember(host));
+        peerTasks.remove(host);
+        rounds.forget(host);
+    }
+
+    private boolean isMember(HostId host) {
+        return members.find(host).isPresent();
+    }
+
+    private void exchangeWith(HostId host) {
+        try {
+            if (rounds.run(host, exchange)) {
+                rounds.run(host, exchange);
+            }
+        } catch (RuntimeException e) {
+            LOG.atFine().withCause(e).log("no answer from member %s", host);
+        }
+    }
+
+    private boolean pause(Semaphore wake, Duration time) {
+        try {
+            if (wake.tryAcquire(time.toNanos(), TimeUnit.NANOSECONDS)) {
+                wake.drainPermits();
+            }
+            return !stopping;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private void logContact(HostId host) {
+        ContactState state = members.contactState(host);
+        ContactState old = logged.put(host, state);
+        if (old == state) {
+            return;
+        }
+        switch (state) {
+            case CONTACT -> LOG.atInfo().log("member %s is in contact", host);
+            case LATE -> {
+                if (old != null) {
+                    LOG.atWarning().log("member %s does not answer", host);
+                }
+            }
+            case SILENT ->
+                    LOG.atWarning().log("member %s is silent and does not count any more", host);
+            default -> throw new IllegalStateException("no such state: " + state);
+        }
+    }
+
+    // ---- platform
+
+    private void followHostList() {
+        do {
+            try {
+                var list = Await.result(hostList.list(), config.storeTimeout());
+                members.update(list);
+                targets.update(list);
+                if (!hostListAnswers) {
+                    LOG.atInfo().log("the host list can be read again");
+                }
+                hostListAnswers = true;
+            } catch (RuntimeException e) {
+                if (hostListAnswers && !stopping) {
+                    LOG.atWarning().withCause(e).log(
+                            "cannot read the host list; the last one stays in use");
+                }
+                hostListAnswers = false;
+            }
+        } while (!stopping && Tasks.sleep(config.hostListInterval()));
+    }
+
+    private void followStore() {
+        do {
+            try {
+                syncStore();
+                if (!storeAnswers) {
+                    LOG.atInfo().log("the table of orders answers again");
+                }
+                storeAnswers = true;
+            } catch (RuntimeException e) {
+                if (storeAnswers && !stopping) {
+                    LOG.atWarning().withCause(e).log(
+                            "the table of orders does not answer; orders travel between members"
+                                    + " only");
+                }
+                storeAnswers = false;
+            }
+        } while (pause(storeWake, config.storeInterval()));
+    }
+
+    private void syncStore() {
+        List<Order> stored = store.read(config.storeTimeout());
+        orders.merge(stored);
+        for (Order order : orders.snapshot().orders()) {
+            if (!stored.contains(order) && writes(order)) {
+                orders.merge(List.of(store.write(order, config.storeTimeout())));
+            }
+        }
+    }
+
+    /**
+     * Returns whether this daemon writes an order that the store lacks: the daemon at which it was
+     * given, and the first member that is not silent in case that daemon is gone. If all daemons
+     * wrote, an order would cost hundreds of conflicting writes after an outage.
+     */
+    private boolean writes(Order order) {
+        HostId self = members.self().host();
+        if (order.stamp().host().equals(self)) {
+            return true;
+        }
+        return members.members().stream()
+                .map(Member::host)
+                .filter(h -> !members.isSilent(h))
+                .findFirst()
+                .filter(self::equals)
+                .isPresent();
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
@@ -0,0 +1,146 @@
+package org.godwithoist.membership;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.wire.GrpcExchange;
+import org.godwithoist.membership.wire.GrpcPeerTransport;
+import org.godwithoist.membership.wire.TableOrderStore;
+import org.godwithoist.platform.HostEntry;
+import org.godwithoist.platform.HostList;
+import org.godwithoist.platform.TableStore;
+import org.godwithoist.settings.PeerKey;
+
+/** The membership of one daemon with its real transport on loopback; links can be cut. */
+public final class TestDaemon implements AutoCloseable {
+    /** Key of all test daemons. */
+    public static final List<PeerKey> KEYS = List.of(new PeerKey("k1", "a secret for tests only"));
+
+    private static final String LOOPBACK = "127.0.0.1";
+
+    private final Set<HostId> cut = ConcurrentHashMap.newKeySet();
+    private final FleetMembership membership;
+    private final GrpcPeerTransport transport;
+    private final PeerExchange exchange;
+
+    /** Makes a daemon that listens and has no tasks yet. */
+    public TestDaemon(
+            Member self, List<Member> seeds, MembershipConfig config, HostList l, TableStore s) {
+        membership =
+                new FleetMembership(self, seeds, config, Ticker.SYSTEM, l, new TableOrderStore(s));
+        transport =
+                new GrpcPeerTransport(
+                        self.host(),
+                        self.incarnation(),
+                        KEYS,
+                        h -> membership.members().find(h).map(Member::peer),
+                        Ticker.SYSTEM);
+        GrpcExchange wire = GrpcExchange.bind(transport, membership.rounds());
+        exchange =
+                (peer, request, timeout) ->
+                        cut.contains(peer)
+                                ? new CompletableFuture<>()
+                                : wire.send(peer, request, timeout);
+        transport.listen(self.peer());
+    }
+
+    /** Returns a member on a free loopback port. */
+    public static Member member(int n, long incarnation) {
+        try (var socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new Member(
+                    new HostId("h" + n),
+                    new FailureDomainId("d" + n % 3),
+                    new Endpoint(LOOPBACK, socket.getLocalPort()),
+                    incarnation);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Returns members h0, h1 and so on. */
+    public static List<Member> members(int count) {
+        List<Member> list = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            list.add(member(i, 1));
+        }
+        return list;
+    }
+
+    /** Returns how the host list names a member. */
+    public static HostEntry listed(Member m) {
+        return new HostEntry(
+                m.host(),
+                HostEntry.Kind.DAEMON,
+                Optional.empty(),
+                Optional.empty(),
+                m.failureDomain(),
+                m.peer(),
+                HostEntry.State.LIVE);
+    }
+
+    /** Starts the tasks. */
+    public TestDaemon start() {
+        membership.start(exchange);
+        return this;
+    }
+
+    public FleetMembership membership() {
+        return membership;
+    }
+
+    public GrpcPeerTransport transport() {
+        return transport;
+    }
+
+    public HostId host() {
+        return membership.members().self().host();
+    }
+
+    /** Loses all exchanges between two daemons. */
+    public static void cut(TestDaemon a, TestDaemon b) {
+        a.cut.add(b.host());
+        b.cut.add(a.host());
+    }
+
+    /** Ends a cut. */
+    public static void heal(TestDaemon a, TestDaemon b) {
+        a.cut.remove(b.host());
+        b.cut.remove(a.host());
+    }
+
+    /** Waits until a condition holds; returns false if it does not within the time. */
+    public static boolean within(long millis, BooleanSupplier condition) {
+        long end = System.nanoTime() + millis * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                return false;
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Stops without a word to the members, as a crash does. */
+    @Override
+    public void close() {
+        membership.abort();
+        transport.close();
+    }
+}
