--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP routes for operators. */
+package org.godwithoist.membership.http;
