membership: hold back contact until the orders of a peer are in force

Cause: a restarted daemon was in contact after its first exchange but got the orders only in the peers' next round, up to 500 ms later; in between it could have used a reserved slot of a target that is ordered out. A daemon without peers counted as in contact before it had read the orders from the store. A JSON body that is not an object made the order route answer 500. Change: an answer with another digest carries all orders, they are merged before the contact counts, and contact needs orders that were read at least once. Links to hosts that are no longer members are closed. The body of an order is checked for its type.

--- a/membership/src/main/java/org/godwithoist/membership/ExchangeMessage.java
+++ b/membership/src/main/java/org/godwithoist/membership/ExchangeMessage.java
@@ -30,16 +30,18 @@
      *
      * @param incarnation run of the receiver
      * @param ordersDigest digest of the receiver's orders after the merge
-     * @param newerOrders orders that supersede one of the request
+     * @param orders all orders of the receiver, if its digest differs from that of the request
      * @param membersDigest digest of the members that the receiver is in contact with
      * @param members those members, if asked for
      * @param senderUnknown the receiver does not know this run of the sender
+     * @param ordersKnown the receiver has the orders of the store or of a peer that has them
      */
     public record Response(
             long incarnation,
             long ordersDigest,
-            List<Order> newerOrders,
+            List<Order> orders,
             long membersDigest,
             List<Member> members,
-            boolean senderUnknown) {}
+            boolean senderUnknown,
+            boolean ordersKnown) {}
 }
--- a/membership/src/main/java/org/godwithoist/membership/ExchangeRounds.java
+++ b/membership/src/main/java/org/godwithoist/membership/ExchangeRounds.java
@@ -76,9 +76,12 @@
                 Await.result(
                         exchange.send(host, request, config.callTimeout()),
                         config.callTimeout().multipliedBy(2));
-        // The contact counts only once the orders are in force here; otherwise a reserved slot
-        // could be used in between on the strength of this contact.
-        orders.merge(response.newerOrders());
+        // The contact counts only once the orders of the peer are in force here. Otherwise a daemon
+        // that has just started would use a reserved slot of a target that is ordered out.
+        orders.merge(response.orders());
+        if (response.ordersKnown()) {
+            members.ordersRead();
+        }
         members.answered(host, response.incarnation(), sentAt);
         if (wantMembers && !response.members().isEmpty()) {
             members.learnAll(response.members());
@@ -153,7 +156,8 @@
      * @param from authenticated sender
      */
     public ExchangeMessage.Response answer(HostId from, ExchangeMessage.Request request) {
-        List<Order> newer = orders.merge(request.orders());
+        orders.merge(request.orders());
+        OrderBook.Snapshot held = orders.snapshot();
         if (request.leaving()) {
             members.left(from);
         } else {
@@ -162,11 +166,12 @@
         peer(from).lastDigest = Optional.of(request.ordersDigest());
         return new ExchangeMessage.Response(
                 members.self().incarnation(),
-                orders.digest(),
-                newer,
+                held.digest(),
+                held.digest() == request.ordersDigest() ? List.of() : held.orders(),
                 members.reachableDigest(),
                 request.wantMembers() && members.listKnown() ? members.reachable() : List.of(),
-                !members.knows(from, request.incarnation()));
+                !members.knows(from, request.incarnation()),
+                members.ordersKnown());
     }
 
     // ---- acknowledgements
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembers.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembers.java
@@ -42,6 +42,7 @@
     private long lastTick;
     private long reachableDigest;
     private boolean listKnown;
+    private boolean ordersKnown;
 
     /**
      * Makes a directory that knows only this daemon.
@@ -110,6 +111,16 @@
         }
     }
 
+    /** Records that the orders were read from the store or from a peer that had them. */
+    public synchronized void ordersRead() {
+        ordersKnown = true;
+    }
+
+    /** Returns whether the orders were ever read. */
+    public synchronized boolean ordersKnown() {
+        return ordersKnown;
+    }
+
     /** Returns whether a run of a member has announced itself. */
     public synchronized boolean knows(HostId host, long incarnation) {
         Peer peer = peers.get(host);
@@ -238,11 +249,12 @@
      * {@inheritDoc}
      *
      * <p>A daemon that has neither read a host list nor taken the list of a peer does not know who
-     * the members are, and is in contact with none.
+     * the members are, and one that has not read the orders does not know what is out of service;
+     * both count as out of contact.
      */
     @Override
     public synchronized boolean inContactWithAll() {
-        if (!listKnown || pausedAt(ticker.nanos())) {
+        if (!listKnown || !ordersKnown || pausedAt(ticker.nanos())) {
             return false;
         }
         return peers.values().stream().allMatch(p -> silent(p) || inContact(p));
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -129,7 +129,7 @@
         peerTasks.values().forEach(t -> t.wake().release());
         storeWake.release();
         var missing = rounds.awaitAcknowledgements(revision, config.ackWait());
-        var winner = orders.find(subject).filter(o -> !o.equals(order));
+        var winner = orders.find(subject).filter(o -> o.supersedes(order));
         List<HostId> unacknowledged = missing.stream().sorted().toList();
         if (winner.isPresent()) {
             LOG.atWarning().log(
@@ -265,6 +265,7 @@
     private void syncStore() {
         List<Order> stored = store.read(config.storeTimeout());
         orders.merge(stored);
+        members.ordersRead();
         for (Order order : orders.snapshot().orders()) {
             if (!stored.contains(order) && writes(order)) {
                 orders.merge(List.of(store.write(order, config.storeTimeout())));
--- a/membership/src/main/java/org/godwithoist/membership/OrderBook.java
+++ b/membership/src/main/java/org/godwithoist/membership/OrderBook.java
@@ -1,7 +1,6 @@
 package org.godwithoist.membership;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -60,13 +59,8 @@
         return order;
     }
 
-    /**
-     * Merges orders from a peer or the store.
-     *
-     * @return the orders held here that supersede one of the given orders
-     */
-    public List<Order> merge(Collection<Order> received) {
-        List<Order> newer = new ArrayList<>();
+    /** Merges orders from a peer or the store; those that supersede what is held here are kept. */
+    public void merge(Collection<Order> received) {
         boolean changed = false;
         synchronized (this) {
             for (Order order : received) {
@@ -74,15 +68,12 @@
                 if (entry == null || order.supersedes(entry.order())) {
                     put(order);
                     changed = true;
-                } else if (entry.order().supersedes(order)) {
-                    newer.add(entry.order());
                 }
             }
         }
         if (changed) {
             listeners.forEach(Runnable::run);
         }
-        return newer;
     }
 
     private void put(Order order) {
--- a/membership/src/main/java/org/godwithoist/membership/http/MembershipRoutes.java
+++ b/membership/src/main/java/org/godwithoist/membership/http/MembershipRoutes.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.Json;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
@@ -56,8 +57,9 @@
     /** Adds the routes to a router. */
     public void mount(Router router) {
         router.post(ORDERS_PATH)
-                .handler(authentication)
+                // Before the authentication, which may be asynchronous and would lose the body.
                 .handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES))
+                .handler(authentication)
                 .handler(this::give);
         router.get(ORDERS_PATH).handler(authentication).handler(this::orders);
         router.get(MEMBERS_PATH).handler(authentication).handler(this::members);
@@ -72,7 +74,11 @@
         OrderSubject subject;
         OrderState state;
         try {
-            JsonObject body = c.body().asJsonObject();
+            // asJsonObject() would fail with a ClassCastException on a body of another JSON type.
+            if (c.body().buffer() == null
+                    || !(Json.decodeValue(c.body().buffer()) instanceof JsonObject body)) {
+                throw new DecodeException("not an object");
+            }
             subject = OrderSubject.parse(text(body, "subject"));
             state = OrderState.parse(text(body, "state"));
         } catch (DecodeException e) {
@@ -97,7 +103,7 @@
     }
 
     private static String text(JsonObject body, String field) {
-        if (body == null || !(body.getValue(field) instanceof String text)) {
+        if (!(body.getValue(field) instanceof String text)) {
             throw new IllegalArgumentException(field + " must be a text");
         }
         return text;
--- a/membership/src/main/java/org/godwithoist/membership/wire/ExchangeCodec.java
+++ b/membership/src/main/java/org/godwithoist/membership/wire/ExchangeCodec.java
@@ -50,10 +50,11 @@
         return ExchangeResponse.newBuilder()
                 .setIncarnation(m.incarnation())
                 .setOrdersDigest(m.ordersDigest())
-                .addAllNewerOrders(orderInfos(m.newerOrders()))
+                .addAllOrders(orderInfos(m.orders()))
                 .setMembersDigest(m.membersDigest())
                 .addAllMembers(m.members().stream().map(ExchangeCodec::encode).toList())
                 .setSenderUnknown(m.senderUnknown())
+                .setOrdersKnown(m.ordersKnown())
                 .build();
     }
 
@@ -61,10 +62,11 @@
         return new ExchangeMessage.Response(
                 m.getIncarnation(),
                 m.getOrdersDigest(),
-                orders(m.getNewerOrdersList()),
+                orders(m.getOrdersList()),
                 m.getMembersDigest(),
                 m.getMembersList().stream().map(ExchangeCodec::decode).toList(),
-                m.getSenderUnknown());
+                m.getSenderUnknown(),
+                m.getOrdersKnown());
     }
 
     private static MemberInfo encode(Member m) {
--- a/membership/src/main/java/org/godwithoist/membership/wire/GrpcPeerTransport.java
+++ b/membership/src/main/java/org/godwithoist/membership/wire/GrpcPeerTransport.java
@@ -18,6 +18,7 @@
 import io.vertx.grpc.common.GrpcStatus;
 import io.vertx.grpc.common.ServiceMethod;
 import io.vertx.grpc.common.ServiceName;
+import io.vertx.grpc.server.GrpcProtocol;
 import io.vertx.grpc.server.GrpcServer;
 import io.vertx.grpc.server.GrpcServerOptions;
 import io.vertx.grpc.server.GrpcServerRequest;
@@ -148,9 +149,14 @@
      * @return the port
      */
     public int listen(Endpoint endpoint) {
-        GrpcServer grpc =
-                GrpcServer.server(
-                        vertx, new GrpcServerOptions().setMaxMessageSize(MAX_MESSAGE_BYTES));
+        GrpcServerOptions options = new GrpcServerOptions().setMaxMessageSize(MAX_MESSAGE_BYTES);
+        // Daemons speak gRPC over HTTP/2; the other forms would only add ways in for strangers.
+        for (GrpcProtocol p : GrpcProtocol.values()) {
+            if (p != GrpcProtocol.HTTP_2) {
+                options.removeEnabledProtocol(p);
+            }
+        }
+        GrpcServer grpc = GrpcServer.server(vertx, options);
         for (Endpoints<?, ?> e : served.values()) {
             ServiceMethod<Buffer, Buffer> method =
                     ServiceMethod.server(
@@ -160,6 +166,7 @@
                             GrpcMessageDecoder.IDENTITY);
             grpc.callHandler(method, this::receive);
         }
+        vertx.setPeriodic(TimeUnit.SECONDS.toMillis(IDLE_SECONDS), t -> closeUnknown());
         HttpServer server =
                 vertx.createHttpServer(
                                 new HttpServerOptions()
@@ -281,12 +288,12 @@
         PeerLink link = link(peer, endpoint.get());
         byte[] body = request.toByteArray();
         PeerLink.Pool pool = link.pool();
-        // The timer of the platform, not the one of the connection: it also covers connecting.
-        return attempt(peer, link, pool, method, body)
+        // The deadline of gRPC ends the stream; this timeout also covers connecting.
+        return attempt(peer, link, pool, method, body, timeout)
                 .compose(
                         answer ->
                                 answer.isRefusal(Rejection.OLD_RECEIVER)
-                                        ? attempt(peer, link, pool, method, body)
+                                        ? attempt(peer, link, pool, method, body, timeout)
                                         : Future.succeededFuture(answer))
                 .map(answer -> parse(peer, method, answer))
                 .timeout(timeout.toMillis(), TimeUnit.MILLISECONDS)
@@ -295,6 +302,16 @@
                 .toCompletableFuture();
     }
 
+    /** Closes the links to hosts that are no longer members. */
+    private void closeUnknown() {
+        links.forEach(
+                (peer, link) -> {
+                    if (addresses.apply(peer).isEmpty() && links.remove(peer, link)) {
+                        link.close();
+                    }
+                });
+    }
+
     private PeerLink link(HostId peer, Endpoint endpoint) {
         return links.compute(
                 peer,
@@ -310,7 +327,12 @@
     }
 
     private Future<Answer> attempt(
-            HostId peer, PeerLink link, PeerLink.Pool pool, Method<?, ?> method, byte[] body) {
+            HostId peer,
+            PeerLink link,
+            PeerLink.Pool pool,
+            Method<?, ?> method,
+            byte[] body,
+            Duration timeout) {
         ServiceMethod<Buffer, Buffer> service =
                 ServiceMethod.client(
                         ServiceName.create(method.service()),
@@ -333,6 +355,7 @@
                 .compose(
                         call -> {
                             write(call.headers(), envelope, body);
+                            call.timeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
                             pool.sending(call.connection());
                             // Registered before the end of the request, as the answer may come
                             // before this call returns.
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/ExchangeMeasurement.java
@@ -0,0 +1,111 @@
+package org.godwithoist.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.godwithoist.platform.fake.FakeHostList;
+import org.godwithoist.platform.fake.FakeTableStore;
+
+/**
+ * Measures the control traffic of the exchange and the time until an order is in force at all
+ * members, with all daemons in one process on loopback. Arguments: numbers of members.
+ */
+public final class ExchangeMeasurement {
+    private static final Duration SETTLE = Duration.ofSeconds(5);
+    private static final Duration WINDOW = Duration.ofSeconds(10);
+    private static final int ORDERS = 20;
+    private static final OperatorName OPERATOR = new OperatorName("measurement");
+
+    private ExchangeMeasurement() {}
+
+    /** Prints one line of figures for each number of members. */
+    public static void main(String[] args) throws InterruptedException {
+        for (String count : args) {
+            measure(Integer.parseInt(count));
+        }
+        System.exit(0);
+    }
+
+    private static void measure(int count) throws InterruptedException {
+        FakeHostList hosts = new FakeHostList();
+        FakeTableStore store = new FakeTableStore();
+        List<Member> members = TestDaemon.members(count);
+        hosts.set(members.stream().map(TestDaemon::listed).toList());
+        List<TestDaemon> all = new ArrayList<>();
+        for (Member m : members) {
+            all.add(new TestDaemon(m, List.of(), MembershipConfig.DEFAULT, hosts, store));
+        }
+        all.forEach(TestDaemon::start);
+        if (!TestDaemon.within(
+                30_000,
+                () -> all.stream().allMatch(d -> d.membership().members().inContactWithAll()))) {
+            throw new IllegalStateException("no contact among " + count + " members");
+        }
+        Thread.sleep(SETTLE);
+        long[] bytes = new long[] {sent(all), received(all)};
+        long cpu = cpuNanos();
+        long start = System.nanoTime();
+        Thread.sleep(WINDOW);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        double daemons = count * seconds;
+        double sentPerDaemon = (sent(all) - bytes[0]) / daemons;
+        double receivedPerDaemon = (received(all) - bytes[1]) / daemons;
+        double cores = (cpuNanos() - cpu) / 1e9 / daemons;
+        double[] millis = orders(all);
+        System.out.printf(
+                Locale.ROOT,
+                "members %d: per daemon sent %.0f B/s, received %.0f B/s; per peer sent %.0f B/s,"
+                        + " received %.0f B/s; %.4f cores per daemon; order in force at all:"
+                        + " median %.1f ms, slowest of %d %.1f ms%n",
+                count,
+                sentPerDaemon,
+                receivedPerDaemon,
+                sentPerDaemon / (count - 1),
+                receivedPerDaemon / (count - 1),
+                cores,
+                millis[ORDERS / 2],
+                ORDERS,
+                millis[ORDERS - 1]);
+        all.forEach(TestDaemon::close);
+    }
+
+    private static double[] orders(List<TestDaemon> all) throws InterruptedException {
+        double[] millis = new double[ORDERS];
+        for (int i = 0; i < ORDERS; i++) {
+            OrderSubject subject = OrderSubject.parse("host:s" + i);
+            TestDaemon giver = all.get(i % all.size());
+            long start = System.nanoTime();
+            OrderOutcome outcome = giver.membership().give(subject, OrderState.OUT, OPERATOR);
+            millis[i] = (System.nanoTime() - start) / 1e6;
+            boolean everywhere =
+                    all.stream()
+                            .allMatch(
+                                    d ->
+                                            d.membership()
+                                                    .orders()
+                                                    .find(subject)
+                                                    .equals(Optional.of(outcome.order())));
+            if (!everywhere || !outcome.unacknowledged().isEmpty()) {
+                throw new IllegalStateException("order " + i + " did not reach all members");
+            }
+            Thread.sleep(137);
+        }
+        Arrays.sort(millis);
+        return millis;
+    }
+
+    private static long sent(List<TestDaemon> all) {
+        return all.stream().mapToLong(d -> d.transport().traffic().bytesSent()).sum();
+    }
+
+    private static long received(List<TestDaemon> all) {
+        return all.stream().mapToLong(d -> d.transport().traffic().bytesReceived()).sum();
+    }
+
+    private static long cpuNanos() {
+        return ProcessHandle.current().info().totalCpuDuration().orElse(Duration.ZERO).toNanos();
+    }
+}
--- a/membership/src/test/java/org/godwithoist/membership/FleetMembersTest.java
+++ b/membership/src/test/java/org/godwithoist/membership/FleetMembersTest.java
@@ -10,6 +10,7 @@
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.time.VirtualTicker;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +22,11 @@
     private final FleetMembers members =
             new FleetMembers(member("a", 1), List.of(), MembershipConfig.DEFAULT, ticker);
 
+    @BeforeEach
+    void readOrders() {
+        members.ordersRead();
+    }
+
     private static Member member(String host, long incarnation) {
         return new Member(
                 new HostId(host),
@@ -88,6 +94,17 @@
             list();
             assertTrue(members.inContactWithAll());
         }
+
+        /** Guards against work for a target that was ordered out before this daemon started. */
+        @Test
+        void isMissingUntilTheOrdersAreKnown() {
+            FleetMembers fresh =
+                    new FleetMembers(member("a", 1), List.of(), MembershipConfig.DEFAULT, ticker);
+            fresh.update(List.of());
+            assertFalse(fresh.inContactWithAll());
+            fresh.ordersRead();
+            assertTrue(fresh.inContactWithAll());
+        }
     }
 
     @Nested
