Wire members, orders and the signed bundle into the daemon

Cause: the daemon polled a plain bundle text and knew no peers. Change: signed peer transport, exchange rounds, operators' routes, readiness after the first verified head, drain on SIGTERM; the test fleet rolls its bundle by the command line.

--- a/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
@@ -21,6 +21,7 @@
 /** Stand-ins and daemons of one session, each a process of its own on the loopback interface. */
 final class Fleet implements AutoCloseable {
     private static final String LOOPBACK = "127.0.0.1";
+    private static final List<String> OPERATORS = List.of("anna", "ben", "carol");
     private static final String BUNDLE_RESOURCE = "/bundles/small.json";
 
     private final Path folder;
@@ -28,6 +29,7 @@
     private final Map<String, ServerProcess> processes = new TreeMap<>();
     private final Map<String, Integer> ports = new TreeMap<>();
     private final JsonArray hosts = new JsonArray();
+    private final JsonArray operators = new JsonArray();
 
     Fleet(Path folder) {
         this.folder = folder;
@@ -40,11 +42,17 @@
         for (int i = 1; i <= engines; i++) {
             startEngine("engine-" + i, "domain-" + ((i - 1) % 2 + 1));
         }
+        for (String name : OPERATORS) {
+            operators.add(OperatorCli.keygen(folder, name));
+        }
+        for (int i = 1; i <= daemons; i++) {
+            addDaemon("daemon-" + i, "domain-" + ((i - 1) % 2 + 1));
+        }
         publishHosts();
-        publishBundle();
         for (int i = 1; i <= daemons; i++) {
-            startDaemon("daemon-" + i, "domain-" + ((i - 1) % 2 + 1));
+            startDaemon("daemon-" + i);
         }
+        rollBundle();
     }
 
     void startEngine(String id, String domain) throws IOException {
@@ -89,21 +97,25 @@
         processes.values().forEach(ServerProcess::close);
     }
 
-    private void publishBundle() throws IOException, InterruptedException {
-        String bundle = resource(BUNDLE_RESOURCE);
-        JsonObject write =
-                new JsonObject()
-                        .put("table", "bundle_head")
-                        .put("key", "head")
-                        .put("expected", 0)
-                        .put("value", bundle);
-        JsonObject body = new JsonObject().put("writes", new JsonArray().add(write));
-        send("POST", "platform", "/commit", body.encode(), Map.of());
+    private void rollBundle() throws IOException {
+        Path bundle = folder.resolve("bundle.json");
+        Files.writeString(bundle, resource(BUNDLE_RESOURCE));
+        CliRun submitted = operator("anna").run("bundle", "submit", bundle.toString(), "--json");
+        String proposal = new JsonObject(submitted.output()).getString("proposal");
+        operator("ben").run("bundle", "review", proposal).expectOk();
+        operator("ben").run("bundle", "sign", proposal).expectOk();
+        operator("ben").run("bundle", "roll", proposal).expectOk();
     }
 
-    private void startDaemon(String host, String domain) throws IOException {
-        int port = freePort();
-        ports.put(host, port);
+    /** Returns the command line of an operator, with the first daemon. */
+    OperatorCli operator(String name) {
+        return new OperatorCli(folder, name, LOOPBACK + ":" + port("daemon-1-operators"));
+    }
+
+    private void addDaemon(String host, String domain) throws IOException {
+        for (String port : List.of("", "-operators", "-peers")) {
+            ports.put(host + port, freePort());
+        }
         JsonObject settings =
                 new JsonObject()
                         .put("host", host)
@@ -111,10 +123,13 @@
                         .put(
                                 "listen",
                                 new JsonObject()
-                                        .put("callers", LOOPBACK + ":" + port)
-                                        .put("operators", LOOPBACK + ":" + freePort())
-                                        .put("peers", LOOPBACK + ":" + freePort()))
+                                        .put("callers", LOOPBACK + ":" + port(host))
+                                        .put(
+                                                "operators",
+                                                LOOPBACK + ":" + port(host + "-operators"))
+                                        .put("peers", LOOPBACK + ":" + port(host + "-peers")))
                         .put("platform", LOOPBACK + ":" + port("platform"))
+                        .put("operators", operators)
                         .put(
                                 "peerKeys",
                                 new JsonArray()
@@ -124,12 +139,27 @@
                                                         .put(
                                                                 "secret",
                                                                 "a-test-secret-of-the-fleet")));
-        Path file = folder.resolve(host + ".json");
-        Files.writeString(file, settings.encodePrettily());
+        Files.writeString(folder.resolve(host + ".json"), settings.encodePrettily());
+        hosts.add(
+                new JsonObject()
+                        .put("host", host)
+                        .put("kind", "daemon")
+                        .put("failure_domain", domain)
+                        .put("address", LOOPBACK + ":" + port(host + "-peers"))
+                        .put("state", "live"));
+    }
+
+    /** Starts a daemon, or starts it again after it was killed or drained. */
+    void startDaemon(String host) throws IOException {
         processes.put(
                 host,
                 ServerProcess.start(
-                        folder, host, DaemonMain.class, port, "--settings", file.toString()));
+                        folder,
+                        host,
+                        DaemonMain.class,
+                        port(host),
+                        "--settings",
+                        folder.resolve(host + ".json").toString()));
     }
 
     private void startStandin(String name, String kind, int port) throws IOException {
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/OperatorCli.java
@@ -0,0 +1,52 @@
+package org.godwithoist.acceptance;
+
+import io.vertx.core.json.JsonObject;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Map;
+import org.godwithoist.cli.CliMain;
+import org.godwithoist.cli.ExitCode;
+
+/** The command line of one operator. */
+final class OperatorCli {
+    private final Map<String, String> environment;
+
+    OperatorCli(Path folder, String name, String daemon) {
+        environment =
+                Map.of(
+                        "GODWITHOIST_DAEMON",
+                        daemon,
+                        "GODWITHOIST_OPERATOR",
+                        name,
+                        "GODWITHOIST_TOKEN_FILE",
+                        folder.resolve(name + ".token").toString(),
+                        "GODWITHOIST_KEY_FILE",
+                        folder.resolve(name + ".key").toString());
+    }
+
+    /** Makes the keys of an operator and returns its entry for the settings. */
+    static JsonObject keygen(Path folder, String name) {
+        CliRun run = execute(Map.of(), "keygen", name, "--out", folder.toString(), "--json");
+        run.expectOk();
+        return new JsonObject(run.output());
+    }
+
+    CliRun run(String... args) {
+        return execute(environment, args);
+    }
+
+    private static CliRun execute(Map<String, String> environment, String... args) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        ByteArrayOutputStream err = new ByteArrayOutputStream();
+        ExitCode code =
+                CliMain.run(
+                        args,
+                        environment,
+                        new PrintStream(out, true, StandardCharsets.UTF_8),
+                        new PrintStream(err, true, StandardCharsets.UTF_8));
+        return new CliRun(
+                code, out.toString(StandardCharsets.UTF_8), err.toString(StandardCharsets.UTF_8));
+    }
+}
--- a/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
@@ -94,8 +94,7 @@
 
     private void awaitReady(String daemon) throws IOException, InterruptedException {
         for (int i = 0; i < READY_ATTEMPTS; i++) {
-            String models = fleet.send("GET", daemon, "/v1/models", "", Map.of()).body();
-            if (models.contains("assistant")) {
+            if (fleet.send("GET", daemon, "/readyz", "", Map.of()).statusCode() == OK) {
                 return;
             }
             Thread.sleep(READY_INTERVAL_MS);
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/Control.java
@@ -0,0 +1,119 @@
+package org.godwithoist.daemon;
+
+import io.vertx.ext.web.Router;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.HeadState;
+import org.godwithoist.bundle.OperatorKeys;
+import org.godwithoist.bundle.http.BundleRoutes;
+import org.godwithoist.bundle.http.OperatorAuth;
+import org.godwithoist.bundle.store.BundleOperations;
+import org.godwithoist.bundle.store.BundleTables;
+import org.godwithoist.bundle.store.RevisionStore;
+import org.godwithoist.bundle.wire.BundleSpread;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.FleetMembers;
+import org.godwithoist.membership.FleetMembership;
+import org.godwithoist.membership.FleetTargets;
+import org.godwithoist.membership.Member;
+import org.godwithoist.membership.MembershipConfig;
+import org.godwithoist.membership.http.MembershipRoutes;
+import org.godwithoist.membership.wire.GrpcExchange;
+import org.godwithoist.membership.wire.GrpcPeerTransport;
+import org.godwithoist.membership.wire.TableOrderStore;
+import org.godwithoist.platform.http.PlatformClient;
+import org.godwithoist.settings.DaemonSettings;
+
+/** The parts of a daemon that agree with the other daemons: members, orders and the bundle. */
+final class Control {
+    private final DaemonSettings settings;
+    private final FleetMembership membership;
+    private final GrpcPeerTransport transport;
+    private final GrpcExchange exchange;
+    private final HeadState head;
+    private final BundleSpread spread;
+    private final BundleOperations operations;
+    private final OperatorAuth auth;
+
+    Control(DaemonSettings settings, PlatformClient platform, long incarnation) {
+        this.settings = settings;
+        var self =
+                new Member(
+                        settings.host(), settings.failureDomain(), settings.peers(), incarnation);
+        membership =
+                new FleetMembership(
+                        self,
+                        List.of(),
+                        MembershipConfig.DEFAULT,
+                        Ticker.SYSTEM,
+                        platform,
+                        new TableOrderStore(platform));
+        transport =
+                new GrpcPeerTransport(
+                        settings.host(),
+                        incarnation,
+                        settings.peerKeys(),
+                        h -> membership.members().find(h).map(Member::peer),
+                        Ticker.SYSTEM);
+        exchange = GrpcExchange.bind(transport, membership.rounds());
+        var keys = new OperatorKeys(settings.operatorKeys());
+        head = new HeadState(keys);
+        var tables = new BundleTables(platform);
+        var revisions = new RevisionStore(platform, head);
+        spread = new BundleSpread(head, revisions, tables, membership.members(), transport);
+        spread.register();
+        operations =
+                new BundleOperations(tables, revisions, head, keys, spread, InstantSource.system());
+        auth = new OperatorAuth(settings.operatorKeys());
+    }
+
+    /** Starts to listen for peers and starts the tasks; all handlers must be registered by now. */
+    void start() {
+        transport.listen(settings.peers());
+        membership.start(exchange);
+        spread.start();
+    }
+
+    /** Tells the peers that this daemon leaves and closes the connections. */
+    void stop() {
+        spread.close();
+        membership.stop();
+        transport.close();
+    }
+
+    void mount(Router operators) {
+        new BundleRoutes(operations, auth).mount(operators);
+        new MembershipRoutes(membership, transport.traffic(), auth).mount(operators);
+    }
+
+    /** Returns whether the daemon has a bundle that it may serve by. */
+    boolean ready() {
+        return spread.ready();
+    }
+
+    Optional<Bundle> bundle() {
+        return head.bundle();
+    }
+
+    HeadState head() {
+        return head;
+    }
+
+    FleetMembers members() {
+        return membership.members();
+    }
+
+    FleetTargets targets() {
+        return membership.targets();
+    }
+
+    GrpcPeerTransport transport() {
+        return transport;
+    }
+
+    OperatorAuth auth() {
+        return auth;
+    }
+}
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -1,84 +1,123 @@
 package org.godwithoist.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import java.time.Duration;
-import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
 import org.godwithoist.accounting.MemoryUsageRecorder;
 import org.godwithoist.admission.FixedShareAdmission;
-import org.godwithoist.bundle.Bundle;
-import org.godwithoist.bundle.BundleParser;
 import org.godwithoist.chat.ChatService;
 import org.godwithoist.chat.http.ChatFront;
 import org.godwithoist.chat.http.HttpEngineClient;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
-import org.godwithoist.membership.HostListDirectory;
-import org.godwithoist.platform.Row;
-import org.godwithoist.platform.Table;
+import org.godwithoist.daemon.http.AdmitHandler;
+import org.godwithoist.daemon.http.HealthRoutes;
+import org.godwithoist.daemon.http.StatusRoutes;
 import org.godwithoist.platform.http.PlatformClient;
 import org.godwithoist.settings.DaemonSettings;
 
-/** One router daemon: builds the parts, connects them and starts to listen. */
+/** One router daemon: builds the parts, connects them, starts and drains. */
 public final class Daemon {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
-    private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
+    private static final Duration READY_INTERVAL = Duration.ofMillis(50);
+
+    /**
+     * Longest deadline that a bundle permits; a drain waits no longer than any request may take.
+     */
+    private static final Duration DRAIN_TIMEOUT = Duration.ofMinutes(5);
+
     private static final int EVENT_LOOPS = 2;
+    private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final int SLOTS_PER_TARGET = 4;
-    private static final String HEAD_KEY = "head";
 
     private final DaemonSettings settings;
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
-    private final AtomicReference<Bundle> bundle = new AtomicReference<>();
-    private final HostListDirectory targets = new HostListDirectory();
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Control control;
 
     /** Makes a daemon that does nothing yet. */
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
+        var platform = new PlatformClient(vertx, settings.platform(), STORE_TIMEOUT);
+        this.control = new Control(settings, platform, System.currentTimeMillis());
     }
 
-    /** Starts to listen; returns when callers can connect. */
+    /** Starts to listen; returns when operators and callers can connect. */
     public void start() {
-        var platform = new PlatformClient(vertx, settings.platform(), STORE_TIMEOUT);
-        Tasks.start("platform-poll", () -> poll(platform));
+        control.start();
+        listen(operators(), settings.operators());
+        listen(callers(), settings.callers());
+        Tasks.start("readiness", this::awaitReady);
+        LOG.atInfo().log(
+                "daemon %s listens for callers on %s, for operators on %s and for peers on %s",
+                settings.host(), settings.callers(), settings.operators(), settings.peers());
+    }
+
+    /** Finishes the requests in progress, hands over what this daemon owns and stops. */
+    public void drain() {
+        LOG.atInfo().log("drain begins with %d requests in progress", lifecycle.inProgress());
+        lifecycle.drain();
+        if (!lifecycle.awaitIdle(DRAIN_TIMEOUT)) {
+            LOG.atWarning().log("%d requests are left after the drain", lifecycle.inProgress());
+        }
+        control.stop();
+        lifecycle.stop();
+        Await.result(vertx.close(), START_TIMEOUT);
+    }
+
+    private Router operators() {
+        Router router = Router.router(vertx);
+        new HealthRoutes(lifecycle, registry).mount(router);
+        new StatusRoutes(
+                        settings,
+                        lifecycle,
+                        control.members(),
+                        control.head(),
+                        control.transport().traffic(),
+                        control.auth())
+                .mount(router);
+        control.mount(router);
+        return router;
+    }
+
+    private Router callers() {
         var service =
                 new ChatService(
-                        bundle::get,
-                        targets,
+                        () -> control.bundle().orElseThrow(),
+                        control.targets(),
                         new FixedShareAdmission(SLOTS_PER_TARGET),
                         new HttpEngineClient(vertx),
                         new MemoryUsageRecorder());
-        Router callers = Router.router(vertx);
-        new ChatFront(() -> Optional.ofNullable(bundle.get()), service).mount(callers);
-        Endpoint endpoint = settings.callers();
-        HttpServer server =
-                Await.result(
-                        vertx.createHttpServer()
-                                .requestHandler(callers)
-                                .listen(endpoint.port(), endpoint.ip()),
-                        START_TIMEOUT);
-        LOG.atInfo().log(
-                "daemon %s listens for callers on %s:%d",
-                settings.host(), endpoint.ip(), server.actualPort());
+        Router router = Router.router(vertx);
+        new HealthRoutes(lifecycle, registry).mount(router);
+        router.route("/v1/*").handler(new AdmitHandler(lifecycle));
+        router.route("/services/*").handler(new AdmitHandler(lifecycle));
+        new ChatFront(control::bundle, service).mount(router);
+        return router;
+    }
+
+    private void listen(Router router, Endpoint endpoint) {
+        var options = new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES);
+        HttpServer server = vertx.createHttpServer(options).requestHandler(router);
+        Await.result(server.listen(endpoint.port(), endpoint.ip()), START_TIMEOUT);
     }
 
-    private void poll(PlatformClient platform) {
-        do {
-            try {
-                targets.update(Await.result(platform.list(), STORE_TIMEOUT));
-                Await.result(platform.read(Table.BUNDLE_HEAD, HEAD_KEY), STORE_TIMEOUT)
-                        .map(Row::value)
-                        .ifPresent(text -> bundle.set(BundleParser.parse("bundle", text)));
-            } catch (RuntimeException e) {
-                LOG.atWarning().withCause(e).log("cannot read from the platform");
+    private void awaitReady() {
+        while (!control.ready()) {
+            if (!Tasks.sleep(READY_INTERVAL)) {
+                return;
             }
-        } while (Tasks.sleep(POLL_INTERVAL));
+        }
+        lifecycle.serve();
+        LOG.atInfo().log("daemon %s serves callers", settings.host());
     }
 }
--- a/daemon/src/main/java/org/godwithoist/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/DaemonMain.java
@@ -40,6 +40,7 @@
             String text = Files.readString(settingsFile);
             Daemon daemon = new Daemon(DaemonSettings.parse(settingsFile.toString(), text));
             daemon.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "drain"));
         } catch (FindingsException e) {
             System.err.println(e.getMessage());
             System.exit(SETTINGS_ERROR);
