--- a/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
@@ -40,13 +40,14 @@
         ports.put("platform", platform);
         startStandin("platform", "PLATFORM", platform);
         for (int i = 1; i <= engines; i++) {
-            startEngine("engine-" + i, "domain-" + ((i - 1) % 2 + 1));
+            startEngine("engine-" + i, domainOf(i));
         }
+        startService("tickets-1", domainOf(1));
         for (String name : OPERATORS) {
             operators.add(OperatorCli.keygen(folder, name));
         }
         for (int i = 1; i <= daemons; i++) {
-            addDaemon("daemon-" + i, "domain-" + ((i - 1) % 2 + 1));
+            addDaemon("daemon-" + i, domainOf(i));
         }
         publishHosts();
         for (int i = 1; i <= daemons; i++) {
@@ -55,16 +56,50 @@
         rollBundle();
     }
 
+    /** Returns the failure domain of the engine or daemon with a number. */
+    static String domainOf(int number) {
+        return "domain-" + ((number - 1) % 2 + 1);
+    }
+
+    /** Reads the status of a daemon as the first operator. */
+    JsonObject status(String daemon) throws IOException, InterruptedException {
+        String token = Files.readString(folder.resolve(OPERATORS.get(0) + ".token")).strip();
+        var headers = Map.of("Authorization", "Bearer " + token);
+        return new JsonObject(send("GET", daemon + "-operators", "/v1/status", "", headers).body());
+    }
+
+    /** Writes the bundle of the session with another share for a workspace. */
+    Path bundleWithShare(String workspace, int share) throws IOException {
+        String text =
+                resource(BUNDLE_RESOURCE)
+                        .replaceAll(
+                                "(\"id\": \"" + workspace + "\".*\"share\": )[0-9]+", "$1" + share);
+        Path file = folder.resolve("bundle-" + workspace + "-" + share + ".json");
+        Files.writeString(file, text);
+        return file;
+    }
+
+    private void startService(String id, String domain) throws IOException {
+        int port = freePort();
+        ports.put(id, port);
+        startStandin(id, "SERVICE", port);
+        addTarget(id, "service", "tickets", domain, port);
+    }
+
     void startEngine(String id, String domain) throws IOException {
         int port = freePort();
         ports.put(id, port);
         startStandin(id, "ENGINE", port);
+        addTarget(id, "engine", "assistants", domain, port);
+    }
+
+    private void addTarget(String id, String kind, String pool, String domain, int port) {
         hosts.add(
                 new JsonObject()
                         .put("host", "host-" + id)
                         .put("target", id)
-                        .put("kind", "engine")
-                        .put("pool", "assistants")
+                        .put("kind", kind)
+                        .put("pool", pool)
                         .put("failure_domain", domain)
                         .put("address", LOOPBACK + ":" + port)
                         .put("state", "live"));
--- a/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
@@ -1,5 +1,8 @@
 package org.godwithoist.acceptance;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import io.cucumber.java.After;
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.Then;
@@ -9,7 +12,9 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Steps of sessions in which callers talk to the fleet. */
@@ -17,15 +22,21 @@
     private static final int READY_ATTEMPTS = 100;
     private static final int READY_INTERVAL_MS = 50;
     private static final int OK = 200;
+    private static final List<String> DAEMONS = List.of("daemon-1", "daemon-2");
 
     private final Transcript transcript = new Transcript();
     private final Map<String, JsonArray> chats = new HashMap<>();
+    private final Map<String, String> proposals = new HashMap<>();
     private Fleet fleet;
+    private int engines;
+    private int lastChat;
+    private long settledAt;
 
     /** Starts the processes of a session. */
     @Given("a fleet with {int} engines and {int} daemons")
     public void startFleet(int engines, int daemons) throws IOException, InterruptedException {
         fleet = new Fleet(Files.createTempDirectory("godwithoist-session"));
+        this.engines = engines;
         fleet.start(engines, daemons);
         for (int i = 1; i <= daemons; i++) {
             awaitReady("daemon-" + i);
@@ -46,6 +57,189 @@
         turn(chat, workspace, text, daemon, true);
     }
 
+    // ---- faults
+
+    /** Sets fault switches of all engines. */
+    @Given("engine faults {} at all engines")
+    public void engineFaults(String faults) throws IOException, InterruptedException {
+        for (int i = 1; i <= engines; i++) {
+            fleet.send("POST", "engine-" + i, "/faults", faults, Map.of());
+        }
+        transcript.note("engine faults " + faults);
+    }
+
+    /** Sets fault switches of the platform. */
+    @Given("platform faults {}")
+    public void platformFaults(String faults) throws IOException, InterruptedException {
+        fleet.send("POST", "platform", "/faults", faults, Map.of());
+        transcript.note("platform faults " + faults);
+    }
+
+    /** Sets the fault of the next calls of the service. */
+    @Given("the service fault {string} for {int} calls")
+    public void serviceFault(String fault, int calls) throws IOException, InterruptedException {
+        JsonObject body = new JsonObject().put("fault", fault).put("calls", calls);
+        fleet.send("POST", "tickets-1", "/faults", body.encode(), Map.of());
+        transcript.note("service fault " + fault + " for " + calls + " calls");
+    }
+
+    /** Kills the engine of a chat while it streams an answer. */
+    @When(
+            "chat {string} of workspace {string} says {string} at {string} while its engine is killed")
+    public void sayWhileEngineIsKilled(String chat, String workspace, String text, String daemon)
+            throws IOException, InterruptedException {
+        engineFaultsQuiet("{\"slow_factor\": 20}");
+        Thread killer =
+                Thread.startVirtualThread(
+                        () -> {
+                            String engine = awaitBusyEngine();
+                            fleet.process(engine).kill();
+                        });
+        turn(chat, workspace, text, daemon, true);
+        killer.join();
+    }
+
+    // ---- plain services
+
+    /** Calls a plain service with an idempotency key. */
+    @When("workspace {string} posts {} to {string} with key {string} at {string}")
+    public void post(String workspace, String body, String path, String key, String daemon)
+            throws IOException, InterruptedException {
+        transcript.in(daemon + " POST " + path + " " + workspace + " key " + key + " " + body);
+        HttpResponse<String> answer =
+                fleet.send(
+                        "POST",
+                        daemon,
+                        path,
+                        body,
+                        Map.of(
+                                "Authorization",
+                                "Bearer key-of-" + workspace,
+                                "Idempotency-Key",
+                                key,
+                                "Content-Type",
+                                "application/json"));
+        outAnswer(answer);
+    }
+
+    /** Checks the service's own log. */
+    @Then("the service executed key {string} {int} times")
+    public void executed(String key, int times) throws IOException, InterruptedException {
+        JsonArray log =
+                new JsonObject(fleet.send("GET", "tickets-1", "/log", "", Map.of()).body())
+                        .getJsonArray("log");
+        long count =
+                log.stream().filter(e -> key.equals(((JsonObject) e).getString("key"))).count();
+        assertEquals(times, count, log.encodePrettily());
+        transcript.note("the service's log has " + count + " execution of key " + key);
+    }
+
+    // ---- operators
+
+    /** Runs a command of an operator. */
+    @When("operator {string} runs {string}")
+    public void command(String operator, String command) {
+        runCommand(operator, command.split(" ", -1));
+    }
+
+    /** Submits a bundle that changes the share of a workspace. */
+    @When("operator {string} submits a bundle with share {int} for {string}")
+    public void submit(String operator, int share, String workspace) throws IOException {
+        Path file = fleet.bundleWithShare(workspace, share);
+        CliRun run = runCommand(operator, "bundle", "submit", file.toString(), "--json");
+        proposals.put(operator, new JsonObject(run.output()).getString("proposal"));
+    }
+
+    /** Tries to sign a proposal. */
+    @When("operator {string} signs the bundle of {string}")
+    public void sign(String operator, String author) {
+        runCommand(operator, "bundle", "sign", proposals.get(author));
+    }
+
+    /** Reviews and signs a proposal. */
+    @When("operator {string} reviews and signs the bundle of {string}")
+    public void reviewAndSign(String operator, String author) {
+        runCommand(operator, "bundle", "review", proposals.get(author));
+        runCommand(operator, "bundle", "sign", proposals.get(author));
+    }
+
+    /** Rolls a proposal. */
+    @When("operator {string} rolls the bundle of {string}")
+    public void roll(String operator, String author) {
+        runCommand(operator, "bundle", "roll", proposals.get(author));
+    }
+
+    /** Checks the bundle in force at both daemons. */
+    @Then("both daemons have revision {int}")
+    public void bothHaveRevision(int revision) throws IOException, InterruptedException {
+        for (String daemon : DAEMONS) {
+            assertEquals(revision, fleet.status(daemon).getInteger("bundle_revision"), daemon);
+        }
+        transcript.note("both daemons have revision " + revision);
+    }
+
+    // ---- failure domains
+
+    /** Waits. */
+    @When("{int} seconds pass")
+    public void pass(int seconds) throws InterruptedException {
+        Thread.sleep(seconds * 1_000L);
+        settledAt = System.currentTimeMillis();
+        transcript.note(seconds + " seconds pass");
+    }
+
+    /** Sends the first turns of new chats to the daemons in turn. */
+    @When("{int} new chats of workspace {string} are answered at both daemons")
+    public void newChats(int count, String workspace) throws IOException, InterruptedException {
+        for (int i = 0; i < count; i++) {
+            lastChat++;
+            String chat = "new-" + lastChat;
+            JsonObject message = new JsonObject().put("role", "user").put("content", "Hello.");
+            JsonObject body =
+                    new JsonObject()
+                            .put("model", "assistant")
+                            .put("messages", new JsonArray().add(message));
+            HttpResponse<String> answer =
+                    fleet.send(
+                            "POST",
+                            DAEMONS.get(i % DAEMONS.size()),
+                            "/v1/chat/completions",
+                            body.encode(),
+                            headers(workspace, chat));
+            assertEquals(OK, answer.statusCode(), answer.body());
+        }
+        transcript.note(count + " new chats were answered");
+    }
+
+    /** Checks the engines' own logs. */
+    @Then("engines of {string} accepted {int} requests since the order")
+    public void acceptedNone(String domain, int count) throws IOException, InterruptedException {
+        assertEquals(count, acceptedSinceOrder(domain));
+        transcript.note("engines of " + domain + " accepted " + count + " requests");
+    }
+
+    /** Checks the engines' own logs. */
+    @Then("engines of {string} accepted some requests since the order")
+    public void acceptedSome(String domain) throws IOException, InterruptedException {
+        assertTrue(acceptedSinceOrder(domain) > 0, domain);
+        transcript.note("engines of " + domain + " accepted requests again");
+    }
+
+    // ---- bad input
+
+    /** Sends a body as it stands. */
+    @When("a caller sends {string} with key {string}")
+    public void sendRaw(String body, String key) throws IOException, InterruptedException {
+        transcript.in("daemon-1 POST /v1/chat/completions " + body);
+        outAnswer(
+                fleet.send(
+                        "POST",
+                        "daemon-1",
+                        "/v1/chat/completions",
+                        body,
+                        Map.of("Authorization", "Bearer " + key)));
+    }
+
     /** Compares the session with its golden file. */
     @Then("the session matches {string}")
     public void matches(String session) throws IOException {
@@ -88,6 +282,66 @@
         }
     }
 
+    private void outAnswer(HttpResponse<String> answer) {
+        String runState = answer.headers().firstValue("X-Run-State").orElse("-");
+        transcript.out(
+                answer.statusCode() + " run state " + runState + " " + answer.body().strip());
+    }
+
+    private CliRun runCommand(String operator, String... command) {
+        CliRun run = fleet.operator(operator).run(command);
+        transcript.in(operator + " godwithoist " + String.join(" ", command));
+        transcript.out(run.code() + " " + run.output().strip() + run.errors().strip());
+        return run;
+    }
+
+    private void engineFaultsQuiet(String faults) throws IOException, InterruptedException {
+        for (int i = 1; i <= engines; i++) {
+            fleet.send("POST", "engine-" + i, "/faults", faults, Map.of());
+        }
+    }
+
+    private String awaitBusyEngine() {
+        for (int i = 0; i < READY_ATTEMPTS; i++) {
+            for (int e = 1; e <= engines; e++) {
+                if (hasEntry("engine-" + e)) {
+                    return "engine-" + e;
+                }
+            }
+        }
+        throw new AssertionError("no engine got the request");
+    }
+
+    private boolean hasEntry(String engine) {
+        try {
+            Thread.sleep(READY_INTERVAL_MS);
+            return fleet.send("GET", engine, "/log", "", Map.of()).body().contains("accepted");
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private long acceptedSinceOrder(String domain) throws IOException, InterruptedException {
+        long count = 0;
+        for (int i = 1; i <= engines; i++) {
+            if (!Fleet.domainOf(i).equals(domain)) {
+                continue;
+            }
+            String log = fleet.send("GET", "engine-" + i, "/log", "", Map.of()).body();
+            count +=
+                    new JsonObject(log)
+                            .getJsonArray("log").stream()
+                                    .map(JsonObject.class::cast)
+                                    .filter(e -> e.getString("kind").equals("accepted"))
+                                    .filter(e -> e.getLong("at") >= settledAt)
+                                    .count();
+        }
+        return count;
+    }
+
     private static Map<String, String> headers(String workspace, String chat) {
         return Map.of("Authorization", "Bearer key-of-" + workspace, "X-Chat-Id", chat);
     }
--- a/acceptance/src/test/java/org/godwithoist/acceptance/Transcript.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Transcript.java
@@ -17,6 +17,11 @@
             Pattern.compile("[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}");
     private static final Pattern TIMESTAMP = Pattern.compile("\"(created|at)\": ?[0-9]+");
 
+    private static final Pattern PROPOSAL = Pattern.compile("([0-9]{10})-[0-9a-f]{12}");
+    private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+    private static final Pattern FOLDER = Pattern.compile("\\S*/godwithoist-session[0-9]+/");
+    private static final Pattern CLOCK = Pattern.compile("20[0-9]{2}-[0-9]{2}-[0-9]{2}T[0-9:.]+Z");
+
     private final StringBuilder text = new StringBuilder();
 
     void in(String line) {
@@ -47,6 +52,10 @@
 
     private static String normalise(String line) {
         String ids = UUID.matcher(line).replaceAll("<id>");
+        ids = PROPOSAL.matcher(ids).replaceAll("$1-<hash>");
+        ids = HASH.matcher(ids).replaceAll("<hash>");
+        ids = FOLDER.matcher(ids).replaceAll("");
+        ids = CLOCK.matcher(ids).replaceAll("<time>");
         return TIMESTAMP.matcher(ids).replaceAll("\"$1\":<time>");
     }
 }
--- /dev/null
+++ b/acceptance/src/test/resources/features/bundle.feature
@@ -0,0 +1,14 @@
+Feature: A bundle from draft to in force
+  Guards against two bundles that both count as accepted and against a bundle without a second operator.
+
+  Scenario: A second operator races and loses
+    Given a fleet with 1 engines and 2 daemons
+    When operator "anna" submits a bundle with share 3 for "ghent"
+    And operator "carol" submits a bundle with share 5 for "ghent"
+    And operator "anna" signs the bundle of "anna"
+    And operator "ben" reviews and signs the bundle of "anna"
+    And operator "ben" reviews and signs the bundle of "carol"
+    And operator "ben" rolls the bundle of "anna"
+    And operator "ben" rolls the bundle of "carol"
+    Then both daemons have revision 2
+    And the session matches "bundle"
