Route chats by precomputed ranking, placement hints and learned costs

Cause: the thin path ranked all targets of a pool for every request and knew nothing of prompt caches.

A bounded directory keeps target, cached tokens, last use and last request of each chat and is reached over the peer transport with a time-out of 30 ms. A decision compares waiting, KV import and fresh prefill in milliseconds.

The thin path was not measured.

--- /dev/null
+++ b/routing/src/main/java/org/godwithoist/routing/PlacementChange.java
@@ -0,0 +1,81 @@
+package org.godwithoist.routing;
+
+import java.util.Optional;
+import org.godwithoist.core.id.TargetId;
+
+/**
+ * A change of a chat's placement.
+ *
+ * @param kind what happened
+ * @param target target concerned
+ * @param tokens tokens of the chat in the target's cache; 0 where the kind has none
+ * @param run request concerned, if any
+ */
+public record PlacementChange(
+        Kind kind, TargetId target, long tokens, Optional<RunningRequest> run) {
+    /** What happened to a chat's placement. */
+    public enum Kind {
+        /** A request was sent to the target. The prompt cache there is kept if it was there. */
+        STARTED {
+            @Override
+            void apply(PlacementDirectory.Entry e, PlacementChange c, long now) {
+                if (!c.target.equals(e.target)) {
+                    e.target = c.target;
+                    e.cachedTokens = 0;
+                }
+                e.run = c.run.orElse(null);
+                e.lastUse = now;
+            }
+        },
+        /** A request ended and the target has the chat in its cache. */
+        FINISHED {
+            @Override
+            void apply(PlacementDirectory.Entry e, PlacementChange c, long now) {
+                boolean late = e.run != null && c.run.isPresent() && !c.run.get().equals(e.run);
+                if (late && e.target != null) {
+                    return; // A newer request of the chat has started meanwhile.
+                }
+                e.target = c.target;
+                e.cachedTokens = c.tokens;
+                e.lastUse = now;
+            }
+        },
+        /** Another daemon serves the caller of the running request now. */
+        CLAIMED {
+            @Override
+            void apply(PlacementDirectory.Entry e, PlacementChange c, long now) {
+                e.target = c.target;
+                e.run = c.run.orElse(null);
+            }
+        },
+        /** The cache was copied to the target ahead of the next turn. */
+        MOVED {
+            @Override
+            void apply(PlacementDirectory.Entry e, PlacementChange c, long now) {
+                e.target = c.target;
+                e.cachedTokens = c.tokens;
+                e.lastUse = now;
+            }
+        },
+        /**
+         * The target published that it evicted the chat. Events are late, so one that arrives
+         * shortly after a use tells of the time before it.
+         */
+        EVICTED {
+            @Override
+            void apply(PlacementDirectory.Entry e, PlacementChange c, long now) {
+                if (c.target.equals(e.target)
+                        && now - e.lastUse > PlacementDirectory.EVENT_LAG_NANOS) {
+                    e.cachedTokens = 0;
+                }
+            }
+        };
+
+        abstract void apply(PlacementDirectory.Entry e, PlacementChange c, long now);
+
+        /** Returns whether the change makes an entry for a chat that has none. */
+        boolean creates() {
+            return this != EVICTED;
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/godwithoist/routing/Router.java
@@ -0,0 +1,215 @@
+package org.godwithoist.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import org.godwithoist.admission.Admission;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.membership.Target;
+import org.godwithoist.membership.TargetDirectory;
+
+/**
+ * Chooses the target of a chat's next turn. A decision looks at a fixed number of candidates, so
+ * its time does not depend on the number of targets. Thread-safe.
+ */
+public final class Router {
+    private static final Comparator<RouteOption> BY_COST =
+            Comparator.comparingDouble(RouteOption::costMs);
+
+    /** Least wait that is assumed at a full target, so that it never looks free. */
+    private static final double FULL_WAIT_MS = 1;
+
+    private final TargetDirectory directory;
+    private final Admission admission;
+    private final TargetModels models;
+    private final Executor rebuilds;
+    private final Map<PoolId, View> views = new ConcurrentHashMap<>();
+    private final Set<PoolId> rebuilding = ConcurrentHashMap.newKeySet();
+
+    /** The targets of a pool as of one version of the directory. */
+    private record View(long version, Map<TargetId, Target> inService, CandidateRing ring) {}
+
+    /**
+     * Makes a router.
+     *
+     * @param rebuilds runs the ranking of a changed pool, which takes up to a second at 10,000
+     *     targets; decisions go on with the old ranking without the targets that left
+     */
+    public Router(
+            TargetDirectory directory,
+            Admission admission,
+            TargetModels models,
+            Executor rebuilds) {
+        this.directory = directory;
+        this.admission = admission;
+        this.models = models;
+        this.rebuilds = rebuilds;
+    }
+
+    /** Returns what is learned about the targets. */
+    public TargetModels models() {
+        return models;
+    }
+
+    /**
+     * Returns the ways to serve a request, the cheapest first; empty if no target of the pool is in
+     * service. If the first choice has a free slot, it is the only one.
+     */
+    public List<RouteOption> choose(RouteRequest request) {
+        View view = view(request.pool().id());
+        Optional<Placement> placement = request.placement();
+        long cached =
+                placement.map(p -> models.cachedTokens(p, request.pool().cacheTokens())).orElse(0L);
+        cached = Math.min(cached, request.promptTokens());
+        List<RouteOption> options = new ArrayList<>(CandidateRing.WIDTH + 1);
+        Target home = null;
+        if (cached > 0) {
+            home = usable(view, request, placement.get().target());
+            if (home != null) {
+                RouteOption stay = option(request, home, Move.STAY, cached);
+                options.add(stay);
+                if (stay.waitMs() == 0) {
+                    return options;
+                }
+            }
+        }
+        // A lost or leaving engine can still export the cache until it is gone from the list.
+        boolean canExport =
+                cached > 0
+                        && !request.excluded().contains(placement.get().target())
+                        && directory.find(placement.get().target()).isPresent();
+        int bucket = bucket(request.chat());
+        for (int i = 0; i < CandidateRing.WIDTH; i++) {
+            TargetId id = view.ring().candidate(bucket, i);
+            if (id == null) {
+                break;
+            }
+            Target t = usable(view, request, id);
+            if (t == null || t.equals(home)) {
+                continue;
+            }
+            RouteOption fresh = option(request, t, Move.PREFILL, 0);
+            RouteOption moved = canExport ? option(request, t, Move.IMPORT, cached) : fresh;
+            RouteOption best = moved.costMs() < fresh.costMs() ? moved : fresh;
+            options.add(best);
+            if (cached == 0 && options.size() == 1 && best.waitMs() == 0) {
+                return options;
+            }
+        }
+        options.sort(BY_COST);
+        return options;
+    }
+
+    /** Returns the targets of a pool that a chat prefers, for look-ups that go to all of them. */
+    public List<Target> preferred(PoolId pool, ChatId chat) {
+        View view = view(pool);
+        List<Target> list = new ArrayList<>(CandidateRing.WIDTH);
+        for (int i = 0; i < CandidateRing.WIDTH; i++) {
+            Target t =
+                    Optional.ofNullable(view.ring().candidate(bucket(chat), i))
+                            .map(view.inService()::get)
+                            .orElse(null);
+            if (t != null) {
+                list.add(t);
+            }
+        }
+        return list;
+    }
+
+    // ---- parts of a decision
+
+    private static int bucket(ChatId chat) {
+        return CandidateRing.bucket(Rendezvous.hash(chat.value()));
+    }
+
+    private static Target usable(View view, RouteRequest request, TargetId id) {
+        return request.excluded().contains(id) ? null : view.inService().get(id);
+    }
+
+    private RouteOption option(RouteRequest r, Target t, Move move, long cached) {
+        double admissionMs = admission.expectedWait(t.id()).toNanos() / 1e6;
+        boolean full = admissionMs > 0 || r.full().contains(t.id());
+        double wait =
+                full ? Math.max(FULL_WAIT_MS, Math.max(admissionMs, models.waitMs(t.id()))) : 0;
+        double cost =
+                move.costMs(
+                        wait,
+                        models.prefillMs(t.id(), r.promptTokens()),
+                        models.prefillMs(t.id(), r.promptTokens() - cached),
+                        models.moveMs(cached));
+        return new RouteOption(t, move, wait, cost);
+    }
+
+    // ---- views of the directory
+
+    private View view(PoolId pool) {
+        View v = views.get(pool);
+        return v != null && v.version() == directory.version() ? v : refresh(pool);
+    }
+
+    private synchronized View refresh(PoolId pool) {
+        long version = directory.version();
+        View old = views.get(pool);
+        if (old != null && old.version() == version) {
+            return old;
+        }
+        Map<TargetId, Target> inService = new HashMap<>();
+        List<TargetId> ids = new ArrayList<>();
+        List<Target> all = directory.targets(pool);
+        for (Target t : all) {
+            if (t.service().acceptsWork()) {
+                inService.put(t.id(), t);
+                ids.add(t.id());
+            }
+        }
+        CandidateRing ring = old == null ? CandidateRing.empty().withMembers(ids) : old.ring();
+        View fresh = new View(version, inService, ring);
+        views.put(pool, fresh);
+        if (!ring.members().equals(ids)) {
+            forgetGone(old, all);
+            if (rebuilding.add(pool)) {
+                rebuilds.execute(() -> rebuild(pool));
+            }
+            return views.get(pool);
+        }
+        return fresh;
+    }
+
+    private void forgetGone(View old, List<Target> all) {
+        if (old == null) {
+            return;
+        }
+        Map<TargetId, Target> listed = new HashMap<>();
+        all.forEach(t -> listed.put(t.id(), t));
+        for (TargetId id : old.ring().members()) {
+            if (!listed.containsKey(id)) {
+                models.forget(id);
+            }
+        }
+    }
+
+    /** Ranks a pool until the ranking matches the targets in service. */
+    private void rebuild(PoolId pool) {
+        while (true) {
+            View v = views.get(pool);
+            List<TargetId> ids = v.inService().keySet().stream().sorted().toList();
+            CandidateRing ring = v.ring().withMembers(ids);
+            synchronized (this) {
+                View now = views.get(pool);
+                views.put(pool, new View(now.version(), now.inService(), ring));
+                if (now.inService().keySet().equals(v.inService().keySet())) {
+                    rebuilding.remove(pool);
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/godwithoist/routing/TargetModels.java
@@ -0,0 +1,243 @@
+package org.godwithoist.routing;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntSupplier;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * What this daemon learned about each target: speed of prefill, wait and turnover of the prompt
+ * cache. Thread-safe.
+ */
+public final class TargetModels {
+    /** Speed of a target of which nothing is known, in tokens per millisecond. */
+    static final double DEFAULT_TOKENS_PER_MS = 10;
+
+    /** Cost of KV export and import of which nothing is known. */
+    static final double DEFAULT_MOVE_MS_PER_TOKEN = 0.01;
+
+    static final double MOVE_FIXED_MS = 20;
+
+    private static final double WEIGHT_OF_NEW = 0.2;
+
+    /** Shorter prefills tell more about the fixed delay of the engine than about its speed. */
+    private static final long MIN_TOKENS_FOR_SPEED = 256;
+
+    private static final double WAIT_HALF_LIFE_MS = 2_000;
+
+    /** A prompt cache is not trusted after this time, whatever the turnover. */
+    private static final Duration MAX_AGE = Duration.ofHours(6);
+
+    private final Ticker ticker;
+    private final IntSupplier daemons;
+    private final Map<TargetId, Model> models = new ConcurrentHashMap<>();
+    private volatile double moveMsPerToken = DEFAULT_MOVE_MS_PER_TOKEN;
+
+    /**
+     * Makes models without knowledge.
+     *
+     * @param daemons number of daemons; each sees its part of the load of a target
+     */
+    public TargetModels(Ticker ticker, IntSupplier daemons) {
+        this.ticker = ticker;
+        this.daemons = daemons;
+    }
+
+    // ---- learning
+
+    /**
+     * Learns from a request that was answered.
+     *
+     * @param uncachedTokens tokens of the prompt that were not in the cache
+     * @param completionTokens tokens generated
+     * @param firstToken time from the request to the first token
+     */
+    public void answered(
+            TargetId target, long uncachedTokens, long completionTokens, Duration firstToken) {
+        model(target).answered(uncachedTokens, completionTokens, ms(firstToken), now());
+    }
+
+    /** Learns that a request waited for a slot, whether or not it got one. */
+    public void waited(TargetId target, Duration wait) {
+        model(target).waited(ms(wait), now());
+    }
+
+    /** Learns from a KV export and import. */
+    public synchronized void moved(long tokens, Duration time) {
+        if (tokens > 0) {
+            double measured = Math.max(0, ms(time) - MOVE_FIXED_MS) / tokens;
+            moveMsPerToken += WEIGHT_OF_NEW * (measured - moveMsPerToken);
+        }
+    }
+
+    /** Learns that a target restarted and lost its prompt cache. */
+    public void restarted(TargetId target) {
+        model(target).restarted(now());
+    }
+
+    /**
+     * Learns from a cache event. Events come late and with gaps; a missing event is assumed to have
+     * stored as much as a usual one.
+     */
+    public void storedEvent(TargetId target, long sequence, long tokens) {
+        model(target).storedEvent(sequence, tokens, now());
+    }
+
+    /** Drops a target that no longer exists. */
+    void forget(TargetId target) {
+        models.remove(target);
+    }
+
+    // ---- estimates
+
+    /** Returns the expected time of a prefill, in milliseconds. */
+    double prefillMs(TargetId target, long tokens) {
+        Model m = models.get(target);
+        return m == null ? tokens / DEFAULT_TOKENS_PER_MS : m.prefillMs(tokens);
+    }
+
+    /** Returns the expected time of a KV export and import, in milliseconds. */
+    double moveMs(long tokens) {
+        return MOVE_FIXED_MS + tokens * moveMsPerToken;
+    }
+
+    /** Returns the wait that requests met at a target lately, in milliseconds. */
+    double waitMs(TargetId target) {
+        Model m = models.get(target);
+        return m == null ? 0 : m.waitMs(now());
+    }
+
+    /**
+     * Returns how many tokens of a chat are believed to be in the cache of its target.
+     *
+     * @param memory tokens of prompt cache in the target; 0 if not known
+     */
+    public long cachedTokens(Placement placement, long memory) {
+        if (placement.cachedTokens() == 0 || placement.age().compareTo(MAX_AGE) > 0) {
+            return 0;
+        }
+        Model m = models.get(placement.target());
+        if (m == null || memory == 0) {
+            return placement.cachedTokens();
+        }
+        double age = ms(placement.age());
+        if (m.restartedSince(now() - age)) {
+            return 0;
+        }
+        // An engine evicts the least recently used prefix, so this chat is evicted once as many
+        // tokens as fit into the memory were stored after its last use.
+        double storedSince = m.storedSince(now() - age, now(), daemons.getAsInt());
+        long left = memory - Math.round(storedSince);
+        return Math.max(0, Math.min(placement.cachedTokens(), left));
+    }
+
+    private Model model(TargetId target) {
+        return models.computeIfAbsent(target, t -> new Model());
+    }
+
+    private double now() {
+        return ticker.nanos() / 1e6;
+    }
+
+    private static double ms(Duration d) {
+        return d.toNanos() / 1e6;
+    }
+
+    /** What is known about one target. Times are milliseconds. */
+    private static final class Model {
+        private double tokensPerMs = DEFAULT_TOKENS_PER_MS;
+        private double fixedMs;
+        private double waitMs;
+        private double waitAt;
+        private double restartedAt = Double.NEGATIVE_INFINITY;
+        private final Turnover own = new Turnover();
+        private final Turnover events = new Turnover();
+        private long lastSequence;
+        private double meanEventTokens;
+
+        synchronized void answered(long uncached, long completion, double firstMs, double now) {
+            if (uncached >= MIN_TOKENS_FOR_SPEED && firstMs > 0) {
+                double measured = uncached / Math.max(1, firstMs - fixedMs);
+                tokensPerMs += WEIGHT_OF_NEW * (measured - tokensPerMs);
+            } else if (firstMs > 0) {
+                fixedMs += WEIGHT_OF_NEW * (firstMs - fixedMs);
+            }
+            own.add((double) (uncached + completion), now);
+        }
+
+        synchronized void waited(double ms, double now) {
+            waitMs = waitMs(now);
+            waitMs += WEIGHT_OF_NEW * (ms - waitMs);
+            waitAt = now;
+        }
+
+        synchronized double waitMs(double now) {
+            return waitMs * Math.pow(0.5, (now - waitAt) / WAIT_HALF_LIFE_MS);
+        }
+
+        synchronized double prefillMs(long tokens) {
+            return fixedMs + tokens / tokensPerMs;
+        }
+
+        synchronized void restarted(double now) {
+            restartedAt = now;
+        }
+
+        synchronized boolean restartedSince(double time) {
+            return restartedAt >= time;
+        }
+
+        synchronized void storedEvent(long sequence, long tokens, double now) {
+            if (sequence <= lastSequence) {
+                return;
+            }
+            long missing = lastSequence == 0 ? 0 : sequence - lastSequence - 1;
+            lastSequence = sequence;
+            meanEventTokens += WEIGHT_OF_NEW * (tokens - meanEventTokens);
+            events.add(tokens + missing * meanEventTokens, now);
+        }
+
+        /** Returns the tokens that all daemons stored in the cache since a time. */
+        synchronized double storedSince(double time, double now, int daemonCount) {
+            return Math.max(own.since(time, now) * daemonCount, events.since(time, now));
+        }
+    }
+
+    /** Tokens stored in a cache over time, remembered in steps of {@value #STEP_MS} ms. */
+    private static final class Turnover {
+        private static final int STEPS = 64;
+        private static final double STEP_MS = 4_000;
+
+        private final double[] times = new double[STEPS];
+        private final double[] sums = new double[STEPS];
+        private int count;
+        private double total;
+
+        void add(double amount, double now) {
+            if (count == 0 || now - times[(count - 1) % STEPS] >= STEP_MS) {
+                times[count % STEPS] = now;
+                sums[count % STEPS] = total;
+                count++;
+            }
+            total += amount;
+        }
+
+        /** Returns the tokens stored since a time; extrapolates beyond the first known step. */
+        double since(double time, double now) {
+            int oldest = Math.max(0, count - STEPS);
+            for (int i = count - 1; i >= oldest; i--) {
+                if (times[i % STEPS] <= time) {
+                    return total - sums[i % STEPS];
+                }
+            }
+            if (count <= STEPS) {
+                return total;
+            }
+            double known = total - sums[oldest % STEPS];
+            double start = times[oldest % STEPS];
+            return known * (1 + (start - time) / Math.max(STEP_MS, now - start));
+        }
+    }
+}
--- a/routing/src/main/java/org/godwithoist/routing/package-info.java
+++ b/routing/src/main/java/org/godwithoist/routing/package-info.java
@@ -1,2 +1,2 @@
-/** Chooses the target to which a chat should go. */
+/** Which target a chat should go to: ranking, placement directory, learned speeds and costs. */
 package org.godwithoist.routing;
--- /dev/null
+++ b/routing/src/main/java/org/godwithoist/routing/wire/PeerPlacements.java
@@ -0,0 +1,184 @@
+package org.godwithoist.routing.wire;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.membership.Member;
+import org.godwithoist.membership.MemberDirectory;
+import org.godwithoist.membership.PeerTransport;
+import org.godwithoist.routing.Placement;
+import org.godwithoist.routing.PlacementChange;
+import org.godwithoist.routing.PlacementDirectory;
+import org.godwithoist.routing.Placements;
+import org.godwithoist.routing.Rendezvous;
+import org.godwithoist.routing.RunningRequest;
+import org.godwithoist.routing.wire.generated.LookupRequest;
+import org.godwithoist.routing.wire.generated.LookupResponse;
+import org.godwithoist.routing.wire.generated.RunMessage;
+import org.godwithoist.routing.wire.generated.UpdateRequest;
+import org.godwithoist.routing.wire.generated.UpdateResponse;
+
+/**
+ * Placements kept by the chats' directory daemons. The directory daemon of a chat is the first by
+ * rendezvous hash over the members that are not silent.
+ */
+public final class PeerPlacements implements Placements {
+    /** A hint that takes longer costs more than the prefill that it may save is worth. */
+    public static final Duration LOOKUP_TIMEOUT = Duration.ofMillis(30);
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration UPDATE_TIMEOUT = Duration.ofSeconds(1);
+    private static final String SERVICE = "godwithoist.routing.Placements";
+
+    private static final PeerTransport.Method<LookupRequest, LookupResponse> LOOKUP =
+            new PeerTransport.Method<>(
+                    SERVICE, "Lookup", LookupRequest.parser(), LookupResponse.parser());
+    private static final PeerTransport.Method<UpdateRequest, UpdateResponse> UPDATE =
+            new PeerTransport.Method<>(
+                    SERVICE, "Update", UpdateRequest.parser(), UpdateResponse.parser());
+
+    private final MemberDirectory members;
+    private final PeerTransport transport;
+    private final PlacementDirectory local;
+    private final Map<HostId, Long> hashes = new ConcurrentHashMap<>();
+
+    /** Makes the client and registers the handlers; must be done before the daemon listens. */
+    public PeerPlacements(
+            MemberDirectory members, PeerTransport transport, PlacementDirectory local) {
+        this.members = members;
+        this.transport = transport;
+        this.local = local;
+        transport.serve(LOOKUP, (_, q) -> answer(q));
+        transport.serve(UPDATE, (_, q) -> apply(q));
+    }
+
+    @Override
+    public Optional<Placement> lookup(ChatId chat) {
+        HostId keeper = keeper(chat);
+        if (keeper.equals(members.self().host())) {
+            return local.lookup(chat);
+        }
+        if (!members.inContactWith(keeper)) {
+            return Optional.empty();
+        }
+        LookupRequest q = LookupRequest.newBuilder().setChat(chat.value()).build();
+        try {
+            return placement(
+                    Await.result(
+                            transport.call(keeper, LOOKUP, q, LOOKUP_TIMEOUT), LOOKUP_TIMEOUT));
+        } catch (RuntimeException e) {
+            LOG.atFine().withCause(e).log("no placement of chat %s from %s", chat, keeper);
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public void report(ChatId chat, PlacementChange change) {
+        HostId keeper = keeper(chat);
+        if (keeper.equals(members.self().host())) {
+            local.report(chat, change);
+            return;
+        }
+        UpdateRequest.Builder q =
+                UpdateRequest.newBuilder()
+                        .setChat(chat.value())
+                        .setKind(change.kind().name())
+                        .setTarget(change.target().value())
+                        .setTokens(change.tokens());
+        change.run().ifPresent(r -> q.setRun(message(r)));
+        var _ =
+                transport
+                        .call(keeper, UPDATE, q.build(), UPDATE_TIMEOUT)
+                        .exceptionally(e -> notTaken(keeper, e));
+    }
+
+    private static UpdateResponse notTaken(HostId keeper, Throwable e) {
+        LOG.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
+                "%s did not take a placement: %s", keeper, e);
+        return UpdateResponse.getDefaultInstance();
+    }
+
+    /** Returns the directory daemon of a chat. */
+    public HostId keeper(ChatId chat) {
+        long key = Rendezvous.hash(chat.value());
+        HostId best = members.self().host();
+        long bestScore = score(key, best);
+        for (Member m : members.members()) {
+            if (m.host().equals(members.self().host()) || members.isSilent(m.host())) {
+                continue;
+            }
+            long score = score(key, m.host());
+            if (score > bestScore) {
+                best = m.host();
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private long score(long key, HostId host) {
+        long hash = hashes.computeIfAbsent(host, h -> Rendezvous.hash(h.value()));
+        return Rendezvous.score(key, hash);
+    }
+
+    // ---- handlers
+
+    private LookupResponse answer(LookupRequest q) {
+        LookupResponse.Builder r = LookupResponse.newBuilder();
+        local.lookup(new ChatId(q.getChat()))
+                .ifPresent(
+                        p -> {
+                            r.setTarget(p.target().value())
+                                    .setCachedTokens(p.cachedTokens())
+                                    .setAgeMs(p.age().toMillis());
+                            p.run().ifPresent(run -> r.setRun(message(run)));
+                        });
+        return r.build();
+    }
+
+    private UpdateResponse apply(UpdateRequest q) {
+        var change =
+                new PlacementChange(
+                        PlacementChange.Kind.valueOf(q.getKind()),
+                        new TargetId(q.getTarget()),
+                        q.getTokens(),
+                        q.hasRun() ? Optional.of(run(q.getRun())) : Optional.empty());
+        local.report(new ChatId(q.getChat()), change);
+        return UpdateResponse.getDefaultInstance();
+    }
+
+    // ---- encoding
+
+    private static Optional<Placement> placement(LookupResponse r) {
+        if (r.getTarget().isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new Placement(
+                        new TargetId(r.getTarget()),
+                        r.getCachedTokens(),
+                        Duration.ofMillis(r.getAgeMs()),
+                        r.hasRun() ? Optional.of(run(r.getRun())) : Optional.empty()));
+    }
+
+    private static RunMessage message(RunningRequest r) {
+        return RunMessage.newBuilder()
+                .setAttempt(r.attempt().value())
+                .setBase(r.base())
+                .setDaemon(r.daemon().value())
+                .build();
+    }
+
+    private static RunningRequest run(RunMessage m) {
+        return new RunningRequest(
+                new RequestId(m.getAttempt()), m.getBase(), new HostId(m.getDaemon()));
+    }
+}
--- /dev/null
+++ b/routing/src/main/java/org/godwithoist/routing/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Placement look-ups and updates between daemons. */
+package org.godwithoist.routing.wire;
--- /dev/null
+++ b/routing/src/test/java/org/godwithoist/routing/FakeTargets.java
@@ -0,0 +1,99 @@
+package org.godwithoist.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.godwithoist.admission.Admission;
+import org.godwithoist.admission.Slot;
+import org.godwithoist.admission.SlotRequest;
+import org.godwithoist.bundle.AdmissionLimits;
+import org.godwithoist.bundle.FencingMode;
+import org.godwithoist.bundle.Pool;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.membership.ServiceState;
+import org.godwithoist.membership.Target;
+import org.godwithoist.membership.TargetDirectory;
+
+/** Targets and waits that a test sets. */
+final class FakeTargets implements TargetDirectory, Admission {
+    static final PoolId POOL_ID = new PoolId("pool");
+    static final Pool POOL =
+            new Pool(
+                    POOL_ID,
+                    Pool.Kind.ENGINE,
+                    1,
+                    AdmissionLimits.DEFAULT,
+                    FencingMode.IGNORED,
+                    100_000);
+
+    final Map<TargetId, Duration> waits = new HashMap<>();
+    private final Map<TargetId, Target> targets = new HashMap<>();
+    private List<Target> listed = List.of();
+    private long version;
+
+    FakeTargets(int count) {
+        for (int i = 0; i < count; i++) {
+            put(i, ServiceState.IN);
+        }
+        publish();
+    }
+
+    static TargetId id(int number) {
+        return new TargetId(String.format("engine-%05d", number));
+    }
+
+    void set(int number, ServiceState state) {
+        put(number, state);
+        publish();
+    }
+
+    private void put(int number, ServiceState state) {
+        var target =
+                new Target(
+                        id(number),
+                        new HostId("host-" + number),
+                        POOL_ID,
+                        new FailureDomainId("domain-" + number % 3),
+                        Endpoint.parse("127.0.0.1:1"),
+                        state);
+        targets.put(target.id(), target);
+    }
+
+    private void publish() {
+        listed = new ArrayList<>(targets.values());
+        listed.sort((a, b) -> a.id().compareTo(b.id()));
+        version++;
+    }
+
+    @Override
+    public List<Target> targets(PoolId pool) {
+        return listed;
+    }
+
+    @Override
+    public Optional<Target> find(TargetId id) {
+        return Optional.ofNullable(targets.get(id));
+    }
+
+    @Override
+    public long version() {
+        return version;
+    }
+
+    @Override
+    public Optional<Slot> acquire(SlotRequest request, Duration patience) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Duration expectedWait(TargetId target) {
+        return waits.getOrDefault(target, Duration.ZERO);
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/godwithoist/routing/PlacementDirectoryTest.java
@@ -0,0 +1,108 @@
+package org.godwithoist.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.routing.PlacementChange.Kind;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests the placements kept by one daemon. */
+final class PlacementDirectoryTest {
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final PlacementDirectory directory = new PlacementDirectory(100, ticker);
+    private final ChatId chat = new ChatId("chat");
+    private final TargetId one = new TargetId("one");
+    private final TargetId two = new TargetId("two");
+
+    private static Optional<RunningRequest> run(String attempt) {
+        return Optional.of(new RunningRequest(new RequestId(attempt), 0, new HostId("daemon")));
+    }
+
+    private void report(Kind kind, TargetId target, long tokens, Optional<RunningRequest> run) {
+        directory.report(chat, new PlacementChange(kind, target, tokens, run));
+    }
+
+    private Placement placement() {
+        return directory.lookup(chat).orElseThrow();
+    }
+
+    /** Reports arrive late. */
+    @Nested
+    final class LateReports {
+        @Test
+        void endOfAnOlderRequestDoesNotReplaceTheNewerPlacement() {
+            report(Kind.STARTED, one, 0, run("a"));
+            report(Kind.STARTED, two, 0, run("b"));
+            report(Kind.FINISHED, one, 500, run("a"));
+            assertEquals(two, placement().target());
+            assertEquals(0, placement().cachedTokens());
+        }
+
+        @Test
+        void evictionPublishedRightAfterAUseIsOlderThanTheUse() {
+            report(Kind.FINISHED, one, 500, Optional.empty());
+            ticker.advance(Duration.ofSeconds(1));
+            report(Kind.EVICTED, one, 0, Optional.empty());
+            assertEquals(500, placement().cachedTokens());
+        }
+
+        @Test
+        void evictionAfterThatIsBelieved() {
+            report(Kind.FINISHED, one, 500, Optional.empty());
+            ticker.advance(Duration.ofSeconds(5));
+            report(Kind.EVICTED, two, 0, Optional.empty());
+            assertEquals(500, placement().cachedTokens());
+            report(Kind.EVICTED, one, 0, Optional.empty());
+            assertEquals(0, placement().cachedTokens());
+        }
+    }
+
+    /** More chats than the directory holds. */
+    @Nested
+    final class Bounds {
+        @Test
+        void dropsTheChatUsedLongestAgo() {
+            report(Kind.FINISHED, one, 500, Optional.empty());
+            for (int i = 0; i < 100; i++) {
+                directory.lookup(chat);
+                var other = new PlacementChange(Kind.FINISHED, two, 1, Optional.empty());
+                directory.report(new ChatId("other-" + i), other);
+            }
+            assertEquals(100, directory.size());
+            assertEquals(one, placement().target());
+        }
+
+        @Test
+        void memoryOfAChatIsBelowAKilobyte() {
+            int chats = 100_000;
+            var large = new PlacementDirectory(chats, ticker);
+            long before = usedBytes();
+            for (int i = 0; i < chats; i++) {
+                large.report(
+                        new ChatId(String.format("workspace-%03d/%032d", i % 300, i)),
+                        new PlacementChange(
+                                Kind.STARTED, one, 0, run("0f8e7a9c-request-" + i + ".1")));
+            }
+            long bytes = (usedBytes() - before) / chats;
+            System.out.println("placement directory: " + bytes + " bytes for each chat");
+            assertTrue(bytes < 1_024, "a chat takes " + bytes + " bytes");
+            assertEquals(chats, large.size());
+        }
+
+        private static long usedBytes() {
+            Runtime runtime = Runtime.getRuntime();
+            for (int i = 0; i < 3; i++) {
+                System.gc();
+            }
+            return runtime.totalMemory() - runtime.freeMemory();
+        }
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/godwithoist/routing/RouterTest.java
@@ -0,0 +1,284 @@
+package org.godwithoist.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.membership.ServiceState;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests the choice of a target. */
+final class RouterTest {
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final TargetModels models = new TargetModels(ticker, () -> 1);
+    private FakeTargets targets = new FakeTargets(12);
+    private Router router = new Router(targets, targets, models, Runnable::run);
+
+    private RouteRequest request(String chat, long prompt, Optional<Placement> placement) {
+        return new RouteRequest(
+                new ChatId(chat), FakeTargets.POOL, prompt, placement, Set.of(), Set.of());
+    }
+
+    private RouteOption best(String chat, long prompt, Optional<Placement> placement) {
+        return router.choose(request(chat, prompt, placement)).getFirst();
+    }
+
+    private static Optional<Placement> placed(TargetId target, long tokens, Duration age) {
+        return Optional.of(new Placement(target, tokens, age, Optional.empty()));
+    }
+
+    private Map<String, TargetId> firstChoices(int chats) {
+        Map<String, TargetId> choices = new HashMap<>();
+        for (int i = 0; i < chats; i++) {
+            String chat = "chat-" + i;
+            choices.put(chat, best(chat, 100, Optional.empty()).target().id());
+        }
+        return choices;
+    }
+
+    /** The targets of the pool change. */
+    @Nested
+    final class MembershipChanges {
+        @Test
+        void movesOnlyTheChatsOfTheTargetThatLeaves() {
+            Map<String, TargetId> before = firstChoices(2_000);
+            targets.set(3, ServiceState.LEAVING);
+            firstChoices(2_000)
+                    .forEach(
+                            (chat, now) -> {
+                                if (before.get(chat).equals(FakeTargets.id(3))) {
+                                    assertNotEquals(FakeTargets.id(3), now);
+                                } else {
+                                    assertEquals(before.get(chat), now, chat);
+                                }
+                            });
+        }
+
+        @Test
+        void movesChatsOnlyToTheTargetThatJoins() {
+            Map<String, TargetId> before = firstChoices(2_000);
+            targets.set(99, ServiceState.IN);
+            Map<String, TargetId> after = firstChoices(2_000);
+            long moved = 0;
+            for (String chat : before.keySet()) {
+                if (!before.get(chat).equals(after.get(chat))) {
+                    assertEquals(FakeTargets.id(99), after.get(chat));
+                    moved++;
+                }
+            }
+            assertTrue(moved > 50 && moved < 300, "moved " + moved + ", expected about 154");
+        }
+
+        @Test
+        void incrementalRankingEqualsRankingFromScratch() {
+            firstChoices(1);
+            targets.set(5, ServiceState.OUT);
+            targets.set(40, ServiceState.IN);
+            targets.set(5, ServiceState.IN);
+            targets.set(7, ServiceState.OUT);
+            Map<String, TargetId> stepwise = firstChoices(2_000);
+            router = new Router(targets, targets, models, Runnable::run);
+            assertEquals(firstChoices(2_000), stepwise);
+        }
+
+        @Test
+        void targetTakenOutGetsNothingWhileTheRankingIsStillOld() {
+            Router slow = new Router(targets, targets, models, rebuild -> {});
+            var placement = placed(FakeTargets.id(2), 900, Duration.ofSeconds(1));
+            slow.choose(request("chat", 1_000, placement));
+            targets.set(2, ServiceState.OUT);
+            for (int i = 0; i < 500; i++) {
+                for (RouteOption o : slow.choose(request("chat-" + i, 1_000, placement))) {
+                    assertNotEquals(FakeTargets.id(2), o.target().id());
+                }
+            }
+        }
+    }
+
+    /** The chat was served before. */
+    @Nested
+    final class ReturningChat {
+        private final TargetId home = FakeTargets.id(4);
+
+        @Test
+        void staysAtItsEngine() {
+            RouteOption o = best("c", 1_000, placed(home, 900, Duration.ofMinutes(2)));
+            assertEquals(home, o.target().id());
+            assertEquals(Move.STAY, o.move());
+        }
+
+        @Test
+        void shortWaitIsCheaperThanFreshPrefill() {
+            targets.waits.put(home, Duration.ofMillis(20));
+            assertEquals(Move.STAY, best("c", 9_000, placed(home, 9_000, Duration.ZERO)).move());
+        }
+
+        @Test
+        void longWaitIsDearerThanMovingTheCache() {
+            targets.waits.put(home, Duration.ofMillis(400));
+            RouteOption o = best("c", 9_000, placed(home, 9_000, Duration.ZERO));
+            assertEquals(Move.IMPORT, o.move());
+            assertNotEquals(home, o.target().id());
+        }
+
+        @Test
+        void shortPromptIsReadAnewRatherThanMoved() {
+            targets.waits.put(home, Duration.ofMillis(400));
+            assertEquals(Move.PREFILL, best("c", 50, placed(home, 50, Duration.ZERO)).move());
+        }
+
+        @Test
+        void staleHintToAnUnknownTargetIsIgnored() {
+            RouteOption o = best("c", 900, placed(new TargetId("gone"), 900, Duration.ZERO));
+            assertEquals(Move.PREFILL, o.move());
+        }
+
+        @Test
+        void fullEngineOfANewChatGivesWayToTheNextInRank() {
+            TargetId first = best("c", 900, Optional.empty()).target().id();
+            targets.waits.put(first, Duration.ofMillis(300));
+            assertNotEquals(first, best("c", 900, Optional.empty()).target().id());
+        }
+    }
+
+    /** The prefix may have been evicted. */
+    @Nested
+    final class EvictedPrefix {
+        private final TargetId home = FakeTargets.id(4);
+        private final Placement old = placed(home, 5_000, Duration.ofSeconds(30)).orElseThrow();
+
+        private long cached() {
+            return models.cachedTokens(old, 100_000);
+        }
+
+        @Test
+        void isTrustedWhileTheMemoryHoldsEverythingStoredSince() {
+            ticker.advance(Duration.ofSeconds(30));
+            models.answered(home, 3_000, 200, Duration.ofMillis(300));
+            assertEquals(5_000, cached());
+        }
+
+        @Test
+        void isNotTrustedOnceMoreThanTheMemoryWasStoredSince() {
+            for (int i = 0; i < 30; i++) {
+                ticker.advance(Duration.ofSeconds(1));
+                models.answered(home, 9_000, 200, Duration.ofMillis(300));
+            }
+            assertEquals(0, cached());
+        }
+
+        @Test
+        void cacheEventsWithGapsCountTheMissingOnes() {
+            for (int i = 0; i < 30; i++) {
+                ticker.advance(Duration.ofSeconds(1));
+                models.storedEvent(home, 1 + 10L * i, 1_500);
+            }
+            assertEquals(0, cached());
+        }
+
+        @Test
+        void repeatedLateEventsCountOnce() {
+            ticker.advance(Duration.ofSeconds(30));
+            for (int i = 0; i < 100; i++) {
+                models.storedEvent(home, 7, 10_000);
+            }
+            assertEquals(5_000, cached());
+        }
+
+        @Test
+        void isNotTrustedAfterARestartOfTheEngine() {
+            ticker.advance(Duration.ofSeconds(30));
+            models.restarted(home);
+            assertEquals(0, cached());
+            assertEquals(Move.PREFILL, best("c", 6_000, Optional.of(old)).move());
+        }
+    }
+
+    /** The engine is slower than assumed. */
+    @Nested
+    final class LearnedSpeed {
+        @Test
+        void slowPrefillMakesWaitingWorthwhile() {
+            TargetId home = FakeTargets.id(4);
+            targets.waits.put(home, Duration.ofMillis(150));
+            var placement = placed(home, 900, Duration.ZERO);
+            assertNotEquals(Move.STAY, best("c", 900, placement).move());
+            for (int i = 0; i < 12; i++) {
+                for (int k = 0; k < 40; k++) {
+                    models.answered(FakeTargets.id(i), 1_000, 10, Duration.ofSeconds(2));
+                }
+            }
+            for (int k = 0; k < 40; k++) {
+                models.moved(1_000, Duration.ofSeconds(3));
+            }
+            assertEquals(Move.STAY, best("c", 900, placement).move());
+        }
+    }
+
+    /** Measures the decision; the bounds are the goals of the design page. */
+    @Nested
+    final class DecisionTime {
+        private static final int ROUNDS = 200_000;
+
+        @Test
+        void isFlatAndAllocatesTheSameAtAnyNumberOfTargets() {
+            Map<Integer, Double> micros = new HashMap<>();
+            Map<Integer, Long> bytes = new HashMap<>();
+            for (int count : List.of(10, 100, 1_000, 10_000)) {
+                targets = new FakeTargets(count);
+                long built = System.nanoTime();
+                router = new Router(targets, targets, models, Runnable::run);
+                best("c", 1, Optional.empty());
+                built = System.nanoTime() - built;
+                long changed = System.nanoTime();
+                targets.set(count / 2, ServiceState.OUT);
+                best("c", 1, Optional.empty());
+                changed = System.nanoTime() - changed;
+                // Every target is full, so that each decision compares all candidates.
+                for (int i = 0; i < count; i++) {
+                    targets.waits.put(FakeTargets.id(i), Duration.ofMillis(5));
+                }
+                decide(ROUNDS, count);
+                long allocated = allocatedBytes();
+                long start = System.nanoTime();
+                decide(ROUNDS, count);
+                micros.put(count, (System.nanoTime() - start) / 1e3 / ROUNDS);
+                bytes.put(count, (allocatedBytes() - allocated) / ROUNDS);
+                System.out.printf(
+                        "%d targets: decision %.2f us, %d bytes; ranking %d ms, one change %d ms%n",
+                        count,
+                        micros.get(count),
+                        bytes.get(count),
+                        built / 1_000_000,
+                        changed / 1_000_000);
+            }
+            assertTrue(micros.get(10_000) < 5, "decision took " + micros.get(10_000) + " us");
+            assertTrue(bytes.get(10_000) < bytes.get(100) * 1.2, bytes.toString());
+        }
+
+        private void decide(int rounds, int count) {
+            Optional<Placement> placement =
+                    placed(FakeTargets.id(count / 3), 3_000, Duration.ofSeconds(9));
+            for (int i = 0; i < rounds; i++) {
+                best("chat-" + (i & 4_095), 4_000, placement);
+            }
+        }
+
+        private static long allocatedBytes() {
+            return ((ThreadMXBean) ManagementFactory.getThreadMXBean())
+                    .getCurrentThreadAllocatedBytes();
+        }
+    }
+}
