--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/Answer.java
@@ -0,0 +1,199 @@
+package org.godwithoist.chat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * The answer of one request as far as it is known, and the caller who receives it. One task owns
+ * the answer and is the only one to write to the caller; a caller who reconnects hands its
+ * connection to that task through {@link #attach}.
+ */
+final class Answer {
+    /** Pieces kept for a caller that reconnects; older ones have long been received. */
+    private static final int MAX_KEPT = 8_192;
+
+    private final Ticker ticker;
+    private final Deque<EngineEvent.Piece> kept = new ArrayDeque<>();
+    private final StringBuilder text = new StringBuilder();
+    private final CompletableFuture<Void> done = new CompletableFuture<>();
+    private final boolean fromStart;
+    private AnswerSink sink;
+    private long keptFrom;
+    private long last;
+    private long sent;
+    private long goneSince;
+    private boolean gone;
+    private boolean plainText = true;
+    private Attachment waiting;
+    private AnswerEnd end;
+
+    private record Attachment(AnswerSink sink, long after) {}
+
+    /**
+     * Makes an answer.
+     *
+     * @param base offset before the first piece that this daemon can know
+     * @param after offset up to which the caller has the answer
+     */
+    Answer(AnswerSink sink, long base, long after, Ticker ticker) {
+        this.sink = sink;
+        this.ticker = ticker;
+        keptFrom = base;
+        last = base;
+        sent = after;
+        fromStart = base == 0;
+    }
+
+    // ---- called by the owning task
+
+    /** Takes the next piece in order and sends it to the caller. */
+    void append(EngineEvent.Piece piece) {
+        synchronized (this) {
+            text.append(piece.text());
+            plainText &= piece.plainText();
+            kept.add(piece);
+            last++;
+            if (kept.size() > MAX_KEPT) {
+                kept.removeFirst();
+                keptFrom++;
+            }
+        }
+        send();
+    }
+
+    /** Looks after the caller while there is no new text. */
+    void keepAlive() {
+        send();
+        if (!gone && !sink.keepAlive()) {
+            lose();
+        }
+    }
+
+    /** Ends the answer; callers who attach later get it from what is kept. */
+    void finish(AnswerEnd whole) {
+        while (true) {
+            send();
+            synchronized (this) {
+                if (waiting == null) {
+                    end = whole;
+                    break;
+                }
+            }
+        }
+        if (!gone) {
+            sink.end(whole);
+        }
+        done.complete(null);
+    }
+
+    /** Ends the answer without success. */
+    void fail(RequestException failure) {
+        done.completeExceptionally(failure);
+    }
+
+    /** Returns how long the caller has been gone; zero while it is there. */
+    Duration goneFor() {
+        send();
+        return gone ? Duration.ofNanos(ticker.nanos() - goneSince) : Duration.ZERO;
+    }
+
+    /** Returns the offset of the last piece. */
+    long last() {
+        return last;
+    }
+
+    /** Returns the text so far. */
+    String text() {
+        return text.toString();
+    }
+
+    /** Returns whether another engine can continue the answer from its text. */
+    boolean continuable() {
+        return plainText && (fromStart || last == 0);
+    }
+
+    private void send() {
+        adopt();
+        while (!gone) {
+            List<EngineEvent.Piece> batch;
+            long offset;
+            synchronized (this) {
+                if (sent >= last) {
+                    return;
+                }
+                offset = sent + 1;
+                batch = kept.stream().skip(sent - keptFrom).toList();
+            }
+            for (EngineEvent.Piece p : batch) {
+                if (!sink.piece(offset, p)) {
+                    lose();
+                    adopt();
+                    break;
+                }
+                sent = offset++;
+            }
+        }
+    }
+
+    private void lose() {
+        gone = true;
+        goneSince = ticker.nanos();
+    }
+
+    private synchronized void adopt() {
+        if (waiting != null) {
+            sink = waiting.sink();
+            sent = waiting.after();
+            waiting = null;
+            gone = false;
+        }
+    }
+
+    // ---- called by the task of a caller who reconnects
+
+    /**
+     * Serves a caller who reconnects with the rest of the answer. Returns when the answer ended.
+     *
+     * @param after offset up to which the caller has the answer
+     */
+    void attach(AnswerSink newSink, long after, Duration patience) {
+        AnswerEnd whole;
+        List<EngineEvent.Piece> rest;
+        synchronized (this) {
+            if (after < keptFrom || after > last) {
+                throw new RequestException(
+                        ErrorCode.NOT_FOUND,
+                        RunState.UNKNOWN,
+                        "the answer after event " + after + " is not available here");
+            }
+            whole = end;
+            rest = whole == null ? List.of() : kept.stream().skip(after - keptFrom).toList();
+            if (whole == null) {
+                if (waiting != null) {
+                    waiting.sink().abandon();
+                }
+                waiting = new Attachment(newSink, after);
+                sink.abandon();
+            }
+        }
+        if (whole == null) {
+            Await.result(done, patience);
+            return;
+        }
+        long offset = after;
+        for (EngineEvent.Piece p : rest) {
+            if (!newSink.piece(++offset, p)) {
+                return;
+            }
+        }
+        newSink.end(whole);
+    }
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/Attempt.java
@@ -0,0 +1,149 @@
+package org.godwithoist.chat;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.godwithoist.accounting.Usage;
+import org.godwithoist.admission.Slot;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.membership.Target;
+
+/**
+ * One attempt of a request at one engine: its slot, its usage record and the order of its pieces.
+ * The slot is released and the usage closed exactly once, in whichever way the attempt ends.
+ */
+final class Attempt {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration SETTLE_INTERVAL = Duration.ofMillis(500);
+
+    private final ChatContext context;
+    private final Target engine;
+    private final AttemptId id;
+    private final Optional<Slot> slot;
+    private final PieceOrder order = new PieceOrder();
+    private final long startedAt;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private final CompletableFuture<Usage> counted = new CompletableFuture<>();
+    private long firstPieceAt;
+    private boolean sent;
+
+    /**
+     * Makes an attempt.
+     *
+     * @param slot slot of the attempt; empty if another daemon holds it and records the usage
+     */
+    Attempt(ChatContext context, Target engine, AttemptId id, Optional<Slot> slot) {
+        this.context = context;
+        this.engine = engine;
+        this.id = id;
+        this.slot = slot;
+        startedAt = context.ticker().nanos();
+    }
+
+    Target engine() {
+        return engine;
+    }
+
+    AttemptId id() {
+        return id;
+    }
+
+    PieceOrder order() {
+        return order;
+    }
+
+    /** Returns whether another daemon holds the slot and records the usage. */
+    boolean relayed() {
+        return slot.isEmpty();
+    }
+
+    /** Notes that the engine may have received the request. */
+    void markSent() {
+        sent = true;
+    }
+
+    void markPiece() {
+        if (firstPieceAt == 0) {
+            firstPieceAt = context.ticker().nanos();
+        }
+    }
+
+    Duration firstToken() {
+        return Duration.ofNanos(firstPieceAt == 0 ? 0 : Math.max(1, firstPieceAt - startedAt));
+    }
+
+    /** Returns what the engine counted, once that is known. */
+    Optional<Usage> counted() {
+        return Optional.ofNullable(counted.getNow(null));
+    }
+
+    // ---- ends of the attempt
+
+    /** Ends an attempt that was answered to the end. */
+    void finished(Usage usage) {
+        end(Slot.Outcome.ANSWERED, Optional.of(usage));
+    }
+
+    /** Ends an attempt of which it is certain that the engine did not run it. */
+    void notRun(Slot.Outcome outcome) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        counted.complete(Usage.NONE);
+        if (slot.isPresent()) {
+            context.usage().cancelUnsent(id.id());
+            slot.get().release(outcome, Duration.ZERO);
+        }
+    }
+
+    /**
+     * Ends an attempt that may run on: cancels it at the engine in a task of its own and closes the
+     * usage with the engine's count. The slot is held until the engine confirms, because the engine
+     * may still be busy with the request.
+     */
+    void cancel(Slot.Outcome outcome) {
+        if (!sent) {
+            notRun(outcome);
+            return;
+        }
+        if (!ended.get()) {
+            Tasks.start("cancel-" + id.id(), () -> settle(outcome));
+        }
+    }
+
+    private void settle(Slot.Outcome outcome) {
+        Deadline deadline = Deadline.after(context.timings().settle(), context.ticker());
+        do {
+            try {
+                Optional<Usage> usage =
+                        Await.result(
+                                context.engines().cancel(engine, id.id()),
+                                context.timings().engineCall());
+                // An engine that never saw the request counted nothing. An engine that forgot a
+                // request that it ran has restarted; its count stays unsettled.
+                boolean nothing = usage.isEmpty() && firstPieceAt == 0;
+                end(outcome, nothing ? Optional.of(Usage.NONE) : usage);
+                return;
+            } catch (RuntimeException e) {
+                LOG.atFine().withCause(e).log("%s did not settle %s", engine.id(), id.id());
+            }
+        } while (Tasks.sleep(SETTLE_INTERVAL) && !deadline.passed());
+        LOG.atWarning().log("the usage of %s at %s is unsettled", id.id(), engine.id());
+        end(outcome, Optional.empty());
+    }
+
+    private void end(Slot.Outcome outcome, Optional<Usage> usage) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        usage.ifPresent(counted::complete);
+        if (slot.isPresent()) {
+            usage.ifPresent(u -> context.usage().close(id.id(), u));
+            slot.get().release(outcome, firstToken());
+        }
+    }
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/CacheEventReader.java
@@ -0,0 +1,106 @@
+package org.godwithoist.chat;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.Pool;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.membership.Target;
+import org.godwithoist.membership.TargetDirectory;
+import org.godwithoist.routing.PlacementChange;
+import org.godwithoist.routing.Placements;
+import org.godwithoist.routing.TargetModels;
+
+/**
+ * Reads the cache events of engines and passes them on as hints: evictions to the directory daemon
+ * of the chat, stored tokens to this daemon's models. The daemon calls {@link #readOnce} from one
+ * task at its own interval.
+ */
+public final class CacheEventReader {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Supplier<Bundle> bundle;
+    private final TargetDirectory targets;
+    private final EngineClient engines;
+    private final Placements placements;
+    private final TargetModels models;
+    private final Predicate<TargetId> mine;
+    private final Map<TargetId, Long> read = new ConcurrentHashMap<>();
+
+    /**
+     * Makes a reader.
+     *
+     * @param mine engines that this daemon reads; each engine should have one reader in the fleet
+     */
+    public CacheEventReader(
+            Supplier<Bundle> bundle,
+            TargetDirectory targets,
+            EngineClient engines,
+            Placements placements,
+            TargetModels models,
+            Predicate<TargetId> mine) {
+        this.bundle = bundle;
+        this.targets = targets;
+        this.engines = engines;
+        this.placements = placements;
+        this.models = models;
+        this.mine = mine;
+    }
+
+    /** Reads the new events of each engine of this daemon once. */
+    public void readOnce() {
+        for (Pool pool : bundle.get().pools().values()) {
+            if (pool.kind() != Pool.Kind.ENGINE) {
+                continue;
+            }
+            for (Target engine : targets.targets(pool.id())) {
+                if (mine.test(engine.id())) {
+                    read(engine);
+                }
+            }
+        }
+        read.keySet().removeIf(id -> targets.find(id).isEmpty());
+    }
+
+    /** Tells that an engine restarted: its cache is empty and its events start anew. */
+    public void restarted(TargetId engine) {
+        read.remove(engine);
+        models.restarted(engine);
+    }
+
+    private void read(Target engine) {
+        long after = read.getOrDefault(engine.id(), 0L);
+        try {
+            List<EngineClient.CacheEvent> events =
+                    Await.result(engines.cacheEvents(engine, after), CALL_TIMEOUT);
+            for (EngineClient.CacheEvent e : events) {
+                apply(engine, e);
+                after = Math.max(after, e.sequence());
+            }
+            read.put(engine.id(), after);
+        } catch (RuntimeException e) {
+            LOG.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "no cache events from %s: %s", engine.id(), e);
+        }
+    }
+
+    private void apply(Target engine, EngineClient.CacheEvent e) {
+        if (e.stored()) {
+            models.storedEvent(engine.id(), e.sequence(), e.tokens());
+            return;
+        }
+        placements.report(
+                e.chat(),
+                new PlacementChange(
+                        PlacementChange.Kind.EVICTED, engine.id(), 0, Optional.empty()));
+    }
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/CacheMover.java
@@ -0,0 +1,195 @@
+package org.godwithoist.chat;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.Pool;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.Target;
+import org.godwithoist.membership.TargetDirectory;
+import org.godwithoist.routing.PlacementChange;
+import org.godwithoist.routing.PlacementDirectory;
+import org.godwithoist.routing.RouteOption;
+import org.godwithoist.routing.RouteRequest;
+import org.godwithoist.routing.Router;
+
+/**
+ * Copies the prompt caches of chats to engines in service when their own engine is taken out, ahead
+ * of the next turn. Each daemon moves the chats whose placement it keeps, the most recently used
+ * first, because those are the most likely to return soon.
+ */
+public final class CacheMover {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+    /** Bounds the load on the engines that take the chats over. */
+    private static final int AT_ONCE = 4;
+
+    private static final int MAX_CHATS = 10_000;
+
+    /** Shorter histories are read anew in less time than a move takes. */
+    private static final long MIN_TOKENS = 500;
+
+    /** Failures in a row after which an engine is taken for dead. */
+    private static final int MAX_FAILURES = 3;
+
+    private final Supplier<Bundle> bundle;
+    private final TargetDirectory targets;
+    private final PlacementDirectory placements;
+    private final Router router;
+    private final EngineClient engines;
+    private final Ticker ticker;
+    private final AtomicBoolean changed = new AtomicBoolean();
+    private final AtomicBoolean running = new AtomicBoolean();
+
+    /**
+     * Makes a mover.
+     *
+     * @param placements placements that this daemon keeps
+     */
+    public CacheMover(
+            Supplier<Bundle> bundle,
+            TargetDirectory targets,
+            PlacementDirectory placements,
+            Router router,
+            EngineClient engines,
+            Ticker ticker) {
+        this.bundle = bundle;
+        this.targets = targets;
+        this.placements = placements;
+        this.router = router;
+        this.engines = engines;
+        this.ticker = ticker;
+    }
+
+    /**
+     * Tells that the target directory changed. Returns at once; the move runs in a task of its own,
+     * one at a time.
+     */
+    public void targetsChanged() {
+        changed.set(true);
+        if (running.compareAndSet(false, true)) {
+            Tasks.start("cache-mover", this::run);
+        }
+    }
+
+    private void run() {
+        do {
+            try {
+                while (changed.compareAndSet(true, false)) {
+                    moveAll();
+                }
+            } finally {
+                running.set(false);
+            }
+        } while (changed.get() && running.compareAndSet(false, true));
+    }
+
+    private void moveAll() {
+        List<PlacementDirectory.Placed> chats = placements.placedAt(this::isLeaving, MAX_CHATS);
+        if (chats.isEmpty()) {
+            return;
+        }
+        Semaphore room = new Semaphore(AT_ONCE);
+        Failures failures = new Failures();
+        int moved = 0;
+        for (PlacementDirectory.Placed chat : chats) {
+            TargetId from = chat.placement().target();
+            if (chat.placement().cachedTokens() < MIN_TOKENS || failures.isDead(from)) {
+                continue;
+            }
+            room.acquireUninterruptibly();
+            Tasks.start(
+                    "move-" + chat.chat(),
+                    () -> {
+                        try {
+                            move(chat);
+                            failures.success(from);
+                        } catch (RuntimeException e) {
+                            failures.failure(from);
+                            LOG.atInfo().log("cannot move the cache of %s: %s", chat.chat(), e);
+                        } finally {
+                            room.release();
+                        }
+                    });
+            moved++;
+        }
+        room.acquireUninterruptibly(AT_ONCE);
+        LOG.atInfo().log("tried to move the caches of %d chats", moved);
+    }
+
+    private boolean isLeaving(TargetId id) {
+        return targets.find(id).filter(t -> !t.service().acceptsWork()).isPresent();
+    }
+
+    private void move(PlacementDirectory.Placed chat) {
+        Target from = targets.find(chat.placement().target()).orElseThrow();
+        Pool pool = bundle.get().pools().get(from.pool());
+        if (pool == null) {
+            return;
+        }
+        RouteRequest request =
+                new RouteRequest(
+                        chat.chat(),
+                        pool,
+                        chat.placement().cachedTokens(),
+                        Optional.of(chat.placement()),
+                        Set.of(),
+                        Set.of());
+        List<RouteOption> options = router.choose(request);
+        if (options.isEmpty()) {
+            return;
+        }
+        Target to = options.getFirst().target();
+        long start = ticker.nanos();
+        var export = Await.result(engines.exportCache(from, chat.chat()), CALL_TIMEOUT);
+        Await.result(engines.importCache(to, export), CALL_TIMEOUT);
+        router.models().moved(export.tokens(), Duration.ofNanos(ticker.nanos() - start));
+        boolean still =
+                placements
+                        .lookup(chat.chat())
+                        .filter(p -> p.target().equals(from.id()))
+                        .isPresent();
+        if (still) {
+            placements.report(
+                    chat.chat(),
+                    new PlacementChange(
+                            PlacementChange.Kind.MOVED,
+                            to.id(),
+                            export.tokens(),
+                            Optional.empty()));
+        }
+    }
+
+    /** Engines that do not export any more. */
+    private static final class Failures {
+        private final Set<TargetId> dead = new HashSet<>();
+        private final Map<TargetId, Integer> counts = new HashMap<>();
+
+        synchronized boolean isDead(TargetId t) {
+            return dead.contains(t);
+        }
+
+        synchronized void success(TargetId t) {
+            counts.remove(t);
+        }
+
+        synchronized void failure(TargetId t) {
+            if (counts.merge(t, 1, Integer::sum) >= MAX_FAILURES) {
+                dead.add(t);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRun.java
@@ -0,0 +1,477 @@
+package org.godwithoist.chat;
+
+import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.accounting.Usage;
+import org.godwithoist.admission.Slot;
+import org.godwithoist.admission.SlotRequest;
+import org.godwithoist.bundle.Pool;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.AwaitTimeoutException;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.membership.Target;
+import org.godwithoist.routing.Move;
+import org.godwithoist.routing.Placement;
+import org.godwithoist.routing.PlacementChange;
+import org.godwithoist.routing.RouteOption;
+import org.godwithoist.routing.RouteRequest;
+import org.godwithoist.routing.RunningRequest;
+
+/** Serves one request, attempt after attempt. Used by one task. */
+final class ChatRun {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final Duration PAUSE = Duration.ofMillis(50);
+    private static final Duration MAX_MOVE = Duration.ofSeconds(2);
+
+    /** Connections to one engine in a row that bring no new piece. */
+    private static final int MAX_IDLE_CONNECTIONS = 3;
+
+    private static final int MAX_ATTEMPTS = 8;
+
+    private final ChatContext context;
+    private final RetryBudget budget;
+    private final ChatRequest request;
+    private final Pool pool;
+    private final Answer answer;
+    private final Optional<Placement> placement;
+    private final List<Attempt> attempts = new ArrayList<>();
+    private final Set<TargetId> excluded = new HashSet<>();
+    private AttemptId nextId;
+    private boolean mayHaveRun;
+    private boolean handedOver;
+
+    /** What became of an attempt. */
+    private enum Result {
+        /** The caller has the whole answer, or is gone for good. */
+        DONE,
+        /** The attempt failed; the request goes on elsewhere. */
+        REPEAT,
+        /** The slot expired before anything was sent; that is no retry. */
+        NO_SLOT
+    }
+
+    /** A slot and how the history gets to its engine. */
+    private record Granted(Slot slot, RouteOption option) {}
+
+    ChatRun(
+            ChatContext context,
+            RetryBudget budget,
+            ChatRequest request,
+            Pool pool,
+            Answer answer,
+            Optional<Placement> placement) {
+        this.context = context;
+        this.budget = budget;
+        this.request = request;
+        this.pool = pool;
+        this.answer = answer;
+        this.placement = placement;
+        AttemptId first = AttemptId.first(request);
+        // A request id that ran before in this chat must not meet its own count at the engine.
+        nextId =
+                placement
+                        .flatMap(Placement::run)
+                        .flatMap(r -> first.sameRequest(r.attempt()))
+                        .map(a -> a.next(0))
+                        .orElse(first);
+    }
+
+    /**
+     * Serves the request to its end.
+     *
+     * @throws RequestException with the true run state if the request fails
+     */
+    void serve() {
+        Result result = Result.NO_SLOT;
+        while (result != Result.DONE) {
+            if (result == Result.REPEAT) {
+                beforeRetry();
+            }
+            result = attempt(acquire());
+        }
+    }
+
+    /** Serves the rest of an answer that an engine is generating for another daemon. */
+    void takeOver(Target engine, AttemptId running) {
+        mayHaveRun = true;
+        nextId = running.nextAfterTakeOver();
+        Attempt attempt = new Attempt(context, engine, running, Optional.empty());
+        attempt.markSent();
+        attempts.add(attempt);
+        report(PlacementChange.Kind.CLAIMED, attempt, 0);
+        if (follow(attempt) != Result.DONE) {
+            beforeRetry();
+            serve();
+        }
+    }
+
+    // ---- slot
+
+    private Granted acquire() {
+        long start = context.ticker().nanos();
+        Set<TargetId> full = new HashSet<>();
+        while (true) {
+            List<RouteOption> options = options(full);
+            refuseIfTooLate(options);
+            boolean allFull = options.stream().allMatch(o -> full.contains(o.target().id()));
+            for (int i = 0; i < options.size(); i++) {
+                RouteOption option = options.get(i);
+                Duration patience = i == 0 ? patience(options, allFull) : Duration.ZERO;
+                Optional<Slot> slot = context.admission().acquire(demand(option), patience);
+                Duration waited = Duration.ofNanos(context.ticker().nanos() - start);
+                context.router().models().waited(option.target().id(), waited);
+                if (slot.isPresent()) {
+                    return new Granted(slot.get(), option);
+                }
+                full.add(option.target().id());
+            }
+            answer.keepAlive();
+            if (answer.goneFor().compareTo(context.timings().reconnect()) >= 0) {
+                throw failure(ErrorCode.NO_CAPACITY, "the caller disconnected");
+            }
+        }
+    }
+
+    private List<RouteOption> options(Set<TargetId> full) {
+        List<RouteOption> options = choose(full);
+        while (options.isEmpty()) {
+            if (excluded.isEmpty() || request.deadline().passed()) {
+                throw failure(
+                        ErrorCode.NO_CAPACITY, "no engine of pool " + pool.id() + " is in service");
+            }
+            // Every engine failed this request once; the first to recover may try again.
+            excluded.clear();
+            answer.keepAlive();
+            Tasks.sleep(request.deadline().cap(PAUSE.multipliedBy(1L << attempts.size())));
+            options = choose(full);
+        }
+        return options;
+    }
+
+    private List<RouteOption> choose(Set<TargetId> full) {
+        return context.router()
+                .choose(
+                        new RouteRequest(
+                                request.chat(),
+                                pool,
+                                request.promptTokens(),
+                                placement,
+                                excluded,
+                                full));
+    }
+
+    private void refuseIfTooLate(List<RouteOption> options) {
+        double leftMs = request.deadline().left().toNanos() / 1e6;
+        if (options.getFirst().costMs() < leftMs) {
+            return;
+        }
+        boolean busy = options.getFirst().waitMs() > 0;
+        throw failure(
+                busy ? ErrorCode.NO_CAPACITY : ErrorCode.DEADLINE_EXCEEDED,
+                busy
+                        ? "no engine of pool " + pool.id() + " has room before the deadline"
+                        : "the answer cannot begin before the deadline");
+    }
+
+    /** Waits at the best engine as long as that is cheaper than the next one. */
+    private Duration patience(List<RouteOption> options, boolean allFull) {
+        RouteOption best = options.getFirst();
+        if (best.waitMs() == 0) {
+            return Duration.ZERO;
+        }
+        Duration slice = request.deadline().cap(context.timings().slotSlice());
+        if (allFull || options.size() == 1) {
+            return slice;
+        }
+        double worth = options.get(1).costMs() - (best.costMs() - best.waitMs());
+        Duration wait = Duration.ofNanos((long) (Math.max(0, worth) * 1e6));
+        return wait.compareTo(slice) < 0 ? wait : slice;
+    }
+
+    private SlotRequest demand(RouteOption option) {
+        return new SlotRequest(
+                request.id(),
+                request.workspace(),
+                request.priority(),
+                pool.id(),
+                option.target().id());
+    }
+
+    // ---- attempts
+
+    private Result attempt(Granted granted) {
+        Target engine = granted.option().target();
+        Attempt attempt = new Attempt(context, engine, based(nextId), Optional.of(granted.slot()));
+        nextId = nextId.next(0);
+        if (granted.option().move() == Move.IMPORT) {
+            moveCache(engine);
+        }
+        context.usage().open(attempt.id().id(), request.workspace(), engine.id());
+        if (!granted.slot().use()) {
+            attempt.notRun(Slot.Outcome.UNUSED);
+            return Result.NO_SLOT;
+        }
+        attempts.add(attempt);
+        report(PlacementChange.Kind.STARTED, attempt, 0);
+        return follow(attempt);
+    }
+
+    private AttemptId based(AttemptId id) {
+        return new AttemptId(id.prefix(), id.number(), answer.last());
+    }
+
+    private void moveCache(Target to) {
+        Target from = context.targets().find(placement.orElseThrow().target()).orElse(null);
+        if (from == null) {
+            return;
+        }
+        Duration limit = request.deadline().cap(MAX_MOVE);
+        long start = context.ticker().nanos();
+        try {
+            var export = Await.result(context.engines().exportCache(from, request.chat()), limit);
+            Await.result(context.engines().importCache(to, export), limit);
+            Duration time = Duration.ofNanos(context.ticker().nanos() - start);
+            context.router().models().moved(export.tokens(), time);
+        } catch (RuntimeException e) {
+            // The engine reads the whole prompt instead.
+            LOG.atInfo().log("no cache of %s from %s: %s", request.chat(), from.id(), e);
+        }
+    }
+
+    /** Reads the answer of an attempt, over several connections if need be. */
+    private Result follow(Attempt attempt) {
+        int idleConnections = 0;
+        boolean open = !attempt.relayed();
+        while (true) {
+            long before = attempt.order().last();
+            EngineException failure;
+            try (EngineStream stream = open ? open(attempt) : resume(attempt)) {
+                mayHaveRun = true;
+                return copy(attempt, stream);
+            } catch (EngineException e) {
+                failure = e;
+            } catch (AwaitTimeoutException e) {
+                failure =
+                        new EngineException(
+                                EngineException.Kind.LOST,
+                                attempt.engine().id() + " has been silent",
+                                e);
+            } catch (RequestException e) {
+                attempt.cancel(Slot.Outcome.CANCELLED);
+                throw e;
+            } catch (RuntimeException e) {
+                attempt.cancel(Slot.Outcome.FAILED);
+                throw e;
+            }
+            if (request.deadline().passed()) {
+                attempt.cancel(Slot.Outcome.CANCELLED);
+                throw late();
+            }
+            LOG.atInfo().log("%s: %s", attempt.id().id(), failure.getMessage());
+            if (failure.kind() == EngineException.Kind.LOST) {
+                mayHaveRun = true;
+                attempt.markSent();
+                context.engines().distrustConnections(attempt.engine());
+            }
+            boolean progress = attempt.order().last() > before;
+            idleConnections = progress ? 1 : idleConnections + 1;
+            boolean resumable = failure.kind() == EngineException.Kind.LOST;
+            if (!resumable || idleConnections >= MAX_IDLE_CONNECTIONS) {
+                return giveUp(attempt, failure);
+            }
+            open = false;
+        }
+    }
+
+    private EngineStream open(Attempt attempt) {
+        return connect(
+                context.engines()
+                        .open(attempt.engine(), attempt.id().id(), request, answer.text()));
+    }
+
+    private EngineStream resume(Attempt attempt) {
+        attempt.order().restart();
+        return connect(
+                context.engines()
+                        .resume(attempt.engine(), attempt.id().id(), attempt.order().last()));
+    }
+
+    private EngineStream connect(Uni<EngineStream> opening) {
+        CompletableFuture<EngineStream> stream = opening.subscribeAsCompletionStage();
+        try {
+            return Await.result(stream, request.deadline().cap(context.timings().stall()));
+        } catch (AwaitTimeoutException e) {
+            // Otherwise a connection that comes late would send the request a second time.
+            stream.cancel(true);
+            throw e;
+        }
+    }
+
+    private Result giveUp(Attempt attempt, EngineException failure) {
+        switch (failure.kind()) {
+            case INVALID -> {
+                attempt.notRun(Slot.Outcome.CANCELLED);
+                throw failure(ErrorCode.BAD_REQUEST, failure.getMessage()).withCause(failure);
+            }
+            case FAILED -> {
+                mayHaveRun = true;
+                attempt.markSent();
+                attempt.cancel(Slot.Outcome.FAILED);
+                excluded.add(attempt.engine().id());
+            }
+            case UNKNOWN_REQUEST -> {
+                // The request was lost on its way, or the engine restarted; it can take a new one.
+                attempt.cancel(Slot.Outcome.FAILED);
+            }
+            default -> {
+                attempt.cancel(Slot.Outcome.FAILED);
+                excluded.add(attempt.engine().id());
+            }
+        }
+        if (!answer.continuable()) {
+            throw failure(
+                    ErrorCode.TARGET_FAILED,
+                    attempt.engine().id() + " was lost and the answer cannot be continued");
+        }
+        return Result.REPEAT;
+    }
+
+    private void beforeRetry() {
+        if (attempts.size() >= MAX_ATTEMPTS) {
+            throw failure(
+                    ErrorCode.TARGET_FAILED, "the request failed at " + MAX_ATTEMPTS + " engines");
+        }
+        long end = context.ticker().nanos() + context.timings().retryPatience().toNanos();
+        while (!budget.tryRetry()) {
+            if (context.ticker().nanos() - end >= 0 || request.deadline().passed()) {
+                throw failure(
+                        ErrorCode.TARGET_FAILED,
+                        "an engine failed and the retry budget of this daemon is used up");
+            }
+            answer.keepAlive();
+            Tasks.sleep(PAUSE);
+        }
+        if (answer.goneFor().compareTo(context.timings().reconnect()) >= 0) {
+            throw failure(ErrorCode.TARGET_FAILED, "the caller disconnected");
+        }
+    }
+
+    // ---- stream
+
+    private Result copy(Attempt attempt, EngineStream stream) {
+        attempt.markSent();
+        long gapSince = context.ticker().nanos();
+        while (true) {
+            if (request.deadline().passed()) {
+                throw late();
+            }
+            if (callerIsGone(attempt)) {
+                throw failure(ErrorCode.DEADLINE_EXCEEDED, "the caller disconnected");
+            }
+            Duration limit = request.deadline().cap(context.timings().stall());
+            switch (Await.result(stream.next(), limit)) {
+                case EngineEvent.Piece p -> attempt.order().add(p);
+                case EngineEvent.KeepAlive _ -> answer.keepAlive();
+                case EngineEvent.End end -> {
+                    if (attempt.order().hasGap()) {
+                        throw gap(attempt);
+                    }
+                    finish(attempt, end);
+                    return Result.DONE;
+                }
+            }
+            Optional<EngineEvent.Piece> next = attempt.order().poll();
+            while (next.isPresent()) {
+                attempt.markPiece();
+                answer.append(next.get());
+                next = attempt.order().poll();
+            }
+            long now = context.ticker().nanos();
+            if (!attempt.order().hasGap()) {
+                gapSince = now;
+            } else if (now - gapSince > context.timings().stall().toNanos()) {
+                throw gap(attempt);
+            }
+        }
+    }
+
+    private boolean callerIsGone(Attempt attempt) {
+        if (handedOver || answer.goneFor().compareTo(context.timings().reconnect()) < 0) {
+            return false;
+        }
+        handedOver =
+                context.placements()
+                        .lookup(request.chat())
+                        .flatMap(Placement::run)
+                        .filter(r -> r.attempt().equals(attempt.id().id()))
+                        .map(r -> !r.daemon().equals(context.self()))
+                        .orElse(false);
+        return !handedOver;
+    }
+
+    private void finish(Attempt attempt, EngineEvent.End end) {
+        attempt.finished(end.usage());
+        Usage u = end.usage();
+        if (!attempt.relayed()) {
+            long uncached = Math.max(0, u.promptTokens() - u.cachedTokens());
+            context.router()
+                    .models()
+                    .answered(
+                            attempt.engine().id(),
+                            uncached,
+                            u.completionTokens(),
+                            attempt.firstToken());
+        }
+        report(PlacementChange.Kind.FINISHED, attempt, u.promptTokens() + u.completionTokens());
+        Usage total = Usage.NONE;
+        // A daemon that took the request over does not know the counts of the attempts before.
+        int unsettled = attempts.getFirst().id().base() == 0 ? 0 : 1;
+        for (Attempt a : attempts) {
+            total = total.plus(a.counted().orElse(Usage.NONE));
+            unsettled += a.counted().isPresent() ? 0 : 1;
+        }
+        answer.finish(new AnswerEnd(total, unsettled, end.finishReason()));
+    }
+
+    // ---- reports and failures
+
+    private void report(PlacementChange.Kind kind, Attempt attempt, long tokens) {
+        var run = new RunningRequest(attempt.id().id(), attempt.id().base(), context.self());
+        context.placements()
+                .report(
+                        request.chat(),
+                        new PlacementChange(kind, attempt.engine().id(), tokens, Optional.of(run)));
+    }
+
+    private static EngineException gap(Attempt attempt) {
+        return new EngineException(
+                EngineException.Kind.LOST,
+                "piece "
+                        + (attempt.order().last() + 1)
+                        + " of "
+                        + attempt.id().id()
+                        + " is missing");
+    }
+
+    private RequestException late() {
+        return failure(ErrorCode.DEADLINE_EXCEEDED, "the deadline passed before the answer ended");
+    }
+
+    private RequestException failure(ErrorCode code, String message) {
+        RunState state = mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
+        var e = new RequestException(code, state, message);
+        return code.retryable() ? e.withRetryAfter(RETRY_AFTER) : e;
+    }
+}
--- a/chat/src/main/java/org/godwithoist/chat/ChatService.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatService.java
@@ -1,197 +1,290 @@
 package org.godwithoist.chat;
 
-import com.google.common.flogger.FluentLogger;
+import io.smallrye.mutiny.Uni;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
-import org.godwithoist.accounting.Usage;
-import org.godwithoist.accounting.UsageRecorder;
-import org.godwithoist.admission.Admission;
-import org.godwithoist.admission.Slot;
-import org.godwithoist.admission.SlotRequest;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.godwithoist.bundle.Bundle;
 import org.godwithoist.bundle.Pool;
+import org.godwithoist.bundle.Workspace;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
-import org.godwithoist.core.error.RunState;
 import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.WorkspaceId;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.AwaitTimeoutException;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Deadline;
 import org.godwithoist.membership.Target;
-import org.godwithoist.membership.TargetDirectory;
-import org.godwithoist.routing.Rendezvous;
+import org.godwithoist.routing.Placement;
 
 /**
- * Serves one chat request from admission to the last token. Runs in the task of the caller's
- * connection.
+ * Serves chat requests from admission to the last token. Each request runs in the task of its
+ * caller's connection. Thread-safe.
  */
 public final class ChatService {
-    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration DRAIN_POLL = Duration.ofMillis(50);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
-    /**
-     * Engines send an event or a keepalive every 250 ms; four missed ones mean a silent connection.
-     */
-    private static final Duration STALL_TIMEOUT = Duration.ofSeconds(1);
+    /** Engines asked at once for a request whose engine is not known. */
+    private static final int ASKED_AT_ONCE = 32;
+
+    /** Engines publish their running requests with a lag, so they are asked several times. */
+    private static final int LOCATE_ROUNDS = 3;
+
+    private static final Duration LOCATE_PAUSE = Duration.ofMillis(400);
 
-    private static final Duration OPEN_TIMEOUT = Duration.ofSeconds(2);
-    private static final int MAX_ATTEMPTS = 4;
+    private final ChatContext context;
+    private final RetryBudget budget;
+    private final WorkspaceLimits limits = new WorkspaceLimits();
+    private final Map<Key, Answer> answers = new ConcurrentHashMap<>();
+    private final AtomicInteger inProgress = new AtomicInteger();
+    private volatile boolean draining;
 
-    private final Supplier<Bundle> bundle;
-    private final TargetDirectory targets;
-    private final Admission admission;
-    private final EngineClient engines;
-    private final UsageRecorder usage;
+    /** Identifies a request; ids are chosen by callers, so two workspaces may use the same. */
+    private record Key(WorkspaceId workspace, RequestId request) {}
+
+    /** An attempt that an engine knows. */
+    private record Located(Target engine, AttemptId attempt) {}
 
     /** Makes the service from the parts that it uses. */
-    public ChatService(
-            Supplier<Bundle> bundle,
-            TargetDirectory targets,
-            Admission admission,
-            EngineClient engines,
-            UsageRecorder usage) {
-        this.bundle = bundle;
-        this.targets = targets;
-        this.admission = admission;
-        this.engines = engines;
-        this.usage = usage;
+    public ChatService(ChatContext context) {
+        this.context = context;
+        budget = new RetryBudget(context.ticker());
     }
 
     /**
-     * Serves a request and sends the answer to the sink.
+     * Serves a request and sends the answer to the sink. Returns when the answer ended or the
+     * caller is gone for good.
      *
-     * @throws RequestException if the request fails; nothing is thrown once the answer ended
+     * @throws RequestException with the true run state if the request fails; nothing is thrown once
+     *     the answer ended
      */
     public void serve(ChatRequest request, AnswerSink sink) {
+        Bundle bundle = context.bundle().get();
         Pool pool =
-                bundle.get()
-                        .poolOf(request.model())
+                bundle.poolOf(request.model())
+                        .filter(p -> p.kind() == Pool.Kind.ENGINE)
                         .orElseThrow(
                                 () ->
                                         RequestException.notRun(
                                                 ErrorCode.NOT_FOUND,
                                                 "there is no model " + request.model()));
-        Answer answer = new Answer(request, sink);
-        RunState runState = RunState.NOT_RUN;
-        for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
-            Slot slot = acquire(request, pool);
-            Target engine = targets.find(slot.target()).orElseThrow();
-            RequestId attemptId = new RequestId(request.id() + "." + attempt);
-            try {
-                runAttempt(answer, slot, engine, attemptId);
-                return;
-            } catch (EngineException e) {
-                runState = e.kind().mayHaveRun() ? RunState.UNKNOWN : runState;
-                LOG.atWarning().withCause(e).log(
-                        "request %s: attempt %d at %s failed", request.id(), attempt, engine.id());
-            }
+        if (request.resumeAfter().isPresent()) {
+            resume(request, pool, sink, request.resumeAfter().get());
+            return;
         }
-        throw new RequestException(
-                ErrorCode.TARGET_FAILED,
-                runState,
-                "the request failed at " + MAX_ATTEMPTS + " engines");
-    }
-
-    private Slot acquire(ChatRequest request, Pool pool) {
-        List<Target> ranked =
-                Rendezvous.rank(
-                        request.chat().value(),
-                        targets.targets(pool.id()).stream()
-                                .filter(t -> t.service().acceptsWork())
-                                .toList(),
-                        t -> t.id().value());
-        for (Target t : ranked) {
-            var demand =
-                    new SlotRequest(
-                            request.id(),
-                            request.workspace(),
-                            request.priority(),
-                            pool.id(),
-                            t.id());
-            Optional<Slot> slot = admission.acquire(demand, Duration.ZERO);
-            if (slot.isPresent()) {
-                return slot.get();
-            }
+        if (draining) {
+            throw RequestException.notRun(ErrorCode.NOT_READY, "this daemon is shutting down")
+                    .withRetryAfter(RETRY_AFTER);
         }
-        throw RequestException.notRun(
-                        ErrorCode.NO_CAPACITY, "no engine of pool " + pool.id() + " has room")
-                .withRetryAfter(Duration.ofSeconds(1));
-    }
-
-    private void runAttempt(Answer answer, Slot slot, Target engine, RequestId attemptId) {
-        long start = System.nanoTime();
-        if (!slot.use()) {
-            throw new EngineException(
-                    EngineException.Kind.REFUSED, "the slot at " + engine.id() + " expired");
-        }
-        usage.open(attemptId, answer.request.workspace(), engine.id());
-        try (EngineStream stream =
-                Await.result(
-                        engines.open(engine, attemptId, answer.request, answer.text()),
-                        OPEN_TIMEOUT)) {
-            Usage counted = answer.copy(stream, STALL_TIMEOUT);
-            usage.close(attemptId, counted);
-            slot.release(Slot.Outcome.ANSWERED, answer.firstTokenSince(start));
-        } catch (EngineException e) {
-            slot.release(Slot.Outcome.FAILED, Duration.ZERO);
-            if (!e.kind().mayHaveRun()) {
-                usage.cancelUnsent(attemptId);
+        Workspace workspace = bundle.workspaces().get(request.workspace());
+        limits.enter(workspace);
+        try {
+            start(request, pool, sink);
+        } finally {
+            limits.leave(workspace.id());
+        }
+    }
+
+    /** Stops to accept new requests; callers who reconnect still get the rest of their answers. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Returns the requests in progress. */
+    public int inProgress() {
+        return inProgress.get();
+    }
+
+    /** Waits until no request is in progress; returns false if some still are after the time. */
+    public boolean awaitIdle(Duration patience) {
+        Deadline deadline = Deadline.after(patience, context.ticker());
+        while (inProgress.get() > 0) {
+            if (deadline.passed() || !Tasks.sleep(DRAIN_POLL)) {
+                return false;
             }
+        }
+        return true;
+    }
+
+    private void start(ChatRequest request, Pool pool, AnswerSink sink) {
+        if (request.deadline().passed()) {
+            throw RequestException.notRun(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed");
+        }
+        Answer answer = new Answer(sink, 0, 0, context.ticker());
+        if (answers.putIfAbsent(key(request), answer) != null) {
+            throw RequestException.notRun(
+                    ErrorCode.CONFLICT,
+                    "a request with this id is in progress; send Last-Event-ID to get its answer");
+        }
+        budget.accepted();
+        Optional<Placement> placement = context.placements().lookup(request.chat());
+        ChatRun run = new ChatRun(context, budget, request, pool, answer, placement);
+        own(request, answer, run::serve);
+    }
+
+    /** Runs a request that this daemon owns and keeps the answer for a caller who reconnects. */
+    private void own(ChatRequest request, Answer answer, Runnable body) {
+        inProgress.incrementAndGet();
+        try {
+            body.run();
+            keepForAWhile(request, answer);
+        } catch (RequestException e) {
+            forget(request, answer, e);
             throw e;
-        } catch (AwaitTimeoutException e) {
-            slot.release(Slot.Outcome.FAILED, Duration.ZERO);
-            engines.distrustConnections(engine);
-            throw new EngineException(
-                    EngineException.Kind.LOST, engine.id() + " has been silent", e);
+        } catch (RuntimeException e) {
+            var failure =
+                    RequestException.unknown(ErrorCode.INTERNAL, "the daemon failed").withCause(e);
+            forget(request, answer, failure);
+            throw failure;
+        } finally {
+            inProgress.decrementAndGet();
+        }
+    }
+
+    private void forget(ChatRequest request, Answer answer, RequestException failure) {
+        answers.remove(key(request), answer);
+        answer.fail(failure);
+    }
+
+    private void keepForAWhile(ChatRequest request, Answer answer) {
+        if (draining) {
+            answers.remove(key(request), answer);
+            return;
         }
+        Tasks.start(
+                "forget-" + request.id(),
+                () -> {
+                    Tasks.sleep(context.timings().reconnect());
+                    answers.remove(key(request), answer);
+                });
+    }
+
+    private static Key key(ChatRequest request) {
+        return new Key(request.workspace(), request.id());
     }
 
-    /** The part of the answer that the caller has. */
-    private static final class Answer {
-        private final ChatRequest request;
-        private final AnswerSink sink;
-        private final StringBuilder text = new StringBuilder();
-        private long firstPieceAt;
+    // ---- a caller who reconnects
 
-        Answer(ChatRequest request, AnswerSink sink) {
-            this.request = request;
-            this.sink = sink;
+    private void resume(ChatRequest request, Pool pool, AnswerSink sink, long after) {
+        Answer here = answers.get(key(request));
+        if (here != null) {
+            attach(here, request, sink, after);
+            return;
         }
+        Optional<Placement> placement = context.placements().lookup(request.chat());
+        Located found = locate(request, pool, placement).orElseThrow(() -> gone(after));
+        if (after < found.attempt().base()) {
+            throw gone(after);
+        }
+        Answer answer = new Answer(sink, found.attempt().base(), after, context.ticker());
+        Answer other = answers.putIfAbsent(key(request), answer);
+        if (other != null) {
+            attach(other, request, sink, after);
+            return;
+        }
+        ChatRun run = new ChatRun(context, budget, request, pool, answer, placement);
+        own(request, answer, () -> run.takeOver(found.engine(), found.attempt()));
+    }
 
-        String text() {
-            return text.toString();
+    private static void attach(Answer answer, ChatRequest request, AnswerSink sink, long after) {
+        try {
+            answer.attach(sink, after, request.deadline().left());
+        } catch (AwaitTimeoutException e) {
+            throw RequestException.unknown(
+                            ErrorCode.DEADLINE_EXCEEDED,
+                            "the deadline passed before the answer ended")
+                    .withRetryAfter(RETRY_AFTER)
+                    .withCause(e);
         }
+    }
+
+    private static RequestException gone(long after) {
+        return RequestException.unknown(
+                ErrorCode.NOT_FOUND, "the answer after event " + after + " is not available");
+    }
 
-        Duration firstTokenSince(long start) {
-            return firstPieceAt == 0 ? Duration.ZERO : Duration.ofNanos(firstPieceAt - start);
+    private Optional<Located> locate(
+            ChatRequest request, Pool pool, Optional<Placement> placement) {
+        AttemptId first = AttemptId.first(request);
+        Optional<Located> placed =
+                placement
+                        .flatMap(Placement::run)
+                        .flatMap(r -> first.sameRequest(r.attempt()))
+                        .flatMap(
+                                a ->
+                                        context.targets()
+                                                .find(placement.get().target())
+                                                .map(t -> new Located(t, a)));
+        if (placed.isPresent()) {
+            return placed;
+        }
+        for (int round = 0; round < LOCATE_ROUNDS && !request.deadline().passed(); round++) {
+            Optional<Located> found = askAll(request, pool, first);
+            if (found.isPresent()) {
+                return found;
+            }
+            Tasks.sleep(LOCATE_PAUSE);
         }
+        return Optional.empty();
+    }
 
-        Usage copy(EngineStream stream, Duration stallTimeout) {
-            long last = 0;
-            while (true) {
-                EngineEvent event = Await.result(stream.next(), stallTimeout);
-                switch (event) {
-                    case EngineEvent.Piece p -> {
-                        if (p.offset() > last) {
-                            last = p.offset();
-                            forward(p);
-                        }
-                    }
-                    case EngineEvent.End end -> {
-                        sink.end(end.usage());
-                        return end.usage();
-                    }
-                    case EngineEvent.KeepAlive k -> {}
-                }
+    /** Asks the engines of a pool for a request, those that the chat prefers first. */
+    private Optional<Located> askAll(ChatRequest request, Pool pool, AttemptId first) {
+        List<Target> order = new ArrayList<>(context.router().preferred(pool.id(), request.chat()));
+        for (Target t : context.targets().targets(pool.id())) {
+            if (!order.contains(t)) {
+                order.add(t);
+            }
+        }
+        for (int from = 0; from < order.size(); from += ASKED_AT_ONCE) {
+            List<Target> batch = order.subList(from, Math.min(order.size(), from + ASKED_AT_ONCE));
+            Optional<Located> found = askBatch(batch, first);
+            if (found.isPresent()) {
+                return found;
             }
         }
+        return Optional.empty();
+    }
 
-        private void forward(EngineEvent.Piece piece) {
-            if (firstPieceAt == 0) {
-                firstPieceAt = System.nanoTime();
+    private Optional<Located> askBatch(List<Target> batch, AttemptId first) {
+        var known = batch.stream().map(t -> ask(context.engines().knows(t, first.id()))).toList();
+        var running = batch.stream().map(t -> ask(context.engines().running(t))).toList();
+        Optional<Located> best = Optional.empty();
+        for (int i = 0; i < batch.size(); i++) {
+            Target t = batch.get(i);
+            List<AttemptId> attempts = new ArrayList<>();
+            answered(running.get(i))
+                    .orElse(List.of())
+                    .forEach(id -> first.sameRequest(id).ifPresent(attempts::add));
+            if (answered(known.get(i)).orElse(false)) {
+                attempts.add(first);
+            }
+            for (AttemptId a : attempts) {
+                if (best.isEmpty() || a.number() > best.get().attempt().number()) {
+                    best = Optional.of(new Located(t, a));
+                }
             }
-            text.append(piece.text());
-            sink.piece(piece);
+        }
+        return best;
+    }
+
+    private static <T> CompletableFuture<T> ask(Uni<T> question) {
+        return question.subscribeAsCompletionStage();
+    }
+
+    /** Returns an engine's answer; an engine that fails or is late does not know the request. */
+    private <T> Optional<T> answered(CompletableFuture<T> answer) {
+        try {
+            return Optional.ofNullable(Await.result(answer, context.timings().engineCall()));
+        } catch (RuntimeException e) {
+            return Optional.empty();
         }
     }
 }
--- a/chat/src/main/java/org/godwithoist/chat/EngineClient.java
+++ b/chat/src/main/java/org/godwithoist/chat/EngineClient.java
@@ -1,8 +1,10 @@
 package org.godwithoist.chat;
 
 import io.smallrye.mutiny.Uni;
+import java.util.List;
 import java.util.Optional;
 import org.godwithoist.accounting.Usage;
+import org.godwithoist.core.id.ChatId;
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.membership.Target;
 
@@ -31,4 +33,37 @@
      * others may be dead too.
      */
     void distrustConnections(Target engine);
+
+    /** Returns whether the engine knows a request, running or finished. */
+    Uni<Boolean> knows(Target engine, RequestId attempt);
+
+    /** Returns the requests that run at an engine. The list lags by some hundred milliseconds. */
+    Uni<List<RequestId>> running(Target engine);
+
+    /** Exports the cache of a chat. */
+    Uni<CacheExport> exportCache(Target engine, ChatId chat);
+
+    /** Imports an exported cache. */
+    Uni<Void> importCache(Target engine, CacheExport export);
+
+    /** Returns the cache events after a sequence number; they come late and with gaps. */
+    Uni<List<CacheEvent>> cacheEvents(Target engine, long afterSequence);
+
+    /**
+     * An exported cache.
+     *
+     * @param object name of the exported object
+     * @param tokens tokens in it
+     */
+    record CacheExport(String object, long tokens) {}
+
+    /**
+     * A change of an engine's prompt cache.
+     *
+     * @param sequence position in the engine's list of events
+     * @param stored true if the chat was stored, false if it was evicted
+     * @param chat chat concerned
+     * @param tokens tokens concerned
+     */
+    record CacheEvent(long sequence, boolean stored, ChatId chat, long tokens) {}
 }
--- a/chat/src/main/java/org/godwithoist/chat/EngineException.java
+++ b/chat/src/main/java/org/godwithoist/chat/EngineException.java
@@ -8,6 +8,10 @@
     public enum Kind {
         /** The engine refused the request, which therefore did not run. */
         REFUSED(false),
+        /** The engine rejected the content of the request, so that a repeat is useless. */
+        INVALID(false),
+        /** The engine failed while it had the request. */
+        FAILED(true),
         /** No connection could be made, so nothing was sent. */
         UNREACHABLE(false),
         /** The connection was lost or silent; the engine may go on. */
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/WorkspaceLimits.java
@@ -0,0 +1,38 @@
+package org.godwithoist.chat;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.godwithoist.bundle.Workspace;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.id.WorkspaceId;
+
+/** Counts the requests in progress of each workspace at this daemon. Thread-safe. */
+final class WorkspaceLimits {
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final Map<WorkspaceId, Integer> inProgress = new ConcurrentHashMap<>();
+
+    /**
+     * Counts a request.
+     *
+     * @throws RequestException {@link ErrorCode#OVER_LIMIT} if the workspace is at its limit
+     */
+    void enter(Workspace workspace) {
+        int now = inProgress.merge(workspace.id(), 1, Integer::sum);
+        if (now > workspace.maxConcurrent()) {
+            leave(workspace.id());
+            throw RequestException.notRun(
+                            ErrorCode.OVER_LIMIT,
+                            "the workspace has "
+                                    + workspace.maxConcurrent()
+                                    + " requests in progress, which is its limit")
+                    .withRetryAfter(RETRY_AFTER);
+        }
+    }
+
+    void leave(WorkspaceId workspace) {
+        inProgress.computeIfPresent(workspace, (_, n) -> n == 1 ? null : n - 1);
+    }
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/http/CallerServer.java
@@ -0,0 +1,129 @@
+package org.godwithoist.chat.http;
+
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+
+/**
+ * The HTTP server for callers with its limits on headers, connections and quiet connections. Keeps
+ * callers that send nothing, or one byte at a time, from holding memory.
+ */
+public final class CallerServer {
+    /** Longest request head, in bytes. */
+    public static final int MAX_HEADER_BYTES = 16 << 10;
+
+    private static final int MAX_LINE_BYTES = 8 << 10;
+    private static final int MAX_CONNECTIONS = 20_000;
+    private static final Duration CHECK_INTERVAL = Duration.ofSeconds(1);
+
+    private final Vertx vertx;
+    private final Duration receiveTimeout;
+    private final Duration idleTimeout;
+    private final Map<HttpConnection, Activity> connections = new ConcurrentHashMap<>();
+
+    /** What a connection does. Used on its event loop only. */
+    private static final class Activity {
+        private long quietSince = System.nanoTime();
+        private HttpServerResponse response;
+    }
+
+    /** Makes the limits: 10 s to receive a request head, 60 s between requests. */
+    public CallerServer(Vertx vertx) {
+        this(vertx, Duration.ofSeconds(10), Duration.ofSeconds(60));
+    }
+
+    /** Makes the limits with other times. */
+    CallerServer(Vertx vertx, Duration receiveTimeout, Duration idleTimeout) {
+        this.vertx = vertx;
+        this.receiveTimeout = receiveTimeout;
+        this.idleTimeout = idleTimeout;
+    }
+
+    /** Makes a server that passes requests to the handler; the caller lets it listen. */
+    public HttpServer create(Handler<HttpServerRequest> handler) {
+        var options =
+                new HttpServerOptions()
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setMaxInitialLineLength(MAX_LINE_BYTES)
+                        .setHttp2ClearTextEnabled(false)
+                        .setHandle100ContinueAutomatically(true)
+                        .setTcpNoDelay(true);
+        return vertx.createHttpServer(options)
+                .connectionHandler(this::connected)
+                .invalidRequestHandler(CallerServer::rejectInvalid)
+                .requestHandler(
+                        request -> {
+                            track(request);
+                            handler.handle(request);
+                        });
+    }
+
+    private void connected(HttpConnection connection) {
+        if (connections.size() >= MAX_CONNECTIONS) {
+            connection.close();
+            return;
+        }
+        Activity activity = new Activity();
+        connections.put(connection, activity);
+        long timer =
+                vertx.setPeriodic(
+                        CHECK_INTERVAL.toMillis(),
+                        t -> {
+                            if (isOverdue(activity)) {
+                                connection.close();
+                            }
+                        });
+        connection.closeHandler(
+                v -> {
+                    vertx.cancelTimer(timer);
+                    connections.remove(connection);
+                });
+    }
+
+    private boolean isOverdue(Activity activity) {
+        boolean used = activity.response != null;
+        if (used && !activity.response.ended()) {
+            activity.quietSince = System.nanoTime();
+            return false;
+        }
+        Duration limit = used ? idleTimeout : receiveTimeout;
+        return System.nanoTime() - activity.quietSince > limit.toNanos();
+    }
+
+    private void track(HttpServerRequest request) {
+        Activity activity = connections.get(request.connection());
+        if (activity != null) {
+            activity.response = request.response();
+            activity.quietSince = System.nanoTime();
+        }
+    }
+
+    private static void rejectInvalid(HttpServerRequest request) {
+        Throwable cause = request.decoderResult().cause();
+        boolean tooLong =
+                cause instanceof TooLongHttpHeaderException
+                        || cause instanceof TooLongHttpLineException;
+        RequestException e =
+                tooLong
+                        ? RequestException.notRun(
+                                ErrorCode.HEADERS_TOO_LARGE,
+                                "the request head exceeds " + MAX_HEADER_BYTES + " bytes")
+                        : RequestException.notRun(
+                                ErrorCode.BAD_REQUEST, "the request is not valid HTTP");
+        request.response().putHeader("Connection", "close");
+        ErrorBody.send(request.response(), UUID.randomUUID().toString(), e);
+        request.response().endHandler(v -> request.connection().close());
+    }
+}
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/http/CallerSink.java
@@ -0,0 +1,83 @@
+package org.godwithoist.chat.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.time.Instant;
+import org.godwithoist.chat.AnswerEnd;
+import org.godwithoist.chat.AnswerSink;
+import org.godwithoist.chat.ChatRequest;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.core.task.Await;
+
+/** What the two encodings of an answer have in common: the connection and the fixed fields. */
+abstract class CallerSink implements AnswerSink {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** A caller that takes nothing for this time counts as gone. */
+    private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(10);
+
+    private final HttpServerResponse response;
+    private final ChatRequest request;
+    private final long created = Instant.now().getEpochSecond();
+    private volatile boolean abandoned;
+
+    CallerSink(HttpServerResponse response, ChatRequest request) {
+        this.response = response;
+        this.request = request;
+    }
+
+    @Override
+    public void abandon() {
+        abandoned = true;
+        response.reset();
+    }
+
+    HttpServerResponse response() {
+        return response;
+    }
+
+    String requestId() {
+        return request.id().value();
+    }
+
+    boolean present() {
+        return !abandoned && !response.closed();
+    }
+
+    /** Sends a text and waits until the connection has taken it; false if the caller is gone. */
+    boolean write(String text) {
+        if (!present()) {
+            return false;
+        }
+        try {
+            Await.result(response.write(text), WRITE_TIMEOUT);
+            return true;
+        } catch (RuntimeException e) {
+            LOG.atFine().withCause(e).log("caller of %s is gone", request.id());
+            abandon();
+            return false;
+        }
+    }
+
+    /** Puts the fields that every chunk and every whole answer carry. */
+    JsonObject withFixedFields(JsonObject o, String object) {
+        return o.put("id", "chatcmpl-" + request.id())
+                .put("object", object)
+                .put("created", created)
+                .put("model", request.model().value());
+    }
+
+    static JsonObject usage(AnswerEnd end) {
+        JsonObject usage = ChatJson.usage(end.usage());
+        if (end.unsettledAttempts() > 0) {
+            usage.put("unsettled_attempts", end.unsettledAttempts());
+        }
+        return usage;
+    }
+
+    static String ran() {
+        return RunState.RAN.wireName();
+    }
+}
--- a/chat/src/main/java/org/godwithoist/chat/http/ChatFront.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/ChatFront.java
@@ -1,47 +1,43 @@
 package org.godwithoist.chat.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
-import java.util.HexFormat;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.function.Supplier;
-import org.godwithoist.accounting.Usage;
 import org.godwithoist.bundle.Bundle;
 import org.godwithoist.bundle.Workspace;
-import org.godwithoist.chat.AnswerSink;
-import org.godwithoist.chat.ChatRequest;
 import org.godwithoist.chat.ChatService;
-import org.godwithoist.chat.EngineEvent;
-import org.godwithoist.core.Priority;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
-import org.godwithoist.core.error.RunState;
-import org.godwithoist.core.id.ChatId;
-import org.godwithoist.core.id.ModelId;
 import org.godwithoist.core.id.RequestId;
-import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
-import org.godwithoist.core.time.Deadline;
-import org.godwithoist.core.time.Ticker;
 
-/** The OpenAI-style front for callers. */
+/** The OpenAI-style front for callers. It only decodes and encodes. */
 public final class ChatFront {
-    private static final long MAX_BODY_BYTES = 4L << 20;
-    private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(10);
-    private static final String BEARER = "Bearer ";
-    private static final int BYTES_PER_TOKEN = 4;
+    /** Longest body of a request, in bytes. */
+    public static final long MAX_BODY_BYTES = 4L << 20;
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration RECEIVE_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final String REQUEST_ID = "requestId";
+    private static final String RECEIVE_TIMER = "receiveTimer";
+    private static final String WORKSPACE = "workspace";
+    private static final int TOO_LARGE = 413;
 
     private final Supplier<Optional<Bundle>> bundle;
     private final ChatService service;
+    private final Duration receiveTimeout;
+    private final RequestReader reader = new RequestReader();
+    private final long created = Instant.now().getEpochSecond();
 
     /**
      * Makes the front.
@@ -49,230 +45,175 @@
      * @param bundle bundle in force; empty while the daemon has none
      */
     public ChatFront(Supplier<Optional<Bundle>> bundle, ChatService service) {
+        this(bundle, service, RECEIVE_TIMEOUT);
+    }
+
+    /** Makes the front with another time in which a request must be received. */
+    ChatFront(Supplier<Optional<Bundle>> bundle, ChatService service, Duration receiveTimeout) {
         this.bundle = bundle;
         this.service = service;
+        this.receiveTimeout = receiveTimeout;
     }
 
     /** Adds the routes to a router. */
     public void mount(Router router) {
         router.post("/v1/chat/completions")
+                .handler(this::receive)
                 .handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES))
-                .handler(c -> Tasks.start("caller-" + c.request().remoteAddress(), () -> serve(c)));
-        router.get("/v1/models").handler(this::listModels);
+                .handler(this::received)
+                .failureHandler(this::failed);
+        router.get("/v1/models").handler(this::listModels).failureHandler(this::failed);
+        router.get("/v1/models/:model").handler(this::showModel).failureHandler(this::failed);
+        router.route("/v1/*").last().handler(this::noSuchPath).failureHandler(this::failed);
     }
 
-    private void serve(RoutingContext c) {
-        String requestId =
-                Optional.ofNullable(c.request().getHeader("X-Request-Id"))
-                        .orElseGet(() -> UUID.randomUUID().toString());
-        try {
-            JsonObject body = body(c);
-            ChatRequest request = request(c, new RequestId(requestId), body);
-            boolean stream = body.getBoolean("stream", false);
-            AnswerSink sink =
-                    stream
-                            ? new StreamSink(c.response(), request)
-                            : new WholeSink(c.response(), request);
-            service.serve(request, sink);
-        } catch (RequestException e) {
-            fail(c, requestId, e);
-        } catch (IllegalArgumentException e) {
-            fail(c, requestId, RequestException.notRun(ErrorCode.BAD_REQUEST, e.getMessage()));
-        }
+    // ---- chat completions
+
+    /** Checks what the headers tell before the body takes memory. */
+    private void receive(RoutingContext c) {
+        RequestId id =
+                RequestReader.requestId(c.request().headers())
+                        .orElseGet(() -> new RequestId(UUID.randomUUID().toString()));
+        c.put(REQUEST_ID, id.value());
+        c.put(WORKSPACE, reader.authenticate(c.request().headers(), currentBundle()));
+        long timer =
+                c.vertx().setTimer(receiveTimeout.toMillis(), t -> c.fail(receivedTooSlowly()));
+        c.put(RECEIVE_TIMER, timer);
+        c.addEndHandler(v -> c.vertx().cancelTimer(timer));
+        c.next();
     }
 
-    // ---- reading
-
-    private ChatRequest request(RoutingContext c, RequestId id, JsonObject body) {
-        Bundle b = currentBundle();
-        Workspace workspace = authenticate(c, b);
-        Priority asked =
-                Optional.ofNullable(c.request().getHeader("X-Priority"))
-                        .flatMap(Priority::fromWireName)
-                        .orElse(Priority.INTERACTIVE);
-        Priority priority =
-                asked.precedes(workspace.maxPriority()) ? workspace.maxPriority() : asked;
-        String text = body.encode();
-        return new ChatRequest(
-                id,
-                workspace.id(),
-                chatId(c, workspace, body),
-                new ModelId(body.getString("model", "")),
-                priority,
-                Deadline.after(b.serviceLevels().get(priority).deadline(), Ticker.SYSTEM),
-                text.length() / BYTES_PER_TOKEN,
-                text,
-                Optional.empty());
+    private RequestException receivedTooSlowly() {
+        return RequestException.notRun(
+                ErrorCode.REQUEST_TIMEOUT,
+                "the request was not received within " + receiveTimeout.toMillis() + " ms");
     }
 
-    private Bundle currentBundle() {
-        return bundle.get()
-                .orElseThrow(
-                        () ->
-                                RequestException.notRun(
-                                        ErrorCode.NOT_READY, "this daemon has no bundle yet"));
+    private void received(RoutingContext c) {
+        c.vertx().cancelTimer(c.<Long>get(RECEIVE_TIMER));
+        Tasks.start("caller-" + c.request().remoteAddress(), () -> serve(c));
     }
 
-    private static Workspace authenticate(RoutingContext c, Bundle b) {
-        String header = c.request().getHeader("Authorization");
-        if (header == null || !header.startsWith(BEARER)) {
-            throw RequestException.notRun(
-                    ErrorCode.UNAUTHENTICATED, "the Authorization header has no bearer key");
-        }
-        return b.workspaceByKeyHash(sha256(header.substring(BEARER.length())))
-                .orElseThrow(
-                        () ->
-                                RequestException.notRun(
-                                        ErrorCode.UNAUTHENTICATED, "the key is not known"));
-    }
-
-    private static JsonObject body(RoutingContext c) {
+    private void serve(RoutingContext c) {
+        RequestId id = new RequestId(c.get(REQUEST_ID));
+        StreamSink stream = null;
         try {
-            JsonObject body = c.body().asJsonObject();
-            if (body != null && body.getValue("messages") instanceof JsonArray) {
-                return body;
+            Workspace workspace = c.get(WORKSPACE);
+            RequestReader.Decoded decoded =
+                    reader.read(
+                            id,
+                            c.request().headers(),
+                            c.body().buffer(),
+                            workspace,
+                            currentBundle());
+            if (decoded.stream()) {
+                stream = new StreamSink(c.response(), decoded.request(), decoded.includeUsage());
+                service.serve(decoded.request(), stream);
+            } else {
+                service.serve(decoded.request(), new WholeSink(c.response(), decoded.request()));
             }
+        } catch (RequestException e) {
+            answerFailure(c, stream, e);
         } catch (RuntimeException e) {
-            throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body is not JSON")
-                    .withCause(e);
+            LOG.atSevere().withCause(e).log("request %s failed inside the daemon", id);
+            RequestException failure =
+                    RequestException.unknown(ErrorCode.INTERNAL, "the daemon failed");
+            answerFailure(c, stream, failure.withCause(e));
         }
-        throw RequestException.notRun(ErrorCode.BAD_REQUEST, "the body has no list of messages");
     }
 
-    private static ChatId chatId(RoutingContext c, Workspace workspace, JsonObject body) {
-        String given = c.request().getHeader("X-Chat-Id");
-        if (given != null) {
-            return new ChatId(given);
+    private static void answerFailure(RoutingContext c, StreamSink stream, RequestException e) {
+        HttpServerResponse response = c.response();
+        if (response.closed() || response.ended()) {
+            return;
+        }
+        if (!response.headWritten()) {
+            ErrorBody.send(response, c.get(REQUEST_ID), e);
+        } else if (stream != null) {
+            stream.fail(e);
         }
-        JsonArray messages = body.getJsonArray("messages");
-        String first = messages.isEmpty() ? "" : messages.getValue(0).toString();
-        return new ChatId(sha256(workspace.id() + first));
     }
 
-    private static String sha256(String text) {
-        try {
-            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
-        } catch (NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every JDK has SHA-256", e);
-        }
+    private Bundle currentBundle() {
+        return bundle.get()
+                .orElseThrow(
+                        () ->
+                                RequestException.notRun(
+                                                ErrorCode.NOT_READY,
+                                                "this daemon has no bundle yet")
+                                        .withRetryAfter(RETRY_AFTER));
     }
 
-    // ---- answering
+    // ---- models
 
     private void listModels(RoutingContext c) {
+        authenticateIfGiven(c);
         JsonArray list = new JsonArray();
         bundle.get()
                 .ifPresent(
                         b ->
                                 b.models().keySet().stream()
                                         .sorted()
-                                        .forEach(
-                                                m ->
-                                                        list.add(
-                                                                new JsonObject()
-                                                                        .put("id", m.value())
-                                                                        .put("object", "model"))));
+                                        .forEach(m -> list.add(model(m.value()))));
         c.json(new JsonObject().put("object", "list").put("data", list));
     }
 
-    private static void fail(RoutingContext c, String requestId, RequestException e) {
-        HttpServerResponse response = c.response();
-        if (response.headWritten()) {
-            // The caller sees a stream without its end mark and knows that the answer is not whole.
-            response.reset();
-            return;
+    private void showModel(RoutingContext c) {
+        authenticateIfGiven(c);
+        String name = c.pathParam("model");
+        boolean known =
+                currentBundle().models().keySet().stream().anyMatch(m -> m.value().equals(name));
+        if (!known) {
+            throw RequestException.notRun(ErrorCode.NOT_FOUND, "there is no model " + name);
         }
-        JsonObject error =
-                new JsonObject()
-                        .put("code", e.code().wireName())
-                        .put("message", e.getMessage())
-                        .put("request_id", requestId)
-                        .put("run_state", e.runState().wireName());
-        e.retryAfter()
-                .ifPresent(t -> response.putHeader("Retry-After", Long.toString(t.toSeconds())));
-        response.setStatusCode(e.code().httpStatus())
-                .putHeader("X-Request-Id", requestId)
-                .putHeader("X-Run-State", e.runState().wireName())
-                .putHeader("Content-Type", "application/json")
-                .end(new JsonObject().put("error", error).encode());
+        c.json(model(name));
     }
 
-    /** Streams an answer as server-sent events. */
-    private static final class StreamSink implements AnswerSink {
-        private final HttpServerResponse response;
-        private final ChatRequest request;
-
-        StreamSink(HttpServerResponse response, ChatRequest request) {
-            this.response = response;
-            this.request = request;
+    /** The list names no secrets, so it needs no key; a wrong key is still an error. */
+    private void authenticateIfGiven(RoutingContext c) {
+        if (c.request().getHeader("Authorization") != null) {
+            reader.authenticate(c.request().headers(), currentBundle());
         }
+    }
 
-        @Override
-        public boolean piece(EngineEvent.Piece piece) {
-            start();
-            if (response.closed()) {
-                return false;
-            }
-            String event = "id: " + piece.offset() + "\ndata: " + piece.data() + "\n\n";
-            Await.result(response.write(event), WRITE_TIMEOUT);
-            return true;
-        }
+    private JsonObject model(String name) {
+        return new JsonObject()
+                .put("id", name)
+                .put("object", "model")
+                .put("created", created)
+                .put("owned_by", "godwithoist");
+    }
 
-        @Override
-        public void end(Usage usage) {
-            start();
-            response.end("data: [DONE]\n\n");
-        }
+    // ---- failures before the request is served
 
-        private void start() {
-            if (response.headWritten()) {
-                return;
-            }
-            response.setChunked(true)
-                    .putHeader("Content-Type", "text/event-stream")
-                    .putHeader("X-Request-Id", request.id().value());
-        }
+    private void noSuchPath(RoutingContext c) {
+        c.fail(RequestException.notRun(ErrorCode.NOT_FOUND, "there is no such path"));
     }
 
-    /** Collects an answer and sends it as one JSON document. */
-    private static final class WholeSink implements AnswerSink {
-        private final HttpServerResponse response;
-        private final ChatRequest request;
-        private final StringBuilder text = new StringBuilder();
-
-        WholeSink(HttpServerResponse response, ChatRequest request) {
-            this.response = response;
-            this.request = request;
+    private void failed(RoutingContext c) {
+        if (c.response().ended() || c.response().headWritten()) {
+            return;
         }
-
-        @Override
-        public boolean piece(EngineEvent.Piece piece) {
-            text.append(piece.text());
-            return !response.closed();
+        RequestException e;
+        if (c.failure() instanceof RequestException known) {
+            e = known;
+        } else if (c.statusCode() == TOO_LARGE) {
+            e =
+                    RequestException.notRun(
+                            ErrorCode.BODY_TOO_LARGE,
+                            "the body exceeds " + MAX_BODY_BYTES + " bytes");
+        } else {
+            LOG.atInfo().withCause(c.failure()).log("request failed before it was read");
+            e = RequestException.notRun(ErrorCode.BAD_REQUEST, "the request cannot be read");
         }
-
-        @Override
-        public void end(Usage usage) {
-            JsonObject message =
-                    new JsonObject().put("role", "assistant").put("content", text.toString());
-            JsonObject choice =
-                    new JsonObject()
-                            .put("index", 0)
-                            .put("message", message)
-                            .put("finish_reason", "stop");
-            JsonObject answer =
-                    new JsonObject()
-                            .put("id", request.id().value())
-                            .put("object", "chat.completion")
-                            .put("model", request.model().value())
-                            .put("choices", new JsonArray().add(choice))
-                            .put("usage", ChatJson.usage(usage))
-                            .put("run_state", RunState.RAN.wireName());
-            response.putHeader("Content-Type", "application/json")
-                    .putHeader("X-Request-Id", request.id().value())
-                    .putHeader("X-Run-State", RunState.RAN.wireName())
-                    .end(answer.encode());
+        String id =
+                Optional.<String>ofNullable(c.get(REQUEST_ID)).orElse(UUID.randomUUID().toString());
+        // The rest of the request is not read, so the connection cannot be used again.
+        boolean rest = !c.request().isEnded();
+        if (rest) {
+            c.response().putHeader("Connection", "close");
+            c.addEndHandler(v -> c.request().connection().close());
         }
+        ErrorBody.send(c.response(), id, e);
     }
 }
--- a/chat/src/main/java/org/godwithoist/chat/http/ChatJson.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/ChatJson.java
@@ -2,10 +2,19 @@
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import org.godwithoist.accounting.Usage;
+import org.godwithoist.chat.EngineClient;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.RequestId;
 
 /** Fields of the chat protocol that both the front and the engine adapter read. */
 final class ChatJson {
+    /** Fields of a delta that another engine can continue from the text alone. */
+    private static final Set<String> TEXT_FIELDS = Set.of("role", "content");
+
     private ChatJson() {}
 
     /** Reads the usage of one request. */
@@ -31,11 +40,55 @@
 
     /** Returns the text of a chunk; empty if it has none. */
     static String deltaText(JsonObject chunk) {
+        return delta(chunk).map(d -> d.getString("content")).orElse("");
+    }
+
+    /** Returns whether a chunk adds nothing but text. */
+    static boolean isPlainText(JsonObject chunk) {
+        return delta(chunk).map(d -> TEXT_FIELDS.containsAll(d.fieldNames())).orElse(true);
+    }
+
+    /** Returns why the engine stopped, if the chunk tells. */
+    static Optional<String> finishReason(JsonObject chunk) {
+        return choice(chunk).map(c -> c.getString("finish_reason"));
+    }
+
+    /** Returns what a chunk adds to the answer. */
+    static Optional<JsonObject> delta(JsonObject chunk) {
+        return choice(chunk).map(c -> c.getJsonObject("delta"));
+    }
+
+    /** Returns the only choice of a chunk; chunks that carry usage have none. */
+    static Optional<JsonObject> choice(JsonObject chunk) {
         JsonArray choices = chunk.getJsonArray("choices");
-        if (choices == null || choices.isEmpty()) {
-            return "";
-        }
-        JsonObject delta = choices.getJsonObject(0).getJsonObject("delta");
-        return delta == null ? "" : delta.getString("content", "");
+        return choices == null || choices.isEmpty()
+                ? Optional.empty()
+                : Optional.of(choices.getJsonObject(0));
+    }
+
+    /** Reads the running requests of a load report. */
+    static List<RequestId> runningRequests(JsonObject load) {
+        return load.getJsonArray("running_requests", new JsonArray()).stream()
+                .map(id -> new RequestId(id.toString()))
+                .toList();
+    }
+
+    /** Reads the answer to a KV export. */
+    static EngineClient.CacheExport cacheExport(JsonObject o) {
+        return new EngineClient.CacheExport(o.getString("object"), o.getLong("tokens", 0L));
+    }
+
+    /** Reads cache events. */
+    static List<EngineClient.CacheEvent> cacheEvents(JsonObject o) {
+        return o.getJsonArray("events", new JsonArray()).stream()
+                .map(JsonObject.class::cast)
+                .map(
+                        e ->
+                                new EngineClient.CacheEvent(
+                                        e.getLong("seq"),
+                                        "stored".equals(e.getString("kind")),
+                                        new ChatId(e.getString("chat")),
+                                        e.getLong("tokens", 0L)))
+                .toList();
     }
 }
--- a/chat/src/main/java/org/godwithoist/chat/http/HttpEngineClient.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/HttpEngineClient.java
@@ -1,6 +1,8 @@
 package org.godwithoist.chat.http;
 
 import io.smallrye.mutiny.Uni;
+import io.smallrye.mutiny.subscription.UniEmitter;
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -12,14 +14,18 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import org.godwithoist.accounting.Usage;
 import org.godwithoist.chat.ChatRequest;
 import org.godwithoist.chat.EngineClient;
 import org.godwithoist.chat.EngineException;
 import org.godwithoist.chat.EngineStream;
+import org.godwithoist.core.id.ChatId;
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.membership.Target;
@@ -28,7 +34,16 @@
 public final class HttpEngineClient implements EngineClient {
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int UNAVAILABLE = 503;
+    private static final int SERVER_ERROR = 500;
+
+    /** Status codes that blame the content of the request. */
+    private static final Set<Integer> INVALID_STATUS = Set.of(400, 413, 422);
+
+    /** Shorter than the time after which a request counts as lost, because nothing was sent yet. */
+    private static final int CONNECT_TIMEOUT_MS = 900;
+
+    private static final int CALL_TIMEOUT_MS = 2_000;
     private static final int MAX_CONNECTIONS = 256;
 
     private final Vertx vertx;
@@ -56,24 +71,53 @@
                         .putHeader(
                                 "X-Deadline-Ms",
                                 Long.toString(request.deadline().left().toMillis()));
-        return stream(engine, options, body.toBuffer());
+        return stream(engine, attempt, options, body.toBuffer());
     }
 
     @Override
     public Uni<EngineStream> resume(Target engine, RequestId attempt, long afterOffset) {
         String path = path(attempt) + "/stream?from=" + afterOffset;
-        return stream(engine, options(engine, HttpMethod.GET, path), Buffer.buffer());
+        return stream(engine, attempt, options(engine, HttpMethod.GET, path), Buffer.buffer());
     }
 
     @Override
     public Uni<Optional<Usage>> cancel(Target engine, RequestId attempt) {
-        var options = options(engine, HttpMethod.DELETE, path(attempt));
-        return uni(
-                client(engine)
-                        .request(options)
-                        .compose(HttpClientRequest::send)
-                        .compose(r -> r.body().map(b -> cancelled(r, b)))
-                        .recover(e -> Future.failedFuture(unreachable(engine, e))));
+        return call(engine, HttpMethod.DELETE, path(attempt), Optional.empty())
+                .map(a -> found(engine, a).map(o -> o.getJsonObject("usage")).map(ChatJson::usage));
+    }
+
+    @Override
+    public Uni<Boolean> knows(Target engine, RequestId attempt) {
+        return call(engine, HttpMethod.GET, path(attempt), Optional.empty())
+                .map(a -> found(engine, a).isPresent());
+    }
+
+    @Override
+    public Uni<List<RequestId>> running(Target engine) {
+        return call(engine, HttpMethod.GET, "/v1/load", Optional.empty())
+                .map(a -> found(engine, a).map(ChatJson::runningRequests).orElse(List.of()));
+    }
+
+    @Override
+    public Uni<CacheExport> exportCache(Target engine, ChatId chat) {
+        JsonObject body = new JsonObject().put("chat", chat.value());
+        return call(engine, HttpMethod.POST, "/v1/kv/export", Optional.of(body))
+                .map(a -> ChatJson.cacheExport(required(engine, a)));
+    }
+
+    @Override
+    public Uni<Void> importCache(Target engine, CacheExport export) {
+        JsonObject body = new JsonObject().put("object", export.object());
+        return call(engine, HttpMethod.POST, "/v1/kv/import", Optional.of(body))
+                .map(a -> required(engine, a))
+                .replaceWithVoid();
+    }
+
+    @Override
+    public Uni<List<CacheEvent>> cacheEvents(Target engine, long afterSequence) {
+        String uri = "/v1/cache/events?after=" + afterSequence;
+        return call(engine, HttpMethod.GET, uri, Optional.empty())
+                .map(a -> ChatJson.cacheEvents(required(engine, a)));
     }
 
     @Override
@@ -85,38 +129,144 @@
         }
     }
 
-    private static Optional<Usage> cancelled(HttpClientResponse r, Buffer body) {
-        if (r.statusCode() != OK) {
-            return Optional.empty();
+    /** Closes the connections to engines that no longer exist. */
+    public void retain(Predicate<TargetId> known) {
+        for (TargetId id : List.copyOf(clients.keySet())) {
+            if (!known.test(id)) {
+                Optional.ofNullable(clients.remove(id)).ifPresent(HttpClient::shutdown);
+            }
+        }
+    }
+
+    // ---- short calls
+
+    private record Answer(int status, Buffer body) {}
+
+    private Uni<Answer> call(
+            Target engine, HttpMethod method, String uri, Optional<JsonObject> body) {
+        var options = options(engine, method, uri).setTimeout(CALL_TIMEOUT_MS);
+        body.ifPresent(b -> options.putHeader("Content-Type", "application/json"));
+        Buffer content = body.map(JsonObject::toBuffer).orElse(Buffer.buffer());
+        return Uni.createFrom()
+                .completionStage(
+                        () ->
+                                client(engine)
+                                        .request(options)
+                                        .compose(r -> r.send(content))
+                                        .compose(r -> r.body().map(b -> answer(r, b)))
+                                        .recover(e -> Future.failedFuture(unreachable(engine, e)))
+                                        .toCompletionStage());
+    }
+
+    private static Answer answer(HttpClientResponse response, Buffer body) {
+        return new Answer(response.statusCode(), body);
+    }
+
+    private static Optional<JsonObject> found(Target engine, Answer answer) {
+        return answer.status() == NOT_FOUND
+                ? Optional.empty()
+                : Optional.of(required(engine, answer));
+    }
+
+    private static JsonObject required(Target engine, Answer answer) {
+        if (answer.status() != OK) {
+            throw new EngineException(
+                    EngineException.Kind.REFUSED,
+                    engine.id() + " answered with status " + answer.status());
         }
-        JsonObject usage = body.toJsonObject().getJsonObject("usage");
-        return Optional.ofNullable(usage).map(ChatJson::usage);
+        return answer.body().length() == 0 ? new JsonObject() : answer.body().toJsonObject();
     }
 
-    private Uni<EngineStream> stream(Target engine, RequestOptions options, Buffer body) {
-        return uni(
-                client(engine)
-                        .request(options)
-                        .recover(e -> Future.failedFuture(unreachable(engine, e)))
-                        .compose(request -> send(engine, request, body)));
+    // ---- streams
+
+    private Uni<EngineStream> stream(
+            Target engine, RequestId attempt, RequestOptions options, Buffer body) {
+        return Uni.createFrom()
+                .emitter(
+                        emitter -> {
+                            Opening opening = new Opening();
+                            emitter.onTermination(opening::cancel);
+                            client(engine)
+                                    .request(options)
+                                    .recover(e -> Future.failedFuture(unreachable(engine, e)))
+                                    .compose(r -> opening.send(r, body))
+                                    .recover(e -> Future.failedFuture(lost(engine, e)))
+                                    .compose(r -> checked(engine, attempt, options, r))
+                                    .onComplete(r -> opening.opened(r, emitter));
+                        });
     }
 
-    private Future<EngineStream> send(Target engine, HttpClientRequest request, Buffer body) {
-        return request.send(body)
-                .recover(e -> Future.failedFuture(lost(engine, e)))
-                .compose(response -> checked(engine, response));
+    /** A request whose answer has not begun; can be cancelled at any time. */
+    private static final class Opening {
+        private HttpClientRequest request;
+        private boolean cancelled;
+        private boolean opened;
+
+        synchronized Future<HttpClientResponse> send(HttpClientRequest r, Buffer body) {
+            request = r;
+            if (cancelled) {
+                r.reset();
+                return Future.failedFuture("cancelled before it was sent");
+            }
+            return r.send(body);
+        }
+
+        synchronized void cancel() {
+            if (opened) {
+                return;
+            }
+            cancelled = true;
+            if (request != null) {
+                request.reset();
+            }
+        }
+
+        void opened(AsyncResult<EngineStream> result, UniEmitter<? super EngineStream> emitter) {
+            synchronized (this) {
+                opened = true;
+                if (cancelled) {
+                    if (result.succeeded()) {
+                        result.result().close();
+                    }
+                    return;
+                }
+            }
+            if (result.succeeded()) {
+                emitter.complete(result.result());
+            } else {
+                emitter.fail(result.cause());
+            }
+        }
     }
 
-    private Future<EngineStream> checked(Target engine, HttpClientResponse response) {
+    private static Future<EngineStream> checked(
+            Target engine, RequestId attempt, RequestOptions options, HttpClientResponse response) {
+        String echoed = response.getHeader("X-Request-Id");
+        if (echoed != null && !echoed.equals(attempt.value())) {
+            response.request().reset();
+            return Future.failedFuture(
+                    new EngineException(
+                            EngineException.Kind.LOST,
+                            engine.id() + " sent the answer of another request, " + echoed));
+        }
         if (response.statusCode() == OK) {
             return Future.succeededFuture(new HttpEngineStream(engine.id().value(), response));
         }
-        var kind =
-                response.statusCode() == NOT_FOUND
-                        ? EngineException.Kind.UNKNOWN_REQUEST
-                        : EngineException.Kind.REFUSED;
+        boolean resumed = options.getMethod().equals(HttpMethod.GET);
         String message = engine.id() + " answered with status " + response.statusCode();
-        return Future.failedFuture(new EngineException(kind, message));
+        return Future.failedFuture(
+                new EngineException(kind(response.statusCode(), resumed), message));
+    }
+
+    private static EngineException.Kind kind(int status, boolean resumed) {
+        if (resumed && status == NOT_FOUND) {
+            return EngineException.Kind.UNKNOWN_REQUEST;
+        }
+        if (INVALID_STATUS.contains(status)) {
+            return EngineException.Kind.INVALID;
+        }
+        boolean failed = status >= SERVER_ERROR && status != UNAVAILABLE;
+        return failed ? EngineException.Kind.FAILED : EngineException.Kind.REFUSED;
     }
 
     private HttpClient client(Target engine) {
@@ -142,16 +292,15 @@
         return "/v1/requests/" + attempt.value();
     }
 
-    private static <T> Uni<T> uni(Future<T> future) {
-        return Uni.createFrom().completionStage(future.toCompletionStage());
-    }
-
-    private static EngineException unreachable(Target engine, Throwable e) {
+    private static Throwable unreachable(Target engine, Throwable e) {
         String message = "no connection to " + engine.id() + " at " + engine.endpoint();
         return new EngineException(EngineException.Kind.UNREACHABLE, message, e);
     }
 
-    private static EngineException lost(Target engine, Throwable e) {
+    private static Throwable lost(Target engine, Throwable e) {
+        if (e instanceof EngineException) {
+            return e;
+        }
         String message = "connection to " + engine.id() + " was lost before its answer";
         return new EngineException(EngineException.Kind.LOST, message, e);
     }
--- a/chat/src/main/java/org/godwithoist/chat/http/HttpEngineStream.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/HttpEngineStream.java
@@ -27,7 +27,9 @@
     private CompletableFuture<EngineEvent> waiting;
     private EngineException failure;
     private Usage usage = Usage.NONE;
+    private String finishReason = "stop";
     private boolean ended;
+    private boolean complete;
 
     HttpEngineStream(String engine, HttpClientResponse response) {
         this.engine = engine;
@@ -46,7 +48,9 @@
     @Override
     public synchronized void close() {
         ended = true;
-        response.request().reset();
+        if (!complete) {
+            response.request().reset();
+        }
     }
 
     private synchronized CompletableFuture<EngineEvent> nextFuture() {
@@ -77,25 +81,37 @@
 
     private void take(SseDecoder.Event event) {
         if (event.comment()) {
-            deliver(new EngineEvent.KeepAlive());
+            // A keepalive behind waiting events tells nothing new.
+            if (ready.isEmpty()) {
+                deliver(new EngineEvent.KeepAlive());
+            }
             return;
         }
         if (event.data().equals(DONE)) {
             ended = true;
-            deliver(new EngineEvent.End(usage));
+            complete = true;
+            deliver(new EngineEvent.End(usage, finishReason));
             return;
         }
         JsonObject chunk = new JsonObject(event.data());
+        if (chunk.containsKey("error")) {
+            fail(EngineException.Kind.FAILED, engine + " reported an error in its stream", null);
+            return;
+        }
         JsonObject counted = chunk.getJsonObject("usage");
         if (counted != null) {
             usage = ChatJson.usage(counted);
         }
+        ChatJson.finishReason(chunk).ifPresent(reason -> finishReason = reason);
         event.id()
                 .ifPresent(
                         offset ->
                                 deliver(
                                         new EngineEvent.Piece(
-                                                offset, ChatJson.deltaText(chunk), event.data())));
+                                                offset,
+                                                ChatJson.deltaText(chunk),
+                                                event.data(),
+                                                ChatJson.isPlainText(chunk))));
     }
 
     private void deliver(EngineEvent event) {
@@ -113,7 +129,11 @@
         if (ended || failure != null) {
             return;
         }
-        failure = new EngineException(EngineException.Kind.LOST, message, cause);
+        fail(EngineException.Kind.LOST, message, cause);
+    }
+
+    private void fail(EngineException.Kind kind, String message, Throwable cause) {
+        failure = new EngineException(kind, message, cause);
         if (waiting != null && ready.isEmpty()) {
             waiting.completeExceptionally(failure);
         }
--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/http/RequestReader.java
@@ -0,0 +1,280 @@
+package org.godwithoist.chat.http;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Map;
+import java.util.Optional;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.Workspace;
+import org.godwithoist.chat.ChatRequest;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * Decodes and checks callers' requests. Each fault is a {@code bad_request} that names the field.
+ */
+final class RequestReader {
+    private static final String BEARER = "Bearer ";
+    private static final int BYTES_PER_TOKEN = 4;
+    private static final int MAX_NUMBER_LENGTH = 15;
+
+    private volatile KeyIndex keys = new KeyIndex(null, Map.of());
+
+    /** The workspaces of a bundle by the hash of their keys. */
+    private record KeyIndex(Bundle bundle, Map<String, Workspace> workspaces) {}
+
+    /**
+     * A decoded request.
+     *
+     * @param request the request, free of its encoding
+     * @param stream whether the caller wants a stream of events
+     * @param includeUsage whether the stream shall carry the usage
+     */
+    record Decoded(ChatRequest request, boolean stream, boolean includeUsage) {}
+
+    /** Returns the workspace whose key the caller shows. */
+    Workspace authenticate(MultiMap headers, Bundle bundle) {
+        String header = headers.get("Authorization");
+        if (header == null || !header.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            throw RequestException.notRun(
+                    ErrorCode.UNAUTHENTICATED, "the Authorization header has no bearer key");
+        }
+        Workspace found = index(bundle).get(sha256(header.substring(BEARER.length()).strip()));
+        if (found == null) {
+            throw RequestException.notRun(ErrorCode.UNAUTHENTICATED, "the key is not known");
+        }
+        return found;
+    }
+
+    /** Decodes a request. */
+    Decoded read(RequestId id, MultiMap headers, Buffer body, Workspace workspace, Bundle bundle) {
+        JsonObject json = parse(body);
+        String model = text(json, "model");
+        JsonArray messages = messages(json);
+        boolean stream = flag(json, "stream");
+        boolean includeUsage = flag(object(json, "stream_options"), "include_usage");
+        if (number(json, "n", 1) != 1) {
+            throw bad("n must be 1");
+        }
+        number(json, "max_tokens", 1);
+        number(json, "max_completion_tokens", 1);
+        number(json, "temperature", 1);
+        number(json, "top_p", 1);
+        if (json.containsKey("continue_from")) {
+            throw bad("continue_from is reserved");
+        }
+        Priority priority = priority(headers, workspace);
+        Duration limit = bundle.serviceLevels().get(priority).deadline();
+        Duration deadline =
+                wholeHeader(headers, "X-Deadline-Ms")
+                        .map(Duration::ofMillis)
+                        .filter(d -> d.compareTo(limit) < 0)
+                        .orElse(limit);
+        Optional<Long> resumeAfter = wholeHeader(headers, "Last-Event-ID");
+        if (resumeAfter.isPresent() && headers.get("X-Request-Id") == null) {
+            throw bad("Last-Event-ID needs the X-Request-Id of the request to resume");
+        }
+        ChatRequest request =
+                new ChatRequest(
+                        id,
+                        workspace.id(),
+                        chatId(headers, workspace, messages),
+                        id("model", model, ModelId::new),
+                        priority,
+                        Deadline.after(deadline, Ticker.SYSTEM),
+                        body.length() / BYTES_PER_TOKEN,
+                        json.encode(),
+                        resumeAfter);
+        return new Decoded(request, stream, includeUsage);
+    }
+
+    /** Reads the caller's request id, or empty if there is none. */
+    static Optional<RequestId> requestId(MultiMap headers) {
+        return Optional.ofNullable(headers.get("X-Request-Id"))
+                .map(v -> id("X-Request-Id", v, RequestId::new));
+    }
+
+    // ---- parts of a request
+
+    private static JsonObject parse(Buffer body) {
+        if (body == null || body.length() == 0) {
+            throw bad("the body is empty");
+        }
+        try {
+            return new JsonObject(body);
+        } catch (DecodeException | ClassCastException e) {
+            throw bad("the body is not a JSON object").withCause(e);
+        }
+    }
+
+    private static JsonArray messages(JsonObject json) {
+        if (!(json.getValue("messages") instanceof JsonArray messages) || messages.isEmpty()) {
+            throw bad("messages must be a list with at least one message");
+        }
+        for (int i = 0; i < messages.size(); i++) {
+            if (!(messages.getValue(i) instanceof JsonObject m)
+                    || !(m.getValue("role") instanceof String)) {
+                throw bad("messages[" + i + "] must be an object with a role");
+            }
+            Object content = m.getValue("content");
+            boolean known =
+                    content == null || content instanceof String || content instanceof JsonArray;
+            if (!known) {
+                throw bad("messages[" + i + "].content must be a text or a list of parts");
+            }
+        }
+        return messages;
+    }
+
+    private static Priority priority(MultiMap headers, Workspace workspace) {
+        String header = headers.get("X-Priority");
+        Priority asked =
+                header == null
+                        ? Priority.INTERACTIVE
+                        : Priority.fromWireName(header)
+                                .orElseThrow(
+                                        () ->
+                                                bad(
+                                                        "X-Priority must be urgent, interactive or"
+                                                                + " background"));
+        return asked.precedes(workspace.maxPriority()) ? workspace.maxPriority() : asked;
+    }
+
+    /**
+     * Returns the chat's key. It begins with the workspace, so that equal chat ids of two
+     * workspaces are two chats. Without a header it covers the messages up to the first of the
+     * user, which stay the same in all turns.
+     */
+    private static ChatId chatId(MultiMap headers, Workspace workspace, JsonArray messages) {
+        String given = headers.get("X-Chat-Id");
+        String chat = given == null ? hash(workspace, beginning(messages)) : given;
+        String full = workspace.id() + "/" + chat;
+        return full.length() <= ChatId.MAX_LENGTH
+                ? id("X-Chat-Id", full, ChatId::new)
+                : new ChatId(hash(workspace, chat));
+    }
+
+    private static String beginning(JsonArray messages) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < messages.size(); i++) {
+            text.append(messages.getJsonObject(i).encode());
+            if ("user".equals(messages.getJsonObject(i).getString("role"))) {
+                break;
+            }
+        }
+        return text.toString();
+    }
+
+    private static String hash(Workspace workspace, String text) {
+        return sha256(workspace.id() + "\n" + text).substring(0, 32);
+    }
+
+    // ---- single values
+
+    private static String text(JsonObject o, String name) {
+        if (o.getValue(name) instanceof String s && !s.isEmpty()) {
+            return s;
+        }
+        throw bad(name + " must be a text");
+    }
+
+    private static boolean flag(JsonObject o, String name) {
+        Object value = o.getValue(name);
+        if (value == null) {
+            return false;
+        }
+        if (value instanceof Boolean b) {
+            return b;
+        }
+        throw bad(name + " must be true or false");
+    }
+
+    private static double number(JsonObject o, String name, double otherwise) {
+        Object value = o.getValue(name);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Number n) {
+            return n.doubleValue();
+        }
+        throw bad(name + " must be a number");
+    }
+
+    private static JsonObject object(JsonObject o, String name) {
+        Object value = o.getValue(name);
+        if (value == null) {
+            return new JsonObject();
+        }
+        if (value instanceof JsonObject found) {
+            return found;
+        }
+        throw bad(name + " must be an object");
+    }
+
+    private static Optional<Long> wholeHeader(MultiMap headers, String name) {
+        String value = headers.get(name);
+        if (value == null) {
+            return Optional.empty();
+        }
+        boolean digits = !value.isEmpty() && value.chars().allMatch(c -> c >= '0' && c <= '9');
+        if (!digits || value.length() > MAX_NUMBER_LENGTH) {
+            throw bad(name + " must be a whole number");
+        }
+        return Optional.of(Long.parseLong(value));
+    }
+
+    private interface IdType<T> {
+        T of(String value);
+    }
+
+    private static <T> T id(String field, String value, IdType<T> type) {
+        try {
+            return type.of(value);
+        } catch (IllegalArgumentException e) {
+            throw bad(field + " is not valid: " + e.getMessage()).withCause(e);
+        }
+    }
+
+    private static RequestException bad(String message) {
+        return RequestException.notRun(ErrorCode.BAD_REQUEST, message);
+    }
+
+    // Bundles are immutable, so the same instance has the same keys.
+    @SuppressWarnings("ReferenceEquality")
+    private Map<String, Workspace> index(Bundle bundle) {
+        KeyIndex current = keys;
+        if (current.bundle() != bundle) {
+            Map<String, Workspace> map = new HashMap<>();
+            for (Workspace w : bundle.workspaces().values()) {
+                w.keyHashes().forEach(h -> map.put(h, w));
+            }
+            current = new KeyIndex(bundle, map);
+            keys = current;
+        }
+        return current.workspaces();
+    }
+
+    private static String sha256(String text) {
+        try {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+}
--- a/chat/src/main/java/org/godwithoist/chat/package-info.java
+++ b/chat/src/main/java/org/godwithoist/chat/package-info.java
@@ -1,2 +1,2 @@
-/** Life of a chat request from the caller to an engine and back. */
+/** Life of a chat request: from the caller's request to the whole answer, whatever fails. */
 package org.godwithoist.chat;
--- /dev/null
+++ b/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
@@ -0,0 +1,594 @@
+package org.godwithoist.chat;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.stream.LongStream;
+import org.godwithoist.accounting.Usage;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.ServiceState;
+import org.godwithoist.routing.PlacementChange;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests the life of a request with engines, slots and callers that fail. */
+final class ChatServiceTest {
+    private static final ChatTimings QUICK =
+            ChatTimings.DEFAULT
+                    .withStall(Duration.ofMillis(200))
+                    .withReconnect(Duration.ofMillis(400))
+                    .withRetryPatience(Duration.ofMillis(200));
+
+    private final Fleet fleet = new Fleet(2);
+    private final ChatService service = fleet.daemon("daemon-1", QUICK);
+    private final ChatService other = fleet.daemon("daemon-2", QUICK);
+    private final CollectingSink caller = new CollectingSink();
+    private int unsettled;
+
+    /** Every path must give the slots back and close the usage with the engines' count. */
+    @AfterEach
+    void slotsAndAccountsAreSettled() {
+        await(() -> fleet.openAttempts.size() == unsettled);
+        if (unsettled == 0) {
+            await(() -> fleet.slotsTaken() == 0);
+            assertEquals(fleet.engines.counted(), fleet.recorded("antwerp"));
+        }
+        assertEquals(0, service.inProgress());
+    }
+
+    private static void await(BooleanSupplier condition) {
+        for (int i = 0; i < 400 && !condition.getAsBoolean(); i++) {
+            Tasks.sleep(Duration.ofMillis(10));
+        }
+        assertTrue(condition.getAsBoolean());
+    }
+
+    private static ChatRequest request(Duration deadline, Optional<Long> resumeAfter) {
+        return new ChatRequest(
+                new RequestId("request"),
+                new WorkspaceId("antwerp"),
+                new ChatId("antwerp/chat"),
+                new ModelId("assistant"),
+                Priority.INTERACTIVE,
+                Deadline.after(deadline, Ticker.SYSTEM),
+                100,
+                "{}",
+                resumeAfter);
+    }
+
+    private static ChatRequest request() {
+        return request(Duration.ofSeconds(10), Optional.empty());
+    }
+
+    private static ChatRequest resume(long after) {
+        return request(Duration.ofSeconds(10), Optional.of(after));
+    }
+
+    /** Places the chat at the first engine, so that the test knows which engine is used. */
+    private void placeAtFirst() {
+        fleet.placements.report(
+                new ChatId("antwerp/chat"),
+                new PlacementChange(
+                        PlacementChange.Kind.FINISHED, Fleet.id(1), 90, Optional.empty()));
+    }
+
+    private void serve() {
+        placeAtFirst();
+        service.serve(request(), caller);
+    }
+
+    private RequestException fails(ChatRequest request) {
+        placeAtFirst();
+        return assertThrows(RequestException.class, () -> service.serve(request, caller));
+    }
+
+    private static void assertWhole(CollectingSink sink) {
+        assertEquals(FakeEngines.wholeText(), sink.text.toString());
+        assertEquals(LongStream.rangeClosed(1, FakeEngines.WORDS).boxed().toList(), sink.offsets);
+        assertTrue(sink.end != null);
+    }
+
+    private int calls(String prefix) {
+        return (int) fleet.engines.calls.stream().filter(c -> c.startsWith(prefix)).count();
+    }
+
+    /** An engine dies. */
+    @Nested
+    final class EngineKilled {
+        @ParameterizedTest
+        @ValueSource(ints = {0, 1, 4, 8})
+        void anotherEngineContinuesWithEachTokenOnce(int event) {
+            fleet.engine(1).killAt = event;
+            unsettled = 1;
+            serve();
+            assertWhole(caller);
+            assertEquals(1, calls("open engine-2"));
+            assertEquals(1, caller.end.unsettledAttempts());
+            Usage second = fleet.engine(2).counted.values().iterator().next();
+            assertEquals(second, caller.end.usage());
+            assertEquals(FakeEngines.WORDS - event, second.completionTokens());
+        }
+
+        @Test
+        void deadBeforeTheRequestIsNoRun() {
+            fleet.engine(1).dead = true;
+            serve();
+            assertWhole(caller);
+            assertEquals(0, caller.end.unsettledAttempts());
+        }
+
+        @Test
+        void allEnginesDeadIsUnknownOnceOneWasAsked() {
+            fleet.engine(1).killAt = 3;
+            fleet.engine(2).dead = true;
+            unsettled = 1;
+            RequestException e = fails(request(Duration.ofSeconds(2), Optional.empty()));
+            assertEquals(RunState.UNKNOWN, e.runState());
+            assertTrue(e.retryAfter().isPresent());
+        }
+
+        @Test
+        void answerWithToolCallsIsNotContinued() {
+            var order = new PieceOrder();
+            order.add(new EngineEvent.Piece(1, "", "{}", false));
+            Answer answer = new Answer(caller, 0, 0, Ticker.SYSTEM);
+            assertTrue(answer.continuable());
+            answer.append(order.poll().orElseThrow());
+            assertFalse(answer.continuable());
+        }
+    }
+
+    /** A connection stays open but brings nothing, while new ones work. */
+    @Nested
+    final class SilentConnection {
+        @ParameterizedTest
+        @ValueSource(ints = {0, 1, 5, 8})
+        void isReplacedAndTheSameEngineGoesOn(int event) {
+            fleet.engine(1).silentAt = event;
+            serve();
+            assertWhole(caller);
+            assertEquals(0, calls("open engine-2"));
+            assertEquals(1, calls("resume engine-1 " + event));
+            assertEquals(1, calls("distrust engine-1"));
+        }
+
+        @Test
+        void isDetectedWithinASecondAndAHalf() {
+            fleet.engine(1).silentAt = 3;
+            long start = System.nanoTime();
+            placeAtFirst();
+            fleet.daemon("daemon-3", ChatTimings.DEFAULT).serve(request(), caller);
+            long ms = (System.nanoTime() - start) / 1_000_000;
+            System.out.println("silent connection detected and resumed after " + ms + " ms");
+            assertWhole(caller);
+            assertTrue(ms >= 1_000 && ms < 1_500, "took " + ms + " ms");
+        }
+
+        @Test
+        void requestThatNeverArrivedIsSentAgain() {
+            fleet.engine(1).silentAt = 0;
+            fleet.engine(1).forgetsSilentRequest = true;
+            var healing = Tasks.start("heal", () -> heal(1));
+            serve();
+            assertWhole(caller);
+            assertTrue(healing.isVirtual());
+        }
+
+        private void heal(int engine) {
+            await(() -> calls("resume") > 0);
+            fleet.engine(engine).silentAt = Integer.MAX_VALUE;
+        }
+
+        @Test
+        void engineThatIsSilentForeverIsLeft() {
+            fleet.engine(1).silentAt = 3;
+            fleet.engine(1).silentForever = true;
+            serve();
+            assertWhole(caller);
+            assertEquals(1, calls("open engine-2"));
+        }
+    }
+
+    /** Events come twice, out of order or not at all. */
+    @Nested
+    final class EventsOutOfOrder {
+        @Test
+        void duplicatesAreDropped() {
+            fleet.engine(1).duplicates = true;
+            serve();
+            assertWhole(caller);
+        }
+
+        @Test
+        void crossedEventsAreSorted() {
+            fleet.engine(1).swaps = true;
+            serve();
+            assertWhole(caller);
+            assertEquals(0, calls("resume"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {1, 4, 8})
+        void lostEventIsFetchedAgain(int offset) {
+            fleet.engine(1).losesOnce = offset;
+            serve();
+            if (offset < FakeEngines.WORDS) {
+                assertWhole(caller);
+                assertEquals(1, calls("resume engine-1 " + (offset - 1)));
+            }
+        }
+
+        @Test
+        void lateEventsAfterAResumeAreDropped() {
+            PieceOrder order = new PieceOrder();
+            order.add(new EngineEvent.Piece(2, "b", "{}", true));
+            order.restart();
+            order.add(new EngineEvent.Piece(1, "a", "{}", true));
+            assertTrue(order.poll().isPresent());
+            assertTrue(order.poll().isEmpty());
+            order.add(new EngineEvent.Piece(1, "a", "{}", true));
+            assertTrue(order.poll().isEmpty());
+            assertEquals(1, order.last());
+        }
+    }
+
+    /** Engines refuse. */
+    @Nested
+    final class Refused {
+        @Test
+        void anotherEngineAnswersAndNothingIsCharged() {
+            fleet.engine(1).refusal = EngineException.Kind.REFUSED;
+            serve();
+            assertWhole(caller);
+            assertEquals(1, caller.end.usage().requests());
+        }
+
+        @Test
+        void byAllIsNotRun() {
+            fleet.engine(1).refusal = EngineException.Kind.REFUSED;
+            fleet.engine(2).refusal = EngineException.Kind.REFUSED;
+            RequestException e = fails(request(Duration.ofSeconds(1), Optional.empty()));
+            assertEquals(RunState.NOT_RUN, e.runState());
+        }
+
+        @Test
+        void contentIsNotSentToOtherEngines() {
+            fleet.engine(1).refusal = EngineException.Kind.INVALID;
+            RequestException e = fails(request());
+            assertEquals(ErrorCode.BAD_REQUEST, e.code());
+            assertEquals(RunState.NOT_RUN, e.runState());
+            assertEquals(1, calls("open"));
+        }
+
+        @Test
+        void engineFaultAfterTheRequestWasSentIsUnknown() {
+            fleet.engine(1).refusal = EngineException.Kind.FAILED;
+            fleet.engine(2).refusal = EngineException.Kind.FAILED;
+            RequestException e = fails(request(Duration.ofSeconds(1), Optional.empty()));
+            assertEquals(RunState.UNKNOWN, e.runState());
+        }
+
+        @Test
+        void expiredSlotSendsNothingAndIsNoRetry() {
+            fleet.expiringSlots.set(20);
+            serve();
+            assertWhole(caller);
+            assertEquals(1, calls("open"));
+        }
+    }
+
+    /** No slot in time, too many requests, or a deadline that cannot be met. */
+    @Nested
+    final class Limits {
+        @Test
+        void noSlotBeforeTheDeadlineIsNotRun() {
+            fleet.capacity.put(Fleet.id(1), 0);
+            fleet.capacity.put(Fleet.id(2), 0);
+            RequestException e = fails(request(Duration.ofMillis(400), Optional.empty()));
+            assertEquals(ErrorCode.NO_CAPACITY, e.code());
+            assertEquals(RunState.NOT_RUN, e.runState());
+            assertTrue(e.retryAfter().isPresent());
+        }
+
+        @Test
+        void slotThatIsFreedInTimeIsTaken() {
+            fleet.capacity.put(Fleet.id(1), 0);
+            fleet.capacity.put(Fleet.id(2), 0);
+            Tasks.start(
+                    "free",
+                    () -> {
+                        Tasks.sleep(Duration.ofMillis(300));
+                        fleet.capacity.put(Fleet.id(2), 1);
+                    });
+            serve();
+            assertWhole(caller);
+        }
+
+        @Test
+        void deadlineThatCannotBeMetIsRefusedAtOnce() {
+            RequestException e = fails(request(Duration.ofMillis(1), Optional.empty()));
+            assertEquals(ErrorCode.DEADLINE_EXCEEDED, e.code());
+            assertEquals(RunState.NOT_RUN, e.runState());
+            assertEquals(0, calls("open"));
+        }
+
+        @Test
+        void deadlineThatPassesDuringTheAnswerIsUnknownAndCancels() {
+            fleet.engine(1).paceMs = 100;
+            RequestException e = fails(request(Duration.ofMillis(350), Optional.empty()));
+            assertEquals(ErrorCode.DEADLINE_EXCEEDED, e.code());
+            assertEquals(RunState.UNKNOWN, e.runState());
+            await(() -> calls("cancel engine-1") == 1);
+        }
+
+        @Test
+        void workspaceOverItsLimitIsRefusedAtOnce() {
+            var limits = new WorkspaceLimits();
+            var workspace = fleet.bundle().workspaces().get(new WorkspaceId("antwerp"));
+            for (int i = 0; i < 3; i++) {
+                limits.enter(workspace);
+            }
+            var e = assertThrows(RequestException.class, () -> limits.enter(workspace));
+            assertEquals(ErrorCode.OVER_LIMIT, e.code());
+            limits.leave(workspace.id());
+            limits.enter(workspace);
+        }
+
+        @Test
+        void usedUpRetryBudgetFailsTheRequestWithItsRunState() {
+            fleet.engine(2).refusal = EngineException.Kind.REFUSED;
+            fleet.engine(1).refusal = EngineException.Kind.REFUSED;
+            RequestException last = null;
+            for (int i = 0; i < 3; i++) {
+                last = fails(request(Duration.ofSeconds(2), Optional.empty()));
+            }
+            assertTrue(last.getMessage().contains("retry budget"), last.getMessage());
+            assertTrue(calls("open") <= 13, "at most 10 retries for 3 requests");
+        }
+
+        @Test
+        void drainingDaemonRefusesNewRequests() {
+            service.drain();
+            assertEquals(ErrorCode.NOT_READY, fails(request()).code());
+            assertTrue(service.awaitIdle(Duration.ZERO));
+        }
+    }
+
+    /** The caller is slow, leaves or comes back. */
+    @Nested
+    final class Caller {
+        @Test
+        void slowCallerDoesNotMakeTheEngineLookSilent() {
+            caller.pause = Duration.ofMillis(250);
+            serve();
+            assertWhole(caller);
+            assertEquals(0, calls("resume"));
+        }
+
+        @Test
+        void goneForGoodCancelsAndChargesWhatTheEngineCounted() {
+            fleet.engine(1).paceMs = 150;
+            caller.leavesAfter = 2;
+            RequestException e = fails(request());
+            assertEquals(RunState.UNKNOWN, e.runState());
+            await(() -> calls("cancel engine-1") == 1);
+        }
+
+        @Test
+        void backAtTheSameDaemonGetsTheRestOnce() throws Exception {
+            fleet.engine(1).paceMs = 60;
+            caller.leavesAfter = 3;
+            var first = inBackground(service, request(), caller);
+            caller.left.await();
+            CollectingSink again = new CollectingSink();
+            service.serve(resume(2), again);
+            first.get();
+            assertEquals("w3 w4 w5 w6 w7 w8 ", again.text.toString());
+            assertEquals(3, again.offsets.getFirst());
+            assertNull(caller.end);
+            assertEquals(1, calls("open"));
+        }
+
+        @Test
+        void backAfterTheEndGetsTheRestFromMemory() {
+            serve();
+            CollectingSink again = new CollectingSink();
+            service.serve(resume(6), again);
+            assertEquals("w7 w8 ", again.text.toString());
+            assertEquals(caller.end, again.end);
+        }
+
+        @Test
+        void duplicateOfARunningRequestIsAConflict() throws Exception {
+            fleet.engine(1).paceMs = 60;
+            var first = inBackground(service, request(), caller);
+            await(() -> !caller.offsets.isEmpty());
+            var e =
+                    assertThrows(
+                            RequestException.class,
+                            () -> service.serve(request(), new CollectingSink()));
+            assertEquals(ErrorCode.CONFLICT, e.code());
+            first.get();
+            assertWhole(caller);
+        }
+
+        @Test
+        void otherWorkspaceWithTheSameIdsGetsNothing() {
+            serve();
+            ChatRequest r = resume(0);
+            ChatRequest stranger =
+                    new ChatRequest(
+                            r.id(),
+                            new WorkspaceId("ghent"),
+                            new ChatId("ghent/chat"),
+                            r.model(),
+                            r.priority(),
+                            Deadline.after(Duration.ofMillis(500), Ticker.SYSTEM),
+                            r.promptTokens(),
+                            r.body(),
+                            r.resumeAfter());
+            CollectingSink sink = new CollectingSink();
+            var e = assertThrows(RequestException.class, () -> service.serve(stranger, sink));
+            assertEquals(ErrorCode.NOT_FOUND, e.code());
+            assertEquals("", sink.text.toString());
+        }
+    }
+
+    /** The caller comes back at another daemon. */
+    @Nested
+    final class OtherDaemon {
+        private final CollectingSink again = new CollectingSink();
+        private CompletableFuture<Void> first;
+
+        private void leave() throws InterruptedException {
+            fleet.engine(1).paceMs = 150;
+            fleet.engine(2).paceMs = 150;
+            caller.leavesAfter = 2;
+            placeAtFirst();
+            first = inBackground(service, request(), caller);
+            caller.left.await();
+        }
+
+        @Test
+        void getsTheRestAndTheFirstDaemonDoesNotCancel() throws Exception {
+            leave();
+            other.serve(resume(2), again);
+            assertEquals("w3 w4 w5 w6 w7 w8 ", again.text.toString());
+            first.get();
+            assertEquals(0, calls("cancel"));
+            assertEquals(1, calls("open"));
+        }
+
+        @Test
+        void findsTheEngineWithoutTheDirectory() throws Exception {
+            leave();
+            fleet.placements.report(
+                    new ChatId("antwerp/chat"),
+                    new PlacementChange(
+                            PlacementChange.Kind.MOVED, new TargetId("gone"), 0, Optional.empty()));
+            for (int i = 0; i < 100; i++) {
+                fleet.placements.report(
+                        new ChatId("x" + i),
+                        new PlacementChange(
+                                PlacementChange.Kind.MOVED, Fleet.id(2), 0, Optional.empty()));
+            }
+            other.serve(resume(1), again);
+            assertEquals("w2 w3 w4 w5 w6 w7 w8 ", again.text.toString());
+            first.get();
+        }
+
+        @Test
+        void continuesElsewhereWhenTheEngineDiesThen() throws Exception {
+            leave();
+            fleet.engine(1).killAt = 5;
+            unsettled = 1;
+            other.serve(resume(2), again);
+            assertEquals("w3 w4 w5 w6 w7 w8 ", again.text.toString());
+            assertThrows(Exception.class, first::get);
+        }
+    }
+
+    private CompletableFuture<Void> inBackground(
+            ChatService daemon, ChatRequest request, CollectingSink sink) {
+        if (fleet.placements.size() == 0) {
+            placeAtFirst();
+        }
+        var done = new CompletableFuture<Void>();
+        Tasks.start(
+                "caller",
+                () -> {
+                    try {
+                        daemon.serve(request, sink);
+                        done.complete(null);
+                    } catch (RuntimeException e) {
+                        done.completeExceptionally(e);
+                    }
+                });
+        return done;
+    }
+
+    /** What the directory says is not true any more. */
+    @Nested
+    final class StaleHint {
+        @Test
+        void toAnEngineThatIsGoneIsIgnored() {
+            fleet.placements.report(
+                    new ChatId("antwerp/chat"),
+                    new PlacementChange(
+                            PlacementChange.Kind.FINISHED,
+                            new TargetId("gone"),
+                            90,
+                            Optional.empty()));
+            service.serve(request(), caller);
+            assertWhole(caller);
+        }
+
+        @Test
+        void evictedPrefixIsReplacedByTheNewPlacement() {
+            serve();
+            var placement = fleet.placements.lookup(new ChatId("antwerp/chat")).orElseThrow();
+            assertEquals(108, placement.cachedTokens());
+            assertEquals(Fleet.id(1), placement.target());
+        }
+    }
+
+    /** Operators take the failure domain of a chat's engine out. */
+    @Nested
+    final class DomainOut {
+        private final CacheMover mover =
+                new CacheMover(
+                        fleet::bundle,
+                        fleet,
+                        fleet.placements,
+                        fleet.router(),
+                        fleet.engines,
+                        Ticker.SYSTEM);
+
+        private void takeOut(long tokens) {
+            fleet.placements.report(
+                    new ChatId("antwerp/chat"),
+                    new PlacementChange(
+                            PlacementChange.Kind.FINISHED, Fleet.id(1), tokens, Optional.empty()));
+            fleet.set(1, ServiceState.OUT);
+            mover.targetsChanged();
+        }
+
+        @Test
+        void cacheMovesAheadOfTheNextTurn() {
+            takeOut(5_000);
+            await(() -> calls("import engine-2") == 1);
+            var chat = new ChatId("antwerp/chat");
+            await(() -> fleet.placements.lookup(chat).orElseThrow().target().equals(Fleet.id(2)));
+            service.serve(request(), caller);
+            assertEquals(1, calls("open engine-2"));
+        }
+
+        @Test
+        void shortHistoryIsNotWorthAMove() {
+            takeOut(50);
+            Tasks.sleep(Duration.ofMillis(100));
+            assertEquals(0, calls("export"));
+        }
+    }
+}
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -12,16 +12,22 @@
 import org.godwithoist.admission.FixedShareAdmission;
 import org.godwithoist.bundle.Bundle;
 import org.godwithoist.bundle.BundleParser;
+import org.godwithoist.chat.ChatContext;
 import org.godwithoist.chat.ChatService;
+import org.godwithoist.chat.ChatTimings;
+import org.godwithoist.chat.http.CallerServer;
 import org.godwithoist.chat.http.ChatFront;
 import org.godwithoist.chat.http.HttpEngineClient;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.membership.HostListDirectory;
 import org.godwithoist.platform.Row;
 import org.godwithoist.platform.Table;
 import org.godwithoist.platform.http.PlatformClient;
+import org.godwithoist.routing.PlacementDirectory;
+import org.godwithoist.routing.TargetModels;
 import org.godwithoist.settings.DaemonSettings;
 
 /** One router daemon: builds the parts, connects them and starts to listen. */
@@ -48,20 +54,34 @@
     public void start() {
         var platform = new PlatformClient(vertx, settings.platform(), STORE_TIMEOUT);
         Tasks.start("platform-poll", () -> poll(platform));
+        var admission = new FixedShareAdmission(SLOTS_PER_TARGET);
+        var placements = new PlacementDirectory(PlacementDirectory.DEFAULT_CAPACITY, Ticker.SYSTEM);
+        var router =
+                new org.godwithoist.routing.Router(
+                        targets,
+                        admission,
+                        new TargetModels(Ticker.SYSTEM, () -> 1),
+                        r -> Tasks.start("ring", r));
         var service =
                 new ChatService(
-                        bundle::get,
-                        targets,
-                        new FixedShareAdmission(SLOTS_PER_TARGET),
-                        new HttpEngineClient(vertx),
-                        new MemoryUsageRecorder());
+                        new ChatContext(
+                                settings.host(),
+                                bundle::get,
+                                targets,
+                                admission,
+                                new HttpEngineClient(vertx),
+                                new MemoryUsageRecorder(),
+                                router,
+                                placements,
+                                Ticker.SYSTEM,
+                                ChatTimings.DEFAULT));
         Router callers = Router.router(vertx);
         new ChatFront(() -> Optional.ofNullable(bundle.get()), service).mount(callers);
         Endpoint endpoint = settings.callers();
         HttpServer server =
                 Await.result(
-                        vertx.createHttpServer()
-                                .requestHandler(callers)
+                        new CallerServer(vertx)
+                                .create(callers)
                                 .listen(endpoint.port(), endpoint.ip()),
                         START_TIMEOUT);
         LOG.atInfo().log(
--- a/routing/src/main/java/org/godwithoist/routing/TargetModels.java
+++ b/routing/src/main/java/org/godwithoist/routing/TargetModels.java
@@ -183,6 +183,7 @@
 
         synchronized void restarted(double now) {
             restartedAt = now;
+            lastSequence = 0;
         }
 
         synchronized boolean restartedSince(double time) {
