--- a/chat/src/main/java/org/godwithoist/chat/ChatRun.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRun.java
@@ -218,10 +218,15 @@
         if (granted.option().move() == Move.IMPORT) {
             moveCache(engine);
         }
-        context.usage().open(attempt.id().id(), request.workspace(), engine.id());
-        if (!granted.slot().use()) {
+        try {
+            context.usage().open(attempt.id().id(), request.workspace(), engine.id());
+            if (!granted.slot().use()) {
+                attempt.notRun(Slot.Outcome.UNUSED);
+                return Result.NO_SLOT;
+            }
+        } catch (RuntimeException e) {
             attempt.notRun(Slot.Outcome.UNUSED);
-            return Result.NO_SLOT;
+            throw e;
         }
         attempts.add(attempt);
         report(PlacementChange.Kind.STARTED, attempt, 0);
--- a/chat/src/main/java/org/godwithoist/chat/http/ChatFront.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/ChatFront.java
@@ -28,6 +28,7 @@
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final Duration RECEIVE_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+    private static final String COMPLETIONS = "/v1/chat/completions";
     private static final String REQUEST_ID = "requestId";
     private static final String RECEIVE_TIMER = "receiveTimer";
     private static final String WORKSPACE = "workspace";
@@ -57,8 +58,9 @@
 
     /** Adds the routes to a router. */
     public void mount(Router router) {
-        router.post("/v1/chat/completions")
-                .handler(this::receive)
+        // Two routes, because a body handler must be the first handler of its route.
+        router.post(COMPLETIONS).handler(this::receive).failureHandler(this::failed);
+        router.post(COMPLETIONS)
                 .handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES))
                 .handler(this::received)
                 .failureHandler(this::failed);
--- a/chat/src/test/java/org/godwithoist/chat/Fleet.java
+++ b/chat/src/test/java/org/godwithoist/chat/Fleet.java
@@ -87,6 +87,16 @@
                         timings));
     }
 
+    /** Makes every engine send one word after each pause. */
+    public void slowEngines(long paceMs) {
+        targets.keySet().forEach(t -> engines.engine(t).paceMs = paceMs);
+    }
+
+    /** Makes every engine die before the given event. */
+    public void killEnginesAt(int event) {
+        targets.keySet().forEach(t -> engines.engine(t).killAt = event);
+    }
+
     Router router() {
         return new Router(this, this, new TargetModels(Ticker.SYSTEM, () -> 1), Runnable::run);
     }
--- /dev/null
+++ b/chat/src/test/java/org/godwithoist/chat/http/HttpEngineClientTest.java
@@ -0,0 +1,193 @@
+package org.godwithoist.chat.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.godwithoist.accounting.Usage;
+import org.godwithoist.chat.ChatRequest;
+import org.godwithoist.chat.EngineEvent;
+import org.godwithoist.chat.EngineException;
+import org.godwithoist.chat.EngineStream;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.ModelId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.AwaitTimeoutException;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.ServiceState;
+import org.godwithoist.membership.Target;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests the engine adapter against a small HTTP server on loopback. */
+final class HttpEngineClientTest {
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+    private static final RequestId ATTEMPT = new RequestId("attempt");
+
+    private final Vertx vertx = Vertx.vertx();
+    private final HttpEngineClient client = new HttpEngineClient(vertx);
+    private Consumer<HttpServerRequest> behaviour = r -> r.response().end();
+    private final Target engine;
+
+    HttpEngineClientTest() {
+        HttpServer server =
+                Await.result(
+                        vertx.createHttpServer()
+                                .requestHandler(r -> behaviour.accept(r))
+                                .listen(0, "127.0.0.1"),
+                        PATIENCE);
+        engine =
+                new Target(
+                        new TargetId("engine"),
+                        new HostId("host"),
+                        new PoolId("pool"),
+                        new FailureDomainId("d"),
+                        Endpoint.parse("127.0.0.1:" + server.actualPort()),
+                        ServiceState.IN);
+    }
+
+    @AfterEach
+    void close() {
+        Await.result(vertx.close(), PATIENCE);
+    }
+
+    private EngineStream open(String alreadySent) {
+        var request =
+                new ChatRequest(
+                        new RequestId("request"),
+                        new WorkspaceId("w"),
+                        new ChatId("w/chat"),
+                        new ModelId("m"),
+                        Priority.URGENT,
+                        Deadline.after(PATIENCE, Ticker.SYSTEM),
+                        10,
+                        "{\"messages\":[]}",
+                        Optional.empty());
+        return Await.result(client.open(engine, ATTEMPT, request, alreadySent), PATIENCE);
+    }
+
+    private EngineException.Kind kindOfStatus(int status) {
+        behaviour = r -> r.response().setStatusCode(status).end();
+        return assertThrows(EngineException.class, () -> open("")).kind();
+    }
+
+    /** The engine answers. */
+    @Nested
+    final class Answers {
+        @Test
+        void requestCarriesTheProtocolAndEventsAreRead() {
+            var seen = new CompletableFuture<JsonObject>();
+            behaviour =
+                    r ->
+                            r.bodyHandler(
+                                    b -> {
+                                        seen.complete(
+                                                b.toJsonObject()
+                                                        .put("id", r.getHeader("X-Request-Id"))
+                                                        .put("p", r.getHeader("X-Priority")));
+                                        r.response()
+                                                .setChunked(true)
+                                                .end(
+                                                        ": keepalive\n\nid: 1\ndata: {\"choices\":"
+                                                                + "[{\"delta\":{\"content\":\"a\"},"
+                                                                + "\"finish_reason\":\"length\"}]}\n\n"
+                                                                + "data: {\"choices\":[],\"usage\":{"
+                                                                + "\"prompt_tokens\":3,"
+                                                                + "\"completion_tokens\":1}}\n\n"
+                                                                + "data: [DONE]\n\n");
+                                    });
+            List<EngineEvent> events = new ArrayList<>();
+            try (EngineStream stream = open("before ")) {
+                do {
+                    events.add(Await.result(stream.next(), PATIENCE));
+                } while (!(events.getLast() instanceof EngineEvent.End));
+            }
+            JsonObject sent = seen.join();
+            assertEquals("before ", sent.getString("continue_from"));
+            assertEquals("attempt", sent.getString("id"));
+            assertEquals("urgent", sent.getString("p"));
+            assertEquals(new EngineEvent.End(new Usage(1, 3, 0, 1), "length"), events.getLast());
+            assertTrue(
+                    events.stream()
+                            .anyMatch(e -> e instanceof EngineEvent.Piece p && p.offset() == 1));
+        }
+
+        @Test
+        void answerOfAnotherRequestIsNotPassedOn() {
+            behaviour = r -> r.response().putHeader("X-Request-Id", "other").end("data: x\n\n");
+            var e = assertThrows(EngineException.class, () -> open(""));
+            assertEquals(EngineException.Kind.LOST, e.kind());
+        }
+
+        @Test
+        void statusTellsWhetherTheRequestMayHaveRun() {
+            assertEquals(EngineException.Kind.REFUSED, kindOfStatus(503));
+            assertEquals(EngineException.Kind.REFUSED, kindOfStatus(429));
+            assertEquals(EngineException.Kind.INVALID, kindOfStatus(400));
+            assertEquals(EngineException.Kind.FAILED, kindOfStatus(500));
+        }
+    }
+
+    /** A connection is silent while new ones work. */
+    @Nested
+    final class SilentConnection {
+        @Test
+        void isNotUsedAgainAfterItWasDistrusted() {
+            List<HttpConnection> silent = new ArrayList<>();
+            behaviour =
+                    r -> {
+                        if (silent.isEmpty()) {
+                            silent.add(r.connection());
+                        }
+                        if (!silent.contains(r.connection())) {
+                            r.response().setChunked(true).write(": keepalive\n\n");
+                        }
+                    };
+            var opening = client.resume(engine, ATTEMPT, 0).subscribeAsCompletionStage();
+            assertThrows(
+                    AwaitTimeoutException.class,
+                    () -> Await.result(opening, Duration.ofMillis(200)));
+            client.distrustConnections(engine);
+            try (EngineStream s = Await.result(client.resume(engine, ATTEMPT, 0), PATIENCE)) {
+                EngineEvent event = Await.result(s.next(), PATIENCE);
+                assertEquals(new EngineEvent.KeepAlive(), event);
+            }
+        }
+
+        @Test
+        void requestGivenUpIsResetSoThatItCannotRunLater() {
+            var closed = new CompletableFuture<Void>();
+            var arrived = new CompletableFuture<Void>();
+            behaviour =
+                    r -> {
+                        r.connection().closeHandler(closed::complete);
+                        arrived.complete(null);
+                    };
+            var opening = client.resume(engine, ATTEMPT, 0).subscribeAsCompletionStage();
+            Await.result(arrived, PATIENCE);
+            opening.cancel(true);
+            Await.result(closed, PATIENCE);
+        }
+    }
+}
--- a/routing/src/main/java/org/godwithoist/routing/wire/PeerPlacements.java
+++ b/routing/src/main/java/org/godwithoist/routing/wire/PeerPlacements.java
@@ -94,10 +94,14 @@
                         .setTarget(change.target().value())
                         .setTokens(change.tokens());
         change.run().ifPresent(r -> q.setRun(message(r)));
-        var _ =
-                transport
-                        .call(keeper, UPDATE, q.build(), UPDATE_TIMEOUT)
-                        .exceptionally(e -> notTaken(keeper, e));
+        try {
+            var _ =
+                    transport
+                            .call(keeper, UPDATE, q.build(), UPDATE_TIMEOUT)
+                            .exceptionally(e -> notTaken(keeper, e));
+        } catch (RuntimeException e) {
+            var _ = notTaken(keeper, e);
+        }
     }
 
     private static UpdateResponse notTaken(HostId keeper, Throwable e) {
