Charge a request id that is used again and expire learned speeds

Cause: attempt ids repeated when a caller used a request id again, so that the second count was lost; the hash in them could be met on purpose; a slow answer could keep requests away from an engine for good; requests that found the same silent connection replaced the new connections too.

--- a/chat/src/main/java/org/godwithoist/chat/Answer.java
+++ b/chat/src/main/java/org/godwithoist/chat/Answer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
@@ -34,6 +35,7 @@
     private boolean plainText = true;
     private Attachment waiting;
     private AnswerEnd end;
+    private AttemptId attempt;
 
     private record Attachment(AnswerSink sink, long after) {}
 
@@ -157,6 +159,23 @@
         }
     }
 
+    /** Notes the latest attempt. */
+    synchronized void attempted(AttemptId id) {
+        attempt = id;
+    }
+
+    // ---- called by other tasks
+
+    /** Returns the latest attempt, or empty if there was none. */
+    synchronized Optional<AttemptId> attempt() {
+        return Optional.ofNullable(attempt);
+    }
+
+    /** Returns whether the whole answer is known. */
+    synchronized boolean isFinished() {
+        return end != null;
+    }
+
     // ---- called by the task of a caller who reconnects
 
     /**
--- a/chat/src/main/java/org/godwithoist/chat/AttemptId.java
+++ b/chat/src/main/java/org/godwithoist/chat/AttemptId.java
@@ -1,8 +1,11 @@
 package org.godwithoist.chat;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.Optional;
 import org.godwithoist.core.id.RequestId;
-import org.godwithoist.routing.Rendezvous;
 
 /**
  * Name of one attempt of a request at an engine: {@code <request>.<hash>.<number>-<base>}. The hash
@@ -15,7 +18,9 @@
  */
 record AttemptId(String prefix, int number, long base) {
     /** Longest part of the caller's request id; the hash covers all of it. */
-    private static final int MAX_ID = 80;
+    private static final int MAX_ID = 64;
+
+    private static final int HASH_BYTES = 16;
 
     /**
      * Step of the number when another daemon takes a request over. The daemon before may still make
@@ -25,9 +30,21 @@
 
     static AttemptId first(ChatRequest request) {
         String id = request.id().value();
-        long hash = Rendezvous.hash(request.workspace() + "\n" + id);
+        String hash = hash(request.workspace() + "\n" + id);
         String readable = id.substring(0, Math.min(MAX_ID, id.length()));
-        return new AttemptId(readable + "." + String.format("%016x", hash), 1, 0);
+        return new AttemptId(readable + "." + hash, 1, 0);
+    }
+
+    /** A cryptographic hash, so that no caller can choose an id that meets another workspace's. */
+    private static String hash(String text) {
+        try {
+            byte[] all =
+                    MessageDigest.getInstance("SHA-256")
+                            .digest(text.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(all, 0, HASH_BYTES);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
     }
 
     AttemptId next(long newBase) {
--- a/chat/src/main/java/org/godwithoist/chat/ChatRun.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRun.java
@@ -71,21 +71,15 @@
             ChatRequest request,
             Pool pool,
             Answer answer,
-            Optional<Placement> placement) {
+            Optional<Placement> placement,
+            AttemptId firstId) {
         this.context = context;
         this.budget = budget;
         this.request = request;
         this.pool = pool;
         this.answer = answer;
         this.placement = placement;
-        AttemptId first = AttemptId.first(request);
-        // A request id that ran before in this chat must not meet its own count at the engine.
-        nextId =
-                placement
-                        .flatMap(Placement::run)
-                        .flatMap(r -> first.sameRequest(r.attempt()))
-                        .map(a -> a.next(0))
-                        .orElse(first);
+        nextId = firstId;
     }
 
     /**
@@ -229,6 +223,7 @@
             throw e;
         }
         attempts.add(attempt);
+        answer.attempted(attempt.id());
         report(PlacementChange.Kind.STARTED, attempt, 0);
         return follow(attempt);
     }
--- a/chat/src/main/java/org/godwithoist/chat/ChatService.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatService.java
@@ -84,6 +84,10 @@
                     .withRetryAfter(RETRY_AFTER);
         }
         Workspace workspace = bundle.workspaces().get(request.workspace());
+        if (workspace == null) {
+            throw RequestException.notRun(
+                    ErrorCode.UNAUTHENTICATED, "there is no workspace " + request.workspace());
+        }
         limits.enter(workspace);
         try {
             start(request, pool, sink);
@@ -118,17 +122,50 @@
             throw RequestException.notRun(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed");
         }
         Answer answer = new Answer(sink, 0, 0, context.ticker());
-        if (answers.putIfAbsent(key(request), answer) != null) {
-            throw RequestException.notRun(
-                    ErrorCode.CONFLICT,
-                    "a request with this id is in progress; send Last-Event-ID to get its answer");
-        }
+        Answer before = register(request, answer);
         budget.accepted();
         Optional<Placement> placement = context.placements().lookup(request.chat());
-        ChatRun run = new ChatRun(context, budget, request, pool, answer, placement);
+        AttemptId id = firstId(request, Optional.ofNullable(before), placement);
+        ChatRun run = new ChatRun(context, budget, request, pool, answer, placement, id);
         own(request, answer, run::serve);
     }
 
+    /** Returns the finished answer that had the same request id, or null. */
+    private Answer register(ChatRequest request, Answer answer) {
+        while (true) {
+            Answer before = answers.putIfAbsent(key(request), answer);
+            if (before == null) {
+                return null;
+            }
+            if (!before.isFinished()) {
+                throw RequestException.notRun(
+                        ErrorCode.CONFLICT,
+                        "a request with this id is in progress; send Last-Event-ID to get its"
+                                + " answer");
+            }
+            if (answers.replace(key(request), before, answer)) {
+                return before;
+            }
+        }
+    }
+
+    /**
+     * Returns the id of the first attempt. A request id that is used again must not meet the count
+     * of its earlier attempts at the engine or in the account.
+     */
+    private static AttemptId firstId(
+            ChatRequest request, Optional<Answer> before, Optional<Placement> placement) {
+        AttemptId first = AttemptId.first(request);
+        return before.flatMap(Answer::attempt)
+                .or(
+                        () ->
+                                placement
+                                        .flatMap(Placement::run)
+                                        .flatMap(r -> first.sameRequest(r.attempt())))
+                .map(a -> a.next(0))
+                .orElse(first);
+    }
+
     /** Runs a request that this daemon owns and keeps the answer for a caller who reconnects. */
     private void own(ChatRequest request, Answer answer, Runnable body) {
         inProgress.incrementAndGet();
@@ -189,7 +226,8 @@
             attach(other, request, sink, after);
             return;
         }
-        ChatRun run = new ChatRun(context, budget, request, pool, answer, placement);
+        AttemptId first = found.attempt();
+        ChatRun run = new ChatRun(context, budget, request, pool, answer, placement, first);
         own(request, answer, () -> run.takeOver(found.engine(), found.attempt()));
     }
 
--- a/chat/src/main/java/org/godwithoist/chat/http/HttpEngineClient.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/HttpEngineClient.java
@@ -14,11 +14,13 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonObject;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.godwithoist.accounting.Usage;
 import org.godwithoist.chat.ChatRequest;
@@ -46,8 +48,19 @@
     private static final int CALL_TIMEOUT_MS = 2_000;
     private static final int MAX_CONNECTIONS = 256;
 
+    /**
+     * Connections younger than the time after which one counts as silent replaced silent ones
+     * already; several requests find the same silent connections at the same time.
+     */
+    private static final long MIN_AGE_NANOS = Duration.ofMillis(900).toNanos();
+
+    private static final long GRACE_MINUTES = 10;
+
     private final Vertx vertx;
-    private final Map<TargetId, HttpClient> clients = new ConcurrentHashMap<>();
+    private final Map<TargetId, Connections> clients = new ConcurrentHashMap<>();
+
+    /** The connections to one engine and when the first could be made. */
+    private record Connections(HttpClient client, long since) {}
 
     /** Makes a client on the given Vert.x instance. */
     public HttpEngineClient(Vertx vertx) {
@@ -122,10 +135,11 @@
 
     @Override
     public void distrustConnections(Target engine) {
-        HttpClient old = clients.remove(engine.id());
-        if (old != null) {
-            // Requests that still make progress on the old connections end before it closes.
-            old.shutdown();
+        Connections old = clients.get(engine.id());
+        boolean young = old != null && System.nanoTime() - old.since() < MIN_AGE_NANOS;
+        if (old != null && !young && clients.remove(engine.id(), old)) {
+            // Requests that still make progress on the old connections may end.
+            old.client().shutdown(GRACE_MINUTES, TimeUnit.MINUTES);
         }
     }
 
@@ -133,7 +147,7 @@
     public void retain(Predicate<TargetId> known) {
         for (TargetId id : List.copyOf(clients.keySet())) {
             if (!known.test(id)) {
-                Optional.ofNullable(clients.remove(id)).ifPresent(HttpClient::shutdown);
+                Optional.ofNullable(clients.remove(id)).ifPresent(c -> c.client().shutdown());
             }
         }
     }
@@ -270,14 +284,14 @@
     }
 
     private HttpClient client(Target engine) {
-        return clients.computeIfAbsent(
-                engine.id(),
-                id ->
-                        vertx.createHttpClient(
-                                new HttpClientOptions()
-                                        .setConnectTimeout(CONNECT_TIMEOUT_MS)
-                                        .setTcpNoDelay(true),
-                                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS)));
+        return clients.computeIfAbsent(engine.id(), id -> connections()).client();
+    }
+
+    private Connections connections() {
+        var options = new HttpClientOptions().setConnectTimeout(CONNECT_TIMEOUT_MS);
+        var pool = new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS);
+        return new Connections(
+                vertx.createHttpClient(options.setTcpNoDelay(true), pool), System.nanoTime());
     }
 
     private static RequestOptions options(Target engine, HttpMethod method, String uri) {
--- a/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
@@ -419,6 +419,13 @@
             assertEquals(caller.end, again.end);
         }
 
+        @Test
+        void requestIdUsedAgainIsChargedAgain() {
+            serve();
+            serve();
+            assertEquals(2, fleet.recorded("antwerp").requests());
+        }
+
         @Test
         void duplicateOfARunningRequestIsAConflict() throws Exception {
             fleet.engine(1).paceMs = 60;
--- a/routing/src/main/java/org/godwithoist/routing/Router.java
+++ b/routing/src/main/java/org/godwithoist/routing/Router.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -35,7 +36,11 @@
     private final Set<PoolId> rebuilding = ConcurrentHashMap.newKeySet();
 
     /** The targets of a pool as of one version of the directory. */
-    private record View(long version, Map<TargetId, Target> inService, CandidateRing ring) {}
+    private record View(
+            long version,
+            Map<TargetId, Target> inService,
+            Set<TargetId> listed,
+            CandidateRing ring) {}
 
     /**
      * Makes a router.
@@ -85,7 +90,7 @@
         boolean canExport =
                 cached > 0
                         && !request.excluded().contains(placement.get().target())
-                        && directory.find(placement.get().target()).isPresent();
+                        && view.listed().contains(placement.get().target());
         int bucket = bucket(request.chat());
         for (int i = 0; i < CandidateRing.WIDTH; i++) {
             TargetId id = view.ring().candidate(bucket, i);
@@ -163,18 +168,19 @@
         }
         Map<TargetId, Target> inService = new HashMap<>();
         List<TargetId> ids = new ArrayList<>();
-        List<Target> all = directory.targets(pool);
-        for (Target t : all) {
+        Set<TargetId> listed = new HashSet<>();
+        for (Target t : directory.targets(pool)) {
+            listed.add(t.id());
             if (t.service().acceptsWork()) {
                 inService.put(t.id(), t);
                 ids.add(t.id());
             }
         }
         CandidateRing ring = old == null ? CandidateRing.empty().withMembers(ids) : old.ring();
-        View fresh = new View(version, inService, ring);
+        View fresh = new View(version, inService, listed, ring);
         views.put(pool, fresh);
         if (!ring.members().equals(ids)) {
-            forgetGone(old, all);
+            forgetGone(old, listed);
             if (rebuilding.add(pool)) {
                 rebuilds.execute(() -> rebuild(pool));
             }
@@ -183,14 +189,12 @@
         return fresh;
     }
 
-    private void forgetGone(View old, List<Target> all) {
+    private void forgetGone(View old, Set<TargetId> listed) {
         if (old == null) {
             return;
         }
-        Map<TargetId, Target> listed = new HashMap<>();
-        all.forEach(t -> listed.put(t.id(), t));
         for (TargetId id : old.ring().members()) {
-            if (!listed.containsKey(id)) {
+            if (!listed.contains(id)) {
                 models.forget(id);
             }
         }
@@ -204,7 +208,7 @@
             CandidateRing ring = v.ring().withMembers(ids);
             synchronized (this) {
                 View now = views.get(pool);
-                views.put(pool, new View(now.version(), now.inService(), ring));
+                views.put(pool, new View(now.version(), now.inService(), now.listed(), ring));
                 if (now.inService().keySet().equals(v.inService().keySet())) {
                     rebuilding.remove(pool);
                     return;
--- a/routing/src/main/java/org/godwithoist/routing/TargetModels.java
+++ b/routing/src/main/java/org/godwithoist/routing/TargetModels.java
@@ -27,6 +27,12 @@
 
     private static final double WAIT_HALF_LIFE_MS = 2_000;
 
+    /**
+     * Older knowledge of speed is not used; otherwise one slow answer could keep all requests away
+     * from an engine for good.
+     */
+    private static final double SPEED_LIFE_MS = 30_000;
+
     /** A prompt cache is not trusted after this time, whatever the turnover. */
     private static final Duration MAX_AGE = Duration.ofHours(6);
 
@@ -95,7 +101,7 @@
     /** Returns the expected time of a prefill, in milliseconds. */
     double prefillMs(TargetId target, long tokens) {
         Model m = models.get(target);
-        return m == null ? tokens / DEFAULT_TOKENS_PER_MS : m.prefillMs(tokens);
+        return m == null ? tokens / DEFAULT_TOKENS_PER_MS : m.prefillMs(tokens, now());
     }
 
     /** Returns the expected time of a KV export and import, in milliseconds. */
@@ -149,6 +155,7 @@
     private static final class Model {
         private double tokensPerMs = DEFAULT_TOKENS_PER_MS;
         private double fixedMs;
+        private double speedAt = Double.NEGATIVE_INFINITY;
         private double waitMs;
         private double waitAt;
         private double restartedAt = Double.NEGATIVE_INFINITY;
@@ -164,6 +171,7 @@
             } else if (firstMs > 0) {
                 fixedMs += WEIGHT_OF_NEW * (firstMs - fixedMs);
             }
+            speedAt = now;
             own.add((double) (uncached + completion), now);
         }
 
@@ -177,7 +185,10 @@
             return waitMs * Math.pow(0.5, (now - waitAt) / WAIT_HALF_LIFE_MS);
         }
 
-        synchronized double prefillMs(long tokens) {
+        synchronized double prefillMs(long tokens, double now) {
+            if (now - speedAt > SPEED_LIFE_MS) {
+                return tokens / DEFAULT_TOKENS_PER_MS;
+            }
             return fixedMs + tokens / tokensPerMs;
         }
 
