Report how each request ended

Cause: the daemon had nothing to feed metrics and service-level reports of chats; kept pieces could be dropped before a caller who was just attaching got them; an answer could be ended twice.

Change: an observer takes failure code, first-token time, time between tokens, attempts and resumed connections of each request; only sent pieces are dropped; an ended response counts as gone.

Conclusion: the daemon must pass an observer; NONE ignores all.

--- a/chat/src/main/java/org/godwithoist/chat/Answer.java
+++ b/chat/src/main/java/org/godwithoist/chat/Answer.java
@@ -25,7 +25,8 @@
     private final Deque<EngineEvent.Piece> kept = new ArrayDeque<>();
     private final StringBuilder text = new StringBuilder();
     private final CompletableFuture<Void> done = new CompletableFuture<>();
-    private final boolean fromStart;
+    private final long base;
+    private final long startedAt;
     private AnswerSink sink;
     private long keptFrom;
     private long last;
@@ -36,6 +37,10 @@
     private Attachment waiting;
     private AnswerEnd end;
     private AttemptId attempt;
+    private long firstAt;
+    private long lastAt;
+    private int attempts;
+    private int resumes;
 
     private record Attachment(AnswerSink sink, long after) {}
 
@@ -51,7 +56,8 @@
         keptFrom = base;
         last = base;
         sent = after;
-        fromStart = base == 0;
+        this.base = base;
+        startedAt = ticker.nanos();
     }
 
     // ---- called by the owning task
@@ -63,7 +69,9 @@
             plainText &= piece.plainText();
             kept.add(piece);
             last++;
-            if (kept.size() > MAX_KEPT) {
+            lastAt = ticker.nanos();
+            firstAt = firstAt == 0 ? lastAt : firstAt;
+            if (kept.size() > MAX_KEPT && keptFrom < unsentFrom()) {
                 kept.removeFirst();
                 keptFrom++;
             }
@@ -119,7 +127,7 @@
 
     /** Returns whether another engine can continue the answer from its text. */
     boolean continuable() {
-        return plainText && (fromStart || last == 0);
+        return plainText && base == 0;
     }
 
     private void send() {
@@ -145,6 +153,10 @@
         }
     }
 
+    private long unsentFrom() {
+        return waiting == null ? sent : Math.min(sent, waiting.after());
+    }
+
     private void lose() {
         gone = true;
         goneSince = ticker.nanos();
@@ -162,6 +174,12 @@
     /** Notes the latest attempt. */
     synchronized void attempted(AttemptId id) {
         attempt = id;
+        attempts++;
+    }
+
+    /** Notes that a connection of an attempt is replaced. */
+    synchronized void resumed() {
+        resumes++;
     }
 
     // ---- called by other tasks
@@ -171,6 +189,21 @@
         return Optional.ofNullable(attempt);
     }
 
+    /** Returns how the request ended. */
+    synchronized ChatOutcome outcome(Optional<ErrorCode> failure) {
+        long pieces = last - base;
+        Optional<Duration> first =
+                firstAt == 0
+                        ? Optional.empty()
+                        : Optional.of(Duration.ofNanos(firstAt - startedAt));
+        Optional<Duration> between =
+                pieces < 2
+                        ? Optional.empty()
+                        : Optional.of(Duration.ofNanos((lastAt - firstAt) / (pieces - 1)));
+        Duration total = Duration.ofNanos(ticker.nanos() - startedAt);
+        return new ChatOutcome(failure, gone, first, between, total, attempts, resumes);
+    }
+
     /** Returns whether the whole answer is known. */
     synchronized boolean isFinished() {
         return end != null;
--- a/chat/src/main/java/org/godwithoist/chat/ChatContext.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatContext.java
@@ -23,6 +23,7 @@
  * @param placements where chats were served
  * @param ticker clock of the deadlines
  * @param timings times of a request's life
+ * @param observer takes how each request ended
  */
 public record ChatContext(
         HostId self,
@@ -34,4 +35,5 @@
         Router router,
         Placements placements,
         Ticker ticker,
-        ChatTimings timings) {}
+        ChatTimings timings,
+        ChatOutcome.Observer observer) {}
--- a/chat/src/main/java/org/godwithoist/chat/ChatRun.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRun.java
@@ -299,6 +299,7 @@
                 return giveUp(attempt, failure);
             }
             open = false;
+            answer.resumed();
         }
     }
 
--- a/chat/src/main/java/org/godwithoist/chat/ChatService.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatService.java
@@ -1,5 +1,6 @@
 package org.godwithoist.chat;
 
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -28,6 +29,7 @@
  * caller's connection. Thread-safe.
  */
 public final class ChatService {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final Duration DRAIN_POLL = Duration.ofMillis(50);
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -170,6 +172,7 @@
         workload.inProgress().incrementAndGet();
         try {
             body.run();
+            observe(request, answer, Optional.empty());
             keepForAWhile(request, answer);
         } catch (RequestException e) {
             forget(request, answer, e);
@@ -187,6 +190,16 @@
     private void forget(ChatRequest request, Answer answer, RequestException failure) {
         answers.remove(key(request), answer);
         answer.fail(failure);
+        observe(request, answer, Optional.of(failure.code()));
+    }
+
+    /** Reports the end of a request; a fault of the observer must not change the answer. */
+    private void observe(ChatRequest request, Answer answer, Optional<ErrorCode> failure) {
+        try {
+            context.observer().ended(request, answer.outcome(failure));
+        } catch (RuntimeException e) {
+            LOG.atSevere().withCause(e).log("the end of %s was not observed", request.id());
+        }
     }
 
     private void keepForAWhile(ChatRequest request, Answer answer) {
--- a/chat/src/main/java/org/godwithoist/chat/http/CallerSink.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/CallerSink.java
@@ -43,7 +43,7 @@
     }
 
     boolean present() {
-        return !abandoned && !response.closed();
+        return !abandoned && !response.closed() && !response.ended();
     }
 
     /** Sends a text and waits until the connection has taken it; false if the caller is gone. */
--- a/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
@@ -162,6 +162,8 @@
             assertEquals(0, calls("open engine-2"));
             assertEquals(1, calls("resume engine-1 " + event));
             assertEquals(1, calls("distrust engine-1"));
+            assertEquals(1, fleet.outcomes.getFirst().resumes());
+            assertEquals(1, fleet.outcomes.getFirst().attempts());
         }
 
         @Test
--- a/chat/src/test/java/org/godwithoist/chat/Fleet.java
+++ b/chat/src/test/java/org/godwithoist/chat/Fleet.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.godwithoist.accounting.Usage;
@@ -45,6 +46,7 @@
     final Map<TargetId, Integer> capacity = new HashMap<>();
     final Map<TargetId, Integer> taken = new ConcurrentHashMap<>();
     final Set<RequestId> openAttempts = ConcurrentHashMap.newKeySet();
+    final List<ChatOutcome> outcomes = new CopyOnWriteArrayList<>();
     final AtomicInteger expiringSlots = new AtomicInteger();
     private final AtomicReference<Usage> closed = new AtomicReference<>(Usage.NONE);
     private final Map<TargetId, Target> targets = new ConcurrentHashMap<>();
@@ -88,7 +90,8 @@
                         router,
                         placements,
                         Ticker.SYSTEM,
-                        timings));
+                        timings,
+                        (request, outcome) -> outcomes.add(outcome)));
     }
 
     /** Makes every engine send one word after each pause. */
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -13,6 +13,7 @@
 import org.godwithoist.bundle.Bundle;
 import org.godwithoist.bundle.BundleParser;
 import org.godwithoist.chat.ChatContext;
+import org.godwithoist.chat.ChatOutcome;
 import org.godwithoist.chat.ChatService;
 import org.godwithoist.chat.ChatTimings;
 import org.godwithoist.chat.http.CallerServer;
@@ -74,7 +75,8 @@
                                 router,
                                 placements,
                                 Ticker.SYSTEM,
-                                ChatTimings.DEFAULT));
+                                ChatTimings.DEFAULT,
+                                ChatOutcome.Observer.NONE));
         Router callers = Router.router(vertx);
         new ChatFront(() -> Optional.ofNullable(bundle.get()), service).mount(callers);
         Endpoint endpoint = settings.callers();
