Name failed engines when the deadline leaves no time for another attempt

Cause: a request whose engines failed was answered as deadline_exceeded when too little time was left, which hid the engines' failure.

Change: such a request is answered as target_failed; the tests check code and run state together. The test of duplicates also asserts that nothing is resumed, because without the check for duplicates the resume hid the fault.

Conclusion: every failure test now checks code and run state.

--- a/chat/src/main/java/org/godwithoist/chat/ChatRun.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRun.java
@@ -175,12 +175,17 @@
         if (options.getFirst().costMs() < leftMs) {
             return;
         }
-        boolean busy = options.getFirst().waitMs() > 0;
-        throw failure(
-                busy ? ErrorCode.NO_CAPACITY : ErrorCode.DEADLINE_EXCEEDED,
-                busy
-                        ? "no engine of pool " + pool.id() + " has room before the deadline"
-                        : "the answer cannot begin before the deadline");
+        if (options.getFirst().waitMs() > 0) {
+            throw failure(
+                    ErrorCode.NO_CAPACITY,
+                    "no engine of pool " + pool.id() + " has room before the deadline");
+        }
+        throw attempts.isEmpty()
+                ? failure(
+                        ErrorCode.DEADLINE_EXCEEDED, "the answer cannot begin before the deadline")
+                : failure(
+                        ErrorCode.TARGET_FAILED,
+                        "engines failed and the deadline leaves no time for another attempt");
     }
 
     /** Waits at the best engine as long as that is cheaper than the next one. */
--- a/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
@@ -87,6 +87,7 @@
     private void serve() {
         placeAtFirst();
         service.serve(request(), caller);
+        assertWhole(caller);
     }
 
     private RequestException fails(ChatRequest request) {
@@ -94,6 +95,13 @@
         return assertThrows(RequestException.class, () -> service.serve(request, caller));
     }
 
+    private RequestException fails(ErrorCode code, RunState state, Duration deadline) {
+        RequestException e = fails(request(deadline, Optional.empty()));
+        assertEquals(code, e.code(), e.getMessage());
+        assertEquals(state, e.runState());
+        return e;
+    }
+
     private static void assertWhole(CollectingSink sink) {
         assertEquals(FakeEngines.wholeText(), sink.text.toString());
         assertEquals(LongStream.rangeClosed(1, FakeEngines.WORDS).boxed().toList(), sink.offsets);
@@ -113,7 +121,6 @@
             fleet.engine(1).killAt = event;
             unsettled = 1;
             serve();
-            assertWhole(caller);
             assertEquals(1, calls("open engine-2"));
             assertEquals(1, caller.end.unsettledAttempts());
             Usage second = fleet.engine(2).counted.values().iterator().next();
@@ -125,7 +132,6 @@
         void deadBeforeTheRequestIsNoRun() {
             fleet.engine(1).dead = true;
             serve();
-            assertWhole(caller);
             assertEquals(0, caller.end.unsettledAttempts());
         }
 
@@ -134,8 +140,7 @@
             fleet.engine(1).killAt = 3;
             fleet.engine(2).dead = true;
             unsettled = 1;
-            RequestException e = fails(request(Duration.ofSeconds(2), Optional.empty()));
-            assertEquals(RunState.UNKNOWN, e.runState());
+            var e = fails(ErrorCode.TARGET_FAILED, RunState.UNKNOWN, Duration.ofSeconds(2));
             assertTrue(e.retryAfter().isPresent());
         }
 
@@ -158,7 +163,6 @@
         void isReplacedAndTheSameEngineGoesOn(int event) {
             fleet.engine(1).silentAt = event;
             serve();
-            assertWhole(caller);
             assertEquals(0, calls("open engine-2"));
             assertEquals(1, calls("resume engine-1 " + event));
             assertEquals(1, calls("distrust engine-1"));
@@ -184,7 +188,6 @@
             fleet.engine(1).forgetsSilentRequest = true;
             var healing = Tasks.start("heal", () -> heal(1));
             serve();
-            assertWhole(caller);
             assertTrue(healing.isVirtual());
         }
 
@@ -198,7 +201,6 @@
             fleet.engine(1).silentAt = 3;
             fleet.engine(1).silentForever = true;
             serve();
-            assertWhole(caller);
             assertEquals(1, calls("open engine-2"));
         }
     }
@@ -210,14 +212,13 @@
         void duplicatesAreDropped() {
             fleet.engine(1).duplicates = true;
             serve();
-            assertWhole(caller);
+            assertEquals(0, calls("resume"));
         }
 
         @Test
         void crossedEventsAreSorted() {
             fleet.engine(1).swaps = true;
             serve();
-            assertWhole(caller);
             assertEquals(0, calls("resume"));
         }
 
@@ -226,7 +227,6 @@
         void lostEventIsFetchedAgain(int offset) {
             fleet.engine(1).losesOnce = offset;
             serve();
-            assertWhole(caller);
             assertEquals(1, calls("resume engine-1 " + (offset - 1)));
         }
 
@@ -240,6 +240,7 @@
             assertTrue(order.poll().isEmpty());
             order.add(new EngineEvent.Piece(1, "a", "{}", true));
             assertTrue(order.poll().isEmpty());
+            assertFalse(order.hasGap());
             assertEquals(1, order.last());
         }
     }
@@ -251,7 +252,6 @@
         void anotherEngineAnswersAndNothingIsCharged() {
             fleet.engine(1).refusal = EngineException.Kind.REFUSED;
             serve();
-            assertWhole(caller);
             assertEquals(1, caller.end.usage().requests());
         }
 
@@ -259,16 +259,13 @@
         void byAllIsNotRun() {
             fleet.engine(1).refusal = EngineException.Kind.REFUSED;
             fleet.engine(2).refusal = EngineException.Kind.REFUSED;
-            RequestException e = fails(request(Duration.ofSeconds(1), Optional.empty()));
-            assertEquals(RunState.NOT_RUN, e.runState());
+            fails(ErrorCode.TARGET_FAILED, RunState.NOT_RUN, Duration.ofSeconds(1));
         }
 
         @Test
         void contentIsNotSentToOtherEngines() {
             fleet.engine(1).refusal = EngineException.Kind.INVALID;
-            RequestException e = fails(request());
-            assertEquals(ErrorCode.BAD_REQUEST, e.code());
-            assertEquals(RunState.NOT_RUN, e.runState());
+            fails(ErrorCode.BAD_REQUEST, RunState.NOT_RUN, Duration.ofSeconds(10));
             assertEquals(1, calls("open"));
         }
 
@@ -276,15 +273,13 @@
         void engineFaultAfterTheRequestWasSentIsUnknown() {
             fleet.engine(1).refusal = EngineException.Kind.FAILED;
             fleet.engine(2).refusal = EngineException.Kind.FAILED;
-            RequestException e = fails(request(Duration.ofSeconds(1), Optional.empty()));
-            assertEquals(RunState.UNKNOWN, e.runState());
+            fails(ErrorCode.TARGET_FAILED, RunState.UNKNOWN, Duration.ofSeconds(1));
         }
 
         @Test
         void expiredSlotSendsNothingAndIsNoRetry() {
             fleet.expiringSlots.set(20);
             serve();
-            assertWhole(caller);
             assertEquals(1, calls("open"));
         }
     }
@@ -296,9 +291,7 @@
         void noSlotBeforeTheDeadlineIsNotRun() {
             fleet.capacity.put(Fleet.id(1), 0);
             fleet.capacity.put(Fleet.id(2), 0);
-            RequestException e = fails(request(Duration.ofMillis(400), Optional.empty()));
-            assertEquals(ErrorCode.NO_CAPACITY, e.code());
-            assertEquals(RunState.NOT_RUN, e.runState());
+            var e = fails(ErrorCode.NO_CAPACITY, RunState.NOT_RUN, Duration.ofMillis(400));
             assertTrue(e.retryAfter().isPresent());
         }
 
@@ -313,23 +306,18 @@
                         fleet.capacity.put(Fleet.id(2), 1);
                     });
             serve();
-            assertWhole(caller);
         }
 
         @Test
         void deadlineThatCannotBeMetIsRefusedAtOnce() {
-            RequestException e = fails(request(Duration.ofMillis(1), Optional.empty()));
-            assertEquals(ErrorCode.DEADLINE_EXCEEDED, e.code());
-            assertEquals(RunState.NOT_RUN, e.runState());
+            fails(ErrorCode.DEADLINE_EXCEEDED, RunState.NOT_RUN, Duration.ofMillis(1));
             assertEquals(0, calls("open"));
         }
 
         @Test
         void deadlineThatPassesDuringTheAnswerIsUnknownAndCancels() {
             fleet.engine(1).paceMs = 100;
-            RequestException e = fails(request(Duration.ofMillis(350), Optional.empty()));
-            assertEquals(ErrorCode.DEADLINE_EXCEEDED, e.code());
-            assertEquals(RunState.UNKNOWN, e.runState());
+            fails(ErrorCode.DEADLINE_EXCEEDED, RunState.UNKNOWN, Duration.ofMillis(350));
             await(() -> calls("cancel engine-1") == 1);
         }
 
@@ -373,7 +361,6 @@
         void slowCallerDoesNotMakeTheEngineLookSilent() {
             caller.pause = Duration.ofMillis(250);
             serve();
-            assertWhole(caller);
             assertEquals(0, calls("resume"));
         }
 
@@ -413,7 +400,7 @@
         @Test
         void requestIdUsedAgainIsChargedAgain() {
             serve();
-            serve();
+            service.serve(request(), new CollectingSink());
             assertEquals(2, fleet.recorded().requests());
         }
 
--- a/chat/src/test/java/org/godwithoist/chat/http/ChatFrontTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/http/ChatFrontTest.java
@@ -91,6 +91,10 @@
         return o.getJsonArray("choices").getJsonObject(0);
     }
 
+    private void assertBad(HttpRequest.Builder request) throws Exception {
+        assertError(send(request), 400, "bad_request", "not_run");
+    }
+
     private static void assertError(
             HttpResponse<String> response, int status, String code, String runState) {
         assertEquals(status, response.statusCode(), response.body());
@@ -212,23 +216,21 @@
                     "{\"model\":\"assistant\",\"stream_options\":1,\"messages\":[{\"role\":\"u\"}]}"
                 })
         void bodyIsRejected(String body) throws Exception {
-            assertError(send(post(body)), 400, "bad_request", "not_run");
+            assertBad(post(body));
         }
 
         @Test
         void deeplyNestedBodyIsRejected() throws Exception {
             String body = "{\"model\":" + "[".repeat(100_000);
-            assertError(send(post(body)), 400, "bad_request", "not_run");
+            assertBad(post(body));
         }
 
         @Test
         void headersAreRejected() throws Exception {
             for (String header : List.of("X-Priority", "Last-Event-ID", "X-Deadline-Ms")) {
-                var r = send(post(PLAIN).header(header, "-x-").header("X-Request-Id", "a"));
-                assertError(r, 400, "bad_request", "not_run");
+                assertBad(post(PLAIN).header(header, "-x-").header("X-Request-Id", "a"));
             }
-            assertError(
-                    send(post(PLAIN).header("X-Request-Id", "a b")), 400, "bad_request", "not_run");
+            assertBad(post(PLAIN).header("X-Request-Id", "a b"));
         }
 
         @Test
--- a/chat/src/test/java/org/godwithoist/chat/http/HttpEngineClientTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/http/HttpEngineClientTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
@@ -70,42 +71,43 @@
     /** The engine answers. */
     @Nested
     final class Answers {
+        private static final String EVENTS =
+                """
+                : keepalive
+
+                id: 1
+                data: {"choices":[{"delta":{"content":"a"},"finish_reason":"length"}]}
+
+                data: {"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":1}}
+
+                data: [DONE]
+
+                """;
+
         @Test
         void requestCarriesTheProtocolAndEventsAreRead() {
-            var seen = new CompletableFuture<JsonObject>();
+            var sent = new CompletableFuture<JsonObject>();
+            var headers = new CompletableFuture<MultiMap>();
             behaviour =
-                    r ->
-                            r.bodyHandler(
-                                    b -> {
-                                        seen.complete(
-                                                b.toJsonObject()
-                                                        .put("id", r.getHeader("X-Request-Id"))
-                                                        .put("p", r.getHeader("X-Priority")));
-                                        r.response()
-                                                .setChunked(true)
-                                                .end(
-                                                        ": keepalive\n\nid: 1\ndata: {\"choices\":"
-                                                                + "[{\"delta\":{\"content\":\"a\"},"
-                                                                + "\"finish_reason\":\"length\"}]}\n\n"
-                                                                + "data: {\"choices\":[],\"usage\":{"
-                                                                + "\"prompt_tokens\":3,"
-                                                                + "\"completion_tokens\":1}}\n\n"
-                                                                + "data: [DONE]\n\n");
-                                    });
+                    r -> {
+                        headers.complete(r.headers());
+                        r.bodyHandler(
+                                b -> {
+                                    sent.complete(b.toJsonObject());
+                                    r.response().end(EVENTS);
+                                });
+                    };
             List<EngineEvent> events = new ArrayList<>();
             try (EngineStream stream = open("before ")) {
                 do {
                     events.add(Await.result(stream.next(), PATIENCE));
                 } while (!(events.getLast() instanceof EngineEvent.End));
             }
-            JsonObject sent = seen.join();
-            assertEquals("before ", sent.getString("continue_from"));
-            assertEquals("attempt", sent.getString("id"));
-            assertEquals("urgent", sent.getString("p"));
+            assertEquals("before ", sent.join().getString("continue_from"));
+            assertEquals("attempt", headers.join().get("X-Request-Id"));
+            assertEquals("urgent", headers.join().get("X-Priority"));
             assertEquals(new EngineEvent.End(new Usage(1, 3, 0, 1), "length"), events.getLast());
-            assertTrue(
-                    events.stream()
-                            .anyMatch(e -> e instanceof EngineEvent.Piece p && p.offset() == 1));
+            assertEquals(1, events.stream().filter(EngineEvent.Piece.class::isInstance).count());
         }
 
         @Test
