--- /dev/null
+++ b/chat/src/main/java/org/godwithoist/chat/AttemptId.java
@@ -0,0 +1,75 @@
+package org.godwithoist.chat;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+import org.godwithoist.core.id.RequestId;
+
+/**
+ * Name of one attempt of a request at an engine: {@code <request>.<hash>.<number>-<base>}. The hash
+ * covers the workspace, so that equal request ids of two workspaces never meet at an engine. Any
+ * daemon can recognise the attempts of a request and where their text begins.
+ *
+ * @param prefix part that all attempts of a request have in common
+ * @param number number of the attempt, from 1
+ * @param base pieces of the answer that came from earlier attempts
+ */
+record AttemptId(String prefix, int number, long base) {
+    /** Longest part of the caller's request id; the hash covers all of it. */
+    private static final int MAX_ID = 64;
+
+    private static final int HASH_BYTES = 16;
+
+    /**
+     * Step of the number when another daemon takes a request over. The daemon before may still make
+     * attempts of its own until it notices, and two attempts must not share an id.
+     */
+    private static final int TAKE_OVER_STEP = 100;
+
+    static AttemptId first(ChatRequest request) {
+        String id = request.id().value();
+        String hash = hash(request.workspace() + "\n" + id);
+        String readable = id.substring(0, Math.min(MAX_ID, id.length()));
+        return new AttemptId(readable + "." + hash, 1, 0);
+    }
+
+    /** A cryptographic hash, so that no caller can choose an id that meets another workspace's. */
+    private static String hash(String text) {
+        try {
+            byte[] all =
+                    MessageDigest.getInstance("SHA-256")
+                            .digest(text.getBytes(StandardCharsets.UTF_8));
+            return HexFormat.of().formatHex(all, 0, HASH_BYTES);
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+
+    AttemptId next(long newBase) {
+        return new AttemptId(prefix, number + 1, newBase);
+    }
+
+    AttemptId nextAfterTakeOver() {
+        return new AttemptId(prefix, number + TAKE_OVER_STEP, 0);
+    }
+
+    RequestId id() {
+        return new RequestId(prefix + "." + number + "-" + base);
+    }
+
+    /** Reads an id if it belongs to the same request. */
+    Optional<AttemptId> sameRequest(RequestId id) {
+        if (!id.value().startsWith(prefix + ".")) {
+            return Optional.empty();
+        }
+        String[] rest = id.value().substring(prefix.length() + 1).split("-", -1);
+        try {
+            return Optional.of(
+                    new AttemptId(prefix, Integer.parseInt(rest[0]), Long.parseLong(rest[1])));
+        } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -5,14 +5,12 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import java.time.Duration;
 import org.godwithoist.accounting.MemoryUsageRecorder;
 import org.godwithoist.admission.FixedShareAdmission;
-import org.godwithoist.chat.ChatService;
-import org.godwithoist.chat.http.ChatFront;
-import org.godwithoist.chat.http.HttpEngineClient;
+import org.godwithoist.chat.ChatOutcome;
+import org.godwithoist.chat.http.CallerServer;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
@@ -35,7 +33,6 @@
     private static final Duration DRAIN_TIMEOUT = Duration.ofMinutes(5);
 
     private static final int EVENT_LOOPS = 2;
-    private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final int SLOTS_PER_TARGET = 4;
 
     private final DaemonSettings settings;
@@ -43,19 +40,27 @@
     private final Lifecycle lifecycle = new Lifecycle();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Control control;
+    private final Chats chats;
 
     /** Makes a daemon that does nothing yet. */
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
         var platform = new PlatformClient(vertx, settings.platform(), STORE_TIMEOUT);
         this.control = new Control(settings, platform, System.currentTimeMillis());
+        this.chats =
+                new Chats(
+                        vertx,
+                        control,
+                        new FixedShareAdmission(SLOTS_PER_TARGET),
+                        new MemoryUsageRecorder(),
+                        ChatOutcome.Observer.NONE);
     }
 
     /** Starts to listen; returns when operators and callers can connect. */
     public void start() {
         control.start();
-        listen(operators(), settings.operators());
-        listen(callers(), settings.callers());
+        listen(vertx.createHttpServer().requestHandler(operators()), settings.operators());
+        listen(new CallerServer(vertx).create(callers()), settings.callers());
         Tasks.start("readiness", this::awaitReady);
         LOG.atInfo().log(
                 "daemon %s listens for callers on %s, for operators on %s and for peers on %s",
@@ -66,7 +71,8 @@
     public void drain() {
         LOG.atInfo().log("drain begins with %d requests in progress", lifecycle.inProgress());
         lifecycle.drain();
-        if (!lifecycle.awaitIdle(DRAIN_TIMEOUT)) {
+        chats.drain();
+        if (!lifecycle.awaitIdle(DRAIN_TIMEOUT) || !chats.awaitIdle(DRAIN_TIMEOUT)) {
             LOG.atWarning().log("%d requests are left after the drain", lifecycle.inProgress());
         }
         control.stop();
@@ -90,24 +96,15 @@
     }
 
     private Router callers() {
-        var service =
-                new ChatService(
-                        () -> control.bundle().orElseThrow(),
-                        control.targets(),
-                        new FixedShareAdmission(SLOTS_PER_TARGET),
-                        new HttpEngineClient(vertx),
-                        new MemoryUsageRecorder());
         Router router = Router.router(vertx);
         new HealthRoutes(lifecycle, registry).mount(router);
         router.route("/v1/*").handler(new AdmitHandler(lifecycle));
         router.route("/services/*").handler(new AdmitHandler(lifecycle));
-        new ChatFront(control::bundle, service).mount(router);
+        chats.mount(router);
         return router;
     }
 
-    private void listen(Router router, Endpoint endpoint) {
-        var options = new HttpServerOptions().setMaxHeaderSize(MAX_HEADER_BYTES);
-        HttpServer server = vertx.createHttpServer(options).requestHandler(router);
+    private void listen(HttpServer server, Endpoint endpoint) {
         Await.result(server.listen(endpoint.port(), endpoint.ip()), START_TIMEOUT);
     }
 
@@ -117,6 +114,7 @@
                 return;
             }
         }
+        chats.start();
         lifecycle.serve();
         LOG.atInfo().log("daemon %s serves callers", settings.host());
     }
