Kill the engine of the session only after part of the answer

Cause: the engine was killed before its first word, so nothing was continued. Change: the kill waits until some words were sent; engine names in golden files are normalised, because the word at which the engine changes depends on timing.

--- a/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
@@ -13,15 +13,20 @@
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.godwithoist.core.task.Tasks;
 
 /** Steps of sessions in which callers talk to the fleet. */
 public final class SessionSteps {
     private static final int READY_ATTEMPTS = 100;
     private static final int READY_INTERVAL_MS = 50;
     private static final int OK = 200;
+
+    /** At 300 ms for each word an engine has sent some words by then, but not the whole answer. */
+    private static final Duration PART_OF_ANSWER = Duration.ofMillis(900);
     private static final List<String> DAEMONS = List.of("daemon-1", "daemon-2");
 
     private final Transcript transcript = new Transcript();
@@ -93,6 +98,7 @@
                 Thread.startVirtualThread(
                         () -> {
                             String engine = awaitBusyEngine();
+                            Tasks.sleep(PART_OF_ANSWER);
                             fleet.process(engine).kill();
                         });
         turn(chat, workspace, text, daemon, true);
--- a/acceptance/src/test/java/org/godwithoist/acceptance/Transcript.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Transcript.java
@@ -19,6 +19,8 @@
 
     private static final Pattern PROPOSAL = Pattern.compile("([0-9]{10})-[0-9a-f]{12}");
     private static final Pattern HASH = Pattern.compile("[0-9a-f]{64}");
+    // Which engine sends which word after a kill depends on timing.
+    private static final Pattern ENGINE = Pattern.compile("\"system_fingerprint\":\"[^\"]*\"");
     private static final Pattern SIGNATURE = Pattern.compile("[A-Za-z0-9+/]{86}==");
     private static final Pattern FOLDER = Pattern.compile("\\S*/godwithoist-session[0-9]+/");
     private static final Pattern CLOCK = Pattern.compile("20[0-9]{2}-[0-9]{2}-[0-9]{2}T[0-9:.]+Z");
@@ -55,6 +57,7 @@
         String ids = UUID.matcher(line).replaceAll("<id>");
         ids = PROPOSAL.matcher(ids).replaceAll("$1-<hash>");
         ids = HASH.matcher(ids).replaceAll("<hash>");
+        ids = ENGINE.matcher(ids).replaceAll("\"system_fingerprint\":\"<engine>\"");
         ids = SIGNATURE.matcher(ids).replaceAll("<signature>");
         ids = FOLDER.matcher(ids).replaceAll("");
         ids = CLOCK.matcher(ids).replaceAll("<time>");
