--- /dev/null
+++ b/admission/src/test/java/org/godwithoist/admission/wire/FakeTransport.java
@@ -0,0 +1,89 @@
+package org.godwithoist.admission.wire;
+
+import com.google.protobuf.MessageLite;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.membership.PeerTransport;
+
+/** Transport in one process with switches for delay, loss, partition and pause of a host. */
+final class FakeTransport {
+    volatile Duration delay = Duration.ZERO;
+    final Set<Set<HostId>> cuts = ConcurrentHashMap.newKeySet();
+    final Map<HostId, CountDownLatch> paused = new ConcurrentHashMap<>();
+    final AtomicInteger exchanges = new AtomicInteger();
+    final AtomicInteger lose = new AtomicInteger();
+    private final Map<HostId, Map<String, Served<?, ?>>> hosts = new ConcurrentHashMap<>();
+
+    private record Served<Q extends MessageLite, R extends MessageLite>(
+            PeerTransport.Method<Q, R> method, PeerTransport.Handler<Q, R> handler) {
+        byte[] answer(HostId from, byte[] request) throws Exception {
+            Q q = method.requestParser().parseFrom(request);
+            return handler.handle(from, q).toByteArray();
+        }
+    }
+
+    /** Holds back everything that a host handles until it is resumed. */
+    void pause(HostId host) {
+        paused.put(host, new CountDownLatch(1));
+    }
+
+    void resume(HostId host) {
+        paused.remove(host).countDown();
+    }
+
+    PeerTransport of(HostId self) {
+        Map<String, Served<?, ?>> own = new HashMap<>();
+        hosts.put(self, own);
+        return new PeerTransport() {
+            @Override
+            public <Q extends MessageLite, R extends MessageLite> void serve(
+                    Method<Q, R> method, Handler<Q, R> handler) {
+                own.put(method.name(), new Served<>(method, handler));
+            }
+
+            @Override
+            public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> call(
+                    HostId peer, Method<Q, R> method, Q request, Duration timeout) {
+                CompletableFuture<R> result = new CompletableFuture<>();
+                Tasks.start("call", () -> carry(self, peer, method, request, result));
+                return result.orTimeout(timeout.toNanos(), TimeUnit.NANOSECONDS);
+            }
+        };
+    }
+
+    private <Q extends MessageLite, R extends MessageLite> void carry(
+            HostId from,
+            HostId to,
+            PeerTransport.Method<Q, R> method,
+            Q request,
+            CompletableFuture<R> result) {
+        try {
+            if (method.name().equals("Exchange")) {
+                exchanges.incrementAndGet();
+            }
+            boolean lost = lose.getAndUpdate(n -> Math.max(0, n - 1)) > 0;
+            if (lost || cuts.contains(Set.of(from, to)) || !hosts.containsKey(to)) {
+                return;
+            }
+            Tasks.sleep(delay);
+            CountDownLatch pause = paused.get(to);
+            if (pause != null) {
+                pause.await();
+            }
+            byte[] answer = hosts.get(to).get(method.name()).answer(from, request.toByteArray());
+            Tasks.sleep(delay);
+            result.complete(method.responseParser().parseFrom(answer));
+        } catch (Exception e) {
+            result.completeExceptionally(e);
+        }
+    }
+}
