Settle usage through a replica and conditional rows

Cause: usage lived in the memory of the serving daemon only, so its death or a lost answer of the store lost or doubled it.

Change: the ledger of a daemon registers each attempt at a replica daemon in the background and settles counted attempts as a chain of rows with the key (daemon, incarnation, sequence). Each row has cumulative totals and replaces its predecessor in one transaction. After the death of a daemon its replica takes over the chain, settles the counted attempts and asks targets for the open ones; a paused daemon takes its chain back. GET /v1/usage shows settled and unsettled use. One row has all workspaces, and the interval grows with the fleet.

--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/HeldChain.java
@@ -0,0 +1,88 @@
+package org.godwithoist.accounting;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.godwithoist.core.id.RequestId;
+
+/** A replica's copy of another daemon's unsettled attempts. Guarded by {@link HeldChains}. */
+final class HeldChain {
+    private final long epoch;
+    private final Map<RequestId, Attempt> open = new LinkedHashMap<>();
+    private final TreeMap<Long, CountedAttempt> counted = new TreeMap<>();
+    private List<ChainId> owned = List.of();
+    private long applied;
+    private long snapshotEnd;
+    private long completeEpoch;
+    private boolean handedOver;
+
+    HeldChain(long epoch) {
+        this.epoch = epoch;
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    /**
+     * Returns the epoch that counts in a takeover. An incomplete copy must not shut out the
+     * complete copy of an earlier replica.
+     */
+    long takeoverEpoch() {
+        return applied >= snapshotEnd ? epoch : Math.min(epoch, completeEpoch);
+    }
+
+    long applied() {
+        return applied;
+    }
+
+    boolean handedOver() {
+        return handedOver;
+    }
+
+    Collection<Attempt> open() {
+        return open.values();
+    }
+
+    Collection<CountedAttempt> counted() {
+        return counted.values();
+    }
+
+    List<ChainId> owned() {
+        return owned;
+    }
+
+    boolean isEmpty() {
+        return open.isEmpty() && counted.isEmpty() && owned.isEmpty();
+    }
+
+    /** Applies the entries that follow the applied ones; repeats and entries after a gap do not. */
+    void apply(Registration r) {
+        for (LogEntry e : r.entries()) {
+            if (e.position() == applied + 1) {
+                e.kind().apply(this, e);
+                applied++;
+            }
+        }
+        counted.headMap(r.settledThrough(), true).clear();
+        snapshotEnd = r.snapshotEnd();
+        completeEpoch = r.completeEpoch();
+        owned = r.owned();
+        handedOver |= r.handOver();
+    }
+
+    void opened(Attempt a) {
+        open.put(a.id(), a);
+    }
+
+    void closed(CountedAttempt c) {
+        open.remove(c.attempt().id());
+        counted.put(c.ordinal(), c);
+    }
+
+    void cancelled(RequestId id) {
+        open.remove(id);
+    }
+}
--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/HeldChains.java
@@ -0,0 +1,87 @@
+package org.godwithoist.accounting;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.godwithoist.accounting.Registration.Receipt;
+
+/** The copies that a daemon holds as the replica of others. Thread-safe. */
+final class HeldChains {
+    private final Map<ChainId, HeldChain> chains = new HashMap<>();
+
+    /**
+     * Content of a copy at one instant.
+     *
+     * @param takeoverEpoch epoch that counts in a takeover
+     * @param applied position of the last entry in it
+     */
+    record Copy(
+            ChainId chain,
+            long epoch,
+            long takeoverEpoch,
+            long applied,
+            List<CountedAttempt> counted,
+            List<Attempt> open,
+            List<ChainId> owned) {}
+
+    /** Applies a registration. An old epoch is refused, as is one whose first entry is missing. */
+    synchronized Receipt register(Registration r) {
+        HeldChain held = chains.get(r.chain());
+        boolean fresh = held == null || held.epoch() < r.epoch();
+        if (!fresh && held.epoch() > r.epoch()) {
+            return new Receipt(false, 0);
+        }
+        if (fresh) {
+            boolean fromStart = r.entries().isEmpty() || r.entries().getFirst().position() == 1;
+            if (!fromStart) {
+                return new Receipt(false, 0);
+            }
+            held = new HeldChain(r.epoch());
+            chains.put(r.chain(), held);
+        }
+        held.apply(r);
+        return new Receipt(true, held.applied());
+    }
+
+    /** Returns the copies whose daemon stopped or satisfies the given condition. */
+    synchronized List<Copy> due(Predicate<ChainId> dead) {
+        List<Copy> list = new ArrayList<>();
+        chains.forEach(
+                (id, held) -> {
+                    if (held.handedOver() || dead.test(id)) {
+                        list.add(copy(id, held));
+                    }
+                });
+        return list;
+    }
+
+    /** Returns all copies. */
+    synchronized List<Copy> all() {
+        return due(id -> true);
+    }
+
+    /**
+     * Forgets a copy, unless entries arrived since it was made.
+     *
+     * @return whether it was forgotten
+     */
+    synchronized boolean forget(Copy copy) {
+        HeldChain held = chains.get(copy.chain());
+        boolean unchanged =
+                held != null && held.epoch() == copy.epoch() && held.applied() == copy.applied();
+        return unchanged && chains.remove(copy.chain(), held);
+    }
+
+    private static Copy copy(ChainId id, HeldChain held) {
+        return new Copy(
+                id,
+                held.epoch(),
+                held.takeoverEpoch(),
+                held.applied(),
+                List.copyOf(held.counted()),
+                List.copyOf(held.open()),
+                held.owned());
+    }
+}
--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/Ledger.java
@@ -0,0 +1,322 @@
+package org.godwithoist.accounting;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.locks.Condition;
+import java.util.concurrent.locks.ReentrantLock;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.WorkspaceId;
+
+/**
+ * The unsettled attempts of this daemon, the entries its replica has not acknowledged and the part
+ * of them that may be settled. Thread-safe.
+ *
+ * <p>A counted attempt is settled only after the replica of the current epoch has its count or
+ * after the epoch was raised. Otherwise a replica that missed the count would ask the target and
+ * settle the attempt a second time.
+ */
+final class Ledger {
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Condition entryAdded = lock.newCondition();
+    private final ChainId chain;
+    private final Map<RequestId, Attempt> open = new LinkedHashMap<>();
+    private final Map<RequestId, Attempt> lost = new LinkedHashMap<>();
+    private final TreeMap<Long, CountedAttempt> counted = new TreeMap<>();
+    private final Deque<LogEntry> unacknowledged = new ArrayDeque<>();
+    private Optional<HostId> replica = Optional.empty();
+    private long epoch;
+    private long completeEpoch;
+    private long snapshotEnd;
+    private long lastPosition;
+    private long acknowledgedPosition;
+    private long acknowledgedOrdinal;
+    private long lastOrdinal;
+    private long settledThrough;
+
+    Ledger(ChainId chain) {
+        this.chain = chain;
+    }
+
+    ChainId chain() {
+        return chain;
+    }
+
+    // ---- changes by requests
+
+    void open(Attempt a) {
+        locked(
+                () -> {
+                    open.put(a.id(), a);
+                    log(LogEntry.Kind.OPENED, a, 0, Usage.NONE);
+                });
+    }
+
+    /** Counts an attempt; does nothing if it is not open. */
+    void close(RequestId id, Usage usage) {
+        locked(
+                () -> {
+                    Attempt a = open.remove(id);
+                    lost.remove(id);
+                    if (a != null) {
+                        lastOrdinal++;
+                        counted.put(lastOrdinal, new CountedAttempt(lastOrdinal, a, usage));
+                        log(LogEntry.Kind.CLOSED, a, lastOrdinal, usage);
+                    }
+                });
+    }
+
+    void cancel(RequestId id) {
+        locked(
+                () -> {
+                    Attempt a = open.remove(id);
+                    lost.remove(id);
+                    if (a != null) {
+                        log(LogEntry.Kind.CANCELLED, a, 0, Usage.NONE);
+                    }
+                });
+    }
+
+    /** Marks an open attempt as one whose count has to be asked from the target. */
+    void lose(RequestId id) {
+        locked(
+                () -> {
+                    Attempt a = open.get(id);
+                    if (a != null) {
+                        lost.put(id, a);
+                    }
+                });
+    }
+
+    // ---- registration at the replica
+
+    /** Waits until there are entries to register. */
+    void awaitEntries(Duration timeout) throws InterruptedException {
+        lock.lockInterruptibly();
+        try {
+            long left = timeout.toNanos();
+            while ((unacknowledged.isEmpty() || replica.isEmpty()) && left > 0) {
+                left = entryAdded.awaitNanos(left);
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    Optional<HostId> replica() {
+        lock.lock();
+        try {
+            return replica;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Starts a new epoch with the given replica, or without one if no other daemon is reachable.
+     */
+    void assignReplica(Optional<HostId> host) {
+        locked(() -> startEpoch(host, epoch + 1));
+    }
+
+    /** Returns the next entries to register. */
+    Registration nextRegistration(int maxEntries, boolean handOver, List<ChainId> owned) {
+        lock.lock();
+        try {
+            List<LogEntry> entries = unacknowledged.stream().limit(maxEntries).toList();
+            return new Registration(
+                    chain,
+                    epoch,
+                    snapshotEnd,
+                    completeEpoch,
+                    entries,
+                    settledThrough,
+                    handOver,
+                    owned);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /**
+     * Takes the answer to a registration.
+     *
+     * @return false if the replica has lost its copy or refuses the epoch, so that everything must
+     *     be registered again
+     */
+    boolean acknowledged(long ofEpoch, Registration.Receipt receipt) {
+        lock.lock();
+        try {
+            if (ofEpoch != epoch) {
+                return true;
+            }
+            if (!receipt.accepted() || receipt.applied() < acknowledgedPosition) {
+                return false;
+            }
+            acknowledgedPosition = receipt.applied();
+            while (!unacknowledged.isEmpty()
+                    && unacknowledged.peek().position() <= acknowledgedPosition) {
+                LogEntry e = unacknowledged.poll();
+                acknowledgedOrdinal = Math.max(acknowledgedOrdinal, e.ordinal());
+            }
+            if (acknowledgedPosition >= snapshotEnd) {
+                completeEpoch = epoch;
+            }
+            return true;
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    // ---- settlement
+
+    /** Returns the row that follows the given one, or empty if there is nothing to write. */
+    Optional<ChainRow> propose(ChainRow last) {
+        lock.lock();
+        try {
+            long limit = settleLimit();
+            Collection<CountedAttempt> added =
+                    limit > last.through()
+                            ? counted.subMap(last.through(), false, limit, true).values()
+                            : List.of();
+            if (added.isEmpty() && last.taken().isEmpty()) {
+                return Optional.empty();
+            }
+            return Optional.of(last.append(epoch, added, Math.max(limit, last.through())));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Forgets what a stored row of this daemon contains. */
+    void settled(ChainRow row) {
+        locked(
+                () -> {
+                    settledThrough = Math.max(settledThrough, row.through());
+                    counted.headMap(settledThrough, true).clear();
+                });
+    }
+
+    /**
+     * Takes the chain back from a replica that took this daemon for dead. What the replica settled
+     * is forgotten; everything else stays with this daemon and is registered in a new epoch.
+     */
+    void takeBack(ChainRow row) {
+        locked(
+                () -> {
+                    Set<RequestId> elsewhere = row.settledElsewhere();
+                    open.keySet().removeAll(elsewhere);
+                    lost.keySet().removeAll(elsewhere);
+                    counted.values().removeIf(c -> elsewhere.contains(c.attempt().id()));
+                    counted.headMap(row.through(), true).clear();
+                    settledThrough = row.through();
+                    startEpoch(replica, Math.max(epoch, row.epoch()) + 1);
+                });
+    }
+
+    /** Returns open attempts whose count has to be asked from the target. */
+    List<Attempt> lostAttempts() {
+        lock.lock();
+        try {
+            return List.copyOf(lost.values());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the unsettled use by workspace. */
+    Map<WorkspaceId, UnsettledUse> unsettled() {
+        lock.lock();
+        try {
+            return sum(counted.values(), open.values());
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns whether every attempt is settled. */
+    boolean isEmpty() {
+        lock.lock();
+        try {
+            return open.isEmpty() && counted.isEmpty();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    /** Returns the number of counted attempts that are not settled. */
+    int countedUnsettled() {
+        lock.lock();
+        try {
+            return counted.size();
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    static Map<WorkspaceId, UnsettledUse> sum(
+            Collection<CountedAttempt> counted, Collection<Attempt> open) {
+        Map<WorkspaceId, UnsettledUse> sums = new HashMap<>();
+        for (CountedAttempt c : counted) {
+            sums.merge(c.attempt().workspace(), new UnsettledUse(c.usage(), 0), UnsettledUse::plus);
+        }
+        for (Attempt a : open) {
+            sums.merge(a.workspace(), new UnsettledUse(Usage.NONE, 1), UnsettledUse::plus);
+        }
+        return sums;
+    }
+
+    // ---- inner
+
+    private long settleLimit() {
+        if (replica.isEmpty()) {
+            return lastOrdinal;
+        }
+        return acknowledgedPosition >= snapshotEnd ? acknowledgedOrdinal : 0;
+    }
+
+    private void startEpoch(Optional<HostId> host, long newEpoch) {
+        replica = host;
+        epoch = newEpoch;
+        unacknowledged.clear();
+        lastPosition = 0;
+        acknowledgedPosition = 0;
+        acknowledgedOrdinal = 0;
+        counted.values()
+                .forEach(c -> log(LogEntry.Kind.CLOSED, c.attempt(), c.ordinal(), c.usage()));
+        open.values().forEach(a -> log(LogEntry.Kind.OPENED, a, 0, Usage.NONE));
+        snapshotEnd = lastPosition;
+        if (host.isEmpty()) {
+            completeEpoch = epoch;
+        }
+        entryAdded.signalAll();
+    }
+
+    private void log(LogEntry.Kind kind, Attempt a, long ordinal, Usage usage) {
+        lastPosition++;
+        if (replica.isEmpty()) {
+            // A replica that is assigned later gets a snapshot.
+            return;
+        }
+        unacknowledged.add(new LogEntry(lastPosition, kind, a, ordinal, usage));
+        entryAdded.signalAll();
+    }
+
+    private void locked(Runnable change) {
+        lock.lock();
+        try {
+            change.run();
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/Replication.java
@@ -0,0 +1,128 @@
+package org.godwithoist.accounting;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.Member;
+import org.godwithoist.membership.MemberDirectory;
+
+/**
+ * Registers the changes of the ledger at the replica. Requests never wait for it: they add their
+ * entry to the ledger, and the task of the replica sends whatever has collected since its last
+ * call.
+ */
+final class Replication {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+    /** Interval of registrations without entries; they show whether the replica has its copy. */
+    private static final Duration IDLE_WAIT = Duration.ofMillis(500);
+
+    /** A replica that does not answer for this time is replaced. */
+    private static final Duration REPLACE_AFTER = Duration.ofSeconds(2);
+
+    /** Entries of one call; at 200 bytes each a call stays near 100 KB. */
+    private static final int MAX_ENTRIES = 512;
+
+    private final Ledger ledger;
+    private final MemberDirectory members;
+    private final ReplicaClient client;
+    private final Supplier<List<ChainId>> owned;
+    private final Ticker ticker;
+    private long lastAnswerAt;
+
+    Replication(
+            Ledger ledger,
+            MemberDirectory members,
+            ReplicaClient client,
+            Supplier<List<ChainId>> owned,
+            Ticker ticker) {
+        this.ledger = ledger;
+        this.members = members;
+        this.client = client;
+        this.owned = owned;
+        this.ticker = ticker;
+    }
+
+    /** Body of the replica's task; ends when the task is interrupted. */
+    void run() {
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                ledger.awaitEntries(IDLE_WAIT);
+                step(false);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } catch (RuntimeException e) {
+                LOG.atWarning().withCause(e).log("the registration of usage failed");
+            }
+        }
+    }
+
+    /**
+     * Registers the next entries.
+     *
+     * @param handOver whether the replica settles what is left
+     * @return whether the replica has everything
+     */
+    synchronized boolean step(boolean handOver) {
+        Optional<HostId> replica = ledger.replica();
+        if (replica.isEmpty()) {
+            replica = choose(Optional.empty());
+            if (replica.isEmpty()) {
+                return false;
+            }
+            assign(replica);
+        }
+        Registration r = ledger.nextRegistration(MAX_ENTRIES, handOver, owned.get());
+        try {
+            var receipt =
+                    Await.result(client.register(replica.get(), r, CALL_TIMEOUT), CALL_TIMEOUT);
+            lastAnswerAt = ticker.nanos();
+            if (!ledger.acknowledged(r.epoch(), receipt)) {
+                assign(choose(Optional.empty()));
+            }
+            return r.entries().size() < MAX_ENTRIES && receipt.accepted();
+        } catch (RuntimeException e) {
+            LOG.atFine().withCause(e).log("replica %s did not answer", replica.get());
+            if (ticker.nanos() - lastAnswerAt >= REPLACE_AFTER.toNanos()) {
+                assign(choose(replica));
+            }
+            return false;
+        }
+    }
+
+    private void assign(Optional<HostId> replica) {
+        lastAnswerAt = ticker.nanos();
+        ledger.assignReplica(replica);
+    }
+
+    /** Prefers another failure domain, so that one failure does not take both copies. */
+    private Optional<HostId> choose(Optional<HostId> except) {
+        Member self = members.self();
+        return members.members().stream()
+                .filter(m -> !m.host().equals(self.host()))
+                .filter(m -> except.isEmpty() || !m.host().equals(except.get()))
+                .filter(m -> members.inContactWith(m.host()))
+                .min(
+                        Comparator.comparing(
+                                        (Member m) ->
+                                                m.failureDomain().equals(self.failureDomain()))
+                                .thenComparingInt(m -> spread(self.host(), m.host())))
+                .map(Member::host);
+    }
+
+    /** Spreads the daemons over the replicas; a rendezvous hash keeps the choice stable. */
+    private static int spread(HostId self, HostId peer) {
+        int h = (self.value() + "\n" + peer.value()).hashCode();
+        h ^= h >>> 16;
+        h *= 0x85ebca6b;
+        return h ^ (h >>> 13);
+    }
+}
--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/UsageAccounts.java
@@ -0,0 +1,254 @@
+package org.godwithoist.accounting;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.accounting.Registration.Receipt;
+import org.godwithoist.accounting.ReplicaClient.KnownUse;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.Member;
+import org.godwithoist.membership.MemberDirectory;
+
+/**
+ * The accounts of a daemon: records the usage of its requests, registers it at a replica, settles
+ * it in the store and settles the usage of dead daemons whose replica it is.
+ *
+ * <p>{@link #open}, {@link #close}, {@link #cancelUnsent} and {@link #lose} only change memory and
+ * return at once.
+ */
+public final class UsageAccounts implements UsageRecorder, AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** Interval between checks for dead daemons and between questions to targets. */
+    private static final Duration TAKEOVER_INTERVAL = Duration.ofSeconds(1);
+
+    private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration DRAIN_STEP = Duration.ofMillis(50);
+
+    private final MemberDirectory members;
+    private final UsageStore store;
+    private final ReplicaClient peers;
+    private final Ledger ledger;
+    private final HeldChains held = new HeldChains();
+    private final Settlement settlement;
+    private final Replication replication;
+    private final Ticker ticker;
+    private final List<Thread> tasks = new ArrayList<>();
+
+    /**
+     * Makes the accounts; {@link #start} begins to replicate and settle.
+     *
+     * @param members the fleet; the incarnation of its own member names the chain
+     */
+    public UsageAccounts(
+            MemberDirectory members,
+            UsageStore store,
+            ReplicaClient peers,
+            TargetCounts targets,
+            Ticker ticker) {
+        Member self = members.self();
+        this.members = members;
+        this.store = store;
+        this.peers = peers;
+        this.ticker = ticker;
+        this.ledger = new Ledger(new ChainId(self.host(), self.incarnation()));
+        this.settlement = new Settlement(self.host(), ledger, held, store, targets);
+        this.replication = new Replication(ledger, members, peers, settlement::ownedChains, ticker);
+    }
+
+    // ---- life cycle
+
+    /** Starts the tasks. */
+    public synchronized void start() {
+        tasks.add(Tasks.start("usage-replica", replication::run));
+        tasks.add(Tasks.start("usage-settlement", this::settleForever));
+        tasks.add(Tasks.start("usage-takeover", this::takeOverForever));
+    }
+
+    /**
+     * Settles what is counted and hands the rest to the replica. Call it when no request is in
+     * progress any more.
+     *
+     * @return whether everything is settled or at the replica
+     */
+    public boolean drain(Duration time) {
+        Deadline deadline = Deadline.after(time, ticker);
+        boolean handedOver = false;
+        do {
+            try {
+                replication.step(false);
+                settleOnce();
+                if (ledger.isEmpty() && settlement.ownedChains().isEmpty()) {
+                    return true;
+                }
+            } catch (RuntimeException e) {
+                LOG.atWarning().withCause(e).log("cannot settle at the stop");
+            }
+            handedOver = replication.step(true);
+        } while (!handedOver && !deadline.passed() && Tasks.sleep(DRAIN_STEP));
+        return handedOver;
+    }
+
+    /** Stops the tasks without settling. */
+    @Override
+    public synchronized void close() {
+        tasks.forEach(Thread::interrupt);
+        tasks.clear();
+    }
+
+    /** Settles the own attempts once. */
+    void settleOnce() {
+        settlement.askForLost();
+        settlement.flush();
+    }
+
+    /** Takes over from dead daemons once and asks targets for what was open. */
+    void takeOverOnce() {
+        settlement.takeOver(this::isDead);
+        settlement.settleOwned();
+    }
+
+    /** Registers the next entries at the replica. */
+    boolean replicateOnce() {
+        return replication.step(false);
+    }
+
+    private void settleForever() {
+        while (Tasks.sleep(FlushInterval.of(members.members().size()))) {
+            try {
+                settleOnce();
+            } catch (RuntimeException e) {
+                LOG.atWarning().withCause(e).log(
+                        "cannot settle yet; %d counted attempts wait", ledger.countedUnsettled());
+            }
+        }
+    }
+
+    private void takeOverForever() {
+        while (Tasks.sleep(TAKEOVER_INTERVAL)) {
+            try {
+                takeOverOnce();
+            } catch (RuntimeException e) {
+                LOG.atWarning().withCause(e).log("the check for dead daemons failed");
+            }
+        }
+    }
+
+    private boolean isDead(ChainId chain) {
+        Optional<Member> member = members.find(chain.daemon());
+        boolean restarted = member.isPresent() && member.get().incarnation() > chain.incarnation();
+        return restarted || members.isSilent(chain.daemon());
+    }
+
+    // ---- requests
+
+    @Override
+    public void open(RequestId attempt, WorkspaceId workspace, TargetId target) {
+        ledger.open(new Attempt(attempt, workspace, target));
+    }
+
+    @Override
+    public void close(RequestId attempt, Usage usage) {
+        ledger.close(attempt, usage);
+    }
+
+    @Override
+    public void cancelUnsent(RequestId attempt) {
+        ledger.cancel(attempt);
+    }
+
+    @Override
+    public void lose(RequestId attempt) {
+        ledger.lose(attempt);
+    }
+
+    // ---- other daemons
+
+    /** Takes a registration of a peer. */
+    public Receipt register(Registration registration) {
+        return held.register(registration);
+    }
+
+    /** Returns the unsettled use that this daemon knows. */
+    public KnownUse knownUse() {
+        Map<ChainId, Map<WorkspaceId, UnsettledUse>> others = new HashMap<>();
+        held.all().forEach(c -> others.put(c.chain(), Ledger.sum(c.counted(), c.open())));
+        settlement
+                .ownedAttempts()
+                .forEach((chain, open) -> others.put(chain, Ledger.sum(List.of(), open)));
+        return new KnownUse(ledger.unsettled(), others);
+    }
+
+    // ---- report
+
+    /**
+     * Returns the usage of the fleet. Reads all current rows and asks every member, so it is for
+     * operators and not for each request.
+     *
+     * @throws org.godwithoist.platform.StoreUnavailableException if the store does not answer
+     */
+    public UsageOverview overview() {
+        Map<WorkspaceId, Usage> settled = new HashMap<>();
+        for (ChainRow row : store.all()) {
+            row.totals().forEach((w, u) -> settled.merge(w, u, Usage::plus));
+        }
+        Map<HostId, CompletableFuture<KnownUse>> calls = new HashMap<>();
+        Member self = members.self();
+        for (Member m : members.members()) {
+            if (!m.host().equals(self.host())) {
+                calls.put(m.host(), peers.unsettled(m.host(), PEER_TIMEOUT));
+            }
+        }
+        Map<HostId, KnownUse> answers = new HashMap<>();
+        answers.put(self.host(), knownUse());
+        List<HostId> unreachable = new ArrayList<>();
+        calls.forEach(
+                (host, call) -> {
+                    try {
+                        answers.put(host, Await.result(call, PEER_TIMEOUT));
+                    } catch (RuntimeException e) {
+                        LOG.atFine().withCause(e).log("%s did not tell its usage", host);
+                        unreachable.add(host);
+                    }
+                });
+        return new UsageOverview(settled, unsettled(answers), unreachable);
+    }
+
+    /** Adds up the daemons' own use, and one copy of the use of each run that did not answer. */
+    private Map<WorkspaceId, UnsettledUse> unsettled(Map<HostId, KnownUse> answers) {
+        Map<WorkspaceId, UnsettledUse> sums = new HashMap<>();
+        Set<ChainId> copied = new HashSet<>();
+        for (KnownUse known : answers.values()) {
+            known.own().forEach((w, u) -> sums.merge(w, u, UnsettledUse::plus));
+            known.held()
+                    .forEach(
+                            (chain, uses) -> {
+                                if (!answered(chain, answers) && copied.add(chain)) {
+                                    uses.forEach((w, u) -> sums.merge(w, u, UnsettledUse::plus));
+                                }
+                            });
+        }
+        return sums;
+    }
+
+    private boolean answered(ChainId chain, Map<HostId, KnownUse> answers) {
+        return answers.containsKey(chain.daemon())
+                && members.find(chain.daemon())
+                        .map(m -> m.incarnation() <= chain.incarnation())
+                        .orElse(false);
+    }
+}
--- a/accounting/src/main/java/org/godwithoist/accounting/UsageRecorder.java
+++ b/accounting/src/main/java/org/godwithoist/accounting/UsageRecorder.java
@@ -21,4 +21,10 @@
 
     /** Records that an attempt certainly did not run. */
     void cancelUnsent(RequestId attempt);
+
+    /**
+     * Records that the answer of an attempt was lost, so that its count has to be asked from the
+     * target. Does nothing in recorders that cannot ask targets; the attempt then stays open.
+     */
+    default void lose(RequestId attempt) {}
 }
--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/http/UsageRoutes.java
@@ -0,0 +1,71 @@
+package org.godwithoist.accounting.http;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.util.TreeSet;
+import org.godwithoist.accounting.UnsettledUse;
+import org.godwithoist.accounting.Usage;
+import org.godwithoist.accounting.UsageAccounts;
+import org.godwithoist.accounting.UsageOverview;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Tasks;
+
+/** Route for operators: settled and unsettled usage of each workspace. */
+public final class UsageRoutes {
+    private final UsageAccounts accounts;
+
+    /** Makes the routes. */
+    public UsageRoutes(UsageAccounts accounts) {
+        this.accounts = accounts;
+    }
+
+    /** Adds the routes to a router. */
+    public void mount(Router router) {
+        router.get("/v1/usage").handler(c -> Tasks.start("usage-overview", () -> answer(c)));
+    }
+
+    private void answer(RoutingContext c) {
+        try {
+            c.json(json(accounts.overview()));
+        } catch (RuntimeException e) {
+            JsonObject error =
+                    new JsonObject()
+                            .put("code", ErrorCode.STORE_UNAVAILABLE.wireName())
+                            .put("message", "settled usage cannot be read: " + e.getMessage());
+            c.response()
+                    .setStatusCode(ErrorCode.STORE_UNAVAILABLE.httpStatus())
+                    .putHeader("Content-Type", "application/json")
+                    .end(new JsonObject().put("error", error).encode());
+        }
+    }
+
+    static JsonObject json(UsageOverview o) {
+        var ids = new TreeSet<WorkspaceId>(o.settled().keySet());
+        ids.addAll(o.unsettled().keySet());
+        JsonArray list = new JsonArray();
+        for (WorkspaceId w : ids) {
+            UnsettledUse open = o.unsettled().getOrDefault(w, UnsettledUse.NONE);
+            list.add(
+                    new JsonObject()
+                            .put("workspace", w.value())
+                            .put("settled", usage(o.settled().getOrDefault(w, Usage.NONE)))
+                            .put(
+                                    "unsettled",
+                                    usage(open.counted()).put("open_attempts", open.open())));
+        }
+        JsonArray silent = new JsonArray();
+        o.unreachable().stream().sorted().forEach(h -> silent.add(h.value()));
+        return new JsonObject().put("workspaces", list).put("unreachable_daemons", silent);
+    }
+
+    private static JsonObject usage(Usage u) {
+        return new JsonObject()
+                .put("requests", u.requests())
+                .put("prompt_tokens", u.promptTokens())
+                .put("cached_tokens", u.cachedTokens())
+                .put("completion_tokens", u.completionTokens());
+    }
+}
--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP routes of the accounts. */
+package org.godwithoist.accounting.http;
--- /dev/null
+++ b/accounting/src/main/java/org/godwithoist/accounting/wire/UsagePeers.java
@@ -0,0 +1,66 @@
+package org.godwithoist.accounting.wire;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.accounting.ChainId;
+import org.godwithoist.accounting.Registration;
+import org.godwithoist.accounting.ReplicaClient;
+import org.godwithoist.accounting.UsageAccounts;
+import org.godwithoist.accounting.wire.generated.RegisterRequest;
+import org.godwithoist.accounting.wire.generated.RegisterResponse;
+import org.godwithoist.accounting.wire.generated.UnsettledRequest;
+import org.godwithoist.accounting.wire.generated.UnsettledResponse;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.membership.Member;
+import org.godwithoist.membership.PeerTransport;
+
+/** Sends and receives the accounts' messages over the transport between daemons. */
+public final class UsagePeers implements ReplicaClient {
+    private static final String SERVICE = "godwithoist.accounting.Usage";
+
+    private static final PeerTransport.Method<RegisterRequest, RegisterResponse> REGISTER =
+            new PeerTransport.Method<>(
+                    SERVICE, "Register", RegisterRequest.parser(), RegisterResponse.parser());
+
+    private static final PeerTransport.Method<UnsettledRequest, UnsettledResponse> UNSETTLED =
+            new PeerTransport.Method<>(
+                    SERVICE, "Unsettled", UnsettledRequest.parser(), UnsettledResponse.parser());
+
+    private final PeerTransport transport;
+
+    /** Makes the adapter. */
+    public UsagePeers(PeerTransport transport) {
+        this.transport = transport;
+    }
+
+    /** Registers the handlers; must be called before the daemon listens to peers. */
+    public void serve(Member self, UsageAccounts accounts) {
+        transport.serve(
+                REGISTER,
+                (from, request) -> {
+                    var receipt = accounts.register(UsageMessages.decode(from, request));
+                    return RegisterResponse.newBuilder()
+                            .setAccepted(receipt.accepted())
+                            .setApplied(receipt.applied())
+                            .build();
+                });
+        ChainId own = new ChainId(self.host(), self.incarnation());
+        transport.serve(
+                UNSETTLED, (from, request) -> UsageMessages.encode(own, accounts.knownUse()));
+    }
+
+    @Override
+    public CompletableFuture<Registration.Receipt> register(
+            HostId replica, Registration registration, Duration timeout) {
+        return transport
+                .call(replica, REGISTER, UsageMessages.encode(registration), timeout)
+                .thenApply(r -> new Registration.Receipt(r.getAccepted(), r.getApplied()));
+    }
+
+    @Override
+    public CompletableFuture<KnownUse> unsettled(HostId daemon, Duration timeout) {
+        return transport
+                .call(daemon, UNSETTLED, UnsettledRequest.getDefaultInstance(), timeout)
+                .thenApply(UsageMessages::decode);
+    }
+}
--- /dev/null
+++ b/accounting/src/test/java/org/godwithoist/accounting/FakeFleet.java
@@ -0,0 +1,200 @@
+package org.godwithoist.accounting;
+
+import com.google.protobuf.MessageLite;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.godwithoist.accounting.wire.TableUsageStore;
+import org.godwithoist.accounting.wire.UsagePeers;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.membership.Member;
+import org.godwithoist.membership.MemberDirectory;
+import org.godwithoist.membership.PeerTransport;
+import org.godwithoist.platform.fake.FakeTableStore;
+
+/**
+ * Daemons with accounts in one process, with a store, a network and a target that fail on order.
+ */
+final class FakeFleet {
+    static final WorkspaceId WORKSPACE = new WorkspaceId("w");
+    static final TargetId TARGET = new TargetId("t");
+
+    final FakeTableStore store = new FakeTableStore();
+    final VirtualTicker ticker = new VirtualTicker();
+    final Set<HostId> silent = new HashSet<>();
+    final Set<HostId> unreachable = new HashSet<>();
+    private final Map<HostId, Member> members = new TreeMap<>();
+    private final Map<HostId, Transport> transports = new HashMap<>();
+    private final Map<RequestId, Usage> counted = new HashMap<>();
+    private final Set<RequestId> running = new HashSet<>();
+    boolean targetDown;
+    boolean answersLost;
+    Duration delay = Duration.ZERO;
+
+    /** Starts a run of a daemon without background tasks. */
+    UsageAccounts daemon(String name, long incarnation) {
+        HostId host = new HostId(name);
+        Member self =
+                new Member(
+                        host,
+                        new FailureDomainId("fd-" + name),
+                        new Endpoint("127.0.0.1", 1),
+                        incarnation);
+        members.put(host, self);
+        Transport transport = new Transport(host);
+        transports.put(host, transport);
+        UsagePeers peers = new UsagePeers(transport);
+        var accounts =
+                new UsageAccounts(
+                        new Directory(self),
+                        new TableUsageStore(store),
+                        peers,
+                        this::counts,
+                        ticker);
+        peers.serve(self, accounts);
+        return accounts;
+    }
+
+    void kill(String name) {
+        HostId host = new HostId(name);
+        silent.add(host);
+        unreachable.add(host);
+    }
+
+    // ---- target
+
+    /** The target runs an attempt and counts it. */
+    Usage run(RequestId id, long tokens) {
+        Usage usage = new Usage(1, tokens, 0, 2 * tokens);
+        counted.put(id, usage);
+        running.remove(id);
+        return usage;
+    }
+
+    void startRunning(RequestId id) {
+        running.add(id);
+    }
+
+    void endWithoutCount(RequestId id) {
+        running.remove(id);
+    }
+
+    Usage targetTotal() {
+        return counted.values().stream().reduce(Usage.NONE, Usage::plus);
+    }
+
+    Usage settledTotal() {
+        return new TableUsageStore(store)
+                .all().stream()
+                        .flatMap(r -> r.totals().values().stream())
+                        .reduce(Usage.NONE, Usage::plus);
+    }
+
+    private CompletableFuture<Map<RequestId, TargetCount>> counts(
+            TargetId target, List<RequestId> ids) {
+        if (targetDown) {
+            return CompletableFuture.failedFuture(new IllegalStateException("target is down"));
+        }
+        Map<RequestId, TargetCount> answers = new HashMap<>();
+        for (RequestId id : ids) {
+            Usage usage = counted.getOrDefault(id, Usage.NONE);
+            TargetCount.State state =
+                    running.contains(id)
+                            ? TargetCount.State.RUNNING
+                            : counted.containsKey(id)
+                                    ? TargetCount.State.ENDED
+                                    : TargetCount.State.NOT_RUN;
+            answers.put(id, new TargetCount(state, usage));
+        }
+        return CompletableFuture.completedFuture(answers);
+    }
+
+    // ---- network and members
+
+    private final class Transport implements PeerTransport {
+        private final HostId self;
+        private final Map<String, Handler<MessageLite, MessageLite>> handlers = new HashMap<>();
+
+        Transport(HostId self) {
+            this.self = self;
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <Q extends MessageLite, R extends MessageLite> void serve(
+                Method<Q, R> method, Handler<Q, R> handler) {
+            handlers.put(
+                    method.name(), (Handler<MessageLite, MessageLite>) (Handler<?, ?>) handler);
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> call(
+                HostId peer, Method<Q, R> method, Q request, Duration timeout) {
+            if (unreachable.contains(peer) || unreachable.contains(self)) {
+                return CompletableFuture.failedFuture(new IllegalStateException("no contact"));
+            }
+            R answer = (R) transports.get(peer).handlers.get(method.name()).handle(self, request);
+            if (answersLost) {
+                return CompletableFuture.failedFuture(new IllegalStateException("answer lost"));
+            }
+            if (delay.isZero()) {
+                return CompletableFuture.completedFuture(answer);
+            }
+            return new CompletableFuture<R>()
+                    .completeOnTimeout(answer, delay.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private final class Directory implements MemberDirectory {
+        private final Member self;
+
+        Directory(Member self) {
+            this.self = self;
+        }
+
+        @Override
+        public Member self() {
+            return self;
+        }
+
+        @Override
+        public List<Member> members() {
+            return new ArrayList<>(members.values());
+        }
+
+        @Override
+        public Optional<Member> find(HostId host) {
+            return Optional.ofNullable(members.get(host));
+        }
+
+        @Override
+        public boolean inContactWithAll() {
+            return unreachable.isEmpty();
+        }
+
+        @Override
+        public boolean inContactWith(HostId host) {
+            return !unreachable.contains(host) && !unreachable.contains(self.host());
+        }
+
+        @Override
+        public boolean isSilent(HostId host) {
+            return silent.contains(host);
+        }
+    }
+}
--- /dev/null
+++ b/accounting/src/test/java/org/godwithoist/accounting/UsageAccountsTest.java
@@ -0,0 +1,380 @@
+package org.godwithoist.accounting;
+
+import static org.godwithoist.accounting.FakeFleet.TARGET;
+import static org.godwithoist.accounting.FakeFleet.WORKSPACE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.platform.StoreUnavailableException;
+import org.godwithoist.platform.fake.StoreFault;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class UsageAccountsTest {
+    private final FakeFleet fleet = new FakeFleet();
+    private final UsageAccounts a = fleet.daemon("a", 1);
+    private final UsageAccounts b = fleet.daemon("b", 1);
+
+    private RequestId open(UsageAccounts daemon, String id) {
+        RequestId attempt = new RequestId(id);
+        daemon.open(attempt, WORKSPACE, TARGET);
+        return attempt;
+    }
+
+    private void complete(UsageAccounts daemon, String id, long tokens) {
+        RequestId attempt = open(daemon, id);
+        daemon.close(attempt, fleet.run(attempt, tokens));
+    }
+
+    private void assertSettledAsCounted() {
+        assertEquals(fleet.targetTotal(), fleet.settledTotal());
+    }
+
+    private void killAndTakeOver() {
+        fleet.kill("a");
+        b.takeOverOnce();
+    }
+
+    @Nested
+    class StoreFaults {
+        /** Guards against counting a batch twice after its answer was lost. */
+        @Test
+        void lostAnswerIsReadAgain() {
+            complete(a, "1", 10);
+            a.replicateOnce();
+            fleet.store.faultNextCommit(StoreFault.ANSWER_LOST);
+            a.settleOnce();
+            complete(a, "2", 5);
+            a.replicateOnce();
+            a.settleOnce();
+            assertSettledAsCounted();
+            assertEquals(1, a.overview().settled().size());
+        }
+
+        /** Guards against a batch that is lost together with the request that carried it. */
+        @Test
+        void lostRequestIsRepeated() {
+            complete(a, "1", 10);
+            a.replicateOnce();
+            fleet.store.faultNextCommit(StoreFault.REQUEST_LOST);
+            assertThrows(RuntimeException.class, a::settleOnce);
+            a.settleOnce();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against usage that is dropped or hidden while the store is down. */
+        @Test
+        void outageAccumulatesAndIsListed() {
+            fleet.store.setFault(StoreFault.DOWN);
+            complete(a, "1", 10);
+            a.replicateOnce();
+            assertThrows(StoreUnavailableException.class, a::settleOnce);
+            complete(a, "2", 7);
+            a.replicateOnce();
+            assertEquals(2, a.knownUse().own().get(WORKSPACE).counted().requests());
+            fleet.store.setFault(StoreFault.NONE);
+            UsageOverview before = a.overview();
+            assertEquals(fleet.targetTotal(), before.unsettled().get(WORKSPACE).counted());
+            a.settleOnce();
+            assertSettledAsCounted();
+            assertTrue(a.overview().unsettled().isEmpty());
+        }
+    }
+
+    @Nested
+    class DeadDaemon {
+        /** Guards against the loss of counted use that the dead daemon had not settled. */
+        @Test
+        void replicaSettlesCountedUse() {
+            complete(a, "1", 10);
+            a.replicateOnce();
+            a.settleOnce();
+            complete(a, "2", 20);
+            a.replicateOnce();
+            killAndTakeOver();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against a double count if the row was written but its answer never arrived. */
+        @Test
+        void killedBetweenWriteAndItsAnswer() {
+            complete(a, "1", 10);
+            a.replicateOnce();
+            fleet.store.faultNextCommit(StoreFault.ANSWER_LOST);
+            a.settleOnce();
+            killAndTakeOver();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against open work that nobody asks for after the death of its daemon. */
+        @Test
+        void replicaAsksTargetsForOpenAttempts() {
+            RequestId running = open(a, "1");
+            RequestId unsent = open(a, "2");
+            fleet.startRunning(running);
+            a.replicateOnce();
+            fleet.targetDown = true;
+            killAndTakeOver();
+            assertEquals(2, b.overview().unsettled().get(WORKSPACE).open());
+            fleet.targetDown = false;
+            b.takeOverOnce();
+            assertEquals(1, b.overview().unsettled().get(WORKSPACE).open());
+            fleet.run(running, 30);
+            b.takeOverOnce();
+            assertSettledAsCounted();
+            assertTrue(b.overview().unsettled().isEmpty(), "still open: " + unsent);
+        }
+
+        /** Guards against a takeover that gives up because the store is down at that moment. */
+        @Test
+        void takeoverWaitsForTheStore() {
+            complete(a, "1", 10);
+            a.replicateOnce();
+            fleet.store.setFault(StoreFault.DOWN);
+            killAndTakeOver();
+            assertEquals(
+                    10,
+                    b.knownUse()
+                            .held()
+                            .values()
+                            .iterator()
+                            .next()
+                            .get(WORKSPACE)
+                            .counted()
+                            .promptTokens());
+            fleet.store.setFault(StoreFault.NONE);
+            fleet.store.faultNextCommit(StoreFault.ANSWER_LOST);
+            b.takeOverOnce();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against open attempts that are forgotten when the replica dies as well. */
+        @Test
+        void secondReplicaInheritsTheChain() {
+            UsageAccounts c = fleet.daemon("c", 1);
+            fleet.unreachable.add(new HostId("c"));
+            RequestId running = open(a, "1");
+            fleet.startRunning(running);
+            a.replicateOnce();
+            fleet.unreachable.clear();
+            killAndTakeOver();
+            b.replicateOnce();
+            fleet.kill("b");
+            fleet.run(running, 30);
+            c.takeOverOnce();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against mixing the use of a restarted daemon with that of its previous run. */
+        @Test
+        void restartIsNoticedByIncarnation() {
+            complete(a, "1", 10);
+            a.replicateOnce();
+            UsageAccounts restarted = fleet.daemon("a", 2);
+            b.takeOverOnce();
+            complete(restarted, "2", 5);
+            restarted.replicateOnce();
+            restarted.settleOnce();
+            assertSettledAsCounted();
+        }
+    }
+
+    @Nested
+    class FalseSuspicion {
+        /** Guards against double counts when a paused daemon wakes up after the takeover. */
+        @Test
+        void pausedDaemonTakesItsChainBack() {
+            complete(a, "1", 10);
+            RequestId asked = open(a, "2");
+            RequestId kept = open(a, "3");
+            fleet.startRunning(kept);
+            a.replicateOnce();
+            fleet.run(asked, 20);
+            fleet.silent.add(new HostId("a"));
+            b.takeOverOnce();
+            fleet.silent.clear();
+            a.close(asked, fleet.run(asked, 20));
+            a.close(kept, fleet.run(kept, 30));
+            for (int i = 0; i < 3; i++) {
+                a.replicateOnce();
+                a.settleOnce();
+                b.takeOverOnce();
+            }
+            assertSettledAsCounted();
+            assertTrue(a.overview().unsettled().isEmpty());
+        }
+
+        /** Guards against a replaced replica that settles from its outdated copy. */
+        @Test
+        void replacedReplicaIsShutOut() {
+            UsageAccounts c = fleet.daemon("c", 1);
+            fleet.unreachable.add(new HostId("c"));
+            RequestId first = open(a, "1");
+            a.replicateOnce();
+            fleet.unreachable.clear();
+            fleet.unreachable.add(new HostId("b"));
+            fleet.ticker.advance(Duration.ofSeconds(3));
+            a.replicateOnce();
+            a.close(first, fleet.run(first, 10));
+            a.replicateOnce();
+            a.settleOnce();
+            fleet.unreachable.clear();
+            killAndTakeOver();
+            c.takeOverOnce();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against a new replica with a part of the attempts that shuts out a whole copy. */
+        @Test
+        void incompleteCopyDoesNotShutOutTheCompleteOne() {
+            UsageAccounts c = fleet.daemon("c", 1);
+            fleet.unreachable.add(new HostId("c"));
+            for (int i = 0; i < 300; i++) {
+                complete(a, "r" + i, 1);
+            }
+            while (!a.replicateOnce()) {
+                fleet.ticker.advance(Duration.ofMillis(1));
+            }
+            for (int i = 300; i < 900; i++) {
+                complete(a, "r" + i, 1);
+            }
+            while (!a.replicateOnce()) {
+                fleet.ticker.advance(Duration.ofMillis(1));
+            }
+            fleet.unreachable.clear();
+            fleet.unreachable.add(new HostId("b"));
+            fleet.ticker.advance(Duration.ofSeconds(3));
+            a.replicateOnce();
+            a.replicateOnce();
+            fleet.unreachable.clear();
+            fleet.kill("a");
+            c.takeOverOnce();
+            b.takeOverOnce();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against settling a count that the replica has not seen. */
+        @Test
+        void countIsSettledOnlyAfterTheReplicaHasIt() {
+            RequestId first = open(a, "1");
+            a.replicateOnce();
+            fleet.unreachable.add(new HostId("b"));
+            a.close(first, fleet.run(first, 10));
+            a.replicateOnce();
+            a.settleOnce();
+            fleet.unreachable.clear();
+            killAndTakeOver();
+            assertSettledAsCounted();
+        }
+    }
+
+    @Nested
+    class Registration {
+        /** Guards against a registration that delays the first byte of a request. */
+        @Test
+        void openDoesNotWaitForTheReplica() {
+            fleet.delay = Duration.ofMillis(500);
+            a.start();
+            long start = System.nanoTime();
+            for (int i = 0; i < 1_000; i++) {
+                complete(a, "r" + i, 1);
+            }
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            a.close();
+            assertTrue(millis < 250, "1,000 registrations took " + millis + " ms");
+        }
+
+        /** Guards against gaps after a lost answer of the replica. */
+        @Test
+        void lostReceiptIsRepeatedWithoutDoubleCount() {
+            complete(a, "1", 10);
+            fleet.answersLost = true;
+            a.replicateOnce();
+            fleet.answersLost = false;
+            complete(a, "2", 20);
+            a.replicateOnce();
+            killAndTakeOver();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against a replica that restarted and silently holds nothing. */
+        @Test
+        void restartedReplicaGetsEverythingAgain() {
+            complete(a, "1", 10);
+            a.replicateOnce();
+            UsageAccounts restarted = fleet.daemon("b", 2);
+            complete(a, "2", 20);
+            a.replicateOnce();
+            a.replicateOnce();
+            fleet.kill("a");
+            restarted.takeOverOnce();
+            assertSettledAsCounted();
+        }
+
+        /** Shows the stated loss: both copies die before the flush; settled use survives. */
+        @Test
+        void deathOfBothDaemonsLosesOneFlushInterval() {
+            UsageAccounts c = fleet.daemon("c", 1);
+            fleet.unreachable.add(new HostId("c"));
+            complete(a, "1", 10);
+            a.replicateOnce();
+            a.settleOnce();
+            complete(a, "2", 20);
+            a.replicateOnce();
+            fleet.unreachable.clear();
+            fleet.kill("a");
+            fleet.kill("b");
+            c.takeOverOnce();
+            assertEquals(10, fleet.settledTotal().promptTokens());
+            assertEquals(30, fleet.targetTotal().promptTokens());
+        }
+    }
+
+    @Nested
+    class PlannedStop {
+        /** Guards against use that a planned stop leaves behind in memory. */
+        @Test
+        void settlesCountedAndHandsOverOpen() {
+            complete(a, "1", 10);
+            RequestId running = open(a, "2");
+            fleet.startRunning(running);
+            assertTrue(a.drain(Duration.ofSeconds(5)));
+            fleet.run(running, 20);
+            b.takeOverOnce();
+            assertSettledAsCounted();
+        }
+
+        /** Guards against a stop that reports success although nobody has the use. */
+        @Test
+        void reportsFailureWithoutStoreAndReplica() {
+            complete(a, "1", 10);
+            fleet.store.setFault(StoreFault.DOWN);
+            fleet.unreachable.add(new HostId("b"));
+            assertFalse(a.drain(Duration.ZERO));
+        }
+    }
+
+    @Nested
+    class LostAnswers {
+        /** Guards against attempts that stay open after their connection was lost. */
+        @Test
+        void targetIsAskedUntilItsCountIsFinal() {
+            RequestId attempt = open(a, "1");
+            fleet.startRunning(attempt);
+            a.lose(attempt);
+            a.settleOnce();
+            assertEquals(1, a.knownUse().own().get(WORKSPACE).open());
+            fleet.run(attempt, 40);
+            a.replicateOnce();
+            a.settleOnce();
+            a.replicateOnce();
+            a.settleOnce();
+            assertSettledAsCounted();
+        }
+    }
+}
