Serve calls to plain services with at-most-once claims

Cause: the daemon had no front for plain services, so bookings and orders could not pass through it.

Change: /services/<service>/<path> passes method, headers and body through with bounded memory. A call with Idempotency-Key claims its key by a conditional row before it is sent; the pure state machine ClaimState permits an attempt only in state FREE. Ends of claims that the store does not take are repeated.

--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/CallHash.java
@@ -0,0 +1,25 @@
+package org.godwithoist.services;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Hash of what a call asks for: method, path and body. Two calls with one key must have the same.
+ *
+ * @param value lower-case hexadecimal SHA-256
+ */
+public record CallHash(String value) {
+    /** Computes the hash. */
+    public static CallHash of(MethodName method, String path, byte[] body) {
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            String head = method + " " + path + "\n";
+            digest.update(head.getBytes(StandardCharsets.UTF_8));
+            return new CallHash(HexFormat.of().formatHex(digest.digest(body)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/ClaimEvent.java
@@ -0,0 +1,15 @@
+package org.godwithoist.services;
+
+/** What happens to a claim. */
+public enum ClaimEvent {
+    /** A daemon claims the key for an attempt. */
+    CLAIM,
+    /** The answer of the attempt arrived. */
+    ANSWER,
+    /** The attempt ended and it is not known whether it ran. */
+    LOSE,
+    /** The attempt certainly did not run and will not run. */
+    RELEASE,
+    /** The claim is older than its time to live. */
+    EXPIRE
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/ClaimKey.java
@@ -0,0 +1,14 @@
+package org.godwithoist.services;
+
+import org.godwithoist.core.id.IdempotencyKey;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.WorkspaceId;
+
+/**
+ * Identifies a claim.
+ *
+ * @param workspace workspace of the caller
+ * @param service service that is called
+ * @param key key chosen by the caller
+ */
+public record ClaimKey(WorkspaceId workspace, PoolId service, IdempotencyKey key) {}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/ClaimState.java
@@ -0,0 +1,66 @@
+package org.godwithoist.services;
+
+import java.util.Optional;
+
+/** State of an idempotency key. Only {@link #FREE} permits an attempt. */
+public enum ClaimState {
+    /** No claim exists; there is no row. */
+    FREE(Verdict.RUN) {
+        @Override
+        Optional<ClaimState> next(ClaimEvent event) {
+            return event == ClaimEvent.CLAIM ? Optional.of(RUNNING) : Optional.empty();
+        }
+    },
+    /** An attempt runs, or its daemon died. */
+    RUNNING(Verdict.WAIT) {
+        @Override
+        Optional<ClaimState> next(ClaimEvent event) {
+            return switch (event) {
+                case ANSWER -> Optional.of(ANSWERED);
+                case LOSE -> Optional.of(UNKNOWN);
+                case RELEASE, EXPIRE -> Optional.of(FREE);
+                case CLAIM -> Optional.empty();
+            };
+        }
+    },
+    /** The answer is stored. */
+    ANSWERED(Verdict.REPLAY) {
+        @Override
+        Optional<ClaimState> next(ClaimEvent event) {
+            return event == ClaimEvent.EXPIRE ? Optional.of(FREE) : Optional.empty();
+        }
+    },
+    /** The attempt ended without a known result; it is never run again. */
+    UNKNOWN(Verdict.REFUSE) {
+        @Override
+        Optional<ClaimState> next(ClaimEvent event) {
+            return event == ClaimEvent.EXPIRE ? Optional.of(FREE) : Optional.empty();
+        }
+    };
+
+    /** What a call with the key and the same content has to do. */
+    public enum Verdict {
+        /** Claim the key and run. */
+        RUN,
+        /** Wait for the result of the attempt that runs. */
+        WAIT,
+        /** Answer with the stored answer. */
+        REPLAY,
+        /** Answer that the result is unknown. */
+        REFUSE
+    }
+
+    private final Verdict verdict;
+
+    ClaimState(Verdict verdict) {
+        this.verdict = verdict;
+    }
+
+    /** Returns the state after an event, or empty if the event is not permitted in this state. */
+    abstract Optional<ClaimState> next(ClaimEvent event);
+
+    /** Returns what a call with the same content has to do. */
+    public Verdict verdict() {
+        return verdict;
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/Header.java
@@ -0,0 +1,9 @@
+package org.godwithoist.services;
+
+/**
+ * A header of a call or an answer.
+ *
+ * @param name name as received
+ * @param value value as received
+ */
+public record Header(String name, String value) {}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/MethodName.java
@@ -0,0 +1,18 @@
+package org.godwithoist.services;
+
+/**
+ * Method of a call, for example {@code POST}.
+ *
+ * @param value name as received
+ */
+public record MethodName(String value) {
+    /** Returns whether a call with this method changes nothing, so that it may be repeated. */
+    public boolean isSafe() {
+        return value.equals("GET") || value.equals("HEAD");
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/ServiceCall.java
@@ -0,0 +1,41 @@
+package org.godwithoist.services;
+
+import java.util.List;
+import java.util.Optional;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.IdempotencyKey;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.Deadline;
+
+/**
+ * A call to a plain service, without its body.
+ *
+ * @param id id of the caller's request
+ * @param workspace workspace that is charged
+ * @param priority priority of the call
+ * @param service pool of the targets that serve it
+ * @param method method
+ * @param path path and query at the target, starting with a slash
+ * @param headers headers that are passed on
+ * @param hasBody whether a body follows
+ * @param key key of a call that runs at most once
+ * @param deadline instant by which the call must be answered
+ */
+public record ServiceCall(
+        RequestId id,
+        WorkspaceId workspace,
+        Priority priority,
+        PoolId service,
+        MethodName method,
+        String path,
+        List<Header> headers,
+        boolean hasBody,
+        Optional<IdempotencyKey> key,
+        Deadline deadline) {
+    /** Copies the list. */
+    public ServiceCall {
+        headers = List.copyOf(headers);
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/ServiceException.java
@@ -0,0 +1,51 @@
+package org.godwithoist.services;
+
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+
+/** A target did not answer a call. */
+public final class ServiceException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    /** How far the call got. */
+    public enum Kind {
+        /** No byte was sent. */
+        NOT_SENT(ErrorCode.TARGET_FAILED, RunState.NOT_RUN),
+        /** The connection was lost after the first byte was sent. */
+        LOST(ErrorCode.TARGET_FAILED, RunState.UNKNOWN),
+        /** The target did not answer before the deadline. */
+        SILENT(ErrorCode.DEADLINE_EXCEEDED, RunState.UNKNOWN);
+
+        private final ErrorCode code;
+        private final RunState runState;
+
+        Kind(ErrorCode code, RunState runState) {
+            this.code = code;
+            this.runState = runState;
+        }
+
+        /** Returns whether the target may have run the call. */
+        public boolean mayHaveRun() {
+            return !runState.allowsRepeat();
+        }
+    }
+
+    private final Kind kind;
+
+    /** Makes the failure with a sentence that names the target. */
+    public ServiceException(Kind kind, String message, Throwable cause) {
+        super(message, cause);
+        this.kind = kind;
+    }
+
+    /** Returns how far the call got. */
+    public Kind kind() {
+        return kind;
+    }
+
+    /** Returns the failure as the caller sees it. */
+    RequestException toRequestException() {
+        return new RequestException(kind.code, kind.runState, getMessage()).withCause(this);
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/http/ServiceFront.java
@@ -0,0 +1,273 @@
+package org.godwithoist.services.http;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.Router;
+import io.vertx.ext.web.RoutingContext;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.Workspace;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.core.id.IdempotencyKey;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.services.AnswerHead;
+import org.godwithoist.services.CallSink;
+import org.godwithoist.services.Header;
+import org.godwithoist.services.MethodName;
+import org.godwithoist.services.ServiceCall;
+import org.godwithoist.services.ServiceCalls;
+
+/** The front for calls to plain services: {@code /services/<service>/<path>}. */
+public final class ServiceFront {
+    private static final String PREFIX = "/services/";
+    private static final String BEARER = "Bearer ";
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+    private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(10);
+
+    /**
+     * Headers that are meant for the daemon. The key of the workspace must not reach a service,
+     * which could use it to act as the workspace.
+     */
+    private static final Set<String> DAEMON_HEADERS =
+            Set.of(
+                    "authorization",
+                    "expect",
+                    "host",
+                    "x-request-id",
+                    "x-workspace",
+                    "x-priority",
+                    "x-deadline-ms");
+
+    private final Supplier<Optional<Bundle>> bundle;
+    private final ServiceCalls calls;
+
+    /**
+     * Makes the front.
+     *
+     * @param bundle bundle in force; empty while the daemon has none
+     */
+    public ServiceFront(Supplier<Optional<Bundle>> bundle, ServiceCalls calls) {
+        this.bundle = bundle;
+        this.calls = calls;
+    }
+
+    /** Adds the routes to a router; no handler before them may read the body. */
+    public void mount(Router router) {
+        router.route("/services/*").handler(this::accept);
+    }
+
+    private void accept(RoutingContext c) {
+        HttpServerRequest request = c.request();
+        request.pause();
+        VertxByteStream body =
+                new VertxByteStream(
+                        request,
+                        ServiceCalls.MAX_BODY_BYTES,
+                        m -> RequestException.notRun(ErrorCode.BODY_TOO_LARGE, m),
+                        e ->
+                                RequestException.notRun(ErrorCode.BAD_REQUEST, "the body broke off")
+                                        .withCause(e));
+        Tasks.start("caller-" + request.remoteAddress(), () -> serve(c, body));
+    }
+
+    private void serve(RoutingContext c, VertxByteStream body) {
+        String given = c.request().getHeader("X-Request-Id");
+        String fresh = UUID.randomUUID().toString();
+        RequestId id = new RequestId(fresh);
+        HttpSink sink = new HttpSink(c, id);
+        try {
+            id = given == null ? id : new RequestId(given);
+            sink = new HttpSink(c, id);
+            calls.serve(call(c.request(), id), body, sink);
+        } catch (RequestException e) {
+            sink.fail(e);
+        } catch (IllegalArgumentException e) {
+            sink.fail(RequestException.notRun(ErrorCode.BAD_REQUEST, e.getMessage()));
+        } catch (RuntimeException e) {
+            sink.fail(
+                    RequestException.unknown(ErrorCode.INTERNAL, "the daemon failed").withCause(e));
+        }
+    }
+
+    // ---- reading
+
+    private ServiceCall call(HttpServerRequest request, RequestId id) {
+        Bundle b =
+                bundle.get()
+                        .orElseThrow(
+                                () ->
+                                        RequestException.notRun(
+                                                ErrorCode.NOT_READY,
+                                                "this daemon has no bundle yet"));
+        Workspace workspace = authenticate(request, b);
+        Priority asked =
+                Optional.ofNullable(request.getHeader("X-Priority"))
+                        .flatMap(Priority::fromWireName)
+                        .orElse(Priority.INTERACTIVE);
+        Priority priority =
+                asked.precedes(workspace.maxPriority()) ? workspace.maxPriority() : asked;
+        String rest = request.uri().substring(PREFIX.length());
+        int end = rest.indexOf('/');
+        String service = end < 0 ? rest : rest.substring(0, end);
+        if (service.isEmpty() || service.indexOf('?') >= 0) {
+            throw RequestException.notRun(
+                    ErrorCode.NOT_FOUND, "the path must be /services/<service>/<path>");
+        }
+        return new ServiceCall(
+                id,
+                workspace.id(),
+                priority,
+                new PoolId(service),
+                new MethodName(request.method().name()),
+                end < 0 ? "/" : rest.substring(end),
+                HopByHop.strip(request.headers(), DAEMON_HEADERS),
+                hasBody(request),
+                Optional.ofNullable(request.getHeader("Idempotency-Key")).map(IdempotencyKey::new),
+                deadline(request, b.serviceLevels().get(priority).deadline()));
+    }
+
+    private static boolean hasBody(HttpServerRequest request) {
+        String length = request.getHeader("Content-Length");
+        return (length != null && !length.equals("0"))
+                || request.headers().contains("Transfer-Encoding");
+    }
+
+    private static Deadline deadline(HttpServerRequest request, Duration longest) {
+        String asked = request.getHeader("X-Deadline-Ms");
+        if (asked == null) {
+            return Deadline.after(longest, Ticker.SYSTEM);
+        }
+        try {
+            Duration time = Duration.ofMillis(Long.parseLong(asked));
+            return Deadline.after(time.compareTo(longest) < 0 ? time : longest, Ticker.SYSTEM);
+        } catch (NumberFormatException e) {
+            throw RequestException.notRun(
+                            ErrorCode.BAD_REQUEST, "X-Deadline-Ms must be a whole number")
+                    .withCause(e);
+        }
+    }
+
+    private static Workspace authenticate(HttpServerRequest request, Bundle b) {
+        String header = request.getHeader("Authorization");
+        if (header == null || !header.startsWith(BEARER)) {
+            throw RequestException.notRun(
+                    ErrorCode.UNAUTHENTICATED, "the Authorization header has no bearer key");
+        }
+        return b.workspaceByKeyHash(sha256(header.substring(BEARER.length())))
+                .orElseThrow(
+                        () ->
+                                RequestException.notRun(
+                                        ErrorCode.UNAUTHENTICATED, "the key is not known"));
+    }
+
+    private static String sha256(String text) {
+        try {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+
+    // ---- answering
+
+    /** Passes an answer to the caller's connection. */
+    private static final class HttpSink implements CallSink {
+        private final HttpServerRequest request;
+        private final HttpServerResponse response;
+        private final RequestId id;
+
+        HttpSink(RoutingContext c, RequestId id) {
+            this.request = c.request();
+            this.response = c.response();
+            this.id = id;
+        }
+
+        @Override
+        public void head(AnswerHead head, RunState runState) {
+            response.setStatusCode(head.status());
+            for (Header h : head.headers()) {
+                response.headers().add(h.name(), h.value());
+            }
+            mark(runState);
+            boolean bodiless = head.status() == NO_CONTENT || head.status() == NOT_MODIFIED;
+            if (!bodiless
+                    && !request.method().equals(HttpMethod.HEAD)
+                    && !response.headers().contains("Content-Length")) {
+                response.setChunked(true);
+            }
+        }
+
+        @Override
+        public boolean body(byte[] piece) {
+            if (response.closed()) {
+                return false;
+            }
+            try {
+                Await.result(response.write(Buffer.buffer(piece)), WRITE_TIMEOUT);
+                return true;
+            } catch (RuntimeException e) {
+                // A caller that takes nothing for this time is treated as gone.
+                response.reset();
+                return false;
+            }
+        }
+
+        @Override
+        public void end() {
+            response.end();
+        }
+
+        void fail(RequestException e) {
+            if (response.headWritten()) {
+                // The caller sees that the answer is not whole.
+                response.reset();
+                return;
+            }
+            response.headers().clear();
+            JsonObject error =
+                    new JsonObject()
+                            .put("code", e.code().wireName())
+                            .put("message", e.getMessage())
+                            .put("request_id", id.value())
+                            .put("run_state", e.runState().wireName());
+            e.retryAfter()
+                    .ifPresent(
+                            t -> response.putHeader("Retry-After", Long.toString(t.toSeconds())));
+            if (!request.isEnded()) {
+                // The rest of the body is not read, so the connection cannot be used again.
+                response.putHeader("Connection", "close");
+            }
+            mark(e.runState());
+            response.setChunked(false)
+                    .setStatusCode(e.code().httpStatus())
+                    .putHeader("Content-Type", "application/json")
+                    .end(new JsonObject().put("error", error).encode());
+        }
+
+        private void mark(RunState runState) {
+            response.putHeader("X-Request-Id", id.value());
+            response.putHeader("X-Run-State", runState.wireName());
+        }
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls to plain services: at-most-once claims, slots, retries of safe calls and true run states.
+ */
+package org.godwithoist.services;
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/wire/ClaimJson.java
@@ -0,0 +1,106 @@
+package org.godwithoist.services.wire;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.services.AnswerHead;
+import org.godwithoist.services.CallHash;
+import org.godwithoist.services.Claim;
+import org.godwithoist.services.ClaimKey;
+import org.godwithoist.services.ClaimState;
+import org.godwithoist.services.Header;
+import org.godwithoist.services.StoredAnswer;
+
+/** Keys and values of rows in table {@code claim}. */
+final class ClaimJson {
+    private ClaimJson() {}
+
+    // ---- keys
+
+    static String key(ClaimKey key) {
+        return prefix(key.workspace())
+                + escape(key.service().value())
+                + "/"
+                + escape(key.key().value());
+    }
+
+    static String prefix(WorkspaceId workspace) {
+        return escape(workspace.value()) + "/";
+    }
+
+    private static String escape(String part) {
+        return part.replace("%", "%25").replace("/", "%2F");
+    }
+
+    // ---- claims
+
+    /** Encodes a claim; a long answer is replaced by the key of its object. */
+    static String encode(Claim c, Optional<String> objectKey) {
+        JsonObject o =
+                new JsonObject()
+                        .put("attempt", c.attempt().value())
+                        .put("hash", c.hash().value())
+                        .put("state", c.state().name().toLowerCase(Locale.ROOT))
+                        .put("holder", c.holder().value())
+                        .put("incarnation", c.incarnation())
+                        .put("created_ms", c.createdAt().toEpochMilli());
+        c.answer().ifPresent(a -> o.put("answer", answer(a, objectKey)));
+        return o.encode();
+    }
+
+    static Claim decode(String text) {
+        JsonObject o = new JsonObject(text);
+        return new Claim(
+                new RequestId(o.getString("attempt")),
+                new CallHash(o.getString("hash")),
+                ClaimState.valueOf(o.getString("state").toUpperCase(Locale.ROOT)),
+                new HostId(o.getString("holder")),
+                o.getLong("incarnation"),
+                Instant.ofEpochMilli(o.getLong("created_ms")),
+                Optional.ofNullable(o.getJsonObject("answer")).map(ClaimJson::answer));
+    }
+
+    // ---- answers
+
+    private static JsonObject answer(StoredAnswer a, Optional<String> objectKey) {
+        JsonArray headers = new JsonArray();
+        a.head().headers().forEach(h -> headers.add(new JsonArray().add(h.name()).add(h.value())));
+        byte[] kept =
+                objectKey
+                        .map(k -> k.getBytes(StandardCharsets.UTF_8))
+                        .or(() -> a.content().map(StoredAnswer.Content::bytes))
+                        .orElse(new byte[0]);
+        return new JsonObject()
+                .put("status", a.head().status())
+                .put("headers", headers)
+                .put("place", a.place().name().toLowerCase(Locale.ROOT))
+                .put("content", Base64.getEncoder().encodeToString(kept));
+    }
+
+    private static StoredAnswer answer(JsonObject o) {
+        List<Header> headers = new ArrayList<>();
+        for (Object item : o.getJsonArray("headers")) {
+            JsonArray pair = (JsonArray) item;
+            headers.add(new Header(pair.getString(0), pair.getString(1)));
+        }
+        byte[] kept = Base64.getDecoder().decode(o.getString("content"));
+        return new StoredAnswer(
+                new AnswerHead(o.getInteger("status"), headers),
+                StoredAnswer.Place.valueOf(o.getString("place").toUpperCase(Locale.ROOT)),
+                Optional.of(new StoredAnswer.Content(kept)));
+    }
+
+    /** Returns the key of the object that holds a decoded long answer. */
+    static String objectKey(StoredAnswer a) {
+        return new String(a.content().orElseThrow().bytes(), StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/wire/TableClaimStore.java
@@ -0,0 +1,120 @@
+package org.godwithoist.services.wire;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.AwaitTimeoutException;
+import org.godwithoist.platform.ConditionFailedException;
+import org.godwithoist.platform.ObjectStore;
+import org.godwithoist.platform.OutcomeUnknownException;
+import org.godwithoist.platform.Row;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.TableStore;
+import org.godwithoist.platform.Write;
+import org.godwithoist.services.Claim;
+import org.godwithoist.services.ClaimKey;
+import org.godwithoist.services.ClaimStore;
+import org.godwithoist.services.StoredAnswer;
+
+/** Keeps claims in table {@code claim} and long answers in the object store. */
+public final class TableClaimStore implements ClaimStore {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    /** Rows of one deletion; keeps a transaction short. */
+    private static final int DELETES_PER_COMMIT = 100;
+
+    private final TableStore tables;
+    private final ObjectStore objects;
+
+    /** Makes the adapter. */
+    public TableClaimStore(TableStore tables, ObjectStore objects) {
+        this.tables = tables;
+        this.objects = objects;
+    }
+
+    @Override
+    public Optional<Stored> read(ClaimKey key) {
+        return Await.result(tables.read(Table.CLAIM, ClaimJson.key(key)), TIMEOUT)
+                .map(r -> new Stored(ClaimJson.decode(r.value()), r.version()));
+    }
+
+    @Override
+    public OptionalLong replace(ClaimKey key, long expected, Optional<Claim> next) {
+        Optional<String> objectKey =
+                next.flatMap(Claim::answer)
+                        .filter(a -> a.place() == StoredAnswer.Place.OBJECT)
+                        .map(this::putObject);
+        Optional<String> value = next.map(c -> ClaimJson.encode(c, objectKey));
+        String rowKey = ClaimJson.key(key);
+        Write write = new Write(Table.CLAIM, rowKey, expected, value);
+        try {
+            List<Long> versions = Await.result(tables.commit(List.of(write)), TIMEOUT);
+            return OptionalLong.of(versions.getFirst());
+        } catch (ConditionFailedException e) {
+            return OptionalLong.empty();
+        } catch (OutcomeUnknownException | AwaitTimeoutException e) {
+            return afterLostAnswer(rowKey, expected, value, e);
+        }
+    }
+
+    /** The attempt id in the row tells whether this daemon's write took effect. */
+    private OptionalLong afterLostAnswer(
+            String rowKey, long expected, Optional<String> value, RuntimeException lost) {
+        Optional<Row> found = Await.result(tables.read(Table.CLAIM, rowKey), TIMEOUT);
+        if (found.map(Row::value).equals(value)) {
+            return OptionalLong.of(found.map(Row::version).orElse(NONE));
+        }
+        if (found.map(Row::version).orElse(NONE) == expected) {
+            throw lost;
+        }
+        return OptionalLong.empty();
+    }
+
+    private String putObject(StoredAnswer answer) {
+        byte[] bytes = answer.content().orElseThrow().bytes();
+        String key = "claim/" + sha256(bytes);
+        Await.result(objects.put(key, bytes), TIMEOUT);
+        return key;
+    }
+
+    @Override
+    public Optional<byte[]> body(StoredAnswer answer) {
+        return switch (answer.place()) {
+            case INLINE -> answer.content().map(StoredAnswer.Content::bytes);
+            case OBJECT -> Await.result(objects.get(ClaimJson.objectKey(answer)), TIMEOUT);
+            case NOT_KEPT -> Optional.empty();
+        };
+    }
+
+    @Override
+    public int deleteCreatedBefore(WorkspaceId workspace, Instant instant) {
+        String prefix = ClaimJson.prefix(workspace);
+        List<Write> deletes = new ArrayList<>();
+        for (Row r : Await.result(tables.scan(Table.CLAIM, prefix), TIMEOUT)) {
+            if (ClaimJson.decode(r.value()).createdAt().isBefore(instant)) {
+                deletes.add(Write.delete(Table.CLAIM, r.key(), r.version()));
+            }
+        }
+        for (int i = 0; i < deletes.size(); i += DELETES_PER_COMMIT) {
+            int end = Math.min(deletes.size(), i + DELETES_PER_COMMIT);
+            Await.result(tables.commit(deletes.subList(i, end)), TIMEOUT);
+        }
+        return deletes.size();
+    }
+
+    private static String sha256(byte[] bytes) {
+        try {
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/services/src/main/java/org/godwithoist/services/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Encoding of claims in the platform's stores. */
+package org.godwithoist.services.wire;
--- /dev/null
+++ b/services/src/test/java/org/godwithoist/services/ClaimPropertyTest.java
@@ -0,0 +1,73 @@
+package org.godwithoist.services;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.platform.fake.StoreFault;
+
+/** Guards against a second execution of a key in any order of repeats, faults and crashes. */
+class ClaimPropertyTest {
+    /** Guards against a state machine that leads from a possible execution back to a new one. */
+    @Property
+    void onlyReleaseAndExpiryFreeAKey(@ForAll @Size(max = 10) List<ClaimEvent> events) {
+        ClaimState state = ClaimState.FREE;
+        boolean freed = true;
+        for (ClaimEvent event : events) {
+            Optional<ClaimState> next = state.next(event);
+            if (next.isEmpty()) {
+                continue;
+            }
+            boolean claimed = event == ClaimEvent.CLAIM;
+            assertTrue(!claimed || freed, "claimed in state " + state);
+            freed = event == ClaimEvent.RELEASE || event == ClaimEvent.EXPIRE;
+            state = next.get();
+            assertEquals(freed, state == ClaimState.FREE);
+            assertEquals(freed, state.verdict() == ClaimState.Verdict.RUN);
+        }
+    }
+
+    @Property(tries = 300)
+    void aKeyRunsAtMostOnce(
+            @ForAll @Size(min = 1, max = 5) List<StoreFault> faults,
+            @ForAll @Size(min = 5, max = 5) List<Fixture.Mode> modes,
+            @ForAll @IntRange(min = 1, max = 10) int killAt) {
+        Fixture f = new Fixture();
+        modes.forEach(f.target::next);
+        KillableStore view = new KillableStore(f.tables, f.target, killAt);
+        var victim = f.daemon("a", 1, view, view);
+        var other = f.daemon("b", 1);
+        Set<RunState> told = new HashSet<>();
+        faults.forEach(f.tables::faultNextCommit);
+        try {
+            told.add(submit(victim));
+        } catch (KillableStore.Killed e) {
+            f.silent.add(new HostId("a"));
+        }
+        told.add(submit(other));
+        other.claims().repeatEnds();
+        told.add(submit(other));
+        int runs = f.target.totalRuns();
+        assertTrue(runs <= 1, "the call ran " + runs + " times");
+        assertTrue(runs == 1 || !told.contains(RunState.RAN), "told 'ran' without a run");
+    }
+
+    private static RunState submit(Fixture.Daemon daemon) {
+        try {
+            return Fixture.send(daemon, "POST", "k", "body", Duration.ofMillis(20)).runState;
+        } catch (RequestException e) {
+            return e.runState();
+        }
+    }
+}
--- /dev/null
+++ b/services/src/test/java/org/godwithoist/services/KillableStore.java
@@ -0,0 +1,71 @@
+package org.godwithoist.services;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.membership.Target;
+import org.godwithoist.platform.Row;
+import org.godwithoist.platform.Table;
+import org.godwithoist.platform.TableStore;
+import org.godwithoist.platform.Write;
+
+/**
+ * The view of a daemon that is killed at a given step: before or after any operation at the store
+ * or the target. After that step it changes nothing any more.
+ */
+final class KillableStore implements TableStore, ServiceClient {
+    private final TableStore store;
+    private final ServiceClient target;
+    private int stepsLeft;
+
+    /** Ends the killed daemon's task; no handler of the daemon catches it. */
+    static final class Killed extends Error {
+        private static final long serialVersionUID = 1L;
+    }
+
+    KillableStore(TableStore store, ServiceClient target, int steps) {
+        this.store = store;
+        this.target = target;
+        this.stepsLeft = steps;
+    }
+
+    boolean alive() {
+        return stepsLeft > 0;
+    }
+
+    private void step() {
+        stepsLeft--;
+        if (stepsLeft <= 0) {
+            throw new Killed();
+        }
+    }
+
+    private <T> T stepped(Supplier<T> operation) {
+        step();
+        T result = operation.get();
+        step();
+        return result;
+    }
+
+    @Override
+    public CompletableFuture<Optional<Row>> read(Table table, String key) {
+        return stepped(() -> store.read(table, key));
+    }
+
+    @Override
+    public CompletableFuture<List<Row>> scan(Table table, String prefix) {
+        return stepped(() -> store.scan(table, prefix));
+    }
+
+    @Override
+    public CompletableFuture<List<Long>> commit(List<Write> writes) {
+        return stepped(() -> store.commit(writes));
+    }
+
+    @Override
+    public ServiceAnswer send(Target t, RequestId attempt, ServiceCall call, ByteStream body) {
+        return stepped(() -> target.send(t, attempt, call, body));
+    }
+}
--- /dev/null
+++ b/services/src/test/java/org/godwithoist/services/ServiceCallsTest.java
@@ -0,0 +1,316 @@
+package org.godwithoist.services;
+
+import static org.godwithoist.services.Fixture.send;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.platform.fake.StoreFault;
+import org.godwithoist.services.Fixture.Daemon;
+import org.godwithoist.services.Fixture.Mode;
+import org.godwithoist.services.Fixture.Result;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ServiceCallsTest {
+    private static final Duration SHORT = Duration.ofMillis(300);
+
+    private final Fixture fixture = new Fixture();
+    private final Daemon a = fixture.daemon("a", 1);
+    private final Daemon b = fixture.daemon("b", 1);
+
+    private RequestException refused(Daemon daemon, String method, String key, String body) {
+        return assertThrows(RequestException.class, () -> send(daemon, method, key, body, SHORT));
+    }
+
+    private void assertRefused(RequestException e, ErrorCode code, RunState state) {
+        assertEquals(code, e.code(), e.getMessage());
+        assertEquals(state, e.runState(), e.getMessage());
+    }
+
+    @Nested
+    class Repeats {
+        /** Guards against a second execution when the caller asks another daemon afterwards. */
+        @Test
+        void afterTheFirstEnded() {
+            Result first = send(a, "POST", "k", "body");
+            Result second = send(b, "POST", "k", "body");
+            assertEquals(1, fixture.target.totalRuns());
+            assertEquals(first.body.toString(), second.body.toString());
+            assertEquals(201, second.status);
+            assertEquals(RunState.RAN, second.runState);
+            assertEquals(2, fixture.tables.writes());
+        }
+
+        /** Guards against a second execution while the first one runs at another daemon. */
+        @Test
+        void whileTheFirstRuns() throws Exception {
+            fixture.target.hold = new CountDownLatch(1);
+            var first = CompletableFuture.supplyAsync(() -> send(a, "POST", "k", "body"));
+            fixture.target.started.await();
+            assertRefused(
+                    refused(b, "POST", "k", "body"), ErrorCode.DEADLINE_EXCEEDED, RunState.UNKNOWN);
+            var second = CompletableFuture.supplyAsync(() -> send(b, "POST", "k", "body"));
+            fixture.target.hold.countDown();
+            assertEquals("xxxxxx", first.get().body.toString());
+            assertEquals("xxxxxx", second.get().body.toString());
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against an answer to another question under the same key. */
+        @Test
+        void withAnotherBody() {
+            send(a, "POST", "k", "body");
+            assertRefused(refused(b, "POST", "k", "other"), ErrorCode.CONFLICT, RunState.NOT_RUN);
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against rows that grow with the answer, and against half an answer. */
+        @Test
+        void ofLongAnswers() {
+            fixture.target.answerLength = 1 << 20;
+            send(a, "POST", "k", "body");
+            assertEquals(1 << 20, send(b, "POST", "k", "body").body.length());
+            fixture.target.answerLength = StoredAnswer.MAX_KEPT + 1;
+            send(a, "POST", "k2", "body");
+            assertRefused(refused(b, "POST", "k2", "body"), ErrorCode.CONFLICT, RunState.RAN);
+            assertEquals(2, fixture.target.totalRuns());
+        }
+
+        /** Guards against keys that are blocked for ever, and against reuse before 24 h. */
+        @Test
+        void afterTheTimeToLive() {
+            send(a, "POST", "k", "body");
+            fixture.now = fixture.now.plus(Duration.ofHours(23));
+            send(b, "POST", "k", "body");
+            assertEquals(1, fixture.target.totalRuns());
+            fixture.now = fixture.now.plus(Duration.ofHours(1));
+            send(b, "POST", "k", "body");
+            assertEquals(2, fixture.target.totalRuns());
+            fixture.now = fixture.now.plus(Duration.ofHours(25));
+            long before = fixture.tables.writes();
+            b.claims().deleteExpired(Fixture.bundle().workspaces().keySet());
+            assertEquals(before, fixture.tables.writes());
+            a.claims().deleteExpired(Fixture.bundle().workspaces().keySet());
+            assertEquals(before + 1, fixture.tables.writes());
+        }
+    }
+
+    @Nested
+    class DeadDaemon {
+        /** Guards against a second execution after a kill at any step of a call. */
+        @Test
+        void killedAtEachStep() {
+            int step = 1;
+            KillableStore view;
+            do {
+                Fixture f = new Fixture();
+                view = new KillableStore(f.tables, f.target, step);
+                Daemon victim = f.daemon("a", 1, view, view);
+                Daemon other = f.daemon("b", 1);
+                try {
+                    send(victim, "POST", "k", "body");
+                } catch (KillableStore.Killed e) {
+                    f.silent.add(new HostId("a"));
+                }
+                RunState told;
+                try {
+                    told = send(other, "POST", "k", "body").runState;
+                } catch (RequestException e) {
+                    told = e.runState();
+                }
+                int runs = f.target.totalRuns();
+                assertTrue(runs <= 1, "runs after a kill at step " + step + ": " + runs);
+                assertTrue(
+                        told == RunState.UNKNOWN || (told == RunState.RAN && runs == 1),
+                        "step " + step + ": told " + told + " after " + runs + " runs");
+                step++;
+            } while (!view.alive());
+            assertEquals(8, step);
+        }
+
+        /** Guards against callers that wait for a daemon that was restarted. */
+        @Test
+        void restartedDaemonIsNoticed() throws Exception {
+            fixture.target.hold = new CountDownLatch(1);
+            var first = CompletableFuture.supplyAsync(() -> send(a, "POST", "k", "body"));
+            fixture.target.started.await();
+            fixture.daemon("a", 2);
+            assertRefused(
+                    refused(b, "POST", "k", "body"), ErrorCode.TARGET_FAILED, RunState.UNKNOWN);
+            fixture.target.hold.countDown();
+            first.get();
+        }
+    }
+
+    @Nested
+    class StoreFaults {
+        /** Guards against a refusal or a second claim when the answer to the claim is lost. */
+        @Test
+        void answerLostAtClaim() {
+            fixture.tables.faultNextCommit(StoreFault.ANSWER_LOST);
+            assertEquals(RunState.RAN, send(a, "POST", "k", "body").runState);
+            assertEquals(RunState.RAN, send(b, "POST", "k", "body").runState);
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against a lost answer when the completion is written without a response. */
+        @Test
+        void answerLostAtCompletion() {
+            fixture.tables.faultNextCommit(StoreFault.NONE);
+            fixture.tables.faultNextCommit(StoreFault.ANSWER_LOST);
+            send(a, "POST", "k", "body");
+            assertEquals(0, a.claims().waitingEnds());
+            assertEquals("xxxxxx", send(b, "POST", "k", "body").body.toString());
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against claims that a lost request at the completion leaves running. */
+        @Test
+        void outageAtCompletion() {
+            fixture.tables.faultNextCommit(StoreFault.NONE);
+            fixture.tables.faultNextCommit(StoreFault.DOWN);
+            assertEquals(RunState.RAN, send(a, "POST", "k", "body").runState);
+            assertEquals(1, a.claims().waitingEnds());
+            assertRefused(
+                    refused(b, "POST", "k", "body"), ErrorCode.DEADLINE_EXCEEDED, RunState.UNKNOWN);
+            assertTrue(a.calls().drain(Duration.ofSeconds(5)));
+            assertEquals("xxxxxx", send(b, "POST", "k", "body").body.toString());
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against running without a claim. */
+        @Test
+        void outageAtClaim() {
+            fixture.tables.setFault(StoreFault.DOWN);
+            assertRefused(
+                    refused(a, "POST", "k", "body"), ErrorCode.STORE_UNAVAILABLE, RunState.NOT_RUN);
+            assertEquals(0, fixture.target.totalRuns());
+        }
+
+        /** Guards against a key that stays blocked by a claim whose answer was lost. */
+        @Test
+        void claimLeftBehindIsReleased() {
+            fixture.tables.setFault(StoreFault.ANSWER_LOST);
+            assertRefused(
+                    refused(a, "POST", "k", "body"), ErrorCode.STORE_UNAVAILABLE, RunState.NOT_RUN);
+            fixture.tables.setFault(StoreFault.NONE);
+            assertRefused(
+                    refused(b, "POST", "k", "body"), ErrorCode.DEADLINE_EXCEEDED, RunState.UNKNOWN);
+            a.claims().repeatEnds();
+            assertEquals(RunState.RAN, send(b, "POST", "k", "body").runState);
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against an outage that makes a long answer unreadable but claims "not run". */
+        @Test
+        void objectStoreOutage() {
+            fixture.target.answerLength = 1 << 20;
+            send(a, "POST", "k", "body");
+            fixture.objects.setFault(StoreFault.DOWN);
+            assertRefused(
+                    refused(b, "POST", "k", "body"), ErrorCode.STORE_UNAVAILABLE, RunState.RAN);
+        }
+    }
+
+    @Nested
+    class TargetFaults {
+        /** Guards against "not run" and repeats when the target answers after the deadline. */
+        @Test
+        void lateAnswer() {
+            fixture.target.next(Mode.SILENT_AFTER_RUN);
+            assertRefused(
+                    refused(a, "POST", "k", "body"), ErrorCode.DEADLINE_EXCEEDED, RunState.UNKNOWN);
+            assertRefused(
+                    refused(b, "POST", "k", "body"), ErrorCode.TARGET_FAILED, RunState.UNKNOWN);
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against a stored half answer. */
+        @Test
+        void answerThatBreaksOff() {
+            fixture.target.next(Mode.BROKEN_ANSWER);
+            assertRefused(
+                    refused(a, "POST", "k", "body"), ErrorCode.DEADLINE_EXCEEDED, RunState.UNKNOWN);
+            assertRefused(
+                    refused(b, "POST", "k", "body"), ErrorCode.TARGET_FAILED, RunState.UNKNOWN);
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against a key that stays blocked although nothing was sent. */
+        @Test
+        void unreachableTargetReleasesTheClaim() {
+            for (int i = 0; i < 3; i++) {
+                fixture.target.next(Mode.NOT_REACHABLE);
+            }
+            assertRefused(
+                    refused(a, "POST", "k", "body"), ErrorCode.TARGET_FAILED, RunState.NOT_RUN);
+            assertEquals(RunState.RAN, send(b, "POST", "k", "body").runState);
+            assertEquals(1, fixture.charged().requests());
+        }
+
+        /** Guards against a repeated execution without a key after a byte was sent. */
+        @Test
+        void unsafeCallIsSentOnce() {
+            fixture.target.next(Mode.LOST_AFTER_RUN);
+            assertRefused(
+                    refused(a, "POST", null, "body"), ErrorCode.TARGET_FAILED, RunState.UNKNOWN);
+            assertEquals(1, fixture.target.totalRuns());
+        }
+
+        /** Guards against giving up on safe calls, and against retries without a bound. */
+        @Test
+        void safeCallIsRetriedWithinTheBudget() {
+            fixture.target.next(Mode.LOST_BEFORE_RUN);
+            assertEquals(RunState.RAN, send(a, "GET", null, "").runState);
+            fixture.target.next(Mode.LOST_BEFORE_RUN);
+            fixture.target.next(Mode.LOST_BEFORE_RUN);
+            assertRefused(refused(a, "GET", null, ""), ErrorCode.TARGET_FAILED, RunState.UNKNOWN);
+        }
+
+        /** Guards against "ran" when the service itself failed half-way. */
+        @Test
+        void serverErrorIsNotCalledRan() {
+            fixture.target.status = 503;
+            assertEquals(RunState.UNKNOWN, send(a, "POST", "k", "body").runState);
+            assertEquals(503, send(b, "POST", "k", "body").status);
+            assertEquals(1, fixture.target.totalRuns());
+        }
+    }
+
+    @Nested
+    class Capacity {
+        /** Guards against more calls of a workspace in progress than its limit. */
+        @Test
+        void workspaceOverItsLimit() throws Exception {
+            fixture.target.hold = new CountDownLatch(1);
+            for (int i = 0; i < 8; i++) {
+                Thread.ofVirtual().start(() -> send(a, "GET", null, ""));
+            }
+            while (a.calls().callsInProgress() < 8) {
+                Thread.sleep(5);
+            }
+            assertRefused(refused(a, "GET", null, ""), ErrorCode.OVER_LIMIT, RunState.NOT_RUN);
+            fixture.target.hold.countDown();
+            assertTrue(a.calls().drain(Duration.ofSeconds(5)));
+        }
+
+        /** Guards against a claim that stays behind when no target has room. */
+        @Test
+        void noTargetReleasesTheClaim() {
+            fixture.targets.update(List.of());
+            assertRefused(refused(a, "POST", "k", "body"), ErrorCode.NO_CAPACITY, RunState.NOT_RUN);
+            fixture.addTarget("t2", new Endpoint("127.0.0.1", 1));
+            assertEquals(RunState.RAN, send(b, "POST", "k", "body").runState);
+        }
+    }
+}
