--- a/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
@@ -27,6 +27,7 @@
 
     /** At 300 ms for each word an engine has sent some words by then, but not the whole answer. */
     private static final Duration PART_OF_ANSWER = Duration.ofMillis(900);
+
     private static final List<String> DAEMONS = List.of("daemon-1", "daemon-2");
 
     private final Transcript transcript = new Transcript();
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -7,9 +7,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.ext.web.Router;
 import java.time.Duration;
-import org.godwithoist.accounting.MemoryUsageRecorder;
-import org.godwithoist.admission.FixedShareAdmission;
-import org.godwithoist.chat.ChatOutcome;
 import org.godwithoist.chat.http.CallerServer;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Await;
@@ -33,27 +30,22 @@
     private static final Duration DRAIN_TIMEOUT = Duration.ofMinutes(5);
 
     private static final int EVENT_LOOPS = 2;
-    private static final int SLOTS_PER_TARGET = 4;
 
     private final DaemonSettings settings;
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS));
     private final Lifecycle lifecycle = new Lifecycle();
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Control control;
-    private final Chats chats;
+    private final Reports reports;
+    private final Work work;
 
     /** Makes a daemon that does nothing yet. */
     public Daemon(DaemonSettings settings) {
         this.settings = settings;
         var platform = new PlatformClient(vertx, settings.platform(), STORE_TIMEOUT);
         this.control = new Control(settings, platform, System.currentTimeMillis());
-        this.chats =
-                new Chats(
-                        vertx,
-                        control,
-                        new FixedShareAdmission(SLOTS_PER_TARGET),
-                        new MemoryUsageRecorder(),
-                        ChatOutcome.Observer.NONE);
+        this.reports = new Reports(control, platform, registry);
+        this.work = new Work(vertx, control, platform, reports);
     }
 
     /** Starts to listen; returns when operators and callers can connect. */
@@ -71,10 +63,12 @@
     public void drain() {
         LOG.atInfo().log("drain begins with %d requests in progress", lifecycle.inProgress());
         lifecycle.drain();
-        chats.drain();
-        if (!lifecycle.awaitIdle(DRAIN_TIMEOUT) || !chats.awaitIdle(DRAIN_TIMEOUT)) {
+        work.drain();
+        if (!lifecycle.awaitIdle(DRAIN_TIMEOUT) || !work.awaitIdle(DRAIN_TIMEOUT)) {
             LOG.atWarning().log("%d requests are left after the drain", lifecycle.inProgress());
         }
+        work.stop();
+        reports.stop();
         control.stop();
         lifecycle.stop();
         Await.result(vertx.close(), START_TIMEOUT);
@@ -92,6 +86,8 @@
                         control.auth())
                 .mount(router);
         control.mount(router);
+        work.mountOperators(router);
+        reports.mount(router);
         return router;
     }
 
@@ -100,7 +96,7 @@
         new HealthRoutes(lifecycle, registry).mount(router);
         router.route("/v1/*").handler(new AdmitHandler(lifecycle));
         router.route("/services/*").handler(new AdmitHandler(lifecycle));
-        chats.mount(router);
+        work.mountCallers(router);
         return router;
     }
 
@@ -114,7 +110,8 @@
                 return;
             }
         }
-        chats.start();
+        work.start();
+        reports.start();
         lifecycle.serve();
         LOG.atInfo().log("daemon %s serves callers", settings.host());
     }
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/Reports.java
@@ -0,0 +1,97 @@
+package org.godwithoist.daemon;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.ext.web.Router;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.function.Function;
+import org.godwithoist.bundle.ServiceLevel;
+import org.godwithoist.chat.ChatOutcome;
+import org.godwithoist.chat.ChatRequest;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.platform.TableStore;
+import org.godwithoist.report.BurnRecorder;
+import org.godwithoist.report.BurnReports;
+import org.godwithoist.report.SeriesKey;
+import org.godwithoist.report.http.BurnRoutes;
+import org.godwithoist.report.wire.TableBurnStore;
+
+/** Takes how each chat request ended into the metrics and the burn report. */
+final class Reports implements ChatOutcome.Observer {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final BurnRecorder burn;
+    private final BurnReports reports;
+    private final Counter requests;
+    private final Histogram firstToken;
+
+    Reports(Control control, TableStore store, PrometheusRegistry registry) {
+        var burnStore = new TableBurnStore(store);
+        Function<Priority, ServiceLevel> levels =
+                p -> control.bundle().orElseThrow().serviceLevels().get(p);
+        burn = new BurnRecorder(burnStore, control.members(), levels, InstantSource.system());
+        reports = new BurnReports(burnStore, levels, InstantSource.system());
+        requests =
+                Counter.builder()
+                        .name("godwithoist_chat_requests_total")
+                        .help("Chat requests that ended, by priority and result")
+                        .labelNames("priority", "result")
+                        .register(registry);
+        firstToken =
+                Histogram.builder()
+                        .name("godwithoist_chat_first_token_seconds")
+                        .help("Time from the request to the first piece of its answer")
+                        .labelNames("priority")
+                        .classicUpperBounds(0.05, 0.1, 0.2, 0.5, 0.87, 1, 2, 5, 10)
+                        .register(registry);
+    }
+
+    void start() {
+        burn.start();
+    }
+
+    void stop() {
+        burn.close();
+    }
+
+    void mount(Router operators) {
+        new BurnRoutes(reports).mount(operators);
+    }
+
+    @Override
+    public void ended(ChatRequest request, ChatOutcome outcome) {
+        String priority = request.priority().wireName();
+        String result = outcome.failure().map(ErrorCode::wireName).orElse("answered");
+        requests.labelValues(priority, result).inc();
+        outcome.firstToken()
+                .ifPresent(
+                        t ->
+                                firstToken
+                                        .labelValues(priority)
+                                        .observe(t.toNanos() / NANOS_PER_SECOND));
+        if (outcome.callerGone()) {
+            return;
+        }
+        SeriesKey key = new SeriesKey(request.workspace(), request.priority());
+        if (outcome.failure().isPresent()) {
+            burn.failed(key, failure(outcome.failure().get(), outcome.attempts()));
+            return;
+        }
+        burn.answered(
+                key,
+                outcome.firstToken().orElse(outcome.total()),
+                outcome.betweenTokens().orElse(Duration.ZERO));
+        outcome.betweenTokens().ifPresent(t -> burn.betweenTokens(key, t));
+    }
+
+    private static RequestException failure(ErrorCode code, int attempts) {
+        String message = "request ended as " + code.wireName();
+        return attempts == 0
+                ? RequestException.notRun(code, message)
+                : RequestException.unknown(code, message);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/TargetProbes.java
@@ -0,0 +1,106 @@
+package org.godwithoist.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.godwithoist.admission.EngineLoad;
+import org.godwithoist.admission.LoadReports;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.membership.FleetTargets;
+import org.godwithoist.membership.Target;
+
+/**
+ * Reads the load reports of the targets that this daemon has to know: those of the shards that it
+ * owns and those that somebody asked for lately. One task reads one target, so a silent target
+ * delays no other.
+ */
+final class TargetProbes implements LoadReports {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration INTERVAL = Duration.ofMillis(250);
+    private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+    /** A target of which nobody asked for this long is not read any more. */
+    private static final Duration INTEREST = Duration.ofSeconds(10);
+
+    private final FleetTargets targets;
+    private final LoadClient client;
+    private final Ticker ticker;
+    private final Map<TargetId, EngineLoad> latest = new ConcurrentHashMap<>();
+    private final Map<TargetId, Long> askedAt = new ConcurrentHashMap<>();
+    private final Map<TargetId, Thread> tasks = new ConcurrentHashMap<>();
+    private volatile Predicate<Target> owned = t -> false;
+
+    TargetProbes(FleetTargets targets, LoadClient client, Ticker ticker) {
+        this.targets = targets;
+        this.client = client;
+        this.ticker = ticker;
+    }
+
+    /**
+     * Starts the tasks.
+     *
+     * @param ownedTargets tells the targets of the shards that this daemon owns
+     */
+    void start(Predicate<Target> ownedTargets) {
+        owned = ownedTargets;
+        Tasks.start("target-probes", this::keepTasks);
+    }
+
+    @Override
+    public Optional<EngineLoad> latest(TargetId target) {
+        return Optional.ofNullable(latest.get(target));
+    }
+
+    /** Returns the incarnation of a target and keeps its reports coming for a while. */
+    Optional<String> incarnation(TargetId target) {
+        askedAt.put(target, ticker.nanos());
+        return latest(target).map(EngineLoad::incarnation);
+    }
+
+    private void keepTasks() {
+        do {
+            targets.all().stream()
+                    .filter(this::isWanted)
+                    .forEach(
+                            t ->
+                                    tasks.computeIfAbsent(
+                                            t.id(),
+                                            id -> Tasks.start("probe-" + id, () -> follow(id))));
+        } while (Tasks.sleep(INTERVAL));
+    }
+
+    private boolean isWanted(Target t) {
+        Long asked = askedAt.get(t.id());
+        boolean recent = asked != null && ticker.nanos() - asked < INTEREST.toNanos();
+        return recent || owned.test(t);
+    }
+
+    private void follow(TargetId id) {
+        Optional<Target> target = targets.find(id);
+        while (target.isPresent() && isWanted(target.get())) {
+            read(target.get());
+            if (!Tasks.sleep(INTERVAL)) {
+                break;
+            }
+            target = targets.find(id);
+        }
+        tasks.remove(id);
+        latest.remove(id);
+    }
+
+    private void read(Target target) {
+        try {
+            latest.put(target.id(), Await.result(client.read(target), TIMEOUT));
+        } catch (RuntimeException e) {
+            LOG.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "no load report from %s: %s", target.id(), e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/Work.java
@@ -0,0 +1,195 @@
+package org.godwithoist.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Vertx;
+import io.vertx.ext.web.Router;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.godwithoist.accounting.UsageAccounts;
+import org.godwithoist.accounting.http.UsageRoutes;
+import org.godwithoist.accounting.wire.TableUsageStore;
+import org.godwithoist.accounting.wire.UsagePeers;
+import org.godwithoist.admission.ShardId;
+import org.godwithoist.admission.SlotAdmission;
+import org.godwithoist.admission.wire.AdmissionWiring;
+import org.godwithoist.bundle.Bundle;
+import org.godwithoist.bundle.Pool;
+import org.godwithoist.chat.ChatOutcome;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.daemon.http.HttpLoadClient;
+import org.godwithoist.daemon.http.HttpTargetCounts;
+import org.godwithoist.membership.Target;
+import org.godwithoist.orders.OrderDispatcher;
+import org.godwithoist.orders.http.HttpEngineOrders;
+import org.godwithoist.platform.http.PlatformClient;
+import org.godwithoist.routing.Rendezvous;
+import org.godwithoist.services.Claims;
+import org.godwithoist.services.ServiceCalls;
+import org.godwithoist.services.http.HttpServiceClient;
+import org.godwithoist.services.http.ServiceFront;
+import org.godwithoist.services.wire.TableClaimStore;
+
+/**
+ * The parts of a daemon that do the callers' work: admission, chats, services, usage and orders.
+ */
+final class Work {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(8);
+
+    /** Daemons that may hold the order lease of a pool; the others do not read its row. */
+    private static final int ORDER_CANDIDATES = 3;
+
+    private final Vertx vertx;
+    private final Control control;
+    private final PlatformClient platform;
+    private final TargetProbes probes;
+    private final SlotAdmission admission;
+    private final UsageAccounts usage;
+    private final Chats chats;
+    private final ServiceCalls services;
+    private final Map<PoolId, Thread> dispatchers = new ConcurrentHashMap<>();
+
+    Work(Vertx vertx, Control control, PlatformClient platform, ChatOutcome.Observer observer) {
+        this.vertx = vertx;
+        this.control = control;
+        this.platform = platform;
+        probes =
+                new TargetProbes(
+                        control.targets(),
+                        new HttpLoadClient(vertx, CALL_TIMEOUT, Ticker.SYSTEM),
+                        Ticker.SYSTEM);
+        admission =
+                AdmissionWiring.create(
+                        this::bundle,
+                        control.members(),
+                        control.targets(),
+                        platform,
+                        control.transport(),
+                        probes,
+                        Ticker.SYSTEM);
+        var usagePeers = new UsagePeers(control.transport());
+        usage =
+                new UsageAccounts(
+                        control.members(),
+                        new TableUsageStore(platform),
+                        usagePeers,
+                        new HttpTargetCounts(vertx, CALL_TIMEOUT, control.targets()),
+                        Ticker.SYSTEM);
+        usagePeers.serve(control.members().self(), usage);
+        chats = new Chats(vertx, control, admission, usage, observer);
+        services =
+                new ServiceCalls(
+                        this::bundle,
+                        control.targets(),
+                        admission,
+                        new HttpServiceClient(vertx),
+                        usage,
+                        claims(),
+                        Ticker.SYSTEM);
+    }
+
+    private Claims claims() {
+        return new Claims(
+                new TableClaimStore(platform, platform),
+                control.members(),
+                InstantSource.system(),
+                Ticker.SYSTEM);
+    }
+
+    /** Starts the tasks; the daemon must have a bundle and listen for peers. */
+    void start() {
+        admission.start();
+        probes.start(this::isOwned);
+        usage.start();
+        chats.start();
+        startDispatchers();
+        control.head().onAdopt(f -> startDispatchers());
+    }
+
+    void mountCallers(Router callers) {
+        chats.mount(callers);
+        new ServiceFront(control::bundle, services).mount(callers);
+    }
+
+    void mountOperators(Router operators) {
+        operators.get("/v1/usage").handler(control.auth());
+        new UsageRoutes(usage).mount(operators);
+    }
+
+    // ---- planned stop
+
+    /** Refuses new requests; those in progress go on. */
+    void drain() {
+        chats.drain();
+    }
+
+    /** Waits for the work that goes on without a caller; returns false if some is left. */
+    boolean awaitIdle(Duration patience) {
+        return chats.awaitIdle(patience) && services.drain(patience);
+    }
+
+    /** Gives up the shards, settles usage and stops the tasks. */
+    void stop() {
+        dispatchers.values().forEach(Thread::interrupt);
+        if (!admission.release(HANDOVER_TIMEOUT)) {
+            LOG.atWarning().log("some shards were not given up; they are taken over by lease");
+        }
+        admission.close();
+        if (!usage.drain(HANDOVER_TIMEOUT)) {
+            LOG.atWarning().log("some usage is neither settled nor at the replica");
+        }
+        usage.close();
+    }
+
+    // ---- parts
+
+    private Bundle bundle() {
+        return control.bundle().orElseThrow();
+    }
+
+    private boolean isOwned(Target t) {
+        Pool pool = bundle().pools().get(t.pool());
+        return pool != null && admission.owns(ShardId.of(pool, t.id()));
+    }
+
+    private void startDispatchers() {
+        for (Pool pool : bundle().pools().values()) {
+            if (pool.kind() == Pool.Kind.ENGINE) {
+                dispatchers.computeIfAbsent(pool.id(), this::startDispatcher);
+            }
+        }
+    }
+
+    private Thread startDispatcher(PoolId pool) {
+        return new OrderDispatcher(
+                        control.members().self().host(),
+                        pool,
+                        control::bundle,
+                        control.targets(),
+                        platform,
+                        platform,
+                        new HttpEngineOrders(vertx, ORDER_TIMEOUT),
+                        this::incarnation,
+                        () -> isOrderCandidate(pool),
+                        Ticker.SYSTEM)
+                .start();
+    }
+
+    private Optional<String> incarnation(TargetId target) {
+        return probes.incarnation(target);
+    }
+
+    private boolean isOrderCandidate(PoolId pool) {
+        return Rendezvous.rank(pool.value(), control.members().reachable(), m -> m.host().value())
+                .stream()
+                .limit(ORDER_CANDIDATES)
+                .anyMatch(m -> m.equals(control.members().self()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/http/HttpLoadClient.java
@@ -0,0 +1,55 @@
+package org.godwithoist.daemon.http;
+
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import java.time.Duration;
+import org.godwithoist.admission.EngineLoad;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.daemon.LoadClient;
+import org.godwithoist.membership.Target;
+
+/** Reads load reports in the targets' HTTP protocol. */
+public final class HttpLoadClient implements LoadClient {
+    private static final int OK = 200;
+    private static final String NO_INCARNATION = "1";
+
+    private final WebClient client;
+    private final Duration timeout;
+    private final Ticker ticker;
+
+    /** Makes a client whose reads fail after the given time. */
+    public HttpLoadClient(Vertx vertx, Duration timeout, Ticker ticker) {
+        this.client = WebClient.create(vertx);
+        this.timeout = timeout;
+        this.ticker = ticker;
+    }
+
+    @Override
+    public Uni<EngineLoad> read(Target target) {
+        var sent =
+                client.get(target.endpoint().port(), target.endpoint().ip(), "/v1/load")
+                        .timeout(timeout.toMillis())
+                        .send();
+        return Uni.createFrom().completionStage(sent.toCompletionStage()).map(r -> load(target, r));
+    }
+
+    private EngineLoad load(Target target, HttpResponse<Buffer> r) {
+        if (r.statusCode() != OK) {
+            throw new IllegalStateException(
+                    target.id() + " answered a load request with " + r.statusCode());
+        }
+        JsonObject o = r.bodyAsJsonObject();
+        long age = Duration.ofMillis(o.getLong("age_ms", 0L)).toNanos();
+        Object incarnation = o.getValue("incarnation");
+        return new EngineLoad(
+                incarnation == null ? NO_INCARNATION : incarnation.toString(),
+                o.getInteger("running", 0),
+                o.getInteger("queued", 0),
+                o.getBoolean("model_loaded", true),
+                ticker.nanos() - age);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/http/HttpTargetCounts.java
@@ -0,0 +1,90 @@
+package org.godwithoist.daemon.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.JsonObject;
+import io.vertx.ext.web.client.HttpResponse;
+import io.vertx.ext.web.client.WebClient;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.accounting.TargetCount;
+import org.godwithoist.accounting.TargetCounts;
+import org.godwithoist.accounting.Usage;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.membership.Target;
+import org.godwithoist.membership.TargetDirectory;
+
+/**
+ * Asks engines what they counted. An engine that does not know an attempt may have restarted since,
+ * so the attempt stays unsettled; plain services keep no counts that could be asked for.
+ */
+public final class HttpTargetCounts implements TargetCounts {
+    private static final int OK = 200;
+    private static final String RUNNING = "running";
+
+    private final WebClient client;
+    private final Duration timeout;
+    private final TargetDirectory targets;
+
+    /** Makes a client whose questions fail after the given time. */
+    public HttpTargetCounts(Vertx vertx, Duration timeout, TargetDirectory targets) {
+        this.client = WebClient.create(vertx);
+        this.timeout = timeout;
+        this.targets = targets;
+    }
+
+    @Override
+    public CompletableFuture<Map<RequestId, TargetCount>> ask(
+            TargetId target, List<RequestId> attempts) {
+        Optional<Target> engine = targets.find(target);
+        if (engine.isEmpty()) {
+            return CompletableFuture.completedFuture(Map.of());
+        }
+        Future<Map<RequestId, TargetCount>> answers = Future.succeededFuture(new HashMap<>());
+        for (RequestId attempt : attempts) {
+            answers =
+                    answers.compose(
+                            known ->
+                                    ask(engine.get(), attempt)
+                                            .map(
+                                                    count -> {
+                                                        count.ifPresent(c -> known.put(attempt, c));
+                                                        return known;
+                                                    }));
+        }
+        return answers.toCompletionStage().toCompletableFuture();
+    }
+
+    private Future<Optional<TargetCount>> ask(Target engine, RequestId attempt) {
+        String path = "/v1/requests/" + attempt.value();
+        return client.get(engine.endpoint().port(), engine.endpoint().ip(), path)
+                .timeout(timeout.toMillis())
+                .send()
+                .map(HttpTargetCounts::count);
+    }
+
+    private static Optional<TargetCount> count(HttpResponse<Buffer> r) {
+        if (r.statusCode() != OK) {
+            return Optional.empty();
+        }
+        JsonObject body = r.bodyAsJsonObject();
+        if (body.getString("state", RUNNING).equals(RUNNING)) {
+            return Optional.of(new TargetCount(TargetCount.State.RUNNING, Usage.NONE));
+        }
+        JsonObject u = body.getJsonObject("usage", new JsonObject());
+        JsonObject details = u.getJsonObject("prompt_tokens_details", new JsonObject());
+        Usage usage =
+                new Usage(
+                        1,
+                        u.getLong("prompt_tokens", 0L),
+                        details.getLong("cached_tokens", 0L),
+                        u.getLong("completion_tokens", 0L));
+        return Optional.of(new TargetCount(TargetCount.State.ENDED, usage));
+    }
+}
--- a/membership/src/main/java/org/godwithoist/membership/FleetTargets.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetTargets.java
@@ -1,6 +1,7 @@
 package org.godwithoist.membership;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -75,6 +76,11 @@
         return snapshot.byPool().getOrDefault(pool, List.of());
     }
 
+    /** Returns all targets, in no order. */
+    public Collection<Target> all() {
+        return snapshot.byId().values();
+    }
+
     @Override
     public Optional<Target> find(TargetId id) {
         return Optional.ofNullable(snapshot.byId().get(id));
--- a/orders/src/main/java/org/godwithoist/orders/EngineState.java
+++ b/orders/src/main/java/org/godwithoist/orders/EngineState.java
@@ -11,12 +11,12 @@
  * What an engine has loaded, as far as this daemon knows.
  *
  * @param target the engine
- * @param incarnation number of the engine's run; a new run has nothing loaded
+ * @param incarnation name of the engine's run; a new run has nothing loaded
  * @param models loaded models with their versions
  * @param adapters loaded adapters
  */
 public record EngineState(
-        TargetId target, long incarnation, Map<ModelId, String> models, Set<String> adapters) {
+        TargetId target, String incarnation, Map<ModelId, String> models, Set<String> adapters) {
     /** Copies the collections. */
     public EngineState {
         models = Map.copyOf(models);
@@ -24,7 +24,7 @@
     }
 
     /** Returns the state of an engine that has nothing loaded. */
-    public static EngineState empty(TargetId target, long incarnation) {
+    public static EngineState empty(TargetId target, String incarnation) {
         return new EngineState(target, incarnation, Map.of(), Set.of());
     }
 
--- a/orders/src/main/java/org/godwithoist/orders/OrderDispatcher.java
+++ b/orders/src/main/java/org/godwithoist/orders/OrderDispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.godwithoist.bundle.Bundle;
 import org.godwithoist.bundle.Pool;
@@ -31,7 +32,7 @@
  */
 public final class OrderDispatcher {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final Duration ROUND = Duration.ofMillis(500);
+    private static final Duration ROUND = Duration.ofSeconds(1);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(5);
 
@@ -42,6 +43,7 @@
     private final WeightStore weights;
     private final EngineOrders engines;
     private final IncarnationSource incarnations;
+    private final BooleanSupplier candidate;
     private final Ticker ticker;
     private final OrderLease lease;
     private final Map<TargetId, EngineState> states = new HashMap<>();
@@ -50,10 +52,15 @@
     @FunctionalInterface
     public interface IncarnationSource {
         /** Returns the incarnation of an engine, or empty if it has not reported yet. */
-        Optional<Long> incarnation(TargetId target);
+        Optional<String> incarnation(TargetId target);
     }
 
-    /** Makes the dispatcher of a pool. */
+    /**
+     * Makes the dispatcher of a pool.
+     *
+     * @param candidate whether this daemon may take the lease; only few daemons of the fleet
+     *     should, because each of them reads the lease's row in every round
+     */
     public OrderDispatcher(
             HostId self,
             PoolId pool,
@@ -63,6 +70,7 @@
             WeightStore weights,
             EngineOrders engines,
             IncarnationSource incarnations,
+            BooleanSupplier candidate,
             Ticker ticker) {
         this.pool = pool;
         this.bundle = bundle;
@@ -71,6 +79,7 @@
         this.weights = weights;
         this.engines = engines;
         this.incarnations = incarnations;
+        this.candidate = candidate;
         this.ticker = ticker;
         this.lease = new OrderLease(self, ticker);
     }
@@ -92,6 +101,9 @@
 
     /** Does one round: keeps the lease and sends the orders that are due. */
     void round() {
+        if (!candidate.getAsBoolean() && !lease.mayOrder()) {
+            return;
+        }
         keepLease();
         Optional<Bundle> current = bundle.get();
         Optional<Pool> definition = current.map(b -> b.pools().get(pool));
@@ -158,11 +170,11 @@
                 .toList();
     }
 
-    private EngineState state(TargetId id, long incarnation) {
+    private EngineState state(TargetId id, String incarnation) {
         return states.compute(
                 id,
                 (k, old) ->
-                        old == null || old.incarnation() != incarnation
+                        old == null || !old.incarnation().equals(incarnation)
                                 ? EngineState.empty(id, incarnation)
                                 : old);
     }
--- a/orders/src/test/java/org/godwithoist/orders/OrderDispatcherTest.java
+++ b/orders/src/test/java/org/godwithoist/orders/OrderDispatcherTest.java
@@ -81,7 +81,8 @@
                 store,
                 m -> CompletableFuture.completedFuture(weightPermits-- > 0),
                 engine,
-                t -> Optional.of(1L),
+                t -> Optional.of("1"),
+                () -> true,
                 ticker);
     }
 
