membership: replace a silent connection after one timeout of the exchange

Cause: a connection counted as silent after 1 s without a byte, the timeout of an exchange. The wait starts when the request is written, after the timer of the call, so at the first timeout it was just below 1 s and the connection was kept for a second one. Change: the limit is 800 ms.

--- a/membership/src/main/java/org/godwithoist/membership/wire/PeerLink.java
+++ b/membership/src/main/java/org/godwithoist/membership/wire/PeerLink.java
@@ -22,8 +22,12 @@
 final class PeerLink {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-    /** A connection that has not delivered a byte for this time after a call is silent. */
-    private static final Duration SILENCE = Duration.ofSeconds(1);
+    /**
+     * A connection that has not delivered a byte for this time after a call is silent. Must be
+     * shorter than the timeout of an exchange (1 s), which starts before the request is written;
+     * with equal times a silent connection was kept for a second timeout.
+     */
+    private static final Duration SILENCE = Duration.ofMillis(800);
 
     private static final long NOT_WAITING = Long.MIN_VALUE;
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
