membership: keep the endpoint that a moved member announced

Cause: between the announcement of a moved member and its first answer, the next read of the lagging host list put the old endpoint back, and the member did not announce itself again. Change: an announced endpoint counts until the member is silent. Conclusion: a moved member is reached although the list lags.

--- a/membership/src/main/java/org/godwithoist/membership/FleetMembers.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembers.java
@@ -23,6 +23,7 @@
     private static final class Peer {
         private Member member;
         private boolean listed;
+        private boolean announced;
         private Optional<Long> lastContact = Optional.empty();
         private long silentFrom;
         private Optional<Long> leftAt = Optional.empty();
@@ -73,8 +74,9 @@
             listed.add(h.host());
             Member member = new Member(h.host(), h.failureDomain(), h.address(), 0);
             Peer peer = peers.computeIfAbsent(h.host(), k -> new Peer(member, ticker.nanos()));
-            if (peer.lastContact.isEmpty() || silent(peer)) {
+            if (!peer.announced || silent(peer)) {
                 // An endpoint that the member itself announced is newer than the lagging list.
+                peer.announced = false;
                 peer.member =
                         new Member(
                                 h.host(),
@@ -108,6 +110,7 @@
         if (member.incarnation() >= peer.member.incarnation()) {
             restartIfNewer(peer, member.incarnation());
             peer.member = member;
+            peer.announced = true;
         }
     }
 
--- a/membership/src/test/java/org/godwithoist/membership/FleetMembersTest.java
+++ b/membership/src/test/java/org/godwithoist/membership/FleetMembersTest.java
@@ -139,13 +139,15 @@
 
         /** Guards against an old list entry that overrides what the member itself announced. */
         @Test
-        void announcedEndpointCountsWhileInContact() {
+        void announcedEndpointCountsUntilTheMemberIsSilent() {
             Endpoint moved = new Endpoint("127.0.0.2", 2);
             list("b");
             members.announce(new Member(B, new FailureDomainId("d"), moved, 2));
-            answer("b", 2);
             list("b");
             assertEquals(moved, members.find(B).orElseThrow().peer());
+            pass(Duration.ofSeconds(15));
+            list("b");
+            assertEquals(member("b", 2), members.find(B).orElseThrow());
         }
 
         /** Guards against daemons that keep a dead member alive by telling each other of it. */
