Start the claims' repetition task in the daemon

Cause: claims that a lost answer left behind were not released. Change: the task starts with the daemon and ends at its stop.

--- a/daemon/src/main/java/org/godwithoist/daemon/Work.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Work.java
@@ -53,6 +53,7 @@
     private final SlotAdmission admission;
     private final UsageAccounts usage;
     private final Chats chats;
+    private final Claims claims;
     private final ServiceCalls services;
     private final Map<PoolId, Thread> dispatchers = new ConcurrentHashMap<>();
 
@@ -84,6 +85,12 @@
                         Ticker.SYSTEM);
         usagePeers.serve(control.members().self(), usage);
         chats = new Chats(vertx, control, admission, usage, observer);
+        claims =
+                new Claims(
+                        new TableClaimStore(platform, platform),
+                        control.members(),
+                        InstantSource.system(),
+                        Ticker.SYSTEM);
         services =
                 new ServiceCalls(
                         this::bundle,
@@ -91,23 +98,16 @@
                         admission,
                         new HttpServiceClient(vertx),
                         usage,
-                        claims(),
+                        claims,
                         Ticker.SYSTEM);
     }
 
-    private Claims claims() {
-        return new Claims(
-                new TableClaimStore(platform, platform),
-                control.members(),
-                InstantSource.system(),
-                Ticker.SYSTEM);
-    }
-
     /** Starts the tasks; the daemon must have a bundle and listen for peers. */
     void start() {
         admission.start();
         probes.start(this::isOwned);
         usage.start();
+        claims.start(() -> bundle().workspaces().keySet());
         chats.start();
         startDispatchers();
         control.head().onAdopt(f -> startDispatchers());
@@ -142,6 +142,7 @@
             LOG.atWarning().log("some shards were not given up; they are taken over by lease");
         }
         admission.close();
+        claims.close();
         if (!usage.drain(HANDOVER_TIMEOUT)) {
             LOG.atWarning().log("some usage is neither settled nor at the replica");
         }
