--- a/cli/src/main/java/org/godwithoist/cli/ReadCommands.java
+++ b/cli/src/main/java/org/godwithoist/cli/ReadCommands.java
@@ -78,7 +78,7 @@
             if (html == null) {
                 return show(console, client.get("/v1/report/burn"));
             }
-            Reply reply = client.getHtml("/v1/report/burn?format=html");
+            Reply reply = client.getHtml("/v1/report/burn.html");
             if (ExitCode.of(reply) != ExitCode.OK) {
                 return show(console, reply);
             }
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -87,7 +87,7 @@
                 .mount(router);
         control.mount(router);
         work.mountOperators(router);
-        reports.mount(router);
+        reports.mount(router, control.auth());
         return router;
     }
 
--- a/daemon/src/main/java/org/godwithoist/daemon/Reports.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Reports.java
@@ -8,6 +8,7 @@
 import java.time.InstantSource;
 import java.util.function.Function;
 import org.godwithoist.bundle.ServiceLevel;
+import org.godwithoist.bundle.http.OperatorAuth;
 import org.godwithoist.chat.ChatOutcome;
 import org.godwithoist.chat.ChatRequest;
 import org.godwithoist.core.Priority;
@@ -58,7 +59,8 @@
         burn.close();
     }
 
-    void mount(Router operators) {
+    void mount(Router operators, OperatorAuth auth) {
+        operators.get("/v1/report/*").handler(auth);
         new BurnRoutes(reports).mount(operators);
     }
 
--- a/loadtool/src/main/java/org/godwithoist/loadtool/demo/Demo.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/Demo.java
@@ -2,16 +2,14 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.HttpResponse;
-import java.io.IOException;
-import java.nio.file.Files;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 import org.godwithoist.bundle.AdmissionLimits;
 import org.godwithoist.core.Priority;
 import org.godwithoist.core.id.ChatId;
@@ -74,7 +72,7 @@
     }
 
     /** Runs all steps; returns whether every promise held. */
-    boolean run() throws IOException {
+    boolean run() {
         streamOneAnswer();
         bookTwice();
         long start = System.currentTimeMillis();
@@ -174,7 +172,7 @@
 
     // ---- closing table
 
-    private void report(long start, long outAt, long inAt) throws IOException {
+    private void report(long start, long outAt, long inAt) {
         EngineChecks checks = new EngineChecks(AdmissionLimits.DEFAULT);
         for (FleetMap.TargetAddress e : fleet.engines()) {
             checks.add(
@@ -201,7 +199,6 @@
         findings.check(skew.coldViolations() == 0, "no cold engine was above its limit");
         findings.check(late == 0, "no new work in the domain 3 s after it was taken out");
         checkUsage(checks);
-        printBurn();
     }
 
     private void printAnswers() {
@@ -242,12 +239,10 @@
     private void checkUsage(EngineChecks checks) {
         System.out.println("usage (requests, prompt tokens, completion tokens):");
         Map<String, long[]> counted = checks.usage();
-        JsonObject accounts = operator.read("/v1/usage").getJsonObject("workspaces");
+        Map<String, JsonObject> accounts = settledUsage();
         boolean equal = true;
         for (var e : counted.entrySet()) {
-            JsonObject settled =
-                    accounts.getJsonObject(e.getKey(), new JsonObject())
-                            .getJsonObject("settled", new JsonObject());
+            JsonObject settled = accounts.getOrDefault(e.getKey(), new JsonObject());
             long[] c = e.getValue();
             boolean same =
                     settled.getLong("prompt_tokens", 0L) == c[1]
@@ -267,20 +262,12 @@
         findings.check(equal, "the accounts equal what the engines counted");
     }
 
-    private void printBurn() throws IOException {
-        System.out.println("service-level burn:");
-        System.out.println(operator.read("/v1/report/burn").encodePrettily());
-        if (options.burnHtml() == null) {
-            return;
+    private Map<String, JsonObject> settledUsage() {
+        Map<String, JsonObject> accounts = new TreeMap<>();
+        for (Object o : operator.read("/v1/usage").getJsonArray("workspaces")) {
+            JsonObject w = (JsonObject) o;
+            accounts.put(w.getString("workspace"), w.getJsonObject("settled"));
         }
-        var page =
-                calls.send(
-                        HttpMethod.GET,
-                        fleet.daemons().get(0).operators(),
-                        "/v1/report/burn.html",
-                        Map.of("Authorization", "Bearer " + fleet.operatorToken()),
-                        Buffer.buffer());
-        Files.writeString(options.burnHtml(), page.bodyAsString());
-        System.out.println("burn report written to " + options.burnHtml());
+        return accounts;
     }
 }
--- a/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoMain.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoMain.java
@@ -33,9 +33,6 @@
     @Option(name = "--seed", metaVar = "N", usage = "seed of the trace")
     private long seed = 1;
 
-    @Option(name = "--burn-html", metaVar = "FILE", usage = "where to write the burn report")
-    private Path burnHtml;
-
     private DemoMain() {}
 
     /** Runs the program. */
@@ -57,7 +54,7 @@
         Deployment d = Deployment.valueOf(deployment.toUpperCase(Locale.ROOT));
         Vertx vertx = Vertx.vertx();
         try {
-            var options = new DemoOptions(d, seconds, chats, seed, burnHtml);
+            var options = new DemoOptions(d, seconds, chats, seed);
             return new Demo(vertx, fleet, options).run();
         } finally {
             vertx.close();
--- a/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoOptions.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoOptions.java
@@ -1,6 +1,5 @@
 package org.godwithoist.loadtool.demo;
 
-import java.nio.file.Path;
 import org.godwithoist.loadtool.trace.Deployment;
 
 /**
@@ -10,6 +9,5 @@
  * @param seconds time for which the load runs
  * @param chats chats in the trace
  * @param seed seed of the trace
- * @param burnHtml file for the burn report, or null for none
  */
-record DemoOptions(Deployment deployment, int seconds, int chats, long seed, Path burnHtml) {}
+record DemoOptions(Deployment deployment, int seconds, int chats, long seed) {}
