--- a/accounting/src/test/java/org/godwithoist/accounting/UsageFlushMeasurement.java
+++ b/accounting/src/test/java/org/godwithoist/accounting/UsageFlushMeasurement.java
@@ -5,6 +5,7 @@
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.core.id.WorkspaceId;
 import org.godwithoist.platform.Table;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -45,4 +46,29 @@
                 bytes,
                 openNanos / ROUNDS / workspaces);
     }
+
+    /** Measures the memory of a store outage in the daemon and its replica together. */
+    @Test
+    void outage() {
+        FakeFleet fleet = new FakeFleet();
+        UsageAccounts a = fleet.daemon("a", 1);
+        UsageAccounts b = fleet.daemon("b", 1);
+        int attempts = 200_000;
+        long before = usedBytes();
+        for (int i = 0; i < attempts; i++) {
+            RequestId id = new RequestId("0b5a9c1e-3d8b-4c57-9f6e-" + i);
+            a.open(id, new WorkspaceId("workspace-" + i % 100), FakeFleet.TARGET);
+            a.close(id, new Usage(1, 12_000, 11_000, 350));
+            a.replicateOnce();
+        }
+        System.out.printf(
+                "outage bytes_per_attempt=%d held=%d%n",
+                (usedBytes() - before) / attempts,
+                a.knownUse().own().size() + b.knownUse().held().size());
+    }
+
+    private static long usedBytes() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
 }
--- a/report/src/main/java/org/godwithoist/report/BurnReport.java
+++ b/report/src/main/java/org/godwithoist/report/BurnReport.java
@@ -19,7 +19,7 @@
     }
 
     /**
-     * State of one series. Counts and times refer to the last 6 h.
+     * State of one series. Counts refer to the last 6 h and times to the last hour.
      *
      * @param key the series
      * @param objective share of requests that must be good
--- a/report/src/main/java/org/godwithoist/report/BurnReports.java
+++ b/report/src/main/java/org/godwithoist/report/BurnReports.java
@@ -12,7 +12,10 @@
 import org.godwithoist.bundle.ServiceLevel;
 import org.godwithoist.core.Priority;
 
-/** Computes burn reports from the counts of the fleet. Thread-safe. */
+/**
+ * Computes burn reports from the counts of the fleet. Thread-safe. Counts of the last 6 h and times
+ * of the last hour stay in memory, so that a report reads only the intervals that are new.
+ */
 public final class BurnReports {
     /** Intervals that may still change are read again. */
     private static final int CHANGEABLE = 5;
@@ -64,6 +67,9 @@
             if (n <= last - CHANGEABLE) {
                 cache.put(n, counts);
             }
+            if (n <= last - BurnWindow.HOUR.intervals()) {
+                counts.series().values().forEach(SeriesCounts::dropTimes);
+            }
             list.add(counts);
         }
         cache.keySet().removeIf(n -> n < first);
--- a/report/src/main/java/org/godwithoist/report/SeriesCounts.java
+++ b/report/src/main/java/org/godwithoist/report/SeriesCounts.java
@@ -17,12 +17,15 @@
 
     private static final long MAX_MICROS = Duration.ofMinutes(10).toNanos() / 1_000;
 
+    /** Stands for a histogram that was never needed; nothing is recorded in it. */
+    private static final Histogram NONE = new PackedHistogram(DIGITS);
+
     private long good;
     private long late;
     private final Map<ErrorCode, Long> refused = new EnumMap<>(ErrorCode.class);
     private final Map<ErrorCode, Long> failed = new EnumMap<>(ErrorCode.class);
-    private final Histogram firstToken = new PackedHistogram(DIGITS);
-    private final Histogram betweenTokens = new PackedHistogram(DIGITS);
+    private Histogram firstToken = NONE;
+    private Histogram betweenTokens = NONE;
 
     /** Adds whole answers within the objectives. */
     public void addGood(long count) {
@@ -41,11 +44,13 @@
 
     /** Adds times to the first token, in microseconds. */
     public void addFirstToken(long micros, long count) {
+        firstToken = allocated(firstToken);
         firstToken.recordValueWithCount(Math.clamp(micros, 0, MAX_MICROS), count);
     }
 
     /** Adds times between tokens, in microseconds. */
     public void addBetweenTokens(long micros, long count) {
+        betweenTokens = allocated(betweenTokens);
         betweenTokens.recordValueWithCount(Math.clamp(micros, 0, MAX_MICROS), count);
     }
 
@@ -55,8 +60,24 @@
         late += other.late;
         other.refused.forEach((cause, n) -> refused.merge(cause, n, Long::sum));
         other.failed.forEach((cause, n) -> failed.merge(cause, n, Long::sum));
-        firstToken.add(other.firstToken);
-        betweenTokens.add(other.betweenTokens);
+        if (other.firstToken.getTotalCount() > 0) {
+            firstToken = allocated(firstToken);
+            firstToken.add(other.firstToken);
+        }
+        if (other.betweenTokens.getTotalCount() > 0) {
+            betweenTokens = allocated(betweenTokens);
+            betweenTokens.add(other.betweenTokens);
+        }
+    }
+
+    /** Forgets the times, which take most of the memory. */
+    void dropTimes() {
+        firstToken = NONE;
+        betweenTokens = NONE;
+    }
+
+    private static Histogram allocated(Histogram h) {
+        return h.getTotalCount() == 0 ? new PackedHistogram(DIGITS) : h;
     }
 
     /** Returns whole answers within the objectives. */
--- a/report/src/main/java/org/godwithoist/report/http/BurnHtml.java
+++ b/report/src/main/java/org/godwithoist/report/http/BurnHtml.java
@@ -26,7 +26,9 @@
 
     static String format(BurnReport report) {
         var out = new StringBuilder(HEAD);
-        out.append("<p>").append(report.at()).append("; counts of the last 6 h</p>\n<table><tr>");
+        out.append("<p>")
+                .append(report.at())
+                .append("; counts of the last 6 h, times of the last hour</p>\n<table><tr>");
         for (String title :
                 List.of("workspace", "priority", "objective", "requests", "good", "late", "bad")) {
             out.append("<th>").append(title).append("</th>");
--- a/report/src/test/java/org/godwithoist/report/BurnReportTest.java
+++ b/report/src/test/java/org/godwithoist/report/BurnReportTest.java
@@ -151,6 +151,19 @@
                             .good());
         }
 
+        /** Guards against times of an old fault that hide the present ones. */
+        @Test
+        void timesCoverTheLastHour() {
+            minute(0, 10);
+            for (int i = 0; i < 60; i++) {
+                minute(1, 0);
+            }
+            SeriesCounts c = line().counts();
+            assertEquals(10, c.late());
+            assertEquals(60, c.firstToken().getTotalCount());
+            assertTrue(c.firstToken().getMaxValue() < 200_000);
+        }
+
         /** Guards against a table that grows without a bound. */
         @Test
         void oldRowsAreDeleted() {
