Keep a replica from settling for a daemon that registers

Cause: the member list lags, and a member that is not listed yet counts as silent. A replica took over the chain of each daemon that had just started.

Change: a daemon that registered within 5 s is alive, unless it restarted or handed over.

Conclusion: a lag of the member list causes no writes.

--- a/accounting/src/main/java/org/godwithoist/accounting/HeldChain.java
+++ b/accounting/src/main/java/org/godwithoist/accounting/HeldChain.java
@@ -17,6 +17,7 @@
     private long snapshotEnd;
     private long completeEpoch;
     private boolean handedOver;
+    private long heardAtNanos;
 
     HeldChain(long epoch) {
         this.epoch = epoch;
@@ -42,6 +43,11 @@
         return handedOver;
     }
 
+    /** Returns the instant of the last registration on the ticker. */
+    long heardAtNanos() {
+        return heardAtNanos;
+    }
+
     Collection<Attempt> open() {
         return open.values();
     }
@@ -59,7 +65,8 @@
     }
 
     /** Applies the entries that follow the applied ones; repeats and entries after a gap do not. */
-    void apply(Registration r) {
+    void apply(Registration r, long nowNanos) {
+        heardAtNanos = nowNanos;
         for (LogEntry e : r.entries()) {
             if (e.position() == applied + 1) {
                 e.kind().apply(this, e);
--- a/accounting/src/main/java/org/godwithoist/accounting/HeldChains.java
+++ b/accounting/src/main/java/org/godwithoist/accounting/HeldChains.java
@@ -1,15 +1,28 @@
 package org.godwithoist.accounting;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.godwithoist.accounting.Registration.Receipt;
+import org.godwithoist.core.time.Ticker;
 
 /** The copies that a daemon holds as the replica of others. Thread-safe. */
 final class HeldChains {
+    /**
+     * A daemon that registered within this time is alive, whatever the member list says. It
+     * registers every 500 ms; a daemon that just started may not be listed yet.
+     */
+    private static final Duration ALIVE = Duration.ofSeconds(5);
+
     private final Map<ChainId, HeldChain> chains = new HashMap<>();
+    private final Ticker ticker;
+
+    HeldChains(Ticker ticker) {
+        this.ticker = ticker;
+    }
 
     /**
      * Content of a copy at one instant.
@@ -41,16 +54,18 @@
             held = new HeldChain(r.epoch());
             chains.put(r.chain(), held);
         }
-        held.apply(r);
+        held.apply(r, ticker.nanos());
         return new Receipt(true, held.applied());
     }
 
-    /** Returns the copies whose daemon stopped or satisfies the given condition. */
-    synchronized List<Copy> due(Predicate<ChainId> dead) {
+    /** Returns the copies whose daemon handed over, or restarted, or is silent and not heard of. */
+    synchronized List<Copy> due(Predicate<ChainId> restarted, Predicate<ChainId> silent) {
+        long aliveSince = ticker.nanos() - ALIVE.toNanos();
         List<Copy> list = new ArrayList<>();
         chains.forEach(
                 (id, held) -> {
-                    if (held.handedOver() || dead.test(id)) {
+                    boolean quiet = held.heardAtNanos() - aliveSince <= 0;
+                    if (held.handedOver() || restarted.test(id) || (quiet && silent.test(id))) {
                         list.add(copy(id, held));
                     }
                 });
@@ -59,7 +74,9 @@
 
     /** Returns all copies. */
     synchronized List<Copy> all() {
-        return due(id -> true);
+        List<Copy> list = new ArrayList<>();
+        chains.forEach((id, held) -> list.add(copy(id, held)));
+        return list;
     }
 
     /**
--- a/accounting/src/main/java/org/godwithoist/accounting/Settlement.java
+++ b/accounting/src/main/java/org/godwithoist/accounting/Settlement.java
@@ -92,8 +92,8 @@
     // ---- chains of other daemons
 
     /** Takes over the chains whose daemon stopped or is dead. */
-    void takeOver(Predicate<ChainId> dead) {
-        for (HeldChains.Copy copy : held.due(dead)) {
+    void takeOver(Predicate<ChainId> restarted, Predicate<ChainId> silent) {
+        for (HeldChains.Copy copy : held.due(restarted, silent)) {
             try {
                 takeOver(copy);
             } catch (RuntimeException e) {
--- a/accounting/src/main/java/org/godwithoist/accounting/UsageAccounts.java
+++ b/accounting/src/main/java/org/godwithoist/accounting/UsageAccounts.java
@@ -43,7 +43,7 @@
     private final UsageStore store;
     private final ReplicaClient peers;
     private final Ledger ledger;
-    private final HeldChains held = new HeldChains();
+    private final HeldChains held;
     private final Settlement settlement;
     private final Replication replication;
     private final Ticker ticker;
@@ -66,6 +66,7 @@
         this.peers = peers;
         this.ticker = ticker;
         this.ledger = new Ledger(new ChainId(self.host(), self.incarnation()));
+        this.held = new HeldChains(ticker);
         this.settlement = new Settlement(self.host(), ledger, held, store, targets);
         this.replication = new Replication(ledger, members, peers, settlement::ownedChains, ticker);
     }
@@ -118,7 +119,7 @@
 
     /** Takes over from dead daemons once and asks targets for what was open. */
     void takeOverOnce() {
-        settlement.takeOver(this::isDead);
+        settlement.takeOver(this::isRestarted, c -> members.isSilent(c.daemon()));
         settlement.settleOwned();
     }
 
@@ -148,10 +149,9 @@
         }
     }
 
-    private boolean isDead(ChainId chain) {
+    private boolean isRestarted(ChainId chain) {
         Optional<Member> member = members.find(chain.daemon());
-        boolean restarted = member.isPresent() && member.get().incarnation() > chain.incarnation();
-        return restarted || members.isSilent(chain.daemon());
+        return member.isPresent() && member.get().incarnation() > chain.incarnation();
     }
 
     // ---- requests
--- a/accounting/src/test/java/org/godwithoist/accounting/FakeFleet.java
+++ b/accounting/src/test/java/org/godwithoist/accounting/FakeFleet.java
@@ -70,9 +70,14 @@
     }
 
     void kill(String name) {
-        HostId host = new HostId(name);
-        silent.add(host);
-        unreachable.add(host);
+        suspect(name);
+        unreachable.add(new HostId(name));
+    }
+
+    /** The members find a daemon silent for the removal time. */
+    void suspect(String name) {
+        silent.add(new HostId(name));
+        ticker.advance(Duration.ofSeconds(15));
     }
 
     // ---- target
--- a/accounting/src/test/java/org/godwithoist/accounting/SettlementPropertyTest.java
+++ b/accounting/src/test/java/org/godwithoist/accounting/SettlementPropertyTest.java
@@ -78,7 +78,7 @@
                 case SETTLE -> quietly(a::settleOnce);
                 case TAKE_OVER_AT_B -> quietly(b::takeOverOnce);
                 case TAKE_OVER_AT_C -> quietly(c::takeOverOnce);
-                case SUSPECT -> fleet.silent.add(new HostId("a"));
+                case SUSPECT -> fleet.suspect("a");
                 case TRUST -> fleet.silent.clear();
                 case CUT_OFF_B -> cutOff("b");
                 case CUT_OFF_C -> cutOff("c");
--- a/accounting/src/test/java/org/godwithoist/accounting/UsageAccountsTest.java
+++ b/accounting/src/test/java/org/godwithoist/accounting/UsageAccountsTest.java
@@ -195,7 +195,7 @@
             fleet.startRunning(kept);
             a.replicateOnce();
             fleet.run(asked, 20);
-            fleet.silent.add(new HostId("a"));
+            fleet.suspect("a");
             b.takeOverOnce();
             fleet.silent.clear();
             a.close(asked, fleet.run(asked, 20));
@@ -209,6 +209,16 @@
             assertTrue(a.overview().unsettled().isEmpty());
         }
 
+        /** Guards against the takeover of a daemon that is not in the member list yet. */
+        @Test
+        void daemonThatRegistersIsAlive() {
+            fleet.silent.add(new HostId("a"));
+            complete(a, "1", 10);
+            a.replicateOnce();
+            b.takeOverOnce();
+            assertEquals(0, fleet.store.writes());
+        }
+
         /** Guards against a replaced replica that settles from its outdated copy. */
         @Test
         void replacedReplicaIsShutOut() {
