Assert that expired slots are tried and not used

Cause: a trial that sent the request on an expired slot passed the test.

Change: the test asserts that all expired slots were met before the request was sent.

--- a/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
@@ -281,6 +281,7 @@
         void expiredSlotSendsNothingAndIsNoRetry() {
             fleet.expiringSlots.set(20);
             serve();
+            assertEquals(0, fleet.expiringSlots.get());
             assertEquals(1, calls("open"));
         }
     }
