--- a/chat/src/main/java/org/godwithoist/chat/ChatRequest.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRequest.java
@@ -30,4 +30,10 @@
         Deadline deadline,
         long promptTokens,
         String body,
-        Optional<Long> resumeAfter) {}
+        Optional<Long> resumeAfter) {
+    /** Returns a copy with another estimate of the prompt. */
+    public ChatRequest withPromptTokens(long tokens) {
+        return new ChatRequest(
+                id, workspace, chat, model, priority, deadline, tokens, body, resumeAfter);
+    }
+}
--- a/routing/src/main/java/org/godwithoist/routing/CandidateRing.java
+++ b/routing/src/main/java/org/godwithoist/routing/CandidateRing.java
@@ -52,13 +52,13 @@
     }
 
     /**
-     * Returns a candidate of a bucket, or null if there are fewer.
+     * Returns a candidate of a bucket as its index in {@link #members()}, or -1 if there are fewer.
      *
      * @param place position in the ranking, from 0 to {@link #WIDTH} - 1
      */
-    TargetId candidate(int bucket, int place) {
+    int candidate(int bucket, int place) {
         char index = candidates[bucket * WIDTH + place];
-        return index == NONE ? null : members.get(index);
+        return index == NONE ? -1 : index;
     }
 
     /**
--- a/routing/src/main/java/org/godwithoist/routing/Router.java
+++ b/routing/src/main/java/org/godwithoist/routing/Router.java
@@ -35,12 +35,33 @@
     private final Map<PoolId, View> views = new ConcurrentHashMap<>();
     private final Set<PoolId> rebuilding = ConcurrentHashMap.newKeySet();
 
-    /** The targets of a pool as of one version of the directory. */
+    /**
+     * The targets of a pool as of one version of the directory.
+     *
+     * @param ranked targets in the order of the ring's members, null where one is out of service;
+     *     saves a look-up by id for each candidate, which costs most at many targets
+     */
     private record View(
             long version,
             Map<TargetId, Target> inService,
             Set<TargetId> listed,
-            CandidateRing ring) {}
+            CandidateRing ring,
+            List<Target> ranked) {
+        static View of(
+                long version,
+                Map<TargetId, Target> inService,
+                Set<TargetId> listed,
+                CandidateRing ring) {
+            List<Target> ranked = new ArrayList<>(ring.members().size());
+            ring.members().forEach(id -> ranked.add(inService.get(id)));
+            return new View(version, inService, listed, ring, ranked);
+        }
+
+        /** Returns a candidate, or null if it is out of service. */
+        Target candidate(int index) {
+            return ranked.get(index);
+        }
+    }
 
     /**
      * Makes a router.
@@ -93,12 +114,12 @@
                         && view.listed().contains(placement.get().target());
         int bucket = bucket(request.chat());
         for (int i = 0; i < CandidateRing.WIDTH; i++) {
-            TargetId id = view.ring().candidate(bucket, i);
-            if (id == null) {
+            int index = view.ring().candidate(bucket, i);
+            if (index < 0) {
                 break;
             }
-            Target t = usable(view, request, id);
-            if (t == null || t.equals(home)) {
+            Target t = view.candidate(index);
+            if (t == null || t.equals(home) || request.excluded().contains(t.id())) {
                 continue;
             }
             RouteOption fresh = option(request, t, Move.PREFILL, 0);
@@ -126,10 +147,8 @@
         View view = view(pool);
         List<Target> list = new ArrayList<>(CandidateRing.WIDTH);
         for (int i = 0; i < CandidateRing.WIDTH; i++) {
-            Target t =
-                    Optional.ofNullable(view.ring().candidate(bucket(chat), i))
-                            .map(view.inService()::get)
-                            .orElse(null);
+            int index = view.ring().candidate(bucket(chat), i);
+            Target t = index < 0 ? null : view.candidate(index);
             if (t != null) {
                 list.add(t);
             }
@@ -185,7 +204,7 @@
             }
         }
         CandidateRing ring = old == null ? CandidateRing.empty().withMembers(ids) : old.ring();
-        View fresh = new View(version, inService, listed, ring);
+        View fresh = View.of(version, inService, listed, ring);
         views.put(pool, fresh);
         if (!ring.members().equals(ids)) {
             forgetGone(old, listed);
@@ -216,7 +235,7 @@
             CandidateRing ring = v.ring().withMembers(ids);
             synchronized (this) {
                 View now = views.get(pool);
-                views.put(pool, new View(now.version(), now.inService(), now.listed(), ring));
+                views.put(pool, View.of(now.version(), now.inService(), now.listed(), ring));
                 if (now.inService().keySet().equals(v.inService().keySet())) {
                     rebuilding.remove(pool);
                     return;
