Compare the alternatives of admission in virtual time

Cause: design section 5.5 chooses granted slots by a measurement that did not exist. Change: an experiment in the load tool runs eight ways of admitting requests on one seeded trace with lagged reports, disagreeing lists, a paused owner, a store outage and a surge; a second program times local slots and grants. Grants of an answer keep their order, so that a seed gives the same table in every process.

--- a/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -435,7 +436,7 @@
     }
 
     private List<OwnerAnswer.Grant> deliver(Holder h, List<OwnerAnswer.Grant> due, long now) {
-        Map<OwnerAnswer.Grant, Integer> merged = new HashMap<>();
+        Map<OwnerAnswer.Grant, Integer> merged = new LinkedHashMap<>();
         for (OwnerAnswer.Grant g : due) {
             Count c = h.counts.get(g.target());
             c.setAside -= g.count();
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/AdmissionExperiment.java
@@ -0,0 +1,111 @@
+package org.godwithoist.loadtool.admission;
+
+import java.util.List;
+import java.util.Locale;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Compares the alternatives of design section 5.5 on one trace and prints a table. */
+public final class AdmissionExperiment {
+    private static final int USAGE_ERROR = 2;
+    private static final int PERCENT = 100;
+    private static final double P95 = 95;
+    private static final double P99 = 99;
+
+    @Option(name = "--seed", usage = "seed of the trace")
+    private long seed = 1;
+
+    @Option(name = "--seconds", usage = "virtual seconds of the run")
+    private int seconds = 600;
+
+    @Option(name = "--engines", required = true, usage = "number of engines")
+    private int engines;
+
+    @Option(name = "--daemons", usage = "number of daemons")
+    private int daemons = 6;
+
+    @Option(name = "--reserved-holders", usage = "daemons with a reserved slot of each engine")
+    private int reservedHolders = 2;
+
+    @Option(name = "--skew-floor", usage = "requests in progress that are always permitted")
+    private int skewFloor = 4;
+
+    private AdmissionExperiment() {}
+
+    /** Runs the program. */
+    public static void main(String[] args) {
+        AdmissionExperiment main = new AdmissionExperiment();
+        CmdLineParser parser = new CmdLineParser(main);
+        try {
+            parser.parseArgument(args);
+        } catch (CmdLineException e) {
+            System.err.println(e.getMessage());
+            parser.printUsage(System.err);
+            System.exit(USAGE_ERROR);
+        }
+        main.run();
+    }
+
+    private void run() {
+        List<Turn> trace = Turn.trace(seed, engines, daemons, seconds);
+        System.out.printf(
+                "%d engines, %d daemons, %d reserved holders, floor %d, seed %d, %d s, %d turns%n%n",
+                engines, daemons, reservedHolders, skewFloor, seed, seconds, trace.size());
+        System.out.println(
+                "| alternative | peak/mean: no fault | lists disagree | owner paused | store down"
+                        + " | surge | over bound % | reuse % of omniscient | control B/s per daemon"
+                        + " | forwarded B/s per daemon | added ms: mean | p95 | p99 | in faults p99"
+                        + " | not served |");
+        System.out.println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        double best = 0;
+        for (Alternative a : Alternative.values()) {
+            World w = simulate(a, trace);
+            best = a == Alternative.OMNISCIENT ? w.reuse() : best;
+            print(a, w, best, trace.size());
+        }
+    }
+
+    private World simulate(Alternative a, List<Turn> trace) {
+        World w = new World(seed, engines, daemons, reservedHolders, skewFloor);
+        run(w, a, trace, seconds);
+        return w;
+    }
+
+    /** Runs a trace through one alternative in a fresh world. */
+    static void run(World w, Alternative a, List<Turn> trace, int seconds) {
+        SlotFleet slots = a == Alternative.GRANTED_SLOTS ? new SlotFleet(w) : null;
+        for (Turn t : trace) {
+            w.time.after(t.at(), () -> a.place(w, t, slots));
+        }
+        w.time.runUntil(seconds * VirtualTime.SECOND);
+        // Polls take place twice per second.
+        w.controlBytes +=
+                2L
+                        * a.pollers(w.daemons)
+                        * w.engines.size()
+                        * seconds
+                        * Alternative.LOAD_POLL_BYTES;
+    }
+
+    private void print(Alternative a, World w, double best, int turns) {
+        StringBuilder line = new StringBuilder("| " + a.name().toLowerCase(Locale.ROOT));
+        for (Faults f : Faults.values()) {
+            line.append(String.format(Locale.ROOT, " | %.2f", w.peak(f)));
+        }
+        line.append(
+                String.format(
+                        Locale.ROOT,
+                        " | %.2f | %.1f | %d | %d | %.1f | %d | %d | %d | %d |",
+                        w.overBoundPercent(),
+                        PERCENT * w.reuse() / best,
+                        w.controlBytes / seconds / daemons,
+                        w.forwardedBytes / seconds / daemons,
+                        w.added().getMean(),
+                        w.added().getValueAtPercentile(P95),
+                        w.added().getValueAtPercentile(P99),
+                        w.addedInFaults().getValueAtPercentile(P99),
+                        turns - w.accepts()));
+        System.out.println(line);
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/Alternative.java
@@ -0,0 +1,170 @@
+package org.godwithoist.loadtool.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** The ways of admitting a turn that design section 5.5 compares. */
+enum Alternative {
+    /** A router that sees every load and cache at once and keeps the bounds; the yardstick. */
+    OMNISCIENT {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            int bound = w.bound();
+            List<Integer> order = new ArrayList<>(w.ranked(turn));
+            order.sort(
+                    Comparator.comparingInt((Integer i) -> -w.engines.get(i).cached(turn))
+                            .thenComparingInt(i -> w.engines.get(i).load()));
+            for (int i : order) {
+                if (w.engines.get(i).load() + onTheWay(w, i) < bound) {
+                    w.send(turn, i, () -> next(w));
+                    return;
+                }
+            }
+            w.waiting.add(again -> place(w, turn, slots));
+        }
+    },
+    /** Each daemon alone: the least reported load plus its own requests since. */
+    LEAST_LOAD {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            send(w, turn, w.ranked(turn).stream().min(byKnownLoad(w, turn)).orElseThrow());
+        }
+    },
+    /** Each daemon alone: the better of two random engines. */
+    TWO_CHOICES {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            List<Integer> all = w.ranked(turn);
+            int a = all.get(w.random.nextInt(all.size()));
+            int b = all.get(w.random.nextInt(all.size()));
+            send(w, turn, byKnownLoad(w, turn).compare(a, b) <= 0 ? a : b);
+        }
+    },
+    /** Each daemon alone: the first engine of the chat's rendezvous order. */
+    RENDEZVOUS {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            send(w, turn, w.ranked(turn).get(0));
+        }
+    },
+    /** Each daemon alone: the first engine whose known load is below 1.25 times the mean. */
+    BOUNDED_HASH {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            double sum = 0;
+            for (int r : w.reported) {
+                sum += r;
+            }
+            double bound = Math.ceil(BOUNDED_FACTOR * (sum + 1) / w.reported.length);
+            for (int i : w.ranked(turn)) {
+                if (knownLoad(w, turn, i) < bound) {
+                    send(w, turn, i);
+                    return;
+                }
+            }
+            send(w, turn, w.ranked(turn).get(0));
+        }
+    },
+    /** Each daemon has a fixed part of every engine's places. */
+    FIXED_SHARE {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            int share = Math.max(1, EngineModel.BATCH / w.daemons);
+            for (int i : w.ranked(turn)) {
+                if (w.sent[turn.daemon()][i] < share) {
+                    w.send(turn, i, () -> next(w));
+                    return;
+                }
+            }
+            w.waiting.add(again -> place(w, turn, slots));
+        }
+    },
+    /** One owner admits; the other daemons forward their requests to it. */
+    FORWARDING {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            boolean remote = turn.daemon() != 0;
+            if (remote) {
+                w.controlBytes += FORWARD_BYTES;
+                w.forwardedBytes += (long) turn.prompt() * BYTES_PER_TOKEN;
+            }
+            w.time.after(remote ? World.HOP : 0, () -> admit(w, turn));
+        }
+
+        private void admit(World w, Turn turn) {
+            // Another daemon takes over 8.5 s after the pause began and waits until the paused
+            // one has been silent for 15 s.
+            if (w.ownerPaused() && pausedFor(w) < TAKEOVER) {
+                w.time.after(TAKEOVER - pausedFor(w), () -> admit(w, turn));
+                return;
+            }
+            int bound = w.bound();
+            for (int i : w.ranked(turn)) {
+                if (w.engines.get(i).load() + onTheWay(w, i) < bound) {
+                    w.send(turn, i, () -> next(w));
+                    return;
+                }
+            }
+            w.waiting.add(again -> admit(w, turn));
+        }
+
+        private long pausedFor(World w) {
+            return w.time.now() - Faults.OWNER_PAUSED.from() * VirtualTime.SECOND;
+        }
+    },
+    /** The owner grants slots in batches and each daemon has reserved slots. */
+    GRANTED_SLOTS {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            slots.place(turn);
+        }
+    };
+
+    private static final double BOUNDED_FACTOR = 1.25;
+    private static final long FORWARD_BYTES = 300;
+    private static final long BYTES_PER_TOKEN = 4;
+    private static final long TAKEOVER = 15 * VirtualTime.SECOND;
+
+    /** Request and answer of {@code GET /v1/load}, headers included. */
+    static final long LOAD_POLL_BYTES = 320;
+
+    /** Admits a turn now or later. */
+    abstract void place(World w, Turn turn, SlotFleet slots);
+
+    /** Returns the daemons that poll each engine's load. */
+    int pollers(int daemons) {
+        return switch (this) {
+            case LEAST_LOAD, TWO_CHOICES, BOUNDED_HASH, GRANTED_SLOTS -> daemons;
+            case OMNISCIENT, RENDEZVOUS, FIXED_SHARE -> 0;
+            case FORWARDING -> 1;
+        };
+    }
+
+    private static void send(World w, Turn turn, int engine) {
+        w.send(turn, engine, () -> {});
+    }
+
+    private static void next(World w) {
+        var first = w.waiting.poll();
+        if (first != null) {
+            first.accept(true);
+        }
+    }
+
+    private static int onTheWay(World w, int engine) {
+        int sum = 0;
+        for (int[] s : w.sent) {
+            sum += s[engine];
+        }
+        return Math.max(0, sum - w.engines.get(engine).load());
+    }
+
+    private static int knownLoad(World w, Turn turn, int engine) {
+        return Math.max(w.reported[engine], w.sent[turn.daemon()][engine]);
+    }
+
+    private static Comparator<Integer> byKnownLoad(World w, Turn turn) {
+        return Comparator.comparingInt(i -> knownLoad(w, turn, i));
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/SlotTiming.java
@@ -0,0 +1,163 @@
+package org.godwithoist.loadtool.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.godwithoist.admission.AdmissionTiming;
+import org.godwithoist.admission.HolderReport;
+import org.godwithoist.admission.HolderRules;
+import org.godwithoist.admission.LoadReports;
+import org.godwithoist.admission.OwnerAnswer;
+import org.godwithoist.admission.ShardId;
+import org.godwithoist.admission.ShardView;
+import org.godwithoist.admission.Slot;
+import org.godwithoist.admission.SlotCache;
+import org.godwithoist.admission.SlotLedger;
+import org.godwithoist.bundle.AdmissionLimits;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.membership.ServiceState;
+import org.godwithoist.membership.Target;
+
+/**
+ * Measures the processor time of a local slot (acquire, use and release of a reserved slot) and of
+ * a grant by the ledger (one exchange with one demand), with several numbers of targets.
+ */
+public final class SlotTiming {
+    private static final ShardId SHARD = new ShardId(new PoolId("p"), 0);
+    private static final HostId HOLDER = new HostId("holder");
+    private static final int[] TARGETS = {10, 100, 1000};
+    private static final int LOCAL_ROUNDS = 2_000_000;
+    private static final int GRANT_ROUNDS = 200_000_000;
+    private static final AdmissionLimits LIMITS =
+            new AdmissionLimits(1.5, 1 << 20, 1 << 20, 2, 3.0, 1 << 20, 1, 1);
+
+    private final VirtualTicker clock = new VirtualTicker();
+    private final List<TargetId> targets = new ArrayList<>();
+    private final SlotLedger ledger;
+
+    private SlotTiming(int count) {
+        clock.advance(Duration.ofHours(1));
+        List<Target> list = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            TargetId id = new TargetId("runner-" + i);
+            targets.add(id);
+            list.add(
+                    new Target(
+                            id,
+                            new HostId("x"),
+                            SHARD.pool(),
+                            new FailureDomainId("d"),
+                            Endpoint.parse("127.0.0.1:1"),
+                            ServiceState.IN));
+        }
+        var view =
+                new ShardView(
+                        LIMITS, true, list, Set.of(HOLDER), h -> false, w -> 1, LoadReports.NONE);
+        ledger = new SlotLedger(SHARD, 1, AdmissionTiming.DEFAULT, clock, view);
+    }
+
+    /** Runs the program; it takes no arguments. */
+    public static void main(String[] args) {
+        System.out.println("| targets | local slot ns | ledger grant ns |");
+        System.out.println("|---|---|---|");
+        for (int count : TARGETS) {
+            // The first run of each warms up the compiler.
+            new SlotTiming(count).local();
+            long local = new SlotTiming(count).local();
+            int rounds = GRANT_ROUNDS / count / TARGETS[TARGETS.length - 1];
+            new SlotTiming(count).grants(rounds);
+            long grant = new SlotTiming(count).grants(rounds);
+            System.out.println(String.format(Locale.ROOT, "| %d | %d | %d |", count, local, grant));
+        }
+    }
+
+    private long local() {
+        SlotCache cache =
+                new SlotCache(SHARD, 1, AdmissionTiming.DEFAULT, clock, new OneReserved());
+        cache.epoch(1);
+        for (int i = 0; i < 2; i++) {
+            HolderReport report = cache.report();
+            cache.answered(report, ledger.exchange(HOLDER, report, true));
+            targets.forEach(cache::expectedWait);
+            targets.forEach(t -> cache.tryAcquire(t).ifPresent(SlotTiming::finish));
+        }
+        long start = System.nanoTime();
+        int taken = 0;
+        for (int i = 0; i < LOCAL_ROUNDS; i++) {
+            Optional<Slot> slot = cache.tryAcquire(targets.get(i % targets.size()));
+            if (slot.isPresent()) {
+                taken++;
+                finish(slot.get());
+            }
+        }
+        long nanos = System.nanoTime() - start;
+        if (taken != LOCAL_ROUNDS) {
+            throw new IllegalStateException("only " + taken + " of " + LOCAL_ROUNDS + " slots");
+        }
+        return nanos / LOCAL_ROUNDS;
+    }
+
+    private static void finish(Slot slot) {
+        slot.use();
+        slot.release(Slot.Outcome.CANCELLED, Duration.ZERO);
+    }
+
+    private long grants(int rounds) {
+        ledger.exchange(HOLDER, report(1, List.of()), true);
+        WorkspaceId workspace = new WorkspaceId("w");
+        int granted = 0;
+        long start = System.nanoTime();
+        for (int i = 0; i < rounds; i++) {
+            var demand =
+                    new HolderReport.Demand(
+                            targets.get(i % targets.size()),
+                            workspace,
+                            Priority.INTERACTIVE,
+                            1,
+                            Duration.ZERO);
+            OwnerAnswer a = ledger.exchange(HOLDER, report(i + 2, List.of(demand)), true);
+            granted += a.grants().size();
+        }
+        long nanos = System.nanoTime() - start;
+        if (granted != rounds) {
+            throw new IllegalStateException("only " + granted + " of " + rounds + " grants");
+        }
+        return nanos / rounds;
+    }
+
+    private static HolderReport report(long sequence, List<HolderReport.Demand> demands) {
+        return new HolderReport(SHARD, 1, 1, sequence, 0, 0, 0, List.of(), demands, List.of());
+    }
+
+    private static final class OneReserved implements HolderRules {
+        @Override
+        public boolean acceptsWork(TargetId target) {
+            return true;
+        }
+
+        @Override
+        public int reservedHeld(TargetId target) {
+            return 1;
+        }
+
+        @Override
+        public boolean inContactWithAll() {
+            return true;
+        }
+
+        @Override
+        public boolean reservedFitWithoutOwner(TargetId target, long since) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/loadtool/src/test/java/org/godwithoist/loadtool/admission/AlternativeTest.java
@@ -0,0 +1,42 @@
+package org.godwithoist.loadtool.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AlternativeTest {
+    private static final int ENGINES = 8;
+    private static final int DAEMONS = 6;
+    private static final int SECONDS = 600;
+
+    private static World run(Alternative a, long seed) {
+        World w = new World(seed, ENGINES, DAEMONS, 2, 4);
+        AdmissionExperiment.run(w, a, Turn.trace(seed, ENGINES, DAEMONS, SECONDS), SECONDS);
+        return w;
+    }
+
+    @Nested
+    class GrantedSlots {
+        /** Guards against an accept above the skew bound under any of the experiment's faults. */
+        @Test
+        void keepTheBoundThroughAllFaults() {
+            for (long seed = 1; seed <= 4; seed++) {
+                World w = run(Alternative.GRANTED_SLOTS, seed);
+                assertEquals(0.0, w.overBoundPercent(), "seed " + seed);
+                assertTrue(w.accepts() > 4_000, w.accepts() + " accepts with seed " + seed);
+            }
+        }
+
+        /** Guards against figures that cannot be repeated. */
+        @Test
+        void sameSeedGivesTheSameFigures() {
+            World a = run(Alternative.GRANTED_SLOTS, 7);
+            World b = run(Alternative.GRANTED_SLOTS, 7);
+            assertEquals(a.accepts(), b.accepts());
+            assertEquals(a.controlBytes, b.controlBytes);
+            assertEquals(a.reuse(), b.reuse());
+        }
+    }
+}
