Give no slot before the start and after the stop of admission

Cause: a request before the start created a shard whose task never ran, and a closed admission still handed out slots that nobody would report. Change: acquire returns empty and expectedWait zero unless admission is open. Conclusion: every slot in use belongs to a running shard task.

--- a/admission/src/main/java/org/godwithoist/admission/SlotAdmission.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotAdmission.java
@@ -163,7 +163,7 @@
     @Override
     public Optional<Slot> acquire(SlotRequest request, Duration patience) {
         Pool pool = bundle.get().pools().get(request.pool());
-        if (pool == null || !index.acceptsWork(request.target())) {
+        if (!open || pool == null || !index.acceptsWork(request.target())) {
             return Optional.empty();
         }
         ShardTask shard = shard(ShardId.of(pool, request.target()));
@@ -192,6 +192,9 @@
 
     @Override
     public Duration expectedWait(TargetId target) {
+        if (!open) {
+            return Duration.ZERO;
+        }
         return index.find(target)
                 .map(t -> bundle.get().pools().get(t.pool()))
                 .map(p -> shard(ShardId.of(p, target)).cache().expectedWait(target))
--- a/admission/src/test/java/org/godwithoist/admission/wire/SlotAdmissionTest.java
+++ b/admission/src/test/java/org/godwithoist/admission/wire/SlotAdmissionTest.java
@@ -303,6 +303,14 @@
             assertEquals(Optional.empty(), acquire(other(), Duration.ofMillis(50)));
         }
 
+        /** Guards against slots whose use nobody reports, before the start and after the stop. */
+        @Test
+        void closedAdmissionGivesNoSlot() {
+            HostId owner = owner().orElseThrow();
+            daemons.get(owner).close();
+            assertEquals(Optional.empty(), acquire(owner, Duration.ZERO));
+        }
+
         /** Guards against a demand that is lost with its message. */
         @Test
         void lostExchangeIsRepeated() {
