--- a/daemon/src/main/java/org/godwithoist/daemon/TargetProbes.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/TargetProbes.java
@@ -17,13 +17,23 @@
 import org.godwithoist.membership.Target;
 
 /**
- * Reads the load reports of the targets that this daemon has to know: those of the shards that it
- * owns and those that somebody asked for lately. One task reads one target, so a silent target
+ * Reads the load reports of targets: often for the shards that this daemon owns, seldom for the
+ * others, whose reports only open reserved slots. One task reads one target, so a silent target
  * delays no other.
  */
 final class TargetProbes implements LoadReports {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final Duration INTERVAL = Duration.ofMillis(250);
+    private static final Duration OWNED_INTERVAL = Duration.ofMillis(250);
+
+    /** Reserved slots without an owner need a report that is less than 3 s old. */
+    private static final Duration OTHER_INTERVAL = Duration.ofMillis(1_500);
+
+    /**
+     * With more targets a daemon reads only those that it owns or was asked for. Each of these
+     * reads takes about 250 bytes per second.
+     */
+    private static final int MAX_OTHERS = 32;
+
     private static final Duration TIMEOUT = Duration.ofSeconds(1);
 
     /** A target of which nobody asked for this long is not read any more. */
@@ -73,20 +83,21 @@
                                     tasks.computeIfAbsent(
                                             t.id(),
                                             id -> Tasks.start("probe-" + id, () -> follow(id))));
-        } while (Tasks.sleep(INTERVAL));
+        } while (Tasks.sleep(OWNED_INTERVAL));
     }
 
     private boolean isWanted(Target t) {
         Long asked = askedAt.get(t.id());
         boolean recent = asked != null && ticker.nanos() - asked < INTEREST.toNanos();
-        return recent || owned.test(t);
+        return recent || targets.all().size() <= MAX_OTHERS || owned.test(t);
     }
 
     private void follow(TargetId id) {
         Optional<Target> target = targets.find(id);
         while (target.isPresent() && isWanted(target.get())) {
             read(target.get());
-            if (!Tasks.sleep(INTERVAL)) {
+            Duration interval = owned.test(target.get()) ? OWNED_INTERVAL : OTHER_INTERVAL;
+            if (!Tasks.sleep(interval)) {
                 break;
             }
             target = targets.find(id);
--- a/daemon/src/main/java/org/godwithoist/daemon/Work.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Work.java
@@ -104,8 +104,8 @@
 
     /** Starts the tasks; the daemon must have a bundle and listen for peers. */
     void start() {
-        admission.start();
         probes.start(this::isOwned);
+        admission.start();
         usage.start();
         claims.start(() -> bundle().workspaces().keySet());
         chats.start();
@@ -125,9 +125,13 @@
 
     // ---- planned stop
 
-    /** Refuses new requests; those in progress go on. */
+    /** Refuses new requests and gives up the shards; requests in progress go on. */
     void drain() {
         chats.drain();
+        dispatchers.values().forEach(Thread::interrupt);
+        if (!admission.release(HANDOVER_TIMEOUT)) {
+            LOG.atWarning().log("some shards were not given up; they are taken over by lease");
+        }
     }
 
     /** Waits for the work that goes on without a caller; returns false if some is left. */
@@ -135,12 +139,8 @@
         return chats.awaitIdle(patience) && services.drain(patience);
     }
 
-    /** Gives up the shards, settles usage and stops the tasks. */
+    /** Settles usage and stops the tasks. */
     void stop() {
-        dispatchers.values().forEach(Thread::interrupt);
-        if (!admission.release(HANDOVER_TIMEOUT)) {
-            LOG.atWarning().log("some shards were not given up; they are taken over by lease");
-        }
         admission.close();
         claims.close();
         if (!usage.drain(HANDOVER_TIMEOUT)) {
--- a/report/src/main/java/org/godwithoist/report/BurnRecorder.java
+++ b/report/src/main/java/org/godwithoist/report/BurnRecorder.java
@@ -147,8 +147,8 @@
     }
 
     /**
-     * Writes the intervals that ended and, in a small fleet, the current one so far; the first member
-     * also merges the rows of the fleet.
+     * Writes the intervals that ended and, in a small fleet, the current one so far; the first
+     * member also merges the rows of the fleet.
      */
     void step() {
         try {
