--- a/acceptance/src/test/java/org/godwithoist/acceptance/Transcript.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Transcript.java
@@ -22,6 +22,7 @@
     // Which engine sends which word after a kill depends on timing.
     private static final Pattern ENGINE = Pattern.compile("\"system_fingerprint\":\"[^\"]*\"");
     private static final Pattern SIGNATURE = Pattern.compile("[A-Za-z0-9+/]{86}==");
+    private static final Pattern DURATION = Pattern.compile("((?:store|total) ms) +[0-9]+");
     private static final Pattern FOLDER = Pattern.compile("\\S*/godwithoist-session[0-9]+/");
     private static final Pattern CLOCK = Pattern.compile("20[0-9]{2}-[0-9]{2}-[0-9]{2}T[0-9:.]+Z");
 
@@ -59,6 +60,7 @@
         ids = HASH.matcher(ids).replaceAll("<hash>");
         ids = ENGINE.matcher(ids).replaceAll("\"system_fingerprint\":\"<engine>\"");
         ids = SIGNATURE.matcher(ids).replaceAll("<signature>");
+        ids = DURATION.matcher(ids).replaceAll("$1 <time>");
         ids = FOLDER.matcher(ids).replaceAll("");
         ids = CLOCK.matcher(ids).replaceAll("<time>");
         return TIMESTAMP.matcher(ids).replaceAll("\"$1\":<time>");
--- a/report/src/main/java/org/godwithoist/report/BurnReports.java
+++ b/report/src/main/java/org/godwithoist/report/BurnReports.java
@@ -39,8 +39,9 @@
 
     /** Computes the report of now; of the current interval it has what the daemons have written. */
     public synchronized BurnReport report() {
-        long last = IntervalCounts.numberOf(clock.instant());
-        List<IntervalCounts> newestFirst = read(last);
+        long now = IntervalCounts.numberOf(clock.instant());
+        List<IntervalCounts> newestFirst = read(now - 1);
+        newestFirst.set(0, sum(newestFirst.get(0), store.read(now)));
         var keys = new TreeSet<SeriesKey>();
         newestFirst.forEach(i -> keys.addAll(i.series().keySet()));
         List<BurnReport.Line> lines = new ArrayList<>();
@@ -56,6 +57,14 @@
         return new BurnReport(clock.instant(), lines);
     }
 
+    /** Adds the current interval to the last one that ended, so that every window includes it. */
+    private static IntervalCounts sum(IntervalCounts ended, IntervalCounts current) {
+        IntervalCounts sum = IntervalCounts.empty(ended.number());
+        sum.add(ended);
+        sum.add(current);
+        return sum;
+    }
+
     private List<IntervalCounts> read(long last) {
         List<IntervalCounts> list = new ArrayList<>();
         long first = last - BurnWindow.SIX_HOURS.intervals() + 1;
