Grant after a takeover once the targets have reported

Cause: a killed or long-paused owner stalled its shard for 13 to 15 s, because the new owner waited until the old one had been silent for 15 s. Change: load reports of all targets, taken at least 1 s after the takeover, also show the use before it; they count as use that nobody explains.

--- a/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
@@ -25,6 +25,13 @@
  * target's own load report, shows that it is gone. Not thread-safe.
  */
 public final class SlotLedger {
+    /**
+     * Time after a takeover from which a target's load report shows all work that began before it.
+     * Requests that were sent with the last grants have arrived by then, and members that can
+     * report have done so, which gives them several rounds.
+     */
+    private static final Duration TARGET_EVIDENCE = Duration.ofSeconds(1);
+
     /** First-token times whose median is the normal speed of the shard. */
     private static final int SPEED_WINDOW = 64;
 
@@ -139,7 +146,7 @@
 
     /**
      * Makes the ledger of a new epoch. It grants nothing until each member has reported its use or
-     * is silent.
+     * is silent, or the targets' own load reports show the use since the takeover.
      */
     public SlotLedger(
             ShardId shard, long epoch, AdmissionTiming timing, Ticker ticker, ShardView view) {
@@ -180,7 +187,7 @@
         }
         window.engines(engines, now);
         meanAt = NEVER;
-        ready = ready || everybodyReported();
+        ready = ready || useIsKnown();
         for (Row row : rows.values()) {
             recount(row);
             explain(row, now);
@@ -208,6 +215,10 @@
         }
     }
 
+    private boolean useIsKnown() {
+        return everybodyReported() || targetsReported();
+    }
+
     private boolean everybodyReported() {
         for (HostId m : view.members()) {
             if (!current.containsKey(m) && !view.silent().test(m)) {
@@ -217,6 +228,21 @@
         return true;
     }
 
+    /**
+     * Returns whether the load report of every target was taken well after the takeover. A member
+     * that does not answer has no valid grant by then and its requests are in these reports, so its
+     * use need not be waited for; a killed owner would stall its shard for the removal time.
+     */
+    private boolean targetsReported() {
+        if (view.targets().isEmpty()) {
+            return false;
+        }
+        long evidenceFrom = startedAt + TARGET_EVIDENCE.toNanos();
+        return view.targets().stream()
+                .map(t -> view.loads().latest(t.id()))
+                .allMatch(l -> l.isPresent() && l.get().takenAt() - evidenceFrom > 0);
+    }
+
     /** Returns the members that have not reported in this epoch. */
     public Set<HostId> missing() {
         Set<HostId> missing = new TreeSet<>(view.members());
@@ -265,7 +291,7 @@
         settle(h, report, now);
         queue.replace(from, report.demands(), now);
         report.speeds().forEach(this::answered);
-        ready = ready || everybodyReported();
+        ready = ready || useIsKnown();
         boolean fresh = now - updatedAt < MAX_VIEW_AGE.toNanos();
         allocate(mayGrant && fresh, now);
         return answer(h, mayGrant && fresh, now);
