--- a/acceptance/src/test/java/org/godwithoist/acceptance/CliRun.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/CliRun.java
@@ -11,8 +11,9 @@
  * @param output what it printed as its result
  * @param errors what it printed as its failure
  */
-record CliRun(ExitCode code, String output, String errors) {
-    void expectOk() {
+public record CliRun(ExitCode code, String output, String errors) {
+    /** Fails the test if the command failed. */
+    public void expectOk() {
         assertEquals(ExitCode.OK, code, errors);
     }
 }
--- a/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
@@ -19,7 +19,7 @@
 import org.godwithoist.standins.StandinMain;
 
 /** Stand-ins and daemons of one session, each a process of its own on the loopback interface. */
-final class Fleet implements AutoCloseable {
+public final class Fleet implements AutoCloseable {
     private static final String LOOPBACK = "127.0.0.1";
     private static final List<String> OPERATORS = List.of("anna", "ben", "carol");
     private static final int CONTACT_ATTEMPTS = 200;
@@ -33,11 +33,13 @@
     private final JsonArray hosts = new JsonArray();
     private final JsonArray operators = new JsonArray();
 
-    Fleet(Path folder) {
+    /** Makes a fleet whose files and logs are in a folder. */
+    public Fleet(Path folder) {
         this.folder = folder;
     }
 
-    void start(int engines, int daemons) throws IOException, InterruptedException {
+    /** Starts the stand-ins and the daemons and rolls the bundle. */
+    public void start(int engines, int daemons) throws IOException, InterruptedException {
         int platform = freePort();
         ports.put("platform", platform);
         startStandin("platform", "PLATFORM", platform);
@@ -62,17 +64,21 @@
     }
 
     /** Returns the failure domain of the engine or daemon with a number. */
-    static String domainOf(int number) {
+    public static String domainOf(int number) {
         return "domain-" + ((number - 1) % 2 + 1);
     }
 
     /** Reads the status of a daemon as the first operator. */
     JsonObject status(String daemon) throws IOException, InterruptedException {
-        String token = Files.readString(folder.resolve(OPERATORS.get(0) + ".token")).strip();
-        var headers = Map.of("Authorization", "Bearer " + token);
+        var headers = Map.of("Authorization", "Bearer " + operatorToken());
         return new JsonObject(send("GET", daemon + "-operators", "/v1/status", "", headers).body());
     }
 
+    /** Returns the token of the first operator. */
+    public String operatorToken() throws IOException {
+        return Files.readString(folder.resolve(OPERATORS.get(0) + ".token")).strip();
+    }
+
     /** Waits until a daemon is in contact with all others, as an operator would before a roll. */
     private void awaitContact(String daemon, int daemons) throws IOException, InterruptedException {
         for (int i = 0; i < CONTACT_ATTEMPTS; i++) {
@@ -129,15 +135,18 @@
         send("PUT", "platform", "/hosts", new JsonObject().put("hosts", hosts).encode(), Map.of());
     }
 
-    int port(String name) {
+    /** Returns the port of a process; daemons also have {@code -operators} and {@code -peers}. */
+    public int port(String name) {
         return ports.get(name);
     }
 
-    ServerProcess process(String name) {
+    /** Returns the present process of a name. */
+    public ServerProcess process(String name) {
         return processes.get(name);
     }
 
-    HttpResponse<String> send(
+    /** Sends a request to a process and returns the whole answer. */
+    public HttpResponse<String> send(
             String method, String to, String path, String body, Map<String, String> headers)
             throws IOException, InterruptedException {
         HttpRequest.Builder request =
@@ -163,7 +172,7 @@
     }
 
     /** Returns the command line of an operator, with the first daemon. */
-    OperatorCli operator(String name) {
+    public OperatorCli operator(String name) {
         return new OperatorCli(folder, name, LOOPBACK + ":" + port("daemon-1-operators"));
     }
 
@@ -205,7 +214,7 @@
     }
 
     /** Starts a daemon, or starts it again after it was killed or drained. */
-    void startDaemon(String host) throws IOException {
+    public void startDaemon(String host) throws IOException {
         processes.put(
                 host,
                 ServerProcess.start(
--- a/acceptance/src/test/java/org/godwithoist/acceptance/OperatorCli.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/OperatorCli.java
@@ -10,7 +10,7 @@
 import org.godwithoist.cli.ExitCode;
 
 /** The command line of one operator. */
-final class OperatorCli {
+public final class OperatorCli {
     private final Map<String, String> environment;
 
     OperatorCli(Path folder, String name, String daemon) {
@@ -33,7 +33,8 @@
         return new JsonObject(run.output());
     }
 
-    CliRun run(String... args) {
+    /** Runs a command and returns what it did. */
+    public CliRun run(String... args) {
         return execute(environment, args);
     }
 
--- a/acceptance/src/test/java/org/godwithoist/acceptance/ServerProcess.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/ServerProcess.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A daemon or stand-in started by a test as a process of its own. */
-final class ServerProcess implements AutoCloseable {
+public final class ServerProcess implements AutoCloseable {
     private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
     private static final int PROBE_TIMEOUT_MS = 200;
     private static final int PROBE_INTERVAL_MS = 25;
@@ -44,17 +44,17 @@
     }
 
     /** Sends a signal, for example STOP or CONT. */
-    void signal(String signal) throws IOException, InterruptedException {
+    public void signal(String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
 
     /** Ends the process at once, without a chance to drain. */
-    void kill() {
+    public void kill() {
         process.destroyForcibly();
     }
 
     /** Asks the process to drain and returns its exit code. */
-    int drain() throws InterruptedException {
+    public int drain() throws InterruptedException {
         process.destroy();
         if (!process.waitFor(STOP_TIMEOUT_S, TimeUnit.SECONDS)) {
             process.destroyForcibly();
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/ChatLoad.java
@@ -0,0 +1,75 @@
+package org.godwithoist.acceptance.faults;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.standins.engine.Words;
+
+/** Callers that hold chats of three turns, one after the other, until they are told to stop. */
+final class ChatLoad {
+    private static final List<String> WORKSPACES = List.of("antwerp", "ghent");
+    private static final int TURNS = 3;
+    private static final int MIN_WORDS = 40;
+    private static final int WORDS_RANGE = 160;
+    private static final int MAX_PAUSE_MS = 100;
+
+    private final Queue<ChatAnswer> answers = new ConcurrentLinkedQueue<>();
+    private final List<Thread> tasks = new ArrayList<>();
+    private final StreamingCaller caller;
+    private volatile boolean stopped;
+
+    private ChatLoad(StreamingCaller caller) {
+        this.caller = caller;
+    }
+
+    /** Starts the callers. */
+    static ChatLoad start(Vertx vertx, FaultFleet fleet, int callers) {
+        ChatLoad load = new ChatLoad(new StreamingCaller(vertx, fleet));
+        for (int i = 0; i < callers; i++) {
+            int number = i;
+            load.tasks.add(Tasks.start("caller-" + i, () -> load.call(number)));
+        }
+        return load;
+    }
+
+    /** Ends each caller after its present answer and returns everything that callers saw. */
+    List<ChatAnswer> stop() throws InterruptedException {
+        stopped = true;
+        for (Thread t : tasks) {
+            t.join();
+        }
+        return List.copyOf(answers);
+    }
+
+    /** Returns the answers so far. */
+    List<ChatAnswer> answers() {
+        return List.copyOf(answers);
+    }
+
+    private void call(int number) {
+        Random random = new Random(FaultFleet.SEED * 1_000 + number);
+        String workspace = WORKSPACES.get(number % WORKSPACES.size());
+        for (int chat = 0; !stopped; chat++) {
+            JsonArray messages = new JsonArray();
+            for (int turn = 0; turn < TURNS && !stopped; turn++) {
+                messages.add(message("user", "caller " + number + " " + random.nextInt()));
+                int words = MIN_WORDS + random.nextInt(WORDS_RANGE);
+                String name = "chat-" + number + "-" + chat;
+                answers.add(caller.ask(workspace, name, messages, words, random));
+                messages.add(message("assistant", Words.answer(messages.encode(), words)));
+                Tasks.sleep(Duration.ofMillis(random.nextInt(MAX_PAUSE_MS)));
+            }
+        }
+    }
+
+    private static JsonObject message(String role, String content) {
+        return new JsonObject().put("role", role).put("content", content);
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/FaultFleet.java
@@ -0,0 +1,137 @@
+package org.godwithoist.acceptance.faults;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.godwithoist.acceptance.Fleet;
+import org.godwithoist.bundle.AdmissionLimits;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.EngineChecks;
+
+/** A fleet of real processes whose daemons are ready, and what a checker may read from it. */
+final class FaultFleet implements AutoCloseable {
+    /** Seed of all random choices; set with {@code -Dfaults.seed=N}. */
+    static final long SEED = Long.getLong("faults.seed", 1);
+
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration READY_INTERVAL = Duration.ofMillis(50);
+    private static final int OK = 200;
+
+    private final Fleet fleet;
+    private final int engines;
+    private final List<String> daemons = new ArrayList<>();
+
+    FaultFleet(int engines, int daemons) throws IOException, InterruptedException {
+        this.engines = engines;
+        fleet = new Fleet(Files.createTempDirectory("godwithoist-faults"));
+        fleet.start(engines, daemons);
+        for (int i = 1; i <= daemons; i++) {
+            this.daemons.add("daemon-" + i);
+            awaitReady("daemon-" + i);
+        }
+        LOG.atInfo().log("fleet with seed %d is ready", SEED);
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    List<String> daemons() {
+        return daemons;
+    }
+
+    void awaitReady(String daemon) throws IOException, InterruptedException {
+        long end = System.nanoTime() + READY_TIMEOUT.toNanos();
+        while (System.nanoTime() < end) {
+            if (fleet.send("GET", daemon, "/readyz", "", Map.of()).statusCode() == OK) {
+                return;
+            }
+            Tasks.sleep(READY_INTERVAL);
+        }
+        throw new AssertionError(daemon + " is not ready after " + READY_TIMEOUT);
+    }
+
+    /** Sets fault switches of a stand-in. */
+    void fault(String standin, JsonObject switches) throws IOException, InterruptedException {
+        fleet.send("POST", standin, "/faults", switches.encode(), Map.of());
+    }
+
+    /** Reads the log of a stand-in. */
+    JsonArray log(String standin) throws IOException, InterruptedException {
+        return new JsonObject(fleet.send("GET", standin, "/log", "", Map.of()).body())
+                .getJsonArray("log");
+    }
+
+    /** Returns checks over the present logs of all engines. */
+    EngineChecks engineChecks() throws IOException, InterruptedException {
+        EngineChecks checks = new EngineChecks(AdmissionLimits.DEFAULT);
+        for (int i = 1; i <= engines; i++) {
+            checks.add(
+                    new TargetId("engine-" + i),
+                    new FailureDomainId(Fleet.domainOf(i)),
+                    log("engine-" + i));
+        }
+        return checks;
+    }
+
+    /** Returns the requests that an engine accepted and did not end. */
+    long inProgress(String engine) throws IOException, InterruptedException {
+        long open = 0;
+        for (Object o : log(engine)) {
+            open +=
+                    switch (((JsonObject) o).getString("kind")) {
+                        case "accepted" -> 1;
+                        case "finished", "cancelled" -> -1;
+                        default -> 0;
+                    };
+        }
+        return open;
+    }
+
+    /** Returns the requests in progress at all engines. */
+    long inProgress() throws IOException, InterruptedException {
+        long open = 0;
+        for (int i = 1; i <= engines; i++) {
+            open += inProgress("engine-" + i);
+        }
+        return open;
+    }
+
+    /** Reads the usage of all workspaces as an operator does. */
+    UsageReading usage(String daemon) throws IOException, InterruptedException {
+        JsonObject body =
+                new JsonObject(
+                        fleet.send(
+                                        "GET",
+                                        daemon + "-operators",
+                                        "/v1/usage",
+                                        "",
+                                        Map.of("Authorization", "Bearer " + fleet.operatorToken()))
+                                .body());
+        return UsageReading.of(body);
+    }
+
+    /** Returns what the engines counted in their own logs. */
+    Map<String, UsageReading.Count> countedByEngines() throws IOException, InterruptedException {
+        Map<String, UsageReading.Count> counts = new TreeMap<>();
+        engineChecks()
+                .usage()
+                .forEach((w, sum) -> counts.put(w, new UsageReading.Count(sum[0], sum[1], sum[2])));
+        return counts;
+    }
+
+    @Override
+    public void close() {
+        fleet.close();
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/KeyedLoad.java
@@ -0,0 +1,213 @@
+package org.godwithoist.acceptance.faults;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.godwithoist.core.task.Tasks;
+
+/** Callers that send each keyed call to several daemons at once and again a little later. */
+final class KeyedLoad {
+    private static final int COPIES = 3;
+    private static final int MAX_REPEAT_PAUSE_MS = 400;
+    private static final Duration KEY_INTERVAL = Duration.ofMillis(60);
+    private static final int OK = 200;
+
+    private final FaultFleet fleet;
+    private final Queue<Answer> answers = new ConcurrentLinkedQueue<>();
+    private final Queue<Thread> copies = new ConcurrentLinkedQueue<>();
+    private final Set<String> keys = new TreeSet<>();
+    private final Random random = new Random(FaultFleet.SEED);
+    private Thread task;
+    private volatile boolean stopped;
+
+    /**
+     * One answer to a keyed call.
+     *
+     * @param key its key
+     * @param request its request id
+     * @param daemon the daemon that answered
+     * @param status HTTP status
+     * @param runState run state that the answer claims
+     * @param body body of the answer
+     * @param at wall-clock time of its arrival in milliseconds
+     */
+    record Answer(
+            String key,
+            String request,
+            String daemon,
+            int status,
+            String runState,
+            String body,
+            long at) {}
+
+    private KeyedLoad(FaultFleet fleet) {
+        this.fleet = fleet;
+    }
+
+    static KeyedLoad start(FaultFleet fleet) {
+        KeyedLoad load = new KeyedLoad(fleet);
+        load.task = Tasks.start("keyed-calls", load::run);
+        return load;
+    }
+
+    /** Ends the calls and waits for the answers that are still to come. */
+    void stop() throws InterruptedException {
+        stopped = true;
+        task.join();
+        for (Thread t : copies) {
+            t.join();
+        }
+    }
+
+    /** Sends each key once more to a daemon, when all faults are over. */
+    void repeatAll(String daemon) {
+        for (String key : keys) {
+            send(key, key + "-last", daemon);
+        }
+    }
+
+    List<Answer> answers() {
+        return List.copyOf(answers);
+    }
+
+    int keys() {
+        return keys.size();
+    }
+
+    /** Counts the keys that have an answer with the run state "ran". */
+    long keysThatRan() {
+        return answers.stream()
+                .filter(a -> a.runState().equals("ran"))
+                .map(Answer::key)
+                .distinct()
+                .count();
+    }
+
+    private void run() {
+        for (int i = 0; !stopped; i++) {
+            String key = "key-" + FaultFleet.SEED + "-" + i;
+            keys.add(key);
+            for (int copy = 0; copy < COPIES; copy++) {
+                String id = key + "-" + copy;
+                List<String> daemons = fleet.daemons();
+                String daemon = daemons.get(random.nextInt(daemons.size()));
+                Duration wait =
+                        Duration.ofMillis(copy < 2 ? 0 : random.nextInt(MAX_REPEAT_PAUSE_MS));
+                copies.add(
+                        Tasks.start(
+                                id,
+                                () -> {
+                                    Tasks.sleep(wait);
+                                    send(key, id, daemon);
+                                }));
+            }
+            Tasks.sleep(KEY_INTERVAL);
+        }
+    }
+
+    private void send(String key, String id, String daemon) {
+        Map<String, String> headers =
+                Map.of(
+                        "Authorization",
+                        "Bearer key-of-antwerp",
+                        "Idempotency-Key",
+                        key,
+                        "X-Request-Id",
+                        id,
+                        "Content-Type",
+                        "application/json");
+        String body = new JsonObject().put("seat", key).encode();
+        try {
+            HttpResponse<String> r =
+                    fleet.fleet().send("POST", daemon, "/services/tickets/book", body, headers);
+            String state = r.headers().firstValue("X-Run-State").orElse("missing");
+            long now = System.currentTimeMillis();
+            answers.add(new Answer(key, id, daemon, r.statusCode(), state, r.body(), now));
+        } catch (IOException e) {
+            // A broken connection tells the caller nothing; the service's log tells what ran.
+            return;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Compares every answer with the service's own log and returns what is not true. */
+    List<String> violations(JsonArray log) {
+        List<String> found = new ArrayList<>();
+        Map<String, List<JsonObject>> byKey = executions(log);
+        byKey.forEach(
+                (key, runs) -> {
+                    if (runs.size() > 1) {
+                        found.add("key " + key + " ran " + runs.size() + " times: " + runs);
+                    }
+                });
+        for (Answer a : answers) {
+            List<JsonObject> runs = byKey.getOrDefault(a.key(), List.of());
+            boolean isTrue =
+                    switch (a.runState()) {
+                        case "not_run" ->
+                                runs.stream()
+                                        .noneMatch(
+                                                r ->
+                                                        r.getString("request")
+                                                                .startsWith(a.request() + "."));
+                        case "ran" -> runs.size() == 1 && sameExecution(a, runs.get(0));
+                        case "unknown" -> a.status() != OK;
+                        default -> false;
+                    };
+            if (!isTrue) {
+                found.add("answer is not true: " + a + ", the service's log has " + runs);
+            }
+        }
+        return found;
+    }
+
+    /** Counts refusals "not run" of a call whose key had run for another call before. */
+    long refusedAfterRun(JsonArray log) {
+        Map<String, List<JsonObject>> byKey = executions(log);
+        return answers.stream()
+                .filter(a -> a.runState().equals("not_run"))
+                .filter(
+                        a ->
+                                byKey.getOrDefault(a.key(), List.of()).stream()
+                                        .anyMatch(r -> r.getLong("at") < a.at()))
+                .count();
+    }
+
+    /** Counts answers by run state. */
+    Map<String, Long> byRunState() {
+        Map<String, Long> counts = new TreeMap<>();
+        answers.forEach(a -> counts.merge(a.runState(), 1L, Long::sum));
+        return counts;
+    }
+
+    private static boolean sameExecution(Answer a, JsonObject run) {
+        return a.status() != OK
+                || new JsonObject(a.body())
+                        .getInteger("execution")
+                        .equals(run.getInteger("execution"));
+    }
+
+    private static Map<String, List<JsonObject>> executions(JsonArray log) {
+        Map<String, List<JsonObject>> byKey = new HashMap<>();
+        for (Object o : log) {
+            JsonObject e = (JsonObject) o;
+            if (e.getString("key") != null) {
+                byKey.computeIfAbsent(e.getString("key"), k -> new ArrayList<>()).add(e);
+            }
+        }
+        return byKey;
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/KilledDaemonFaultTest.java
@@ -0,0 +1,141 @@
+package org.godwithoist.acceptance.faults;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.godwithoist.acceptance.faults.ChatAnswer.End;
+import org.godwithoist.core.task.Tasks;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.ClassOrderer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestClassOrder;
+
+/** Kills a daemon with {@code kill -9}, which gives it no chance to hand anything over. */
+@TestClassOrder(ClassOrderer.OrderAnnotation.class)
+class KilledDaemonFaultTest {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final Duration BEFORE_KILL = Duration.ofSeconds(2);
+    private static final Duration AFTER_KILL = Duration.ofSeconds(3);
+
+    private static FaultFleet fleet;
+    private static Vertx vertx;
+
+    @BeforeAll
+    static void start() throws IOException, InterruptedException {
+        vertx = Vertx.vertx();
+        fleet = new FaultFleet(2, 3);
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+        vertx.close();
+    }
+
+    /** Guards against answers and usage that die with the daemon that served them. */
+    @Nested
+    @Order(1)
+    class UnderChatLoad {
+        private static final int CALLERS = 8;
+        private static final Duration SETTLED = Duration.ofSeconds(40);
+        private static final Duration POLL_INTERVAL = Duration.ofMillis(500);
+
+        /** Longer than a flush interval, so that a second settlement of a row would show. */
+        private static final Duration REPEATED_FLUSH = Duration.ofSeconds(6);
+
+        @Test
+        void answersAreWholeAndUsageIsCountedOnce() throws IOException, InterruptedException {
+            ChatLoad load = ChatLoad.start(vertx, fleet, CALLERS);
+            Tasks.sleep(BEFORE_KILL);
+            fleet.fleet().process("daemon-3").kill();
+            Tasks.sleep(AFTER_KILL);
+            List<ChatAnswer> answers = load.stop();
+            LOG.atInfo().log(
+                    "kill under chat load: %d answers, %d cut connections, longest %s",
+                    answers.size(),
+                    ChatChecks.count(answers, End.CUT),
+                    ChatChecks.longest(answers));
+            ChatChecks.assertWhole(answers);
+            assertTrue(ChatChecks.count(answers, End.CUT) > 0, "the kill cut no answer");
+
+            long start = System.nanoTime();
+            UsageReading reading = awaitSettled(start);
+            LOG.atInfo().log(
+                    "kill under chat load: usage %s settled %d ms after the load",
+                    reading.settled(), Duration.ofNanos(System.nanoTime() - start).toMillis());
+            Tasks.sleep(REPEATED_FLUSH);
+            assertEquals(fleet.countedByEngines(), fleet.usage("daemon-1").settled());
+        }
+
+        private UsageReading awaitSettled(long start) throws IOException, InterruptedException {
+            while (true) {
+                UsageReading reading = fleet.usage("daemon-1");
+                Map<String, UsageReading.Count> counted = fleet.countedByEngines();
+                reading.settled()
+                        .forEach(
+                                (w, count) ->
+                                        assertFalse(
+                                                !counted.containsKey(w)
+                                                        || count.exceeds(counted.get(w)),
+                                                () -> "counted twice: " + reading + counted));
+                if (fleet.inProgress() == 0
+                        && reading.open() == 0
+                        && reading.unsettledRequests() == 0
+                        && reading.settled().equals(counted)) {
+                    return reading;
+                }
+                assertTrue(
+                        System.nanoTime() - start < SETTLED.toNanos(),
+                        () -> "not settled: " + reading.text() + ", engines counted " + counted);
+                Tasks.sleep(POLL_INTERVAL);
+            }
+        }
+    }
+
+    /**
+     * Guards against a second execution of a booking when daemons die and the store's answer is
+     * lost.
+     */
+    @Nested
+    @Order(2)
+    class UnderKeyedCalls {
+        private static final int LOST_ANSWERS = 10;
+
+        @Test
+        void eachKeyRunsOnceAndEveryRunStateIsTrue() throws IOException, InterruptedException {
+            KeyedLoad load = KeyedLoad.start(fleet);
+            Tasks.sleep(Duration.ofSeconds(1));
+            fleet.fault("platform", new JsonObject().put("lose_commit_answers", LOST_ANSWERS));
+            Tasks.sleep(Duration.ofMillis(500));
+            fleet.fault("platform", new JsonObject().put("lose_commit_answers", LOST_ANSWERS));
+            fleet.fleet().process("daemon-2").kill();
+            Tasks.sleep(BEFORE_KILL);
+            load.stop();
+            fleet.fault("platform", new JsonObject().put("lose_commit_answers", 0));
+            load.repeatAll("daemon-1");
+            var log = fleet.log("tickets-1");
+            LOG.atInfo().log(
+                    "keyed calls: %d keys, %d ran, %d executions, answers %s, refused after run %d",
+                    load.keys(),
+                    load.keysThatRan(),
+                    log.size(),
+                    load.byRunState(),
+                    load.refusedAfterRun(log));
+            assertEquals(List.of(), load.violations(log));
+            assertTrue(
+                    load.keysThatRan() > load.keys() / 2,
+                    () -> "few keys ran: " + load.byRunState());
+        }
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/PausedDaemonFaultTest.java
@@ -0,0 +1,143 @@
+package org.godwithoist.acceptance.faults;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.flogger.FluentLogger;
+import io.vertx.core.Vertx;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.List;
+import org.godwithoist.acceptance.faults.ChatAnswer.End;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.EngineChecks;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.ClassOrderer;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Order;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestClassOrder;
+
+/** Stops a daemon with SIGSTOP, so that it wakes up with old grants, leases and views. */
+@TestClassOrder(ClassOrderer.OrderAnnotation.class)
+class PausedDaemonFaultTest {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    private static FaultFleet fleet;
+    private static Vertx vertx;
+
+    @BeforeAll
+    static void start() throws IOException, InterruptedException {
+        vertx = Vertx.vertx();
+        fleet = new FaultFleet(2, 3);
+    }
+
+    @AfterAll
+    static void stop() {
+        fleet.close();
+        vertx.close();
+    }
+
+    /** Guards against work on void grants and against second executions after a long pause. */
+    @Nested
+    @Order(1)
+    class ForTenSeconds {
+        private static final int CALLERS = 12;
+
+        @Test
+        void boundsHoldAndKeyedCallsRunOnce() throws IOException, InterruptedException {
+            ChatLoad load = ChatLoad.start(vertx, fleet, CALLERS);
+            KeyedLoad calls = KeyedLoad.start(fleet);
+            Tasks.sleep(Duration.ofSeconds(2));
+            fleet.fleet().process("daemon-2").signal("STOP");
+            Tasks.sleep(Duration.ofSeconds(10));
+            fleet.fleet().process("daemon-2").signal("CONT");
+            Tasks.sleep(Duration.ofSeconds(3));
+            calls.stop();
+            List<ChatAnswer> answers = load.stop();
+            EngineChecks.Skew skew = fleet.engineChecks().skew();
+            var log = fleet.log("tickets-1");
+            LOG.atInfo().log(
+                    "pause of 10 s: %d answers, %d cut connections, longest %s, %s, "
+                            + "%d keys, %d executions, run states %s, refused after run %d",
+                    answers.size(),
+                    ChatChecks.count(answers, End.CUT),
+                    ChatChecks.longest(answers),
+                    skew,
+                    calls.keys(),
+                    log.size(),
+                    calls.byRunState(),
+                    calls.refusedAfterRun(log));
+            assertEquals(0, skew.violations(), skew::toString);
+            assertEquals(0, skew.coldViolations(), skew::toString);
+            assertEquals(List.of(), calls.violations(log));
+            assertTrue(calls.keysThatRan() > 0, "no keyed call ran");
+            ChatChecks.assertWhole(answers);
+        }
+    }
+
+    /** Guards against new work in a domain that is out, from a daemon that missed the order. */
+    @Nested
+    @Order(2)
+    class WhileDomainIsTakenOut {
+        private static final int CALLERS = 8;
+        private static final FailureDomainId DOMAIN = new FailureDomainId("domain-1");
+        private static final FailureDomainId OTHER = new FailureDomainId("domain-2");
+        private static final long ORDER_BOUND_MS = 3_000;
+
+        @Test
+        void domainGetsNoWorkThreeSecondsAfterTheOrder() throws IOException, InterruptedException {
+            ChatLoad load = ChatLoad.start(vertx, fleet, CALLERS);
+            long before = System.currentTimeMillis();
+            Tasks.sleep(Duration.ofSeconds(2));
+            fleet.fault("platform", new JsonObject().put("down", true));
+            fleet.fleet().process("daemon-3").signal("STOP");
+            long ordered = System.currentTimeMillis();
+            Thread waking =
+                    Tasks.start(
+                            "wake",
+                            () -> {
+                                Tasks.sleep(Duration.ofSeconds(2));
+                                wake("daemon-3");
+                            });
+            fleet.fleet().operator("anna").run("domain", "out", DOMAIN.value()).expectOk();
+            long accepted = System.currentTimeMillis();
+            waking.join();
+            Tasks.sleep(Duration.ofMillis(ordered + 7_000 - System.currentTimeMillis()));
+            long end = System.currentTimeMillis();
+            List<ChatAnswer> answers = load.stop();
+            EngineChecks checks = fleet.engineChecks();
+            long bound = ordered + ORDER_BOUND_MS;
+            LOG.atInfo().log(
+                    "domain out: order answered after %d ms, accepts of the domain %d before, %d "
+                            + "until 1 s, %d from 1 s to 3 s, %d from 3 s on, other domain %d, "
+                            + "%d answers, longest %s",
+                    accepted - ordered,
+                    checks.accepts(DOMAIN, before, ordered),
+                    checks.accepts(DOMAIN, ordered, ordered + 1_000),
+                    checks.accepts(DOMAIN, ordered + 1_000, bound),
+                    checks.accepts(DOMAIN, bound, Long.MAX_VALUE),
+                    checks.accepts(OTHER, bound, end),
+                    answers.size(),
+                    ChatChecks.longest(answers));
+            assertEquals(0, checks.accepts(DOMAIN, bound, Long.MAX_VALUE));
+            assertTrue(checks.accepts(DOMAIN, before, ordered) > 0, "the domain had no work");
+            assertTrue(checks.accepts(OTHER, bound, end) > 0, "the other domain got no work");
+            ChatChecks.assertWhole(answers);
+        }
+
+        private static void wake(String daemon) {
+            try {
+                fleet.fleet().process(daemon).signal("CONT");
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/StreamingCaller.java
@@ -0,0 +1,160 @@
+package org.godwithoist.acceptance.faults;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.UUID;
+import org.godwithoist.acceptance.Fleet;
+import org.godwithoist.acceptance.faults.ChatAnswer.Attempt;
+import org.godwithoist.acceptance.faults.ChatAnswer.End;
+import org.godwithoist.acceptance.faults.ChatAnswer.Outcome;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.standins.engine.Words;
+
+/**
+ * Sends chat requests to random daemons and continues a broken answer at another daemon, as the API
+ * reference tells callers to. Each attempt has a connection of its own: a request that is sent on a
+ * kept connection while the daemon closes it would look like a cut answer.
+ */
+final class StreamingCaller {
+    /** Time without a byte after which a caller goes to another daemon; keepalives take 5 s. */
+    private static final int IDLE_SECONDS = 6;
+
+    private static final Duration GIVE_UP = Duration.ofSeconds(25);
+    private static final Duration ATTEMPT_TIMEOUT = Duration.ofSeconds(25);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
+    private static final int MAX_CONNECTIONS = 256;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    private final FaultFleet fleet;
+    private final HttpClient client;
+
+    StreamingCaller(Vertx vertx, FaultFleet fleet) {
+        this.fleet = fleet;
+        this.client =
+                vertx.createHttpClient(
+                        new HttpClientOptions()
+                                .setConnectTimeout(1_000)
+                                .setKeepAlive(false)
+                                .setReadIdleTimeout(IDLE_SECONDS),
+                        new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+    }
+
+    /** Sends the messages of a chat and returns when the answer is whole or given up. */
+    ChatAnswer ask(String workspace, String chat, JsonArray messages, int words, Random random) {
+        JsonObject body =
+                new JsonObject()
+                        .put("model", "assistant")
+                        .put("messages", messages)
+                        .put("max_tokens", words)
+                        .put("stream", true);
+        String id = new UUID(random.nextLong(), random.nextLong()).toString();
+        SseReader reader = new SseReader();
+        List<Attempt> attempts = new ArrayList<>();
+        long start = System.nanoTime();
+        boolean resume = false;
+        while (!reader.done() && System.nanoTime() - start < GIVE_UP.toNanos()) {
+            String daemon = fleet.daemons().get(random.nextInt(fleet.daemons().size()));
+            RequestOptions options = options(fleet.fleet(), daemon, workspace, chat, id);
+            if (resume) {
+                options.putHeader("Last-Event-ID", Long.toString(reader.lastOffset()));
+            }
+            Attempt a = attempt(options, daemon, body, reader);
+            attempts.add(a);
+            if (a.end() == End.DONE) {
+                break;
+            }
+            if (a.detail().startsWith(NOT_FOUND + " ")) {
+                if (reader.lastOffset() > 0) {
+                    break;
+                }
+                // Nothing of the answer was seen and nothing is there to resume: send it anew.
+                resume = false;
+            } else if (a.end() == End.CUT) {
+                resume = true;
+            }
+            Tasks.sleep(RETRY_PAUSE);
+        }
+        Duration took = Duration.ofNanos(System.nanoTime() - start);
+        String expected = Words.answer(messages.encode(), words);
+        return new ChatAnswer(id, outcome(reader, expected), attempts, took);
+    }
+
+    private static Outcome outcome(SseReader reader, String expected) {
+        if (reader.outOfOrder() || !expected.startsWith(reader.text())) {
+            return Outcome.WRONG;
+        }
+        if (!reader.done()) {
+            return Outcome.LOST;
+        }
+        return reader.text().equals(expected) ? Outcome.WHOLE : Outcome.WRONG;
+    }
+
+    private static RequestOptions options(
+            Fleet fleet, String daemon, String workspace, String chat, String id) {
+        return new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost("127.0.0.1")
+                .setPort(fleet.port(daemon))
+                .setURI("/v1/chat/completions")
+                .putHeader("Authorization", "Bearer key-of-" + workspace)
+                .putHeader("Content-Type", "application/json")
+                .putHeader("X-Chat-Id", chat)
+                .putHeader("X-Request-Id", id);
+    }
+
+    private Attempt attempt(
+            RequestOptions options, String daemon, JsonObject body, SseReader reader) {
+        HttpClientRequest request;
+        try {
+            request = Await.result(client.request(options), ATTEMPT_TIMEOUT);
+        } catch (RuntimeException e) {
+            return new Attempt(daemon, End.NOT_CONNECTED, e.toString(), "", reader.lastOffset());
+        }
+        try {
+            return Await.result(
+                    request.send(body.toBuffer()).compose(r -> read(daemon, r, reader)),
+                    ATTEMPT_TIMEOUT);
+        } catch (RuntimeException e) {
+            return new Attempt(daemon, End.CUT, e.toString(), "", reader.lastOffset());
+        }
+    }
+
+    private static Future<Attempt> read(String daemon, HttpClientResponse r, SseReader reader) {
+        if (r.statusCode() != OK) {
+            String state = String.valueOf(r.getHeader("X-Run-State"));
+            return r.body()
+                    .map(
+                            b ->
+                                    new Attempt(
+                                            daemon,
+                                            End.REFUSED,
+                                            r.statusCode() + " " + b,
+                                            state,
+                                            reader.lastOffset()));
+        }
+        return reader.read(r)
+                .map(
+                        v ->
+                                new Attempt(
+                                        daemon,
+                                        reader.done() ? End.DONE : End.CUT,
+                                        reader.error(),
+                                        "",
+                                        reader.lastOffset()));
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/UsageReading.java
@@ -0,0 +1,50 @@
+package org.godwithoist.acceptance.faults;
+
+import io.vertx.core.json.JsonObject;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * One answer to {@code GET /v1/usage}.
+ *
+ * @param settled settled usage of each workspace
+ * @param open attempts whose count is not known yet, all workspaces together
+ * @param unsettledRequests counted requests that are not settled yet, all workspaces together
+ * @param text the answer itself, for messages
+ */
+record UsageReading(Map<String, Count> settled, long open, long unsettledRequests, String text) {
+    /**
+     * Usage of a workspace.
+     *
+     * @param requests requests that engines ran
+     * @param promptTokens prompt tokens
+     * @param completionTokens generated tokens
+     */
+    record Count(long requests, long promptTokens, long completionTokens) {
+        /** Returns whether any figure is larger than that of another count. */
+        boolean exceeds(Count other) {
+            return requests > other.requests
+                    || promptTokens > other.promptTokens
+                    || completionTokens > other.completionTokens;
+        }
+    }
+
+    static UsageReading of(JsonObject body) {
+        Map<String, Count> settled = new TreeMap<>();
+        long open = 0;
+        long unsettled = 0;
+        for (Object o : body.getJsonArray("workspaces")) {
+            JsonObject w = (JsonObject) o;
+            JsonObject s = w.getJsonObject("settled");
+            settled.put(
+                    w.getString("workspace"),
+                    new Count(
+                            s.getLong("requests"),
+                            s.getLong("prompt_tokens"),
+                            s.getLong("completion_tokens")));
+            open += w.getJsonObject("unsettled").getLong("open_attempts");
+            unsettled += w.getJsonObject("unsettled").getLong("requests");
+        }
+        return new UsageReading(settled, open, unsettled, body.encode());
+    }
+}
