--- a/acceptance/src/test/java/org/godwithoist/acceptance/faults/ChatLoad.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/ChatLoad.java
@@ -15,6 +15,7 @@
 /** Callers that hold chats of three turns, one after the other, until they are told to stop. */
 final class ChatLoad {
     private static final List<String> WORKSPACES = List.of("antwerp", "ghent");
+
     /** Longer than the deadline of 20 s in the bundle. */
     private static final Duration DEADLINE = Duration.ofSeconds(22);
 
--- a/acceptance/src/test/java/org/godwithoist/acceptance/faults/PausedDaemonFaultTest.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/PausedDaemonFaultTest.java
@@ -28,7 +28,9 @@
 class PausedDaemonFaultTest {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-    /** A paused daemon sends nothing; callers leave it after this time, above the keepalive's 5 s. */
+    /**
+     * A paused daemon sends nothing; callers leave it after this time, above the keepalive's 5 s.
+     */
     private static final Duration IDLE = Duration.ofSeconds(6);
 
     private static FaultFleet fleet;
