--- a/admission/src/main/java/org/godwithoist/admission/SlotCache.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotCache.java
@@ -207,18 +207,6 @@
             return Optional.empty();
         }
         t.reservedTaken++;
-        System.out.println(
-                +System.identityHashCode(this)
-                        + " take "
-                        + target
-                        + " "
-                        + now / 1000000
-                        + " "
-                        + t.reservedTaken
-                        + " until "
-                        + until / 1000000
-                        + " open "
-                        + t.reservedUntil / 1000000);
         return Optional.of(hold(target, t, true, until));
     }
 
@@ -299,15 +287,6 @@
             }
             if (slot.reserved()) {
                 t.reservedTaken--;
-                System.out.println(
-                        +System.identityHashCode(this)
-                                + " release "
-                                + slot.target()
-                                + " "
-                                + ticker.nanos() / 1000000
-                                + " "
-                                + t.reservedTaken
-                                + used);
             } else if (used) {
                 t.inUse--;
             } else if (ticker.nanos() - slot.expiry() < 0) {
