Let a daemon start from seeds while the platform is down

Cause: without the host list a fresh daemon knew no peer, so it never got a bundle during an outage of the platform. Change: settings name seeds; the daemon asks them for members and bundle. A killed process is waited for in tests before its port is used again.

--- a/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
@@ -194,6 +194,7 @@
                                         .put("peers", LOOPBACK + ":" + port(host + "-peers")))
                         .put("platform", LOOPBACK + ":" + port("platform"))
                         .put("operators", operators)
+                        .put("seeds", seeds())
                         .put(
                                 "peerKeys",
                                 new JsonArray()
@@ -213,6 +214,22 @@
                         .put("state", "live"));
     }
 
+    /** Returns the daemons that were added before, for starts while the platform is down. */
+    private JsonArray seeds() {
+        JsonArray seeds = new JsonArray();
+        for (Object o : hosts) {
+            JsonObject h = (JsonObject) o;
+            if (h.getString("kind").equals("daemon")) {
+                seeds.add(
+                        new JsonObject()
+                                .put("host", h.getString("host"))
+                                .put("failureDomain", h.getString("failure_domain"))
+                                .put("peer", h.getString("address")));
+            }
+        }
+        return seeds;
+    }
+
     /** Starts a daemon, or starts it again after it was killed or drained. */
     public void startDaemon(String host) throws IOException {
         processes.put(
--- a/acceptance/src/test/java/org/godwithoist/acceptance/ServerProcess.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/ServerProcess.java
@@ -51,6 +51,8 @@
     /** Ends the process at once, without a chance to drain. */
     public void kill() {
         process.destroyForcibly();
+        // The port must be free before a test starts the next process on it.
+        process.onExit().join();
     }
 
     /** Asks the process to drain and returns its exit code. */
--- a/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
@@ -106,6 +106,15 @@
         killer.join();
     }
 
+    /** Replaces a daemon by a new process with the same settings. */
+    @When("{string} is killed and started again")
+    public void restart(String daemon) throws IOException, InterruptedException {
+        fleet.process(daemon).kill();
+        fleet.startDaemon(daemon);
+        awaitReady(daemon);
+        transcript.note(daemon + " was killed and started again and is ready");
+    }
+
     // ---- plain services
 
     /** Calls a plain service with an idempotency key. */
--- a/acceptance/src/test/resources/features/store_outage.feature
+++ b/acceptance/src/test/resources/features/store_outage.feature
@@ -10,3 +10,10 @@
     And workspace "ghent" posts {"item":"ring 54"} to "/services/tickets/bookings" with key "b-3" at "daemon-1"
     Then the service executed key "b-3" 1 times
     And the session matches "store_outage"
+
+  Scenario: A daemon starts fresh during the outage and takes the bundle from a peer
+    Given a fleet with 1 engines and 2 daemons
+    And platform faults {"down": true}
+    When "daemon-2" is killed and started again
+    Then both daemons have revision 1
+    And the session matches "fresh_daemon"
--- a/daemon/src/main/java/org/godwithoist/daemon/Control.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Control.java
@@ -28,6 +28,9 @@
 
 /** The parts of a daemon that agree with the other daemons: members, orders and the bundle. */
 final class Control {
+    /** Lower than the incarnation of every run, so that the seed's own word replaces it. */
+    private static final long UNKNOWN_INCARNATION = 0;
+
     private final DaemonSettings settings;
     private final FleetMembership membership;
     private final GrpcPeerTransport transport;
@@ -45,7 +48,7 @@
         membership =
                 new FleetMembership(
                         self,
-                        List.of(),
+                        seeds(settings),
                         MembershipConfig.DEFAULT,
                         Ticker.SYSTEM,
                         platform,
@@ -69,6 +72,13 @@
         auth = new OperatorAuth(settings.operatorKeys());
     }
 
+    private static List<Member> seeds(DaemonSettings settings) {
+        return settings.seeds().stream()
+                .filter(s -> !s.host().equals(settings.host()))
+                .map(s -> new Member(s.host(), s.failureDomain(), s.peer(), UNKNOWN_INCARNATION))
+                .toList();
+    }
+
     /** Starts to listen for peers and starts the tasks; all handlers must be registered by now. */
     void start() {
         transport.listen(settings.peers());
--- a/settings/src/main/java/org/godwithoist/settings/DaemonSettings.java
+++ b/settings/src/main/java/org/godwithoist/settings/DaemonSettings.java
@@ -23,6 +23,7 @@
  * @param peers endpoint for the other daemons
  * @param platform endpoint of the platform's services
  * @param peerKeys keys of messages between daemons; the first signs, all verify
+ * @param seeds daemons to ask first; needed only to start while the platform does not answer
  * @param operatorKeys operators; at least two, because author and signer differ
  */
 public record DaemonSettings(
@@ -33,6 +34,7 @@
         Endpoint peers,
         Endpoint platform,
         List<PeerKey> peerKeys,
+        List<Seed> seeds,
         List<OperatorKey> operatorKeys) {
     private static final String NONE = "none";
     private static final Pattern OPERATOR_NAME = Pattern.compile("[A-Za-z0-9._@-]{1,100}");
@@ -42,6 +44,7 @@
     /** Copies the lists. */
     public DaemonSettings {
         peerKeys = List.copyOf(peerKeys);
+        seeds = List.copyOf(seeds);
         operatorKeys = List.copyOf(operatorKeys);
     }
 
@@ -66,11 +69,12 @@
         listen.finish();
         Endpoint platform = endpoint(root, "platform");
         List<PeerKey> peerKeys = readPeerKeys(root);
+        List<Seed> seeds = readSeeds(root);
         List<OperatorKey> operatorKeys = readOperatorKeys(root);
         root.finish();
         findings.throwIfAny();
         return new DaemonSettings(
-                host, domain, callers, operators, peers, platform, peerKeys, operatorKeys);
+                host, domain, callers, operators, peers, platform, peerKeys, seeds, operatorKeys);
     }
 
     private static Endpoint endpoint(ObjectReader r, String name) {
@@ -99,6 +103,24 @@
         return keys;
     }
 
+    private static List<Seed> readSeeds(ObjectReader root) {
+        List<Seed> seeds = new ArrayList<>();
+        Set<HostId> hosts = new HashSet<>();
+        for (ObjectReader r : root.objects("seeds")) {
+            var host = r.required("host", HostId::new);
+            var domain = r.required("failureDomain", FailureDomainId::new);
+            var peer = r.required("peer", Endpoint::parse);
+            r.finish();
+            if (host.isPresent() && !hosts.add(host.get())) {
+                r.add("host", "repeats " + host.get());
+            }
+            if (host.isPresent() && domain.isPresent() && peer.isPresent()) {
+                seeds.add(new Seed(host.get(), domain.get(), peer.get()));
+            }
+        }
+        return seeds;
+    }
+
     private static List<OperatorKey> readOperatorKeys(ObjectReader root) {
         List<OperatorKey> keys = new ArrayList<>();
         Set<String> names = new HashSet<>();
--- a/settings/src/test/java/org/godwithoist/settings/DaemonSettingsTest.java
+++ b/settings/src/test/java/org/godwithoist/settings/DaemonSettingsTest.java
@@ -30,6 +30,25 @@
         }
     }
 
+    @Nested
+    class Seeds {
+        /** Guards against a seed that is never reached because of a typing error. */
+        @Test
+        void areCheckedTogether() throws IOException {
+            String bad = example().replace("10.0.1.7:8082", "entry-1:8082");
+            var e =
+                    assertThrows(
+                            FindingsException.class, () -> DaemonSettings.parse("s.json", bad));
+            assertEquals("/seeds/0/peer", e.findings().get(0).place().path());
+        }
+
+        @Test
+        void areRead() throws IOException {
+            DaemonSettings settings = DaemonSettings.parse("settings.json", example());
+            assertEquals("10.0.1.7:8082", settings.seeds().get(0).peer().toString());
+        }
+    }
+
     @Nested
     class Operators {
         /** Guards against a faulty operator that is found only when a signature is checked. */
