Let owners open reserved slots to holders without contact to all members

A trace shows that a cold target's whole limit is reserved (2 holders, limit 2), so the owner has no slot to grant, and holders used the reserved slots only in contact with all members. While any member is paused or dead for less than 15 s, cold targets get no work.

The contact rule stays for reserved slots without an owner. SlotSource tells the three kinds of slots apart.

--- a/admission/src/main/java/org/godwithoist/admission/HeldSlot.java
+++ b/admission/src/main/java/org/godwithoist/admission/HeldSlot.java
@@ -17,7 +17,7 @@
 
     private final SlotCache origin;
     private final TargetId target;
-    private final boolean reserved;
+    private final SlotSource source;
     private final long expiry;
     private final String targetIncarnation;
     private Stage stage = Stage.HELD;
@@ -25,12 +25,12 @@
     HeldSlot(
             SlotCache origin,
             TargetId target,
-            boolean reserved,
+            SlotSource source,
             long expiry,
             String targetIncarnation) {
         this.origin = origin;
         this.target = target;
-        this.reserved = reserved;
+        this.source = source;
         this.expiry = expiry;
         this.targetIncarnation = targetIncarnation;
     }
@@ -52,8 +52,12 @@
 
     // ---- state, guarded by the cache's lock
 
+    SlotSource source() {
+        return source;
+    }
+
     boolean reserved() {
-        return reserved;
+        return source.reserved();
     }
 
     long expiry() {
--- a/admission/src/main/java/org/godwithoist/admission/SlotCache.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotCache.java
@@ -93,7 +93,7 @@
         int inUse;
         int reservedTaken;
         boolean counted = true;
-        long reservedUntil = NEVER;
+        long openUntil = NEVER;
         Optional<OwnerAnswer.TargetNews> news = Optional.empty();
 
         int used() {
@@ -200,40 +200,42 @@
         }
         if (batch != null) {
             batch.left--;
-            return Optional.of(hold(target, t, false, batch.expiry));
+            return Optional.of(hold(target, t, SlotSource.GRANTED, batch.expiry));
         }
-        long until = reservedUntil(target, t, now);
-        if (until == NEVER || !rules.acceptsWork(target)) {
+        Optional<SlotSource> source = reservedSource(target, t, now);
+        if (source.isEmpty() || !rules.acceptsWork(target)) {
             return Optional.empty();
         }
         t.reservedTaken++;
-        return Optional.of(hold(target, t, true, until));
+        boolean opened = source.get() == SlotSource.RESERVED_OPENED;
+        long expiry = opened ? t.openUntil : now + timing.grantTtl().toNanos();
+        return Optional.of(hold(target, t, source.get(), expiry));
     }
 
-    private Slot hold(TargetId target, TargetSlots t, boolean reserved, long expiry) {
+    private Slot hold(TargetId target, TargetSlots t, SlotSource source, long expiry) {
         String run = t.news.map(n -> n.targetIncarnation()).orElse("");
-        HeldSlot slot = new HeldSlot(this, target, reserved, expiry, run);
+        HeldSlot slot = new HeldSlot(this, target, source, expiry, run);
         t.held.add(slot);
         changed = true;
         return slot;
     }
 
-    /** Returns until when a free reserved slot may be used, or NEVER if there is none. */
-    private long reservedUntil(TargetId target, TargetSlots t, long now) {
-        int held = rules.reservedHeld(target);
-        if (t.reservedTaken >= held || !rules.inContactWithAll()) {
-            return NEVER;
+    /** Returns why a free reserved slot may be used now, or empty if there is none. */
+    private Optional<SlotSource> reservedSource(TargetId target, TargetSlots t, long now) {
+        if (t.reservedTaken >= rules.reservedHeld(target)) {
+            return Optional.empty();
         }
-        if (t.reservedUntil != NEVER && now - t.reservedUntil < 0) {
-            return t.reservedUntil;
+        if (t.openUntil != NEVER && now - t.openUntil < 0) {
+            return Optional.of(SlotSource.RESERVED_OPENED);
         }
         long since = ownerlessSince();
         boolean fits =
                 since != NEVER
                         && now - since > timing.grantLife().toNanos()
+                        && rules.inContactWithAll()
                         && rules.reservedFitWithoutOwner(
                                 target, since + timing.grantLife().toNanos());
-        return fits ? now + timing.grantTtl().toNanos() : NEVER;
+        return fits ? Optional.of(SlotSource.RESERVED_WITHOUT_OWNER) : Optional.empty();
     }
 
     /** Returns since when no owner can have granted slots to any daemon, or NEVER. */
@@ -255,8 +257,7 @@
                 return slot.stage() == HeldSlot.Stage.USED;
             }
             boolean late = ticker.nanos() - slot.expiry() >= 0;
-            boolean barred = slot.reserved() && !rules.inContactWithAll();
-            if (late || barred || !rules.acceptsWork(slot.target())) {
+            if (late || !slot.source().mayUse(rules) || !rules.acceptsWork(slot.target())) {
                 return false;
             }
             slot.stage(HeldSlot.Stage.USED);
@@ -560,7 +561,7 @@
             for (OwnerAnswer.TargetNews n : answer.news()) {
                 TargetSlots t = slots(n.target());
                 t.news = Optional.of(n);
-                t.reservedUntil = n.reservedOpen() && !expired ? expiry : NEVER;
+                t.openUntil = n.reservedOpen() && !expired ? expiry : NEVER;
             }
             if (!expired) {
                 answer.grants().forEach(g -> granted(g, expiry));
@@ -583,7 +584,7 @@
             if (meant) {
                 it.remove();
                 left--;
-                w.slot.complete(hold(g.target(), t, false, expiry));
+                w.slot.complete(hold(g.target(), t, SlotSource.GRANTED, expiry));
             }
         }
         if (left > 0) {
@@ -602,7 +603,7 @@
             }
             long now = ticker.nanos();
             boolean free = t.free.stream().anyMatch(b -> b.left > 0 && now - b.expiry < 0);
-            if (free || reservedUntil(target, t, now) != NEVER) {
+            if (free || reservedSource(target, t, now).isPresent()) {
                 return Duration.ZERO;
             }
             return t.news.map(n -> n.expectedWait()).orElse(Duration.ZERO);
--- a/admission/src/test/java/org/godwithoist/admission/SkewBoundPropertyTest.java
+++ b/admission/src/test/java/org/godwithoist/admission/SkewBoundPropertyTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Group;
 import net.jqwik.api.Property;
@@ -33,6 +34,42 @@
         }
     }
 
+    /** Situations that random schedules have found. */
+    @Group
+    class FoundSchedules {
+        /**
+         * Guards against cold targets that get no work while a daemon is paused: their whole limit
+         * is reserved, and holders that are not in contact with the paused daemon used none of it.
+         */
+        @Example
+        void coldTargetsGetWorkWhileOneDaemonIsPaused() {
+            VirtualFleet f = new VirtualFleet(1, 4, 4, LIMITS);
+            f.run(Duration.ofSeconds(20));
+            VirtualFleet.Node owner = f.owner().orElseThrow();
+            f.nodes.values().stream()
+                    .filter(n -> n != owner)
+                    .findFirst()
+                    .ifPresent(n -> n.paused = true);
+            f.run(Duration.ofSeconds(3));
+            for (VirtualFleet.Node n : f.nodes.values()) {
+                for (TargetId t : f.engines.keySet()) {
+                    n.does(() -> n.serve(t, "w0", Priority.INTERACTIVE, 0, 200 * MS));
+                }
+            }
+            f.run(Duration.ofSeconds(3));
+            assertEquals(List.of(), f.violations);
+            assertTrue(f.accepted > 0, "no cold target got work");
+        }
+
+        /** Guards against 40 rounds in which nothing is accepted, for the cause above. */
+        @Example
+        void scheduleWithFrequentPausesAcceptsWork() {
+            VirtualFleet f = schedule(-2248993);
+            assertEquals(List.of(), f.violations);
+            assertTrue(f.accepted > 0, "nothing was accepted");
+        }
+    }
+
     VirtualFleet schedule(long seed) {
         VirtualFleet f = new VirtualFleet(seed, 4, 4, LIMITS);
         f.run(Duration.ofSeconds(3));
