Speak HTTP/1.1 only at daemons and stand-ins and bound every wait of the fault tests

Reproduced; the thread dump shows the test waiting for GET /log of an engine stand-in (19 KB). The JDK's HTTP client offers an upgrade to HTTP/2, and the server library sends the data of a large upgraded answer on stream 0 ('protocol error: zero streamId for DataFrame'), or the client waits without end. Ruled out: a daemon that loses a keyed call (all callers had ended) and a blocked stand-in (curl got the log in 5 ms).

The new test of the platform stand-in failed with the protocol error before and passes after.

--- a/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -24,10 +25,15 @@
     private static final List<String> OPERATORS = List.of("anna", "ben", "carol");
     private static final int CONTACT_ATTEMPTS = 200;
     private static final int CONTACT_INTERVAL_MS = 50;
+
+    /** Above every deadline of a request; a lost answer then fails its test and not all of CI. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(60);
+
     private static final String BUNDLE_RESOURCE = "/bundles/small.json";
 
     private final Path folder;
-    private final HttpClient http = HttpClient.newHttpClient();
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final Map<String, ServerProcess> processes = new TreeMap<>();
     private final Map<String, Integer> ports = new TreeMap<>();
     private final JsonArray hosts = new JsonArray();
@@ -151,6 +157,7 @@
             throws IOException, InterruptedException {
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(URI.create("http://" + LOOPBACK + ":" + port(to) + path))
+                        .timeout(ANSWER_TIMEOUT)
                         .method(method, HttpRequest.BodyPublishers.ofString(body));
         headers.forEach(request::header);
         return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
--- a/chat/src/main/java/org/godwithoist/chat/http/CallerServer.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/CallerServer.java
@@ -6,7 +6,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
@@ -15,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.http.HttpServers;
 
 /**
  * The HTTP server for callers with its limits on headers, connections and quiet connections. Keeps
@@ -54,10 +54,9 @@
     /** Makes a server that passes requests to the handler; the caller lets it listen. */
     public HttpServer create(Handler<HttpServerRequest> handler) {
         var options =
-                new HttpServerOptions()
+                HttpServers.http1Options()
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxInitialLineLength(MAX_LINE_BYTES)
-                        .setHttp2ClearTextEnabled(false)
                         .setHandle100ContinueAutomatically(true)
                         .setTcpNoDelay(true);
         return vertx.createHttpServer(options)
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/http/package-info.java
@@ -0,0 +1,2 @@
+/** Common settings of HTTP servers. */
+package org.godwithoist.core.http;
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -8,6 +8,7 @@
 import io.vertx.ext.web.Router;
 import java.time.Duration;
 import org.godwithoist.chat.http.CallerServer;
+import org.godwithoist.core.http.HttpServers;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
@@ -51,7 +52,9 @@
     /** Starts to listen; returns when operators and callers can connect. */
     public void start() {
         control.start();
-        listen(vertx.createHttpServer().requestHandler(operators()), settings.operators());
+        listen(
+                vertx.createHttpServer(HttpServers.http1Options()).requestHandler(operators()),
+                settings.operators());
         listen(new CallerServer(vertx).create(callers()), settings.callers());
         Tasks.start("readiness", this::awaitReady);
         LOG.atInfo().log(
--- a/standins/src/main/java/org/godwithoist/standins/engine/EngineStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/engine/EngineStandin.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.godwithoist.core.Priority;
+import org.godwithoist.core.http.HttpServers;
 import org.godwithoist.core.id.Endpoint;
 
 /**
@@ -71,7 +72,7 @@
         sampleLoad();
         vertx.setPeriodic(LOAD_SAMPLE_MS, t -> sampleLoad());
         vertx.setPeriodic(KEEPALIVE_MS, t -> generations.values().forEach(Generation::keepAlive));
-        return vertx.createHttpServer()
+        return vertx.createHttpServer(HttpServers.http1Options())
                 .requestHandler(routes())
                 .listen(endpoint.port(), endpoint.ip());
     }
--- a/standins/src/main/java/org/godwithoist/standins/platform/PlatformStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/platform/PlatformStandin.java
@@ -14,6 +14,7 @@
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.godwithoist.core.http.HttpServers;
 import org.godwithoist.core.id.Endpoint;
 
 /**
@@ -47,7 +48,7 @@
 
     /** Starts to listen. */
     public Future<HttpServer> listen(Endpoint endpoint) {
-        return vertx.createHttpServer()
+        return vertx.createHttpServer(HttpServers.http1Options())
                 .requestHandler(routes())
                 .listen(endpoint.port(), endpoint.ip());
     }
--- a/standins/src/main/java/org/godwithoist/standins/service/ServiceStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/service/ServiceStandin.java
@@ -8,6 +8,7 @@
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
+import org.godwithoist.core.http.HttpServers;
 import org.godwithoist.core.id.Endpoint;
 
 /**
@@ -40,7 +41,7 @@
         router.get("/v1/load")
                 .handler(c -> c.json(new JsonObject().put("running", inProgress).put("age_ms", 0)));
         router.route().handler(this::call);
-        return vertx.createHttpServer()
+        return vertx.createHttpServer(HttpServers.http1Options())
                 .requestHandler(router)
                 .listen(endpoint.port(), endpoint.ip());
     }
--- a/standins/src/test/java/org/godwithoist/standins/platform/PlatformStandinTest.java
+++ b/standins/src/test/java/org/godwithoist/standins/platform/PlatformStandinTest.java
@@ -10,6 +10,11 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.WebClient;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -71,6 +76,32 @@
         return Await.result(client.read(Table.CLAIM, key), TIMEOUT);
     }
 
+    /** Clients that offer to upgrade a connection to HTTP/2, as the client of the JDK does. */
+    @Nested
+    class WhenAClientOffersHttp2 {
+        private static final int CLIENTS = 20;
+        private static final int OBJECT_BYTES = 64 * 1024;
+
+        /**
+         * Guards against answers above 16 KiB that never end: on an upgraded connection the first
+         * one could stall, which made a fault test wait for a log until CI ended it.
+         */
+        @Test
+        void largeAnswersAreWhole() throws IOException, InterruptedException {
+            byte[] object = new byte[OBJECT_BYTES];
+            Await.result(client.put("large", object), TIMEOUT);
+            URI uri = URI.create("http://" + endpoint + "/objects/large");
+            for (int i = 0; i < CLIENTS; i++) {
+                HttpResponse<byte[]> answer =
+                        HttpClient.newHttpClient()
+                                .send(
+                                        HttpRequest.newBuilder(uri).timeout(TIMEOUT).build(),
+                                        HttpResponse.BodyHandlers.ofByteArray());
+                assertEquals(OBJECT_BYTES, answer.body().length);
+            }
+        }
+    }
+
     @Nested
     class WhenTheStoreAnswers {
         @Test
