Let the first attempt settle before the answer ends in the test of a lost request

The first attempt is cancelled and settled by a task of its own; the fake engine answers the second attempt at once, so the answer could end first. An answer that counts one attempt as unsettled is then true, so the product is right and the test raced. Change: the fake engine holds back the end of the answer until the first attempt is settled; the assertion stays as it is.

--- a/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/ChatServiceTest.java
@@ -187,11 +187,16 @@
         void requestThatNeverArrivedIsSentAgain() {
             fleet.engine(1).silentAt = 0;
             fleet.engine(1).forgetsSilentRequest = true;
+            // The first attempt is settled by a task of its own, which may end after the answer.
+            var settled = new CompletableFuture<Void>();
+            fleet.engine(1).endGate = settled;
             Tasks.start(
                     "heal",
                     () -> {
                         await(() -> calls("resume") > 0);
                         fleet.engine(1).silentAt = Integer.MAX_VALUE;
+                        await(() -> calls("open engine-1") == 2 && fleet.openAttempts.size() == 1);
+                        settled.complete(null);
                     });
             serve();
             assertEquals(0, caller.end.unsettledAttempts());
--- a/chat/src/test/java/org/godwithoist/chat/FakeEngines.java
+++ b/chat/src/test/java/org/godwithoist/chat/FakeEngines.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.godwithoist.accounting.Usage;
@@ -37,6 +38,10 @@
         volatile boolean swaps;
         volatile int losesOnce;
         volatile long paceMs;
+
+        /** Holds back the end of an answer until it is complete. */
+        volatile CompletableFuture<Void> endGate = CompletableFuture.completedFuture(null);
+
         private final Map<RequestId, Work> work = new ConcurrentHashMap<>();
         final Map<RequestId, Usage> counted = new ConcurrentHashMap<>();
     }
@@ -226,7 +231,9 @@
             }
             if (next >= events.size()) {
                 work.generated = WORDS - work.firstWord + 1;
-                return Uni.createFrom().item(new EngineEvent.End(count(engine, attempt), "stop"));
+                return Uni.createFrom()
+                        .completionStage(engine.endGate)
+                        .map(v -> new EngineEvent.End(count(engine, attempt), "stop"));
             }
             EngineEvent event = events.get(next++);
             if (event instanceof EngineEvent.Piece p) {
