Share one retry budget between chats and services

Cause: two classes RetryBudget computed the same tenth of the last 10 s in two ways and had no test of their own. Change: one class in core with the sums kept up to date instead of added up for each question; the two floors stay as they were and are an enum (10 in the window at once for chats, one in each second for services). A first try with the floor of chats for both made safeCallIsRetriedWithinTheBudget fail and was dropped.

--- a/chat/src/main/java/org/godwithoist/chat/ChatService.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatService.java
@@ -17,6 +17,7 @@
 import org.godwithoist.core.error.RequestException;
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.retry.RetryBudget;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.AwaitTimeoutException;
 import org.godwithoist.core.task.Tasks;
@@ -56,7 +57,10 @@
     /** Makes the service from the parts that it uses. */
     public ChatService(ChatContext context) {
         this.context = context;
-        workload = new Workload(new RetryBudget(context.ticker()), new AtomicInteger());
+        workload =
+                new Workload(
+                        new RetryBudget(context.ticker(), RetryBudget.Floor.BURST),
+                        new AtomicInteger());
     }
 
     /**
--- a/chat/src/main/java/org/godwithoist/chat/Workload.java
+++ b/chat/src/main/java/org/godwithoist/chat/Workload.java
@@ -1,6 +1,7 @@
 package org.godwithoist.chat;
 
 import java.util.concurrent.atomic.AtomicInteger;
+import org.godwithoist.core.retry.RetryBudget;
 
 /**
  * What the requests of a daemon share.
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Limits of retries. */
+package org.godwithoist.core.retry;
--- a/services/src/main/java/org/godwithoist/services/ServiceCalls.java
+++ b/services/src/main/java/org/godwithoist/services/ServiceCalls.java
@@ -23,6 +23,7 @@
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.retry.RetryBudget;
 import org.godwithoist.core.task.AwaitTimeoutException;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
@@ -82,7 +83,7 @@
         this.client = client;
         this.usage = usage;
         this.claims = claims;
-        this.retries = new RetryBudget(ticker);
+        this.retries = new RetryBudget(ticker, RetryBudget.Floor.STEADY);
     }
 
     /**
