Report why the admission experiment loses cached history

Change: each turn that is not served where most of its history is cached is counted by cause, at the moment it leaves its first choice.

--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/AdmissionExperiment.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/AdmissionExperiment.java
@@ -1,7 +1,9 @@
 package org.godwithoist.loadtool.admission;
 
+import java.util.EnumMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -59,10 +61,26 @@
                         + " | not served |");
         System.out.println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
         double best = 0;
+        Map<Alternative, World> worlds = new EnumMap<>(Alternative.class);
         for (Alternative a : Alternative.values()) {
             World w = simulate(a, trace);
             best = a == Alternative.OMNISCIENT ? w.reuse() : best;
             print(a, w, best, trace.size());
+            worlds.put(a, w);
+        }
+        printLosses(worlds);
+    }
+
+    private static void printLosses(Map<Alternative, World> worlds) {
+        System.out.printf("%n| history not found, %% | omniscient | granted slots |%n");
+        System.out.println("|---|---|---|");
+        for (LossCause c : LossCause.values()) {
+            System.out.printf(
+                    Locale.ROOT,
+                    "| %s | %.1f | %.1f |%n",
+                    c.name().toLowerCase(Locale.ROOT),
+                    worlds.get(Alternative.OMNISCIENT).lostPercent(c),
+                    worlds.get(Alternative.GRANTED_SLOTS).lostPercent(c));
         }
     }
 
--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/SlotFleet.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/SlotFleet.java
@@ -121,6 +121,20 @@
         serving.place(turn);
     }
 
+    private void noteRefusal(Turn turn, int engine) {
+        EngineModel e = world.engines.get(engine);
+        int limit =
+                daemons.stream()
+                        .filter(d -> !isPaused(d) && d.lease.owns())
+                        .flatMap(d -> d.ledger.stream())
+                        .filter(SlotLedger::ready)
+                        .mapToInt(l -> l.limit(target(engine)))
+                        .findFirst()
+                        .orElse(-1);
+        world.refused(
+                turn, LossCause.of(e.load(), world.bound(), limit, world.limits.reservedTotal()));
+    }
+
     // ---- one daemon
 
     private final class Daemon implements HolderRules {
@@ -182,6 +196,7 @@
                 return;
             }
             cache.withdraw(w);
+            noteRefusal(turn, ranked.get(0));
             int best = ranked.get(0);
             for (int i : ranked) {
                 if (cache.expectedWait(target(i)).compareTo(cache.expectedWait(target(best))) < 0) {
--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/World.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/World.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -40,6 +41,8 @@
     final int[][] sent;
     final Deque<Consumer<Boolean>> waiting = new ArrayDeque<>();
     private final Deque<double[]> means = new ArrayDeque<>();
+    private final Map<LossCause, Long> lostTokens = new EnumMap<>(LossCause.class);
+    private final Map<Turn, LossCause> refused = new HashMap<>();
     private final Map<Faults, Double> peaks = new EnumMap<>(Faults.class);
     private final Histogram added = new Histogram(3);
     private final Histogram addedInFaults = new Histogram(3);
@@ -124,6 +127,7 @@
         accepts++;
         reusedTokens += e.cached(turn);
         historyTokens += turn.history();
+        noteLoss(turn, e.cached(turn));
         double before = mean();
         long waited = time.now() - turn.at() - HOP;
         e.accept(
@@ -147,6 +151,23 @@
         }
     }
 
+    /** Notes why the engine with the largest part of a turn's history did not get the turn. */
+    void refused(Turn turn, LossCause cause) {
+        refused.putIfAbsent(turn, cause);
+    }
+
+    private void noteLoss(Turn turn, int found) {
+        int most = engines.stream().mapToInt(e -> e.cached(turn)).max().orElse(0);
+        LossCause cause = refused.remove(turn);
+        lostTokens.merge(LossCause.IN_NO_CACHE, (long) turn.history() - most, Long::sum);
+        if (most > found) {
+            lostTokens.merge(
+                    cause == null ? LossCause.ASKED_ELSEWHERE : cause,
+                    (long) most - found,
+                    Long::sum);
+        }
+    }
+
     private void record(long millis) {
         added.recordValue(Math.max(0, millis));
         if (Faults.current(time.now()) != Faults.NONE) {
@@ -175,6 +196,12 @@
         return (double) reusedTokens / Math.max(1, historyTokens);
     }
 
+    /** Returns the share of all history that was not found for a cause, in percent. */
+    double lostPercent(LossCause cause) {
+        long lost = lostTokens.getOrDefault(cause, 0L);
+        return (double) PERCENT * lost / Math.max(1, historyTokens);
+    }
+
     long accepts() {
         return accepts;
     }
