Run the admission experiment with the real router and churn

Cause: the experiment's router asked the hash target of a chat, left it after 10 ms and moved no caches, so it measured another router than the daemon's.

Change: SlotWait decides where a request waits and until when: as long as the wait is cheaper than the next option, compared again at the owner's next answer and after at most 250 ms. The omniscient router keeps the cold-start limit too.

First-token times are stated per 1,000 uncached tokens. With raw times most engines were taken for cold, because a whole prompt takes more than five times the median of turns whose history is cached.

--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/AdmissionExperiment.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/AdmissionExperiment.java
@@ -1,9 +1,11 @@
 package org.godwithoist.loadtool.admission;
 
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -11,7 +13,9 @@
 /** Compares the alternatives of design section 5.5 on one trace and prints a table. */
 public final class AdmissionExperiment {
     private static final int USAGE_ERROR = 2;
+    private static final int COLUMNS = 19;
     private static final int PERCENT = 100;
+    private static final double P50 = 50;
     private static final double P95 = 95;
     private static final double P99 = 99;
 
@@ -33,6 +37,20 @@
     @Option(name = "--skew-floor", usage = "requests in progress that are always permitted")
     private int skewFloor = 4;
 
+    @Option(name = "--replace-every", usage = "seconds between replacements of an engine; 0: none")
+    private int replaceEvery;
+
+    @Option(
+            name = "--move-ms-per-token",
+            usage = "time of a cache move for each token; negative: caches cannot be moved")
+    private double moveMsPerToken = 0.01;
+
+    @Option(name = "--release-moved", usage = "engines release a cache that they exported")
+    private boolean releaseMoved;
+
+    @Option(name = "--granted-only", usage = "run only the yardstick and granted slots")
+    private boolean grantedOnly;
+
     private AdmissionExperiment() {}
 
     /** Runs the program. */
@@ -52,17 +70,27 @@
     private void run() {
         List<Turn> trace = Turn.trace(seed, engines, daemons, seconds);
         System.out.printf(
-                "%d engines, %d daemons, %d reserved holders, floor %d, seed %d, %d s, %d turns%n%n",
-                engines, daemons, reservedHolders, skewFloor, seed, seconds, trace.size());
+                "%d engines, %d daemons, %d reserved holders, floor %d, seed %d, %d s, %d turns,"
+                        + " an engine replaced every %d s, %.3f ms per token moved%n%n",
+                engines,
+                daemons,
+                reservedHolders,
+                skewFloor,
+                seed,
+                seconds,
+                trace.size(),
+                replaceEvery,
+                moveMsPerToken);
         System.out.println(
                 "| alternative | peak/mean: no fault | lists disagree | owner paused | store down"
-                        + " | surge | over bound % | reuse % of omniscient | control B/s per daemon"
+                        + " | surge | over bound % | reuse % of omniscient | moved % | control B/s per daemon"
                         + " | forwarded B/s per daemon | added ms: mean | p95 | p99 | in faults p99"
+                        + " | first token ms: p50 | p95 | p99"
                         + " | not served |");
-        System.out.println("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        System.out.println("|" + "---|".repeat(COLUMNS));
         double best = 0;
         Map<Alternative, World> worlds = new EnumMap<>(Alternative.class);
-        for (Alternative a : Alternative.values()) {
+        for (Alternative a : alternatives()) {
             World w = simulate(a, trace);
             best = a == Alternative.OMNISCIENT ? w.reuse() : best;
             print(a, w, best, trace.size());
@@ -71,6 +99,15 @@
         printLosses(worlds);
     }
 
+    private Set<Alternative> alternatives() {
+        return grantedOnly
+                ? EnumSet.of(
+                        Alternative.OMNISCIENT,
+                        Alternative.GRANTED_SHORT_WAIT,
+                        Alternative.GRANTED_SLOTS)
+                : EnumSet.allOf(Alternative.class);
+    }
+
     private static void printLosses(Map<Alternative, World> worlds) {
         System.out.printf("%n| history not found, %% | omniscient | granted slots |%n");
         System.out.println("|---|---|---|");
@@ -85,14 +122,17 @@
     }
 
     private World simulate(Alternative a, List<Turn> trace) {
-        World w = new World(seed, engines, daemons, reservedHolders, skewFloor);
-        run(w, a, trace, seconds);
+        World w =
+                new World(
+                        seed, engines, daemons, reservedHolders, skewFloor, replaceEvery, seconds);
+        w.releaseMoved = releaseMoved;
+        run(w, a, trace, seconds, moveMsPerToken);
         return w;
     }
 
     /** Runs a trace through one alternative in a fresh world. */
-    static void run(World w, Alternative a, List<Turn> trace, int seconds) {
-        SlotFleet slots = a == Alternative.GRANTED_SLOTS ? new SlotFleet(w) : null;
+    static void run(World w, Alternative a, List<Turn> trace, int seconds, double moveMsPerToken) {
+        SlotFleet slots = a.fleet(w, moveMsPerToken).orElse(null);
         for (Turn t : trace) {
             w.time.after(t.at(), () -> a.place(w, t, slots));
         }
@@ -101,7 +141,7 @@
         w.controlBytes +=
                 2L
                         * a.pollers(w.daemons)
-                        * w.engines.size()
+                        * w.ranked(trace.getFirst()).size()
                         * seconds
                         * Alternative.LOAD_POLL_BYTES;
     }
@@ -114,15 +154,19 @@
         line.append(
                 String.format(
                         Locale.ROOT,
-                        " | %.2f | %.1f | %d | %d | %.1f | %d | %d | %d | %d |",
+                        " | %.2f | %.1f | %.1f | %d | %d | %.1f | %d | %d | %d | %d | %d | %d | %d |",
                         w.overBoundPercent(),
                         PERCENT * w.reuse() / best,
+                        w.movedPercent(),
                         w.controlBytes / seconds / daemons,
                         w.forwardedBytes / seconds / daemons,
                         w.added().getMean(),
                         w.added().getValueAtPercentile(P95),
                         w.added().getValueAtPercentile(P99),
                         w.addedInFaults().getValueAtPercentile(P99),
+                        w.firstToken().getValueAtPercentile(P50),
+                        w.firstToken().getValueAtPercentile(P95),
+                        w.firstToken().getValueAtPercentile(P99),
                         turns - w.accepts()));
         System.out.println(line);
     }
--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/Alternative.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/Alternative.java
@@ -1,8 +1,10 @@
 package org.godwithoist.loadtool.admission;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /** The ways of admitting a turn that design section 5.5 compares. */
 enum Alternative {
@@ -10,13 +12,12 @@
     OMNISCIENT {
         @Override
         void place(World w, Turn turn, SlotFleet slots) {
-            int bound = w.bound();
             List<Integer> order = new ArrayList<>(w.ranked(turn));
             order.sort(
                     Comparator.comparingInt((Integer i) -> -w.engines.get(i).cached(turn))
                             .thenComparingInt(i -> w.engines.get(i).load()));
             for (int i : order) {
-                if (w.engines.get(i).load() + onTheWay(w, i) < bound) {
+                if (w.engines.get(i).load() + onTheWay(w, i) < w.bound(i)) {
                     w.send(turn, i, () -> next(w));
                     return;
                 }
@@ -53,11 +54,12 @@
         @Override
         void place(World w, Turn turn, SlotFleet slots) {
             double sum = 0;
-            for (int r : w.reported) {
-                sum += r;
+            List<Integer> ranked = w.ranked(turn);
+            for (int i : ranked) {
+                sum += w.reported[i];
             }
-            double bound = Math.ceil(BOUNDED_FACTOR * (sum + 1) / w.reported.length);
-            for (int i : w.ranked(turn)) {
+            double bound = Math.ceil(BOUNDED_FACTOR * (sum + 1) / ranked.size());
+            for (int i : ranked) {
                 if (knownLoad(w, turn, i) < bound) {
                     send(w, turn, i);
                     return;
@@ -99,9 +101,8 @@
                 w.time.after(TAKEOVER - pausedFor(w), () -> admit(w, turn));
                 return;
             }
-            int bound = w.bound();
             for (int i : w.ranked(turn)) {
-                if (w.engines.get(i).load() + onTheWay(w, i) < bound) {
+                if (w.engines.get(i).load() + onTheWay(w, i) < w.bound(i)) {
                     w.send(turn, i, () -> next(w));
                     return;
                 }
@@ -113,14 +114,34 @@
             return w.time.now() - Faults.OWNER_PAUSED.from() * VirtualTime.SECOND;
         }
     },
+    /** Granted slots and the router, which leaves its first choice after 10 ms. */
+    GRANTED_SHORT_WAIT {
+        @Override
+        void place(World w, Turn turn, SlotFleet slots) {
+            slots.place(turn);
+        }
+
+        @Override
+        Optional<SlotFleet> fleet(World w, double moveMsPerToken) {
+            return Optional.of(new SlotFleet(w, moveMsPerToken, SHORT_WAIT));
+        }
+    },
     /** The owner grants slots in batches and each daemon has reserved slots. */
     GRANTED_SLOTS {
         @Override
         void place(World w, Turn turn, SlotFleet slots) {
             slots.place(turn);
         }
+
+        @Override
+        Optional<SlotFleet> fleet(World w, double moveMsPerToken) {
+            return Optional.of(new SlotFleet(w, moveMsPerToken, Duration.ofHours(1)));
+        }
     };
 
+    /** Maximum wait at the first choice before design section 6 bound it to its worth. */
+    private static final Duration SHORT_WAIT = Duration.ofMillis(10);
+
     private static final double BOUNDED_FACTOR = 1.25;
     private static final long FORWARD_BYTES = 300;
     private static final long BYTES_PER_TOKEN = 4;
@@ -132,10 +153,20 @@
     /** Admits a turn now or later. */
     abstract void place(World w, Turn turn, SlotFleet slots);
 
+    /**
+     * Returns the daemons with slots, if the alternative has any.
+     *
+     * @param moveMsPerToken time of a cache move for each token; negative if caches cannot be moved
+     */
+    Optional<SlotFleet> fleet(World w, double moveMsPerToken) {
+        return Optional.empty();
+    }
+
     /** Returns the daemons that poll each engine's load. */
     int pollers(int daemons) {
         return switch (this) {
-            case LEAST_LOAD, TWO_CHOICES, BOUNDED_HASH, GRANTED_SLOTS -> daemons;
+            case LEAST_LOAD, TWO_CHOICES, BOUNDED_HASH, GRANTED_SHORT_WAIT, GRANTED_SLOTS ->
+                    daemons;
             case OMNISCIENT, RENDEZVOUS, FIXED_SHARE -> 0;
             case FORWARDING -> 1;
         };
--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/EngineModel.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/EngineModel.java
@@ -9,7 +9,7 @@
 /** An engine with continuous batching and a prompt cache of limited size. */
 final class EngineModel {
     static final int BATCH = 16;
-    private static final int CACHE_TOKENS = 300_000;
+    static final int CACHE_TOKENS = 300_000;
     private static final long PREFILL_NANOS_PER_TOKEN = 50_000;
     private static final long DECODE_NANOS_PER_TOKEN = 30 * VirtualTime.MILLI;
 
@@ -18,6 +18,7 @@
     private final Deque<Runnable> queue = new ArrayDeque<>();
     private int cachedTokens;
     private int running;
+    private boolean inService = true;
 
     EngineModel(VirtualTime time) {
         this.time = time;
@@ -28,6 +29,29 @@
         return running + queue.size();
     }
 
+    /** Returns whether the engine has not been replaced. */
+    boolean inService() {
+        return inService;
+    }
+
+    /** Takes the engine out of service; its cache is lost, its requests run to their end. */
+    void leave() {
+        inService = false;
+        cache.clear();
+        cachedTokens = 0;
+    }
+
+    /** Removes a chat's history, as engines that release exported caches do. */
+    void release(int chat) {
+        Integer tokens = cache.remove(chat);
+        cachedTokens -= tokens == null ? 0 : tokens;
+    }
+
+    /** Returns the tokens of a chat that are cached. */
+    int cachedTokens(int chat) {
+        return cache.getOrDefault(chat, 0);
+    }
+
     /** Returns the tokens of a turn's history that are cached. */
     int cached(Turn turn) {
         return Math.min(turn.history(), cache.getOrDefault(turn.chat(), 0));
@@ -67,7 +91,11 @@
         end.run();
     }
 
-    private void store(int chat, int tokens) {
+    /** Stores the history of a chat, from an answer or from the cache of another engine. */
+    void store(int chat, int tokens) {
+        if (!inService) {
+            return;
+        }
         cachedTokens += tokens - cache.getOrDefault(chat, 0);
         cache.put(chat, tokens);
         var eldest = cache.entrySet().iterator();
--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/SlotFleet.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/SlotFleet.java
@@ -2,11 +2,15 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.godwithoist.admission.Admission;
 import org.godwithoist.admission.AdmissionTiming;
 import org.godwithoist.admission.EngineLoad;
 import org.godwithoist.admission.HolderReport;
@@ -22,7 +26,10 @@
 import org.godwithoist.admission.SlotRequest;
 import org.godwithoist.admission.wire.LeaseRows;
 import org.godwithoist.admission.wire.ReportCodec;
+import org.godwithoist.bundle.FencingMode;
+import org.godwithoist.bundle.Pool;
 import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.ChatId;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
@@ -30,12 +37,25 @@
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.Deadline;
 import org.godwithoist.membership.ServiceState;
 import org.godwithoist.membership.Target;
+import org.godwithoist.membership.TargetDirectory;
 import org.godwithoist.platform.ConditionFailedException;
 import org.godwithoist.platform.OutcomeUnknownException;
 import org.godwithoist.platform.fake.FakeTableStore;
 import org.godwithoist.platform.fake.StoreFault;
+import org.godwithoist.routing.Move;
+import org.godwithoist.routing.Placement;
+import org.godwithoist.routing.PlacementChange;
+import org.godwithoist.routing.PlacementDirectory;
+import org.godwithoist.routing.PrefillSpeed;
+import org.godwithoist.routing.Rendezvous;
+import org.godwithoist.routing.RouteOption;
+import org.godwithoist.routing.RouteRequest;
+import org.godwithoist.routing.Router;
+import org.godwithoist.routing.SlotWait;
+import org.godwithoist.routing.TargetModels;
 
 /**
  * The daemons of one shard with the real leases, ledgers and caches, in virtual time. Messages are
@@ -50,39 +70,54 @@
     /** Frame, header, signature and sequence number around a message between daemons. */
     private static final long ENVELOPE_BYTES = 160;
 
-    /**
-     * News of the owner are up to 500 ms old, so the first choice is always asked. The answer takes
-     * one round trip; after that a turn asks the engine with the shortest wait.
-     */
-    private static final long FIRST_PATIENCE = 10 * VirtualTime.MILLI;
+    /** A look-up with its response, or a report of a placement; estimated, not encoded. */
+    private static final long PLACEMENT_BYTES = 100;
+
+    /** Turns have no deadline, so that every alternative serves the same turns. */
+    private static final Duration NO_DEADLINE = Duration.ofHours(1);
 
-    private static final long LATER_PATIENCE = 300 * VirtualTime.MILLI;
+    /** A move of this time for one token makes every move dearer than any prefill. */
+    private static final Duration NO_MOVE = Duration.ofHours(1);
+
+    private static final double MOVE_FIXED_MS = 20;
 
     private final World world;
     private final FakeTableStore store = new FakeTableStore();
     private final LeaseRows table = new LeaseRows(store);
     private final List<Daemon> daemons = new ArrayList<>();
-    private final List<Target> targets = new ArrayList<>();
+    private final double moveMsPerToken;
+    private final Duration maxWait;
+    private final Pool pool;
+    private long version;
     private Optional<Daemon> paused = Optional.empty();
     private long requests;
 
-    SlotFleet(World world) {
+    /**
+     * Makes the daemons.
+     *
+     * @param moveMsPerToken time of a cache move for each token; negative if caches cannot be moved
+     * @param maxWait longest wait at one engine before another is asked
+     */
+    SlotFleet(World world, double moveMsPerToken, Duration maxWait) {
         this.world = world;
-        for (int i = 0; i < world.engines.size(); i++) {
-            targets.add(
-                    new Target(
-                            target(i),
-                            new HostId("engine-" + i),
-                            SHARD.pool(),
-                            new FailureDomainId("d" + i % 3),
-                            Endpoint.parse("127.0.0.1:1"),
-                            ServiceState.IN));
-        }
+        this.moveMsPerToken = moveMsPerToken;
+        this.maxWait = maxWait;
+        this.pool =
+                new Pool(
+                        SHARD.pool(),
+                        Pool.Kind.ENGINE,
+                        1,
+                        world.limits,
+                        FencingMode.IGNORED,
+                        EngineModel.CACHE_TOKENS);
+        world.onReplaced.add(() -> version++);
+        long second = VirtualTime.SECOND;
+        world.time.after(Faults.LISTS_DISAGREE.from() * second, () -> version++);
+        world.time.after(Faults.LISTS_DISAGREE.to() * second, () -> version++);
         for (int i = 0; i < world.daemons; i++) {
-            daemons.add(new Daemon(new HostId("daemon-" + i)));
+            daemons.add(new Daemon(i));
         }
         daemons.forEach(d -> world.time.every(STEP, d::step));
-        long second = VirtualTime.SECOND;
         world.time.after(Faults.OWNER_PAUSED.from() * second, this::pauseOwner);
         world.time.after(Faults.STORE_DOWN.from() * second, () -> store.setFault(StoreFault.DOWN));
         world.time.after(Faults.STORE_DOWN.to() * second, () -> store.setFault(StoreFault.NONE));
@@ -92,6 +127,28 @@
         return new TargetId("runner-" + engine);
     }
 
+    private static int engine(TargetId target) {
+        return Integer.parseInt(target.value().substring("runner-".length()));
+    }
+
+    private List<Target> targets(boolean blind) {
+        List<Target> targets = new ArrayList<>();
+        for (int i = blind ? 1 : 0; i < world.engines.size(); i++) {
+            if (world.engines.get(i).inService()) {
+                targets.add(
+                        new Target(
+                                target(i),
+                                new HostId("engine-" + i),
+                                SHARD.pool(),
+                                new FailureDomainId("d" + i % 3),
+                                Endpoint.parse("127.0.0.1:1"),
+                                ServiceState.IN));
+            }
+        }
+        targets.sort(Comparator.comparing(Target::id));
+        return targets;
+    }
+
     private void pauseOwner() {
         paused = daemons.stream().filter(d -> d.lease.owns()).findFirst();
         world.time.after(
@@ -121,6 +178,7 @@
         serving.place(turn);
     }
 
+    /** Notes why the engine that a turn asked first had no slot for it. */
     private void noteRefusal(Turn turn, int engine) {
         EngineModel e = world.engines.get(engine);
         int limit =
@@ -131,14 +189,18 @@
                         .mapToInt(l -> l.limit(target(engine)))
                         .findFirst()
                         .orElse(-1);
-        world.refused(
-                turn, LossCause.of(e.load(), world.bound(), limit, world.limits.reservedTotal()));
+        int reserved = world.limits.reservedTotal();
+        world.refused(turn, LossCause.of(e.load(), world.bound(engine), limit, reserved));
     }
 
     // ---- one daemon
 
-    private final class Daemon implements HolderRules {
+    private final class Daemon implements HolderRules, TargetDirectory, Admission {
+        private final int number;
         private final HostId host;
+        private final PlacementDirectory placements;
+        private final Router router;
+        private final Set<Placing> waiting = new LinkedHashSet<>();
         private final ShardLease lease;
         private final SlotCache cache;
         private final List<Runnable> backlog = new ArrayList<>();
@@ -149,9 +211,18 @@
         private long openExchange;
         private long openSince;
         private long lastContact;
-
-        Daemon(HostId host) {
-            this.host = host;
+        private boolean demand;
+
+        Daemon(int number) {
+            this.number = number;
+            this.host = new HostId("daemon-" + number);
+            var ticker = world.time.ticker();
+            this.placements = new PlacementDirectory(PlacementDirectory.DEFAULT_CAPACITY, ticker);
+            TargetModels models = new TargetModels(ticker, () -> world.daemons);
+            if (moveMsPerToken < 0) {
+                models.moved(1, NO_MOVE);
+            }
+            this.router = new Router(this, this, models, Runnable::run);
             this.lease = new ShardLease(host, 1, TIMING, world.time.ticker());
             this.cache = new SlotCache(SHARD, 1, TIMING, world.time.ticker(), this);
         }
@@ -166,66 +237,106 @@
 
         // ---- requests
 
+        /** Looks the chat's placement up at its directory daemon and chooses an engine. */
         void place(Turn turn) {
-            List<Integer> ranked = world.ranked(turn);
-            Optional<Slot> slot = cache.tryAcquire(target(ranked.get(0)));
-            if (slot.isPresent()) {
-                use(turn, ranked.get(0), slot.get());
-            } else {
-                ask(turn, ranked.get(0), ranked, FIRST_PATIENCE);
+            Daemon directory = directory(turn);
+            if (directory == this) {
+                new Placing(this, turn, placements.lookup(chat(turn))).compare();
+                return;
             }
+            world.controlBytes += 2 * (PLACEMENT_BYTES + ENVELOPE_BYTES);
+            world.time.after(
+                    2 * World.HOP,
+                    () -> {
+                        // A look-up that is not answered is no hint.
+                        Optional<Placement> p =
+                                isPaused(directory)
+                                        ? Optional.empty()
+                                        : directory.placements.lookup(chat(turn));
+                        does(() -> new Placing(this, turn, p).compare());
+                    });
         }
 
-        /** Asks for a slot; after a while asks for the engine with the shortest wait instead. */
-        private void ask(Turn turn, int engine, List<Integer> ranked, long patience) {
-            SlotCache.Waiter w =
-                    cache.enqueue(
-                            new SlotRequest(
-                                    new RequestId("r" + requests++),
-                                    new WorkspaceId("w" + turn.workspace()),
-                                    Priority.INTERACTIVE,
-                                    SHARD.pool(),
-                                    target(engine)));
-            var _ = w.slot().thenAccept(s -> use(turn, engine, s));
-            world.time.after(patience, () -> does(() -> reconsider(turn, w, ranked)));
-            report(true);
+        private Daemon directory(Turn turn) {
+            return Rendezvous.rank(chat(turn).value(), daemons, d -> d.host.value()).getFirst();
         }
 
-        private void reconsider(Turn turn, SlotCache.Waiter w, List<Integer> ranked) {
-            if (w.slot().isDone()) {
-                return;
+        private static ChatId chat(Turn turn) {
+            return new ChatId("chat" + turn.chat());
+        }
+
+        private void report(Turn turn, PlacementChange.Kind kind, int engine, int tokens) {
+            Daemon directory = directory(turn);
+            var change = new PlacementChange(kind, target(engine), tokens, Optional.empty());
+            if (directory == this) {
+                placements.report(chat(turn), change);
+            } else {
+                send(
+                        directory,
+                        PLACEMENT_BYTES,
+                        () -> directory.placements.report(chat(turn), change));
             }
-            cache.withdraw(w);
-            noteRefusal(turn, ranked.get(0));
-            int best = ranked.get(0);
-            for (int i : ranked) {
-                if (cache.expectedWait(target(i)).compareTo(cache.expectedWait(target(best))) < 0) {
-                    best = i;
-                }
+        }
+
+        /** Sends a turn after its cache was copied, if the option says so. */
+        private void serve(Placing p, RouteOption option, Slot slot) {
+            EngineModel to = world.engines.get(engine(option.target().id()));
+            if (option.move() != Move.IMPORT) {
+                use(p, engine(option.target().id()), slot);
+                return;
             }
-            ask(turn, best, ranked, LATER_PATIENCE);
+            EngineModel from = world.engines.get(engine(p.placement.orElseThrow().target()));
+            int tokens = from.cachedTokens(p.turn.chat());
+            double ms = MOVE_FIXED_MS + tokens * moveMsPerToken;
+            world.time.after(
+                    (long) (ms * VirtualTime.MILLI),
+                    () ->
+                            does(
+                                    () -> {
+                                        int found = to.cached(p.turn);
+                                        if (world.releaseMoved) {
+                                            from.release(p.turn.chat());
+                                        }
+                                        to.store(p.turn.chat(), tokens);
+                                        world.moved(to.cached(p.turn) - found);
+                                        use(p, engine(option.target().id()), slot);
+                                    }));
         }
 
-        private void use(Turn turn, int engine, Slot slot) {
+        private void use(Placing p, int engine, Slot slot) {
+            Turn turn = p.turn;
             if (!slot.use()) {
                 slot.release(Slot.Outcome.UNUSED, Duration.ZERO);
                 place(turn);
                 return;
             }
+            report(turn, PlacementChange.Kind.STARTED, engine, 0);
             long sentAt = world.time.now();
+            int uncached = turn.prompt() - world.engines.get(engine).cached(turn);
+            AtomicLong first = new AtomicLong();
             world.send(
                     turn,
                     engine,
-                    () -> {
-                        Duration took = Duration.ofNanos(world.time.now() - sentAt);
-                        does(
-                                () -> {
-                                    slot.release(Slot.Outcome.ANSWERED, took);
-                                    if (cache.urgentReturn(RETURN_SPACING)) {
-                                        report(true);
-                                    }
-                                });
-                    });
+                    () -> first.set(world.time.now() - sentAt),
+                    () ->
+                            does(
+                                    () -> {
+                                        ended(turn, engine, uncached, first.get());
+                                        Duration took =
+                                                PrefillSpeed.perReference(
+                                                        Duration.ofNanos(first.get()), uncached);
+                                        slot.release(Slot.Outcome.ANSWERED, took);
+                                        if (cache.urgentReturn(RETURN_SPACING)) {
+                                            report(true);
+                                        }
+                                    }));
+        }
+
+        private void ended(Turn turn, int engine, int uncached, long first) {
+            router.models()
+                    .answered(target(engine), uncached, turn.output(), Duration.ofNanos(first));
+            int tokens = turn.prompt() + turn.output();
+            report(turn, PlacementChange.Kind.FINISHED, engine, tokens);
         }
 
         // ---- lease
@@ -362,10 +473,12 @@
             if (!due || open || owner.isEmpty()) {
                 return;
             }
+            demand = false;
             Daemon o = owner.get();
             HolderReport report = cache.report();
             if (o == this) {
                 cache.answered(report, exchange(this, report));
+                compareAll();
                 return;
             }
             openSince = now;
@@ -388,11 +501,19 @@
                 cache.epoch(answer.epoch());
             }
             cache.answered(report, answer);
-            if (cache.urgentReturn(RETURN_SPACING)) {
+            compareAll();
+            if (demand || cache.urgentReturn(RETURN_SPACING)) {
                 report(true);
             }
         }
 
+        /** Compares the options of the turns that wait here after the owner's data changed. */
+        private void compareAll() {
+            for (Placing p : waiting) {
+                world.time.after(VirtualTime.MILLI, () -> does(p::compare));
+            }
+        }
+
         private OwnerAnswer exchange(Daemon from, HolderReport report) {
             if (ledger.isEmpty()) {
                 return new OwnerAnswer(
@@ -436,18 +557,49 @@
 
         private ShardView view() {
             return new ShardView(
-                    world.limits, true, targets, hosts(), this::silent, w -> 1, this::load);
+                    world.limits,
+                    true,
+                    SlotFleet.this.targets(false),
+                    hosts(),
+                    this::silent,
+                    w -> 1,
+                    this::load);
         }
 
         private Optional<EngineLoad> load(TargetId t) {
-            int engine = Integer.parseInt(t.value().substring("runner-".length()));
             long takenAt = world.time.ticker().nanos() - World.LOAD_LAG;
-            return Optional.of(new EngineLoad("1", world.reported[engine], 0, true, takenAt));
+            return Optional.of(new EngineLoad("1", world.reported[engine(t)], 0, true, takenAt));
         }
 
         @Override
         public boolean acceptsWork(TargetId target) {
-            return true;
+            return world.engines.get(engine(target)).inService();
+        }
+
+        @Override
+        public List<Target> targets(PoolId pool) {
+            return SlotFleet.this.targets(
+                    Faults.LISTS_DISAGREE.at(world.time.now()) && number % 2 == 0);
+        }
+
+        @Override
+        public Optional<Target> find(TargetId id) {
+            return targets(SHARD.pool()).stream().filter(t -> t.id().equals(id)).findFirst();
+        }
+
+        @Override
+        public long version() {
+            return version;
+        }
+
+        @Override
+        public Optional<Slot> acquire(SlotRequest request, Duration patience) {
+            return cache.tryAcquire(request.target());
+        }
+
+        @Override
+        public Duration expectedWait(TargetId target) {
+            return cache.expectedWait(target);
         }
 
         @Override
@@ -472,4 +624,94 @@
             return false;
         }
     }
+
+    // ---- one turn
+
+    /** A turn that waits for a slot. */
+    private final class Placing {
+        private final Daemon daemon;
+        private final Turn turn;
+        private final Optional<Placement> placement;
+        private final SlotWait wait;
+        private Optional<SlotCache.Waiter> waiter = Optional.empty();
+        private Optional<RouteOption> asked = Optional.empty();
+        private boolean served;
+        private long comparisons;
+
+        Placing(Daemon daemon, Turn turn, Optional<Placement> placement) {
+            this.daemon = daemon;
+            this.turn = turn;
+            this.placement = placement;
+            var ticker = world.time.ticker();
+            this.wait = new SlotWait(ticker, Deadline.after(NO_DEADLINE, ticker), maxWait);
+        }
+
+        void compare() {
+            if (served) {
+                return;
+            }
+            daemon.waiting.add(this);
+            long number = ++comparisons;
+            SlotWait.Step step = wait.next(options());
+            TargetId before = asked.map(o -> o.target().id()).orElse(null);
+            asked = Optional.of(step.option());
+            if (!step.option().target().id().equals(before)) {
+                if (before != null) {
+                    noteRefusal(turn, engine(before));
+                }
+                ask(step.option().target().id());
+            }
+            if (!served) {
+                world.time.after(
+                        Math.max(VirtualTime.MILLI, step.longest().toNanos()),
+                        () ->
+                                daemon.does(
+                                        () -> {
+                                            if (number == comparisons) {
+                                                compare();
+                                            }
+                                        }));
+            }
+        }
+
+        private List<RouteOption> options() {
+            return daemon.router.choose(
+                    new RouteRequest(
+                            Daemon.chat(turn),
+                            pool,
+                            turn.prompt(),
+                            placement,
+                            Set.of(),
+                            wait.asked()));
+        }
+
+        private void ask(TargetId target) {
+            waiter.ifPresent(daemon.cache::withdraw);
+            Optional<Slot> slot = daemon.cache.tryAcquire(target);
+            if (slot.isPresent()) {
+                got(slot.get());
+                return;
+            }
+            SlotCache.Waiter w =
+                    daemon.cache.enqueue(
+                            new SlotRequest(
+                                    new RequestId("r" + requests++),
+                                    new WorkspaceId("w" + turn.workspace()),
+                                    Priority.INTERACTIVE,
+                                    SHARD.pool(),
+                                    target));
+            waiter = Optional.of(w);
+            var _ = w.slot().thenAccept(this::got);
+            daemon.demand = true;
+            daemon.report(true);
+        }
+
+        private void got(Slot slot) {
+            served = true;
+            daemon.waiting.remove(this);
+            Duration waited = wait.waited();
+            daemon.router.models().waited(slot.target(), waited);
+            daemon.serve(this, asked.orElseThrow(), slot);
+        }
+    }
 }
--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/World.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/World.java
@@ -37,7 +37,14 @@
     final List<EngineModel> engines = new ArrayList<>();
     final int daemons;
     final Random random;
+
+    /** Whether an engine releases a cache that it exported; today's protocol does not say so. */
+    boolean releaseMoved;
+
+    final List<Runnable> onReplaced = new ArrayList<>();
     final int[] reported;
+    private final int[] grown;
+    private final int[] answers;
     final int[][] sent;
     final Deque<Consumer<Boolean>> waiting = new ArrayDeque<>();
     private final Deque<double[]> means = new ArrayDeque<>();
@@ -45,15 +52,30 @@
     private final Map<Turn, LossCause> refused = new HashMap<>();
     private final Map<Faults, Double> peaks = new EnumMap<>(Faults.class);
     private final Histogram added = new Histogram(3);
+    private final Histogram firstToken = new Histogram(3);
     private final Histogram addedInFaults = new Histogram(3);
     private long accepts;
     private long overBound;
     private long reusedTokens;
     private long historyTokens;
+    private long movedTokens;
     long controlBytes;
     long forwardedBytes;
 
-    World(long seed, int engineCount, int daemons, int reservedHolders, int skewFloor) {
+    /**
+     * Makes a world.
+     *
+     * @param replaceEvery seconds between replacements of an engine; 0 for none
+     * @param seconds length of the run
+     */
+    World(
+            long seed,
+            int engineCount,
+            int daemons,
+            int reservedHolders,
+            int skewFloor,
+            int replaceEvery,
+            int seconds) {
         this.limits =
                 new AdmissionLimits(
                         LIMITS.skewFactor(),
@@ -66,14 +88,34 @@
                         1);
         this.daemons = daemons;
         this.random = new Random(seed);
-        this.reported = new int[engineCount];
-        this.sent = new int[daemons][engineCount];
+        int all = engineCount + (replaceEvery == 0 ? 0 : seconds / replaceEvery);
+        this.reported = new int[all];
+        this.sent = new int[daemons][all];
+        this.grown = new int[all];
+        this.answers = new int[all];
         for (int i = 0; i < engineCount; i++) {
             engines.add(new EngineModel(time));
+            grown[i] = limits.coldStartLimit();
+        }
+        if (replaceEvery > 0) {
+            time.every(replaceEvery * VirtualTime.SECOND, this::replaceOldest);
         }
         time.every(REPORT_PERIOD, this::report);
     }
 
+    /** Replaces the engine that is longest in service by a cold one with an empty cache. */
+    private void replaceOldest() {
+        for (EngineModel e : engines) {
+            if (e.inService()) {
+                e.leave();
+                break;
+            }
+        }
+        grown[engines.size()] = limits.coldStartLimit();
+        engines.add(new EngineModel(time));
+        onReplaced.forEach(Runnable::run);
+    }
+
     private void report() {
         int[] loads = engines.stream().mapToInt(EngineModel::load).toArray();
         time.after(LOAD_LAG, () -> System.arraycopy(loads, 0, reported, 0, loads.length));
@@ -86,7 +128,9 @@
         List<Integer> listed = new ArrayList<>();
         boolean blind = Faults.LISTS_DISAGREE.at(time.now()) && turn.daemon() % 2 == 0;
         for (int i = blind ? 1 : 0; i < engines.size(); i++) {
-            listed.add(i);
+            if (engines.get(i).inService()) {
+                listed.add(i);
+            }
         }
         return Rendezvous.rank("chat" + turn.chat(), listed, i -> "engine" + i);
     }
@@ -98,11 +142,16 @@
     }
 
     double mean() {
-        return (double) totalLoad() / engines.size();
+        return engines.stream()
+                .filter(EngineModel::inService)
+                .mapToInt(EngineModel::load)
+                .average()
+                .orElseThrow();
     }
 
-    private int totalLoad() {
-        return engines.stream().mapToInt(EngineModel::load).sum();
+    /** Returns the bound and the warm-up limit of an engine from the engines' own counts. */
+    int bound(int engine) {
+        return Math.min(bound(), grown[engine]);
     }
 
     /** Returns the bound of design section 5.2 from the engines' own counts. */
@@ -118,11 +167,21 @@
 
     /** Sends a turn to an engine that it reaches after one hop. */
     void send(Turn turn, int engine, Runnable onEnd) {
+        send(turn, engine, () -> {}, onEnd);
+    }
+
+    /** Sends a turn; both callbacks run at the daemon, one hop after the engine's event. */
+    void send(Turn turn, int engine, Runnable onFirst, Runnable onEnd) {
         sent[turn.daemon()][engine]++;
-        time.after(HOP, () -> accept(turn, engine, onEnd));
+        time.after(HOP, () -> accept(turn, engine, onFirst, onEnd));
+    }
+
+    /** Counts tokens of history that were copied from the cache of another engine. */
+    void moved(int tokens) {
+        movedTokens += tokens;
     }
 
-    private void accept(Turn turn, int engine, Runnable onEnd) {
+    private void accept(Turn turn, int engine, Runnable onFirst, Runnable onEnd) {
         EngineModel e = engines.get(engine);
         accepts++;
         reusedTokens += e.cached(turn);
@@ -132,9 +191,14 @@
         long waited = time.now() - turn.at() - HOP;
         e.accept(
                 turn,
-                first -> {},
+                first -> {
+                    firstToken.recordValue((time.now() - turn.at()) / VirtualTime.MILLI);
+                    time.after(HOP, onFirst);
+                },
                 () -> {
                     noteMean();
+                    answers[engine]++;
+                    grown[engine] += answers[engine] % limits.warmupAnswers() == 0 ? 1 : 0;
                     time.after(
                             HOP,
                             () -> {
@@ -202,10 +266,20 @@
         return (double) PERCENT * lost / Math.max(1, historyTokens);
     }
 
+    /** Returns the share of all history that was copied from another engine, in percent. */
+    double movedPercent() {
+        return (double) PERCENT * movedTokens / Math.max(1, historyTokens);
+    }
+
     long accepts() {
         return accepts;
     }
 
+    /** Returns the time from arrival to the first token, in milliseconds. */
+    Histogram firstToken() {
+        return firstToken;
+    }
+
     /** Returns the wait from arrival until the turn is sent, in milliseconds. */
     Histogram added() {
         return added;
--- /dev/null
+++ b/routing/src/main/java/org/godwithoist/routing/SlotWait.java
@@ -0,0 +1,136 @@
+package org.godwithoist.routing;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * Decides where one request waits for a slot and when its options are compared again. A request
+ * waits at a target for as long as that is cheaper than the next option, the time that it has
+ * waited there included. Holds no slot and blocks no thread. Not thread-safe.
+ */
+public final class SlotWait {
+    /** The owner's data may be this old before the options are compared again. */
+    public static final Duration COMPARE_EVERY = Duration.ofMillis(250);
+
+    private static final Duration UNLIMITED = Duration.ofDays(1);
+
+    private final Ticker ticker;
+    private final Deadline deadline;
+    private final Duration maxFirst;
+    private final Set<TargetId> left = new HashSet<>();
+    private Optional<TargetId> at = Optional.empty();
+    private long since;
+    private boolean allAsked;
+
+    /**
+     * What to do until the next comparison.
+     *
+     * @param option where to ask for a slot
+     * @param longest time until the next comparison, if the owner's data do not change before
+     */
+    public record Step(RouteOption option, Duration longest) {}
+
+    /**
+     * Makes the decisions of one request.
+     *
+     * @param deadline instant by which the answer must begin
+     */
+    public SlotWait(Ticker ticker, Deadline deadline) {
+        this(ticker, deadline, UNLIMITED);
+    }
+
+    /**
+     * Makes the decisions of one request that leaves its first choice early, as a comparison.
+     *
+     * @param deadline instant by which the answer must begin
+     * @param maxFirst longest wait at the first choice, whatever it is worth
+     */
+    public SlotWait(Ticker ticker, Deadline deadline, Duration maxFirst) {
+        this.ticker = ticker;
+        this.deadline = deadline;
+        this.maxFirst = maxFirst;
+    }
+
+    /** Returns the targets that were asked and gave no slot, for {@link RouteRequest#full()}. */
+    public Set<TargetId> asked() {
+        Set<TargetId> asked = new HashSet<>(left);
+        at.ifPresent(asked::add);
+        return asked;
+    }
+
+    /** Returns the time since the request began to wait at its present target. */
+    public Duration waited() {
+        return at.isEmpty() ? Duration.ZERO : Duration.ofNanos(ticker.nanos() - since);
+    }
+
+    /**
+     * Compares the options. A request stays where it waits until the wait is no longer worth it,
+     * even if another option looks cheaper: its own demand lengthens the wait that the owner
+     * reports for the target, and a request that leaves loses its place in the queue.
+     *
+     * @param options at least one, the cheapest first
+     */
+    public Step next(List<RouteOption> options) {
+        Optional<RouteOption> present =
+                options.stream().filter(o -> at.equals(Optional.of(o.target().id()))).findFirst();
+        if (present.isPresent()) {
+            double restMs = worthMs(present.get(), options) - millis(waited());
+            boolean spent = restMs <= 0 || (isFirst() && waited().compareTo(maxFirst) >= 0);
+            if (!spent || options.size() == 1) {
+                return new Step(present.get(), longest(present.get(), restMs));
+            }
+        }
+        at.ifPresent(left::add);
+        if (options.stream().allMatch(o -> left.contains(o.target().id()))) {
+            left.clear();
+            allAsked = true;
+        }
+        RouteOption best =
+                options.stream()
+                        .filter(o -> !left.contains(o.target().id()))
+                        .findFirst()
+                        .orElseThrow();
+        at = Optional.of(best.target().id());
+        since = ticker.nanos();
+        return new Step(best, longest(best, worthMs(best, options)));
+    }
+
+    private boolean isFirst() {
+        return left.isEmpty() && !allAsked;
+    }
+
+    /** Returns the wait after which another option would have been cheaper, in milliseconds. */
+    private double worthMs(RouteOption best, List<RouteOption> options) {
+        double next = Double.POSITIVE_INFINITY;
+        for (RouteOption o : options) {
+            if (!o.target().id().equals(best.target().id())) {
+                next = Math.min(next, o.costMs());
+            }
+        }
+        // Once every target was asked, a change of target gains nothing but a place at the end of
+        // another queue.
+        return Math.max(next - serveMs(best), allAsked ? millis(COMPARE_EVERY) : 0);
+    }
+
+    private Duration longest(RouteOption option, double restMs) {
+        double leftMs = Math.max(0, millis(deadline.left()) - serveMs(option));
+        double ms = millis(COMPARE_EVERY);
+        ms = isFirst() ? Math.min(ms, millis(maxFirst)) : ms;
+        ms = Math.min(Math.min(ms, leftMs), restMs <= 0 ? ms : restMs);
+        return Duration.ofNanos((long) (ms * 1e6));
+    }
+
+    private static double serveMs(RouteOption option) {
+        return option.costMs() - option.waitMs();
+    }
+
+    private static double millis(Duration d) {
+        return d.toNanos() / 1e6;
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/godwithoist/routing/SlotWaitTest.java
@@ -0,0 +1,86 @@
+package org.godwithoist.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.VirtualTicker;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SlotWaitTest {
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final FakeTargets targets = new FakeTargets(2);
+    private final SlotWait wait =
+            new SlotWait(ticker, Deadline.after(Duration.ofSeconds(10), ticker));
+
+    /** The history is cached at target 0; reading it at target 1 takes 400 ms more. */
+    private List<RouteOption> options(double homeWaitMs, double otherWaitMs) {
+        RouteOption home = option(0, Move.STAY, homeWaitMs, 20);
+        RouteOption other = option(1, Move.PREFILL, otherWaitMs, 420);
+        return home.costMs() <= other.costMs() ? List.of(home, other) : List.of(other, home);
+    }
+
+    private RouteOption option(int number, Move move, double waitMs, double serveMs) {
+        return new RouteOption(
+                targets.find(FakeTargets.id(number)).orElseThrow(), move, waitMs, waitMs + serveMs);
+    }
+
+    private void assertAsks(int number, SlotWait.Step step) {
+        assertEquals(FakeTargets.id(number), step.option().target().id());
+    }
+
+    @Nested
+    class FirstChoice {
+        /** Guards against a fixed maximum wait that gives up a cache worth more. */
+        @Test
+        void isLeftOnceTheWaitCostsMoreThanThePrefill() {
+            assertAsks(0, wait.next(options(100, 0)));
+            ticker.advance(Duration.ofMillis(399));
+            assertAsks(0, wait.next(options(100, 0)));
+            ticker.advance(Duration.ofMillis(1));
+            assertAsks(1, wait.next(options(100, 0)));
+            assertEquals(Set.of(FakeTargets.id(0), FakeTargets.id(1)), wait.asked());
+        }
+
+        /** Guards against a request that leaves because its own demand lengthens the queue. */
+        @Test
+        void isKeptWhileItsReportedWaitGrows() {
+            assertAsks(0, wait.next(options(100, 0)));
+            ticker.advance(Duration.ofMillis(5));
+            assertAsks(0, wait.next(options(900, 0)));
+        }
+
+        /** Guards against data of the owner that stay unused for longer than 250 ms. */
+        @Test
+        void isComparedAgainAfterAQuarterOfASecond() {
+            assertEquals(SlotWait.COMPARE_EVERY, wait.next(options(100, 0)).longest());
+        }
+
+        /** Guards against a wait that leaves no time for the prefill. */
+        @Test
+        void isNotWaitedForPastTheDeadlineMinusThePrefill() {
+            ticker.advance(Duration.ofMillis(9_900));
+            assertEquals(Duration.ofMillis(80), wait.next(options(100, 0)).longest());
+        }
+    }
+
+    @Nested
+    class AllTargetsFull {
+        /** Guards against requests that change their target with each answer of the owner. */
+        @Test
+        void aRequestStaysForATimeOnceEachWasAsked() {
+            wait.next(options(1, 0));
+            ticker.advance(Duration.ofMillis(400));
+            wait.next(options(1, 0));
+            ticker.advance(Duration.ofSeconds(2));
+            SlotWait.Step again = wait.next(options(1, 0));
+            ticker.advance(Duration.ofMillis(100));
+            assertEquals(again.option(), wait.next(options(1, 0)).option());
+            assertTrue(again.longest().compareTo(Duration.ofMillis(200)) > 0);
+        }
+    }
+}
