Let chat requests wait for a slot as SlotWait decides

Cause: a request waited at most 100 ms at its first choice, then asked every other engine with no patience, which a remote owner's answer cannot meet. The wait learned for an engine included the time spent at the engines before it.

Change: ChatRun asks SlotWait and waits at one engine at a time; the time that is learned is the time at that engine. The slot's first-token time is stated per 1,000 uncached tokens, so that an engine that reads whole prompts is not taken for cold. ChatTimings.slotSlice is gone.

ChatServiceTest (47) and ChatFrontTest (30) pass unchanged. Options are compared again every 250 ms at the latest; ChatRun does not yet wake when the owner's data change.

--- a/chat/src/main/java/org/godwithoist/chat/Attempt.java
+++ b/chat/src/main/java/org/godwithoist/chat/Attempt.java
@@ -11,6 +11,7 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.membership.Target;
+import org.godwithoist.routing.PrefillSpeed;
 
 /**
  * One attempt of a request at one engine: its slot, its usage record and the order of its pieces.
@@ -160,7 +161,12 @@
         if (slot.isPresent()) {
             usage.ifPresentOrElse(
                     u -> context.usage().close(id.id(), u), () -> context.usage().lose(id.id()));
-            slot.get().release(outcome, firstToken());
+            slot.get().release(outcome, usage.map(this::speed).orElse(Duration.ZERO));
         }
     }
+
+    private Duration speed(Usage usage) {
+        long uncached = Math.max(0, usage.promptTokens() - usage.cachedTokens());
+        return PrefillSpeed.perReference(firstToken(), uncached);
+    }
 }
--- a/chat/src/main/java/org/godwithoist/chat/ChatRun.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatRun.java
@@ -28,6 +28,7 @@
 import org.godwithoist.routing.RouteOption;
 import org.godwithoist.routing.RouteRequest;
 import org.godwithoist.routing.RunningRequest;
+import org.godwithoist.routing.SlotWait;
 
 /** Serves one request, attempt after attempt. Used by one task. */
 final class ChatRun {
@@ -118,22 +119,16 @@
     // ---- slot
 
     private Granted acquire() {
-        long start = context.ticker().nanos();
-        Set<TargetId> full = new HashSet<>();
+        SlotWait wait = new SlotWait(context.ticker(), request.deadline());
         while (true) {
-            List<RouteOption> options = options(full);
+            List<RouteOption> options = options(wait.asked());
             refuseIfTooLate(options);
-            boolean allFull = options.stream().allMatch(o -> full.contains(o.target().id()));
-            for (int i = 0; i < options.size(); i++) {
-                RouteOption option = options.get(i);
-                Duration patience = i == 0 ? patience(options, allFull) : Duration.ZERO;
-                Optional<Slot> slot = context.admission().acquire(demand(option), patience);
-                Duration waited = Duration.ofNanos(context.ticker().nanos() - start);
-                context.router().models().waited(option.target().id(), waited);
-                if (slot.isPresent()) {
-                    return new Granted(slot.get(), option);
-                }
-                full.add(option.target().id());
+            SlotWait.Step step = wait.next(options);
+            RouteOption option = step.option();
+            Optional<Slot> slot = context.admission().acquire(demand(option), step.longest());
+            context.router().models().waited(option.target().id(), wait.waited());
+            if (slot.isPresent()) {
+                return new Granted(slot.get(), option);
             }
             answer.keepAlive();
             if (answer.goneFor().compareTo(context.timings().reconnect()) >= 0) {
@@ -188,21 +183,6 @@
                         "engines failed and the deadline leaves no time for another attempt");
     }
 
-    /** Waits at the best engine as long as that is cheaper than the next one. */
-    private Duration patience(List<RouteOption> options, boolean allFull) {
-        RouteOption best = options.getFirst();
-        if (best.waitMs() == 0) {
-            return Duration.ZERO;
-        }
-        Duration slice = request.deadline().cap(context.timings().slotSlice());
-        if (allFull || options.size() == 1) {
-            return slice;
-        }
-        double worth = options.get(1).costMs() - (best.costMs() - best.waitMs());
-        Duration wait = Duration.ofNanos((long) (Math.max(0, worth) * 1e6));
-        return wait.compareTo(slice) < 0 ? wait : slice;
-    }
-
     private SlotRequest demand(RouteOption option) {
         return new SlotRequest(
                 request.id(),
--- a/chat/src/main/java/org/godwithoist/chat/ChatTimings.java
+++ b/chat/src/main/java/org/godwithoist/chat/ChatTimings.java
@@ -7,7 +7,6 @@
  *
  * @param stall time without event or keepalive after which a connection is taken for dead
  * @param reconnect time for which a request goes on without its caller
- * @param slotSlice longest wait for a slot before the choice of the engine is made anew
  * @param retryPatience longest wait for the retry budget
  * @param engineCall longest wait for a short call to an engine
  * @param settle time for which the engine of a lost attempt is asked for its count
@@ -15,7 +14,6 @@
 public record ChatTimings(
         Duration stall,
         Duration reconnect,
-        Duration slotSlice,
         Duration retryPatience,
         Duration engineCall,
         Duration settle) {
@@ -28,23 +26,22 @@
             new ChatTimings(
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(5),
-                    Duration.ofMillis(100),
                     Duration.ofSeconds(5),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(15));
 
     /** Returns a copy with another time without events. */
     public ChatTimings withStall(Duration time) {
-        return new ChatTimings(time, reconnect, slotSlice, retryPatience, engineCall, settle);
+        return new ChatTimings(time, reconnect, retryPatience, engineCall, settle);
     }
 
     /** Returns a copy with another time without the caller. */
     public ChatTimings withReconnect(Duration time) {
-        return new ChatTimings(stall, time, slotSlice, retryPatience, engineCall, settle);
+        return new ChatTimings(stall, time, retryPatience, engineCall, settle);
     }
 
     /** Returns a copy with another wait for the retry budget. */
     public ChatTimings withRetryPatience(Duration time) {
-        return new ChatTimings(stall, reconnect, slotSlice, time, engineCall, settle);
+        return new ChatTimings(stall, reconnect, time, engineCall, settle);
     }
 }
