--- a/acceptance/src/test/java/org/godwithoist/acceptance/faults/StreamingCaller.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/faults/StreamingCaller.java
@@ -6,7 +6,6 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
@@ -20,8 +19,13 @@
 import org.godwithoist.acceptance.faults.ChatAnswer.Attempt;
 import org.godwithoist.acceptance.faults.ChatAnswer.End;
 import org.godwithoist.acceptance.faults.ChatAnswer.Outcome;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.RequestId;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.AnswerReader;
+import org.godwithoist.loadtool.load.ChatPost;
 import org.godwithoist.standins.engine.Words;
 
 /**
@@ -58,14 +62,9 @@
 
     /** Sends the messages of a chat and returns when the answer is whole or given up. */
     ChatAnswer ask(String workspace, String chat, JsonArray messages, int words, Random random) {
-        JsonObject body =
-                new JsonObject()
-                        .put("model", "assistant")
-                        .put("messages", messages)
-                        .put("max_tokens", words)
-                        .put("stream", true);
+        JsonObject body = ChatPost.body(messages, words);
         String id = new UUID(random.nextLong(), random.nextLong()).toString();
-        SseReader reader = new SseReader();
+        AnswerReader reader = new AnswerReader(text -> {});
         List<Attempt> attempts = new ArrayList<>();
         long start = System.nanoTime();
         boolean resume = false;
@@ -96,8 +95,8 @@
         return new ChatAnswer(id, outcome(reader, expected), attempts, took);
     }
 
-    private static Outcome outcome(SseReader reader, String expected) {
-        if (reader.outOfOrder() || !expected.startsWith(reader.text())) {
+    private static Outcome outcome(AnswerReader reader, String expected) {
+        if (reader.repeated() || !expected.startsWith(reader.text())) {
             return Outcome.WRONG;
         }
         if (!reader.done()) {
@@ -108,19 +107,12 @@
 
     private static RequestOptions options(
             Fleet fleet, String daemon, String workspace, String chat, String id) {
-        return new RequestOptions()
-                .setMethod(HttpMethod.POST)
-                .setHost("127.0.0.1")
-                .setPort(fleet.port(daemon))
-                .setURI("/v1/chat/completions")
-                .putHeader("Authorization", "Bearer key-of-" + workspace)
-                .putHeader("Content-Type", "application/json")
-                .putHeader("X-Chat-Id", chat)
-                .putHeader("X-Request-Id", id);
+        Endpoint to = new Endpoint("127.0.0.1", fleet.port(daemon));
+        return ChatPost.to(to, "key-of-" + workspace, new ChatId(chat), new RequestId(id));
     }
 
     private Attempt attempt(
-            RequestOptions options, String daemon, JsonObject body, SseReader reader) {
+            RequestOptions options, String daemon, JsonObject body, AnswerReader reader) {
         HttpClientRequest request;
         try {
             request = Await.result(client.request(options), ATTEMPT_TIMEOUT);
@@ -136,7 +128,7 @@
         }
     }
 
-    private static Future<Attempt> read(String daemon, HttpClientResponse r, SseReader reader) {
+    private static Future<Attempt> read(String daemon, HttpClientResponse r, AnswerReader reader) {
         if (r.statusCode() != OK) {
             String state = String.valueOf(r.getHeader("X-Run-State"));
             return r.body()
--- a/loadtool/src/main/java/org/godwithoist/loadtool/demo/Demo.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/Demo.java
@@ -22,6 +22,7 @@
 import org.godwithoist.loadtool.load.FleetMap;
 import org.godwithoist.loadtool.load.HttpCalls;
 import org.godwithoist.loadtool.load.Operator;
+import org.godwithoist.loadtool.load.Promises;
 import org.godwithoist.loadtool.load.Summary;
 import org.godwithoist.loadtool.load.TurnResult;
 import org.godwithoist.loadtool.trace.ChatPlan;
@@ -45,23 +46,7 @@
     private final HttpCalls calls;
     private final Operator operator;
     private final Summary summary = new Summary();
-    private final Findings findings = new Findings();
-
-    /** Broken promises, printed as they are found. */
-    private static final class Findings {
-        private final List<String> list = new ArrayList<>();
-
-        void check(boolean holds, String promise) {
-            System.out.println((holds ? "  ok      " : "  BROKEN  ") + promise);
-            if (!holds) {
-                list.add(promise);
-            }
-        }
-
-        boolean none() {
-            return list.isEmpty();
-        }
-    }
+    private final Promises promises = new Promises();
 
     Demo(Vertx vertx, FleetMap fleet, DemoOptions options) {
         this.vertx = vertx;
@@ -86,7 +71,7 @@
         System.out.println("waiting " + SETTLE_TIME.toSeconds() + " s for usage to settle");
         Tasks.sleep(SETTLE_TIME);
         report(start, outAt, inAt);
-        return findings.none();
+        return promises.allHeld();
     }
 
     // ---- steps
@@ -107,7 +92,7 @@
                                     System.out.flush();
                                 });
         System.out.println();
-        findings.check(result.outcome().complete(), "the streamed answer is whole");
+        promises.check(result.outcome().complete(), "the streamed answer is whole");
         summary.add(result);
     }
 
@@ -121,11 +106,11 @@
         System.out.println("  first   " + first.statusCode() + " " + first.bodyAsString());
         System.out.println("  repeat  " + second.statusCode() + " " + second.bodyAsString());
         System.out.println("  other   " + other.statusCode() + " " + other.bodyAsString());
-        findings.check(booking.executions(key) == 1, "the booking ran once");
-        findings.check(
+        promises.check(booking.executions(key) == 1, "the booking ran once");
+        promises.check(
                 first.bodyAsString().equals(second.bodyAsString()),
                 "the repeat got the answer of the first call");
-        findings.check(other.statusCode() == 409, "the same key with another body is refused");
+        promises.check(other.statusCode() == 409, "the same key with another body is refused");
     }
 
     private List<Thread> startLoad() {
@@ -193,11 +178,11 @@
         printControlTraffic();
         long late = checks.accepts(DOMAIN, outAt + DEPARTURE_TIME.toMillis(), inAt);
         System.out.println("promises:");
-        findings.check(summary.count(TurnResult.Outcome.WRONG) == 0, "no answer was mixed or cut");
-        findings.check(summary.count(TurnResult.Outcome.LOST) == 0, "no answer was lost");
-        findings.check(skew.violations() == 0, "no engine was above the skew bound");
-        findings.check(skew.coldViolations() == 0, "no cold engine was above its limit");
-        findings.check(late == 0, "no new work in the domain 3 s after it was taken out");
+        promises.check(summary.count(TurnResult.Outcome.WRONG) == 0, "no answer was mixed or cut");
+        promises.check(summary.count(TurnResult.Outcome.LOST) == 0, "no answer was lost");
+        promises.check(skew.violations() == 0, "no engine was above the skew bound");
+        promises.check(skew.coldViolations() == 0, "no cold engine was above its limit");
+        promises.check(late == 0, "no new work in the domain 3 s after it was taken out");
         checkUsage(checks);
     }
 
@@ -259,7 +244,7 @@
                     settled.getLong("completion_tokens", 0L),
                     same ? "" : "   differ");
         }
-        findings.check(equal, "the accounts equal what the engines counted");
+        promises.check(equal, "the accounts equal what the engines counted");
     }
 
     private Map<String, JsonObject> settledUsage() {
--- a/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoSetup.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoSetup.java
@@ -47,8 +47,15 @@
             usage = "number of engines; 0 takes the deployment's")
     private int engines;
 
+    @Option(
+            name = "--spares",
+            metaVar = "N",
+            usage = "engines that run but are not on the host list")
+    private int spares;
+
     private final JsonArray hosts = new JsonArray();
     private final JsonArray engineMap = new JsonArray();
+    private final JsonArray spareMap = new JsonArray();
     private final JsonArray serviceMap = new JsonArray();
     private final JsonArray daemonMap = new JsonArray();
     private final List<String> processes = new ArrayList<>();
@@ -77,6 +84,10 @@
         for (int i = 1; i <= engineCount; i++) {
             addTarget("engine-" + i, "ENGINE", "assistants", i, d, engineMap);
         }
+        for (int i = 1; i <= spares; i++) {
+            addTarget("spare-" + i, "ENGINE", "assistants", i, d, spareMap);
+            hosts.remove(hosts.size() - 1);
+        }
         for (int i = 1; i <= SERVICE_TARGETS; i++) {
             addTarget("booking-" + i, "SERVICE", "bookings", i, d, serviceMap);
         }
@@ -220,6 +231,7 @@
                 new JsonObject()
                         .put("daemons", daemonMap)
                         .put("engines", engineMap)
+                        .put("spares", spareMap)
                         .put("services", serviceMap)
                         .put("platform", LOOPBACK + platform)
                         .put("keys", keys)
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/AnswerReader.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/AnswerReader.java
@@ -8,8 +8,11 @@
 import io.vertx.core.json.JsonObject;
 import java.util.function.Consumer;
 
-/** Collects a streamed answer: text, offsets, usage and the time of the first token. */
-final class AnswerReader {
+/**
+ * Collects a streamed answer over one or more connections: text, offsets, usage, the last error and
+ * the time of the first token. Thread-safe.
+ */
+public final class AnswerReader {
     private static final String DONE = "[DONE]";
 
     private final StringBuilder text = new StringBuilder();
@@ -21,51 +24,70 @@
     private long cachedTokens;
     private boolean done;
     private boolean repeated;
+    private String error = "";
 
-    AnswerReader(Consumer<String> onText) {
+    /**
+     * Makes a reader.
+     *
+     * @param onText takes each piece of text as it arrives
+     */
+    public AnswerReader(Consumer<String> onText) {
         this.onText = onText;
     }
 
     /** Reads a response to its end; may be called again with the rest of the same answer. */
-    Future<Void> read(HttpClientResponse response) {
+    public Future<Void> read(HttpClientResponse response) {
         Promise<Void> ended = Promise.promise();
-        pending = Buffer.buffer();
+        synchronized (this) {
+            pending = Buffer.buffer();
+        }
         response.handler(this::take);
         response.exceptionHandler(ended::tryFail);
         response.endHandler(v -> ended.tryComplete());
         return ended.future();
     }
 
-    String text() {
+    /** Returns the text so far. */
+    public synchronized String text() {
         return text.toString();
     }
 
-    boolean done() {
+    /** Returns whether the end marker arrived. */
+    public synchronized boolean done() {
         return done;
     }
 
-    /** Returns whether an offset came twice or out of order. */
-    boolean repeated() {
+    /** Returns whether an offset came twice, or one was left out. */
+    public synchronized boolean repeated() {
         return repeated;
     }
 
-    long lastOffset() {
+    /** Returns the last offset received, or 0. */
+    public synchronized long lastOffset() {
         return lastOffset;
     }
 
-    long firstTokenNanos() {
+    /** Returns {@link System#nanoTime()} at the first token, or 0. */
+    public synchronized long firstTokenNanos() {
         return firstTokenNanos;
     }
 
-    long promptTokens() {
+    /** Returns the prompt tokens of the answer's usage, or 0. */
+    public synchronized long promptTokens() {
         return promptTokens;
     }
 
-    long cachedTokens() {
+    /** Returns the cached prompt tokens of the answer's usage, or 0. */
+    public synchronized long cachedTokens() {
         return cachedTokens;
     }
 
-    private void take(Buffer bytes) {
+    /** Returns the last error event, or an empty text. */
+    public synchronized String error() {
+        return error;
+    }
+
+    private synchronized void take(Buffer bytes) {
         pending.appendBuffer(bytes);
         int start = 0;
         for (int i = 0; i < pending.length(); i++) {
@@ -92,7 +114,12 @@
             done = true;
             return;
         }
-        takeChunk(new JsonObject(data));
+        JsonObject chunk = new JsonObject(data);
+        if (chunk.containsKey("error")) {
+            error = data;
+            return;
+        }
+        takeChunk(chunk);
     }
 
     private void takeChunk(JsonObject chunk) {
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/ChatCaller.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/ChatCaller.java
@@ -7,15 +7,14 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
-import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.RequestId;
@@ -34,7 +33,6 @@
     private static final int MAX_CONNECTIONS = 512;
     private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(60);
-    private static final String MODEL = "assistant";
 
     private final FleetMap fleet;
     private final HttpClient client;
@@ -56,16 +54,31 @@
 
     /** Plays a chat with its pauses and hands each result on. */
     public void play(ChatPlan plan, long seed, Consumer<TurnResult> results) {
+        play(plan, seed, () -> true, results);
+    }
+
+    /**
+     * Plays a chat as long as the load goes on.
+     *
+     * @param goesOn asked before each turn; the chat ends when it returns false
+     */
+    public void play(
+            ChatPlan plan, long seed, BooleanSupplier goesOn, Consumer<TurnResult> results) {
         Random random = new Random(seed ^ plan.chat().hashCode());
         JsonArray messages = new JsonArray();
+        long history = 0;
         for (ChatPlan.TurnPlan turn : plan.turns()) {
-            if (!Tasks.sleep(turn.pause())) {
+            if (!Tasks.sleep(turn.pause()) || !goesOn.getAsBoolean()) {
                 return;
             }
             messages.add(new JsonObject().put("role", "user").put("content", turn.message()));
             String prompt = messages.encode();
             AnswerReader reader = new AnswerReader(text -> {});
-            results.accept(turn(plan, turn, messages, reader, random));
+            TurnResult result = turn(plan, turn, messages, reader, random, history);
+            results.accept(result);
+            if (result.outcome().complete()) {
+                history = result.promptTokens() + result.words();
+            }
             messages.add(
                     new JsonObject()
                             .put("role", "assistant")
@@ -78,7 +91,7 @@
         JsonArray messages = new JsonArray();
         ChatPlan.TurnPlan turn = plan.turns().get(0);
         messages.add(new JsonObject().put("role", "user").put("content", turn.message()));
-        return turn(plan, turn, messages, new AnswerReader(onText), new Random(0));
+        return turn(plan, turn, messages, new AnswerReader(onText), new Random(0), 0);
     }
 
     private TurnResult turn(
@@ -86,35 +99,34 @@
             ChatPlan.TurnPlan turn,
             JsonArray messages,
             AnswerReader reader,
-            Random random) {
+            Random random,
+            long historyTokens) {
         RequestId id = new RequestId(UUID.randomUUID().toString());
         Buffer body =
-                new JsonObject()
-                        .put("model", MODEL)
-                        .put("messages", messages)
-                        .put("max_tokens", turn.answerWords())
-                        .put("stream", true)
+                ChatPost.body(messages, turn.answerWords())
                         .put("stream_options", new JsonObject().put("include_usage", true))
                         .toBuffer();
         String expected = Words.answer(messages.encode(), turn.answerWords());
         long startMillis = System.currentTimeMillis();
         long start = System.nanoTime();
         int refusals = 0;
-        boolean lost = false;
+        int cuts = 0;
         for (int i = 0; i < MAX_ATTEMPTS && !reader.done(); i++) {
             try {
                 if (!attempt(plan, id, body, reader, random)) {
                     refusals++;
                     Tasks.sleep(RETRY_PAUSE);
+                } else if (!reader.done()) {
+                    cuts++;
                 }
             } catch (RuntimeException e) {
                 // A broken connection; the next attempt asks another daemon for the rest.
-                lost = true;
+                cuts++;
                 Tasks.sleep(RETRY_PAUSE);
             }
         }
         Duration took = Duration.ofNanos(System.nanoTime() - start);
-        TurnResult.Outcome outcome = outcome(reader, expected, took, lost);
+        TurnResult.Outcome outcome = outcome(reader, expected, took, cuts > 0);
         long first = reader.firstTokenNanos();
         return new TurnResult(
                 plan.workspace(),
@@ -126,6 +138,8 @@
                 Words.count(reader.text()),
                 reader.promptTokens(),
                 reader.cachedTokens(),
+                historyTokens,
+                cuts,
                 refusals);
     }
 
@@ -146,16 +160,9 @@
             ChatPlan plan, RequestId id, Buffer body, AnswerReader reader, Random random) {
         List<FleetMap.DaemonAddress> daemons = fleet.daemons();
         Endpoint to = daemons.get(random.nextInt(daemons.size())).callers();
+        String key = fleet.keys().get(plan.workspace());
         var options =
-                new RequestOptions()
-                        .setMethod(HttpMethod.POST)
-                        .setHost(to.ip())
-                        .setPort(to.port())
-                        .setURI("/v1/chat/completions")
-                        .putHeader("Authorization", "Bearer " + fleet.keys().get(plan.workspace()))
-                        .putHeader("Content-Type", "application/json")
-                        .putHeader("X-Chat-Id", plan.chat().value())
-                        .putHeader("X-Request-Id", id.value())
+                ChatPost.to(to, key, plan.chat(), id)
                         .putHeader("X-Priority", plan.priority().wireName());
         if (reader.lastOffset() > 0) {
             options.putHeader("Last-Event-ID", Long.toString(reader.lastOffset()));
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/ChatPost.java
@@ -0,0 +1,39 @@
+package org.godwithoist.loadtool.load;
+
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.RequestId;
+
+/** Builds streamed chat requests as callers send them, for load and for tests. */
+public final class ChatPost {
+    private static final String MODEL = "assistant";
+
+    private ChatPost() {}
+
+    /** Returns the address and the headers of a request. */
+    public static RequestOptions to(
+            Endpoint endpoint, String workspaceKey, ChatId chat, RequestId id) {
+        return new RequestOptions()
+                .setMethod(HttpMethod.POST)
+                .setHost(endpoint.ip())
+                .setPort(endpoint.port())
+                .setURI("/v1/chat/completions")
+                .putHeader("Authorization", "Bearer " + workspaceKey)
+                .putHeader("Content-Type", "application/json")
+                .putHeader("X-Chat-Id", chat.value())
+                .putHeader("X-Request-Id", id.value());
+    }
+
+    /** Returns the body of a request for a streamed answer of the given length. */
+    public static JsonObject body(JsonArray messages, int words) {
+        return new JsonObject()
+                .put("model", MODEL)
+                .put("messages", messages)
+                .put("max_tokens", words)
+                .put("stream", true);
+    }
+}
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/EngineChecks.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/EngineChecks.java
@@ -6,7 +6,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.godwithoist.bundle.AdmissionLimits;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.TargetId;
@@ -21,7 +23,15 @@
 
     private final AdmissionLimits limits;
     private final List<Entry> entries = new ArrayList<>();
-    private int engines;
+    private final List<Absence> absences = new ArrayList<>();
+    private final Set<TargetId> engines = new TreeSet<>();
+
+    /** A span of time in which an engine was not in service. */
+    private record Absence(TargetId engine, long fromMillis, long toMillis) {
+        boolean covers(TargetId e, long atMillis) {
+            return engine.equals(e) && atMillis >= fromMillis && atMillis < toMillis;
+        }
+    }
 
     private record Entry(
             long atMillis,
@@ -50,7 +60,7 @@
 
     /** Adds the log of an engine. */
     public void add(TargetId engine, FailureDomainId domain, JsonArray log) {
-        engines++;
+        engines.add(engine);
         for (Object o : log) {
             JsonObject e = (JsonObject) o;
             entries.add(new Entry(e.getLong("at"), engine, domain, e.getString("kind"), e));
@@ -58,6 +68,14 @@
         entries.sort(Comparator.comparingLong(Entry::atMillis));
     }
 
+    /**
+     * Leaves an engine out of the mean load for a span of time, because the bound refers to the
+     * engines in service.
+     */
+    public void absent(TargetId engine, long fromMillis, long toMillis) {
+        absences.add(new Absence(engine, fromMillis, toMillis));
+    }
+
     /** Checks the skew bound and the cold-start limit at each accept. */
     public Skew skew() {
         Map<TargetId, Integer> load = new TreeMap<>();
@@ -69,8 +87,7 @@
         double peakRatio = 0;
         for (Entry e : entries) {
             int now = load.merge(e.engine(), change(e.kind()), Integer::sum);
-            double mean =
-                    load.values().stream().mapToInt(Integer::intValue).sum() / (double) engines;
+            double mean = mean(load, e.atMillis());
             means.add(new double[] {e.atMillis(), mean});
             if (!e.kind().equals("accepted")) {
                 continue;
@@ -94,6 +111,27 @@
                 .count();
     }
 
+    /** Counts the requests that one engine accepted in a span of time. */
+    public long accepts(TargetId engine, long fromMillis, long toMillis) {
+        return entries.stream()
+                .filter(e -> e.kind().equals("accepted") && e.engine().equals(engine))
+                .filter(e -> e.atMillis() >= fromMillis && e.atMillis() < toMillis)
+                .count();
+    }
+
+    /** Returns the largest number of requests in progress at one engine in a span of time. */
+    public int peakLoad(long fromMillis, long toMillis) {
+        Map<TargetId, Integer> load = new TreeMap<>();
+        int peak = 0;
+        for (Entry e : entries) {
+            int now = load.merge(e.engine(), change(e.kind()), Integer::sum);
+            if (e.atMillis() >= fromMillis && e.atMillis() < toMillis) {
+                peak = Math.max(peak, now);
+            }
+        }
+        return peak;
+    }
+
     /** Sums what the engines counted for each workspace: requests, prompt and completion tokens. */
     public Map<String, long[]> usage() {
         Map<String, long[]> sums = new TreeMap<>();
@@ -118,6 +156,14 @@
         };
     }
 
+    private double mean(Map<TargetId, Integer> load, long atMillis) {
+        return engines.stream()
+                .filter(e -> absences.stream().noneMatch(a -> a.covers(e, atMillis)))
+                .mapToInt(e -> load.getOrDefault(e, 0))
+                .average()
+                .orElse(0);
+    }
+
     private static double largestMean(List<double[]> means, long atMillis) {
         double largest = 0;
         for (int i = means.size() - 1; i >= 0; i--) {
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/FleetMap.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/FleetMap.java
@@ -17,6 +17,7 @@
  *
  * @param daemons the daemons
  * @param engines the engine stand-ins
+ * @param spares engine stand-ins that are not on the host list
  * @param services the service stand-ins
  * @param platform the platform stand-in
  * @param keys the key of each workspace
@@ -25,6 +26,7 @@
 public record FleetMap(
         List<DaemonAddress> daemons,
         List<TargetAddress> engines,
+        List<TargetAddress> spares,
         List<TargetAddress> services,
         Endpoint platform,
         Map<WorkspaceId, String> keys,
@@ -65,6 +67,7 @@
         return new FleetMap(
                 daemons,
                 targets(root.get("engines")),
+                targets(root.get("spares")),
                 targets(root.get("services")),
                 Endpoint.parse(root.get("platform").asText()),
                 keys,
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/Summary.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/Summary.java
@@ -43,6 +43,31 @@
         return prompt == 0 ? 0 : cached / (double) prompt;
     }
 
+    /** Returns the attempts that broke before the end of the answer. */
+    public synchronized long cuts() {
+        return results.stream().mapToLong(TurnResult::cuts).sum();
+    }
+
+    /**
+     * Returns the share of the chats' history that came from a cache, over whole answers. The
+     * message of the turn itself cannot be cached and does not count; {@link Double#NaN} without
+     * history.
+     */
+    public synchronized double historyReuse() {
+        var known = results.stream().filter(r -> r.outcome().complete()).toList();
+        long history = known.stream().mapToLong(TurnResult::historyTokens).sum();
+        long cached =
+                known.stream().mapToLong(r -> Math.min(r.historyTokens(), r.cachedTokens())).sum();
+        return history == 0 ? Double.NaN : cached / (double) history;
+    }
+
+    /** Returns a summary of the results that a filter accepts. */
+    public synchronized Summary only(Predicate<TurnResult> filter) {
+        Summary part = new Summary();
+        results.stream().filter(filter).forEach(part::add);
+        return part;
+    }
+
     /** Returns a percentile of the time to the first token. */
     public synchronized Duration firstToken(double percentile, Predicate<TurnResult> filter) {
         Histogram h = new Histogram(SIGNIFICANT_DIGITS);
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/TurnResult.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/TurnResult.java
@@ -16,6 +16,8 @@
  * @param words words received
  * @param promptTokens prompt tokens of the answer's usage
  * @param cachedTokens cached prompt tokens of the answer's usage
+ * @param historyTokens tokens of the chat before this turn, which an engine could have cached
+ * @param cuts attempts whose connection or stream broke before the end of the answer
  * @param refusals refusals with the run state "not run" before the answer
  */
 public record TurnResult(
@@ -28,6 +30,8 @@
         int words,
         long promptTokens,
         long cachedTokens,
+        long historyTokens,
+        int cuts,
         int refusals) {
     /** How a turn ended. */
     public enum Outcome {
