Add bin/experiment with departure, latency, surge and churn

Cause: section 13 of the design describes experiments on real processes that did not exist.

Change: package experiment of loadtool. Each experiment prints one table, writes it as comma-separated values and checks its bounds; the script exits with status 1 if one is broken. Callers hold one chat after the other, so the load and the length of histories stay the same. Spare engines of DemoSetup run without being listed and replace engines in churn.

--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/experiment/ChatLoad.java
@@ -0,0 +1,71 @@
+package org.godwithoist.loadtool.experiment;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.ChatCaller;
+import org.godwithoist.loadtool.load.Summary;
+import org.godwithoist.loadtool.trace.ChatPlan;
+
+/**
+ * Returning chats at a steady rate: each caller plays one chat after the other until the load is
+ * stopped, so the number of chats and the length of their histories stay the same on average.
+ */
+final class ChatLoad {
+    /** Mean pause between an answer and the next turn. */
+    static final Duration PAUSE = Duration.ofSeconds(3);
+
+    /** Turns of a chat; its history is new on the first one. */
+    static final int TURNS = 10;
+
+    private static final Duration DEADLINE = Duration.ofSeconds(20);
+
+    private final ChatCaller caller;
+    private final long seed;
+    private final Summary summary = new Summary();
+    private final List<Thread> callers = new ArrayList<>();
+    private volatile boolean running = true;
+
+    ChatLoad(ExperimentContext context) {
+        caller = new ChatCaller(context.vertx(), context.fleet(), DEADLINE);
+        seed = context.seed();
+    }
+
+    /** Returns the chats that a caller needs for some time, with a reserve. */
+    static int chatsPerCaller(Duration time) {
+        return 2 + (int) (2 * time.toSeconds() / (PAUSE.toSeconds() * TURNS));
+    }
+
+    /**
+     * Starts callers; caller {@code i} plays the chats {@code i}, {@code i + callers} and so on.
+     */
+    void start(List<ChatPlan> plans, int count) {
+        for (int i = 0; i < count; i++) {
+            int first = i;
+            callers.add(
+                    Tasks.start(
+                            "caller-" + plans.get(first).chat(),
+                            () -> playFrom(plans, first, count)));
+        }
+    }
+
+    private void playFrom(List<ChatPlan> plans, int first, int step) {
+        for (int i = first; running && i < plans.size(); i += step) {
+            caller.play(plans.get(i), seed, () -> running, summary::add);
+        }
+    }
+
+    /** Ends the load after the turns in progress and returns all results. */
+    Summary stop() {
+        running = false;
+        for (Thread t : callers) {
+            try {
+                t.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return summary;
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/experiment/Churn.java
@@ -0,0 +1,134 @@
+package org.godwithoist.loadtool.experiment;
+
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.EngineChecks;
+import org.godwithoist.loadtool.load.FleetMap;
+import org.godwithoist.loadtool.load.Summary;
+import org.godwithoist.loadtool.trace.Trace;
+
+/** Replaces one engine per minute under a steady load of returning chats. */
+final class Churn {
+    private static final Duration LEAD = Duration.ofSeconds(30);
+    private static final Duration PERIOD = Duration.ofSeconds(60);
+    private static final Duration INTERVAL = Duration.ofSeconds(10);
+
+    /** The bound of the promise "departure". */
+    private static final Duration BOUND = Duration.ofSeconds(3);
+
+    private final ExperimentContext context;
+    private final List<Replacement> replacements = new ArrayList<>();
+
+    /** One replaced engine and the time of the new host list. */
+    private record Replacement(
+            FleetMap.TargetAddress leaving, FleetMap.TargetAddress joining, long atMillis) {}
+
+    Churn(ExperimentContext context) {
+        this.context = context;
+    }
+
+    Table run() {
+        ChatLoad load = new ChatLoad(context);
+        int chats = context.callers() * ChatLoad.chatsPerCaller(context.duration());
+        long start = System.currentTimeMillis();
+        load.start(
+                Trace.draw(
+                        context.deployment(),
+                        context.seed(),
+                        chats,
+                        ChatLoad.TURNS,
+                        ChatLoad.PAUSE),
+                context.callers());
+        Tasks.sleep(LEAD);
+        long end = start + context.duration().toMillis();
+        while (System.currentTimeMillis() < end
+                && replacements.size() < context.fleet().spares().size()) {
+            replace(replacements.size());
+            Tasks.sleep(PERIOD);
+        }
+        Tasks.sleep(Duration.ofMillis(end - System.currentTimeMillis()));
+        Summary turns = load.stop();
+        EngineChecks checks = context.engineChecks();
+        long now = System.currentTimeMillis();
+        for (FleetMap.TargetAddress spare : context.fleet().spares()) {
+            checks.absent(spare.id(), 0, joinedAt(spare, now));
+        }
+        replacements.forEach(r -> checks.absent(r.leaving().id(), r.atMillis(), now));
+        context.checkCommon(turns, checks.skew());
+        for (Replacement r : replacements) {
+            long late = checks.accepts(r.leaving().id(), r.atMillis() + BOUND.toMillis(), now);
+            context.promises()
+                    .check(
+                            late == 0,
+                            "no accept at "
+                                    + r.leaving().id()
+                                    + " from 3 s after it was listed as leaving: "
+                                    + late);
+        }
+        return table(turns, checks, start, end);
+    }
+
+    private long joinedAt(FleetMap.TargetAddress spare, long otherwise) {
+        return replacements.stream()
+                .filter(r -> r.joining().equals(spare))
+                .mapToLong(Replacement::atMillis)
+                .findFirst()
+                .orElse(otherwise);
+    }
+
+    /** Lists an engine as leaving and a cold spare in its place as live. */
+    private void replace(int number) {
+        FleetMap.TargetAddress leaving = context.fleet().engines().get(number);
+        FleetMap.TargetAddress joining = context.fleet().spares().get(number);
+        Endpoint platform = context.fleet().platform();
+        JsonArray hosts = context.calls().get(platform, "/hosts", Map.of()).getJsonArray("hosts");
+        JsonArray changed = hosts.copy();
+        for (int i = 0; i < hosts.size(); i++) {
+            if (leaving.id().value().equals(hosts.getJsonObject(i).getString("target"))) {
+                changed.getJsonObject(i).put("state", "leaving");
+                changed.add(
+                        hosts.getJsonObject(i)
+                                .copy()
+                                .put("host", "host-" + joining.id())
+                                .put("target", joining.id().value())
+                                .put("address", joining.endpoint().toString()));
+            }
+        }
+        var body = new JsonObject().put("hosts", changed).toBuffer();
+        context.calls().send(HttpMethod.PUT, platform, "/hosts", Map.of(), body);
+        replacements.add(new Replacement(leaving, joining, System.currentTimeMillis()));
+        System.out.printf(Locale.ROOT, "%s replaces %s%n", joining.id(), leaving.id());
+    }
+
+    private Table table(Summary turns, EngineChecks checks, long start, long end) {
+        List<String> headings = new ArrayList<>(List.of("from s", "replaced"));
+        headings.addAll(ChatColumns.headings());
+        headings.add("peak load");
+        Table table = new Table(headings);
+        for (long from = start; from < end; from += INTERVAL.toMillis()) {
+            long a = from;
+            long b = from + INTERVAL.toMillis();
+            List<String> row = new ArrayList<>();
+            row.add(Long.toString((a - start) / 1_000));
+            row.add(
+                    Long.toString(
+                            replacements.stream()
+                                    .filter(r -> r.atMillis() >= a && r.atMillis() < b)
+                                    .count()));
+            row.addAll(
+                    ChatColumns.cells(
+                            turns.only(r -> r.startedMillis() >= a && r.startedMillis() < b)));
+            row.add(Integer.toString(checks.peakLoad(a, b)));
+            table.add(row);
+        }
+        return table;
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/experiment/Departure.java
@@ -0,0 +1,112 @@
+package org.godwithoist.loadtool.experiment;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.EngineChecks;
+import org.godwithoist.loadtool.load.FleetMap;
+import org.godwithoist.loadtool.load.Operator;
+import org.godwithoist.loadtool.load.Summary;
+import org.godwithoist.loadtool.trace.Trace;
+
+/** Takes a failure domain out of service and back under a steady load of returning chats. */
+final class Departure {
+    private static final FailureDomainId DOMAIN = new FailureDomainId("domain-1");
+    private static final Duration INTERVAL = Duration.ofSeconds(5);
+
+    /** The bound of the promise "domain out". */
+    private static final Duration BOUND = Duration.ofSeconds(3);
+
+    private static final int PARTS = 3;
+
+    private final ExperimentContext context;
+    private final Operator operator;
+    private long outAt;
+    private long inAt;
+
+    Departure(ExperimentContext context) {
+        this.context = context;
+        operator = new Operator(context.calls(), context.fleet());
+    }
+
+    Table run() {
+        ChatLoad load = new ChatLoad(context);
+        int chats = context.callers() * ChatLoad.chatsPerCaller(context.duration());
+        long start = System.currentTimeMillis();
+        load.start(
+                Trace.draw(
+                        context.deployment(),
+                        context.seed(),
+                        chats,
+                        ChatLoad.TURNS,
+                        ChatLoad.PAUSE),
+                context.callers());
+        Duration part = context.duration().dividedBy(PARTS);
+        Tasks.sleep(part);
+        outAt = System.currentTimeMillis();
+        operator.order(DOMAIN, true);
+        long outAnswered = System.currentTimeMillis();
+        Tasks.sleep(part);
+        inAt = System.currentTimeMillis();
+        operator.order(DOMAIN, false);
+        Tasks.sleep(part);
+        long end = System.currentTimeMillis();
+        Summary turns = load.stop();
+        System.out.printf(
+                Locale.ROOT,
+                "domain %s ordered out at %.1f s (answered after %d ms), in at %.1f s%n",
+                DOMAIN,
+                (outAt - start) / 1e3,
+                outAnswered - outAt,
+                (inAt - start) / 1e3);
+        EngineChecks checks = context.engineChecks();
+        for (FleetMap.TargetAddress e : context.fleet().engines()) {
+            if (e.failureDomain().equals(DOMAIN)) {
+                checks.absent(e.id(), outAt, inAt);
+            }
+        }
+        checkBounds(turns, checks, end);
+        return table(turns, checks, start, end);
+    }
+
+    private void checkBounds(Summary turns, EngineChecks checks, long end) {
+        context.checkCommon(turns, checks.skew());
+        long accepts = checks.accepts(DOMAIN, outAt + BOUND.toMillis(), inAt);
+        context.promises()
+                .check(
+                        accepts == 0,
+                        "no accept in the domain from 3 s after the order out until the order in: "
+                                + accepts);
+        System.out.println(
+                "  largest load of an engine after the return: "
+                        + checks.peakLoad(inAt, end)
+                        + ", before the departure: "
+                        + checks.peakLoad(0, outAt));
+    }
+
+    private Table table(Summary turns, EngineChecks checks, long start, long end) {
+        List<String> headings = new ArrayList<>(List.of("from s", "domain"));
+        headings.addAll(ChatColumns.headings());
+        headings.addAll(List.of("accepts in domain", "after 3 s", "peak load"));
+        Table table = new Table(headings);
+        for (long from = start; from < end; from += INTERVAL.toMillis()) {
+            long a = from;
+            long b = from + INTERVAL.toMillis();
+            List<String> row = new ArrayList<>();
+            row.add(Long.toString((a - start) / 1_000));
+            row.add(a < outAt ? "in" : a < inAt ? "out" : "back");
+            row.addAll(
+                    ChatColumns.cells(
+                            turns.only(r -> r.startedMillis() >= a && r.startedMillis() < b)));
+            row.add(Long.toString(checks.accepts(DOMAIN, a, b)));
+            long boundFrom = Math.max(a, outAt + BOUND.toMillis());
+            row.add(Long.toString(checks.accepts(DOMAIN, boundFrom, Math.min(b, inAt))));
+            row.add(Integer.toString(checks.peakLoad(a, b)));
+            table.add(row);
+        }
+        return table;
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/experiment/Latency.java
@@ -0,0 +1,201 @@
+package org.godwithoist.loadtool.experiment;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.UUID;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.SynchronizedHistogram;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.ChatId;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.AnswerReader;
+import org.godwithoist.loadtool.load.ChatPost;
+import org.godwithoist.loadtool.load.FleetMap;
+
+/** Compares the time to the first token through a daemon with direct calls to the same engine. */
+final class Latency {
+    private static final double MEDIAN = 50;
+    private static final double P95 = 95;
+    private static final double P99 = 99;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double MEDIAN_BOUND_MS = 1;
+    private static final double P99_BOUND_MS = 3;
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    /** Lets the engine get warm and the compilers of all processes settle. */
+    private static final Duration WARM_UP = Duration.ofSeconds(20);
+
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final WorkspaceId WORKSPACE = new WorkspaceId("workspace-0");
+
+    /** Chats that return again and again, so that all prompts are cached on both ways. */
+    private static final int CHATS = 100;
+
+    private static final int ANSWER_WORDS = 4;
+    private static final int MAX_CONNECTIONS = 64;
+
+    private final ExperimentContext context;
+    private final HttpClient client;
+
+    /** The two ways to the engine. */
+    private enum Way {
+        DIRECT {
+            @Override
+            Endpoint endpoint(FleetMap fleet) {
+                return fleet.engines().getFirst().endpoint();
+            }
+        },
+        DAEMON {
+            @Override
+            Endpoint endpoint(FleetMap fleet) {
+                return fleet.daemons().getFirst().callers();
+            }
+        };
+
+        abstract Endpoint endpoint(FleetMap fleet);
+
+        String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /** Times and failures of one way. */
+    private static final class Measured {
+        private final Histogram nanos = new SynchronizedHistogram(SIGNIFICANT_DIGITS);
+        private int failed;
+
+        synchronized void fail() {
+            failed++;
+        }
+
+        synchronized int failed() {
+            return failed;
+        }
+
+        double millis(double percentile) {
+            return nanos.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
+        }
+    }
+
+    Latency(ExperimentContext context) {
+        this.context = context;
+        client =
+                context.vertx()
+                        .createHttpClient(
+                                new HttpClientOptions().setConnectTimeout(1_000),
+                                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+    }
+
+    Table run() {
+        send(WARM_UP);
+        Map<Way, Measured> measured = send(context.duration());
+        Table table = new Table(List.of("way", "answers", "failed", "p50 ms", "p95 ms", "p99 ms"));
+        for (Way way : Way.values()) {
+            Measured m = measured.get(way);
+            table.add(
+                    List.of(
+                            way.label(),
+                            Long.toString(m.nanos.getTotalCount()),
+                            Integer.toString(m.failed()),
+                            number(m.millis(MEDIAN)),
+                            number(m.millis(P95)),
+                            number(m.millis(P99))));
+        }
+        checkBounds(measured.get(Way.DIRECT), measured.get(Way.DAEMON));
+        return table;
+    }
+
+    private void checkBounds(Measured direct, Measured daemon) {
+        double median = daemon.millis(MEDIAN) - direct.millis(MEDIAN);
+        double p99 = daemon.millis(P99) - direct.millis(P99);
+        context.promises()
+                .check(
+                        direct.failed() + daemon.failed() == 0,
+                        "every call was answered: "
+                                + (direct.failed() + daemon.failed())
+                                + " failed");
+        context.promises()
+                .check(
+                        median <= MEDIAN_BOUND_MS,
+                        "at most 1 ms more at the median: " + number(median) + " ms");
+        context.promises()
+                .check(p99 <= P99_BOUND_MS, "at most 3 ms more at p99: " + number(p99) + " ms");
+    }
+
+    /** Sends calls at the fixed rate, alternating between the ways, and waits for the answers. */
+    private Map<Way, Measured> send(Duration time) {
+        Map<Way, Measured> measured = new EnumMap<>(Way.class);
+        for (Way way : Way.values()) {
+            measured.put(way, new Measured());
+        }
+        List<Thread> calls = new ArrayList<>();
+        long count = time.toSeconds() * context.rate();
+        long interval = Duration.ofSeconds(1).toNanos() / context.rate();
+        long start = System.nanoTime();
+        for (long i = 0; i < count; i++) {
+            Tasks.sleep(Duration.ofNanos(start + i * interval - System.nanoTime()));
+            Way way = Way.values()[(int) (i % Way.values().length)];
+            long number = i / Way.values().length % CHATS;
+            calls.add(Tasks.start("call-" + i, () -> call(way, number, measured.get(way))));
+        }
+        for (Thread t : calls) {
+            try {
+                t.join();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return measured;
+    }
+
+    private void call(Way way, long number, Measured measured) {
+        ChatId chat = new ChatId("latency-" + way.label() + "-" + number);
+        RequestId id = new RequestId(UUID.randomUUID().toString());
+        String key = context.fleet().keys().get(WORKSPACE);
+        RequestOptions options =
+                ChatPost.to(way.endpoint(context.fleet()), key, chat, id)
+                        .putHeader("X-Workspace", WORKSPACE.value())
+                        .putHeader("X-Priority", Priority.INTERACTIVE.wireName());
+        JsonArray messages =
+                new JsonArray()
+                        .add(
+                                new JsonObject()
+                                        .put("role", "user")
+                                        .put("content", "question of chat " + number));
+        Buffer body = ChatPost.body(messages, ANSWER_WORDS).toBuffer();
+        AnswerReader reader = new AnswerReader(text -> {});
+        long start = System.nanoTime();
+        try {
+            Await.result(
+                    client.request(options).compose(r -> r.send(body)).compose(r -> reader.read(r)),
+                    TIMEOUT);
+        } catch (RuntimeException e) {
+            measured.fail();
+            return;
+        }
+        if (!reader.done()) {
+            measured.fail();
+            return;
+        }
+        measured.nanos.recordValue(reader.firstTokenNanos() - start);
+    }
+
+    private static String number(double millis) {
+        return String.format(Locale.ROOT, "%.2f", millis);
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/experiment/Surge.java
@@ -0,0 +1,116 @@
+package org.godwithoist.loadtool.experiment;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.loadtool.load.Summary;
+import org.godwithoist.loadtool.load.TurnResult;
+import org.godwithoist.loadtool.trace.ChatPlan;
+import org.godwithoist.loadtool.trace.Trace;
+
+/** One large workspace sends ten times its load; the others should not notice. */
+final class Surge {
+    private static final WorkspaceId SURGING = new WorkspaceId("workspace-0");
+    private static final int FACTOR = 10;
+    private static final double P95 = 95;
+
+    /** Lets the engines get warm and fills their caches; not part of the comparison. */
+    private static final Duration LEAD = Duration.ofSeconds(20);
+
+    /** First-token objectives of the service levels in the bundle of the demonstration. */
+    private static final Map<Priority, Duration> OBJECTIVES =
+            Map.of(
+                    Priority.URGENT, Duration.ofMillis(500),
+                    Priority.INTERACTIVE, Duration.ofMillis(1_000),
+                    Priority.BACKGROUND, Duration.ofMillis(20_000));
+
+    private final ExperimentContext context;
+
+    Surge(ExperimentContext context) {
+        this.context = context;
+    }
+
+    Table run() {
+        Duration half = context.duration().dividedBy(2);
+        List<ChatPlan> plans = draw(LEAD.plus(context.duration()));
+        int perCaller = ChatLoad.chatsPerCaller(LEAD.plus(context.duration()));
+        List<ChatPlan> usual = plans.subList(0, context.callers() * perCaller);
+        List<ChatPlan> extra =
+                plans.subList(usual.size(), plans.size()).stream()
+                        .filter(p -> p.workspace().equals(SURGING))
+                        .toList();
+        ChatLoad load = new ChatLoad(context);
+        load.start(usual, context.callers());
+        Tasks.sleep(LEAD);
+        long from = System.currentTimeMillis();
+        Tasks.sleep(half);
+        long surgeAt = System.currentTimeMillis();
+        int surging = extra.size() / perCaller;
+        System.out.printf(Locale.ROOT, "%d callers; surge: %d more%n", context.callers(), surging);
+        load.start(extra, surging);
+        Tasks.sleep(half);
+        long end = System.currentTimeMillis();
+        Summary turns = load.stop();
+        context.checkCommon(turns, context.engineChecks().skew());
+        Summary before = turns.only(r -> within(r, from, surgeAt));
+        Summary during = turns.only(r -> within(r, surgeAt, end));
+        checkObjectives(during.only(Surge::quiet));
+        return table(before, during);
+    }
+
+    /** Draws the usual chats and then those from which the surge is taken. */
+    private List<ChatPlan> draw(Duration time) {
+        int chats = context.callers() * ChatLoad.chatsPerCaller(time);
+        return Trace.draw(
+                context.deployment(),
+                context.seed(),
+                chats * FACTOR,
+                ChatLoad.TURNS,
+                ChatLoad.PAUSE);
+    }
+
+    private void checkObjectives(Summary quiet) {
+        for (Priority p : Priority.values()) {
+            Duration p95 = quiet.firstToken(P95, r -> r.priority() == p);
+            context.promises()
+                    .check(
+                            p95.compareTo(OBJECTIVES.get(p)) <= 0,
+                            "p95 to the first token of the others during the surge, "
+                                    + p.wireName()
+                                    + ": "
+                                    + p95.toMillis()
+                                    + " ms of at most "
+                                    + OBJECTIVES.get(p).toMillis());
+        }
+    }
+
+    private static Table table(Summary before, Summary during) {
+        List<String> headings = new ArrayList<>(List.of("phase", "workspaces"));
+        headings.addAll(ChatColumns.headings());
+        Table table = new Table(headings);
+        add(table, "usual", "others", before.only(Surge::quiet));
+        add(table, "surge", "others", during.only(Surge::quiet));
+        add(table, "usual", "surging", before.only(r -> !quiet(r)));
+        add(table, "surge", "surging", during.only(r -> !quiet(r)));
+        return table;
+    }
+
+    private static void add(Table table, String phase, String workspaces, Summary turns) {
+        List<String> row = new ArrayList<>(List.of(phase, workspaces));
+        row.addAll(ChatColumns.cells(turns));
+        table.add(row);
+    }
+
+    private static boolean within(TurnResult r, long from, long to) {
+        return r.startedMillis() >= from && r.startedMillis() < to;
+    }
+
+    private static boolean quiet(TurnResult r) {
+        return !r.workspace().equals(SURGING);
+    }
+}
