Compare latency at the engine that served the chat and trace broken bounds

Two accepts above the skew bound and broken attempts in a surge could not be traced, because nothing named them.

EngineChecks names each accept above the bound; ChatCaller logs why an attempt broke.

--- a/loadtool/src/main/java/org/godwithoist/loadtool/experiment/ExperimentContext.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/experiment/ExperimentContext.java
@@ -64,6 +64,7 @@
                         + skew.accepts()
                         + " accepts, largest load "
                         + skew.peakLoad());
+        skew.aboveBound().forEach(v -> System.out.println("          " + v));
         promises.check(
                 skew.coldViolations() == 0,
                 "no cold engine was above its limit: " + skew.coldViolations());
--- a/loadtool/src/main/java/org/godwithoist/loadtool/experiment/Latency.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/experiment/Latency.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.SynchronizedHistogram;
 import org.godwithoist.core.Priority;
@@ -52,22 +53,13 @@
     private final ExperimentContext context;
     private final HttpClient client;
 
+    /** The engine that served each chat at the daemon last; direct calls go to the same one. */
+    private final Map<Long, FleetMap.TargetAddress> engines = new ConcurrentHashMap<>();
+
     /** The two ways to the engine. */
     private enum Way {
-        DIRECT {
-            @Override
-            Endpoint endpoint(FleetMap fleet) {
-                return fleet.engines().getFirst().endpoint();
-            }
-        },
-        DAEMON {
-            @Override
-            Endpoint endpoint(FleetMap fleet) {
-                return fleet.daemons().getFirst().callers();
-            }
-        };
-
-        abstract Endpoint endpoint(FleetMap fleet);
+        DAEMON,
+        DIRECT;
 
         String label() {
             return name().toLowerCase(Locale.ROOT);
@@ -168,7 +160,7 @@
         RequestId id = new RequestId(UUID.randomUUID().toString());
         String key = context.fleet().keys().get(WORKSPACE);
         RequestOptions options =
-                ChatPost.to(way.endpoint(context.fleet()), key, chat, id)
+                ChatPost.to(endpoint(way, number), key, chat, id)
                         .putHeader("X-Workspace", WORKSPACE.value())
                         .putHeader("X-Priority", Priority.INTERACTIVE.wireName());
         JsonArray messages =
@@ -192,9 +184,20 @@
             measured.fail();
             return;
         }
+        if (way == Way.DAEMON) {
+            context.fleet().engines().stream()
+                    .filter(e -> e.id().value().equals(reader.engine()))
+                    .forEach(e -> engines.put(number, e));
+        }
         measured.nanos.recordValue(reader.firstTokenNanos() - start);
     }
 
+    private Endpoint endpoint(Way way, long number) {
+        return way == Way.DAEMON
+                ? context.fleet().daemons().getFirst().callers()
+                : engines.getOrDefault(number, context.fleet().engines().getFirst()).endpoint();
+    }
+
     private static String number(double millis) {
         return String.format(Locale.ROOT, "%.2f", millis);
     }
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/AnswerReader.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/AnswerReader.java
@@ -25,6 +25,7 @@
     private boolean done;
     private boolean repeated;
     private String error = "";
+    private String engine = "";
 
     /**
      * Makes a reader.
@@ -87,6 +88,11 @@
         return error;
     }
 
+    /** Returns the engine that the last chunk names, or an empty text. */
+    public synchronized String engine() {
+        return engine;
+    }
+
     private synchronized void take(Buffer bytes) {
         pending.appendBuffer(bytes);
         int start = 0;
@@ -123,6 +129,7 @@
     }
 
     private void takeChunk(JsonObject chunk) {
+        engine = chunk.getString("system_fingerprint", engine);
         JsonObject usage = chunk.getJsonObject("usage");
         if (usage != null) {
             promptTokens = usage.getLong("prompt_tokens", 0L);
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/ChatCaller.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/ChatCaller.java
@@ -1,5 +1,6 @@
 package org.godwithoist.loadtool.load;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -28,6 +29,7 @@
  * a refusal that did not run is repeated, and a broken stream is continued at another daemon.
  */
 public final class ChatCaller {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int OK = 200;
     private static final int MAX_ATTEMPTS = 40;
     private static final int MAX_CONNECTIONS = 512;
@@ -122,6 +124,7 @@
             } catch (RuntimeException e) {
                 // A broken connection; the next attempt asks another daemon for the rest.
                 cuts++;
+                LOG.atInfo().log("%s broke after event %d: %s", id, reader.lastOffset(), e);
                 Tasks.sleep(RETRY_PAUSE);
             }
         }
--- a/loadtool/src/main/java/org/godwithoist/loadtool/load/EngineChecks.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/load/EngineChecks.java
@@ -47,11 +47,32 @@
      * @param peakRatio largest load of an engine over the mean at an accept, where the mean is at
      *     least the floor
      * @param peakLoad largest number of requests in progress at one engine
-     * @param violations accepts above the bound
+     * @param aboveBound accepts above the bound
      * @param coldViolations accepts above the cold-start limit
      */
     public record Skew(
-            int accepts, double peakRatio, int peakLoad, int violations, int coldViolations) {}
+            int accepts,
+            double peakRatio,
+            int peakLoad,
+            List<Violation> aboveBound,
+            int coldViolations) {
+        /** Returns the number of accepts above the bound. */
+        public int violations() {
+            return aboveBound.size();
+        }
+    }
+
+    /**
+     * An accept above the skew bound.
+     *
+     * @param engine the engine
+     * @param atMillis wall-clock time of the accept
+     * @param request request that was accepted
+     * @param load requests in progress at the engine, this one included
+     * @param mean largest mean load of the engines in service within the window
+     */
+    public record Violation(
+            TargetId engine, long atMillis, String request, int load, double mean) {}
 
     /** Makes checks against the limits of the bundle. */
     public EngineChecks(AdmissionLimits limits) {
@@ -82,7 +103,7 @@
         List<double[]> means = new ArrayList<>();
         int accepts = 0;
         int peakLoad = 0;
-        int violations = 0;
+        List<Violation> violations = new ArrayList<>();
         int coldViolations = 0;
         double peakRatio = 0;
         for (Entry e : entries) {
@@ -95,7 +116,15 @@
             accepts++;
             peakLoad = Math.max(peakLoad, now);
             double largest = largestMean(means, e.atMillis());
-            violations += now > limits.skewBound(largest) ? 1 : 0;
+            if (now > limits.skewBound(largest)) {
+                violations.add(
+                        new Violation(
+                                e.engine(),
+                                e.atMillis(),
+                                e.fields().getString("request"),
+                                now,
+                                largest));
+            }
             boolean cold = e.fields().getBoolean("cold", false);
             coldViolations += cold && now > limits.coldStartLimit() ? 1 : 0;
             peakRatio = Math.max(peakRatio, now / Math.max(limits.skewFloor(), largest));
