Compute the assignment of members to groups and links

Cause: every daemon runs rounds with every other; CAPACITY.md extrapolates 437 KB/s sent at 940 members.

Change: GroupLayout computes the number of groups, the group of a member and the holders of the links between two groups from the set of hosts alone. The k-th members of two groups in the hash order hold the k-th link, so both ends compute the same links. Nothing uses it yet.

Conclusion: 940 members form 32 groups; 32 members or fewer form one.

--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/GroupId.java
@@ -0,0 +1,25 @@
+package org.godwithoist.membership;
+
+/**
+ * A group of members.
+ *
+ * @param number from 0 to the number of groups minus 1
+ */
+public record GroupId(int number) implements Comparable<GroupId> {
+    /** Checks the number. */
+    public GroupId {
+        if (number < 0) {
+            throw new IllegalArgumentException("number of a group is negative: " + number);
+        }
+    }
+
+    @Override
+    public int compareTo(GroupId other) {
+        return Integer.compare(number, other.number);
+    }
+
+    @Override
+    public String toString() {
+        return Integer.toString(number);
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/GroupLayout.java
@@ -0,0 +1,141 @@
+package org.godwithoist.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import org.godwithoist.core.id.HostId;
+
+/**
+ * Assignment of members to groups and to the links between groups. It depends only on the set of
+ * hosts, so daemons that know the same members compute the same assignment. Immutable.
+ */
+public final class GroupLayout {
+    /** Links between two groups. */
+    public static final int LINKS = 3;
+
+    /** Highest number of groups that a message may name. */
+    public static final int MAX_GROUPS = 1 << 12;
+
+    private record Link(HostId own, HostId other) {}
+
+    private final HostId self;
+    private final GroupId own;
+    private final Map<HostId, Long> hashes = new HashMap<>();
+    private final List<List<HostId>> groups;
+    private final List<List<Link>> links = new ArrayList<>();
+
+    /**
+     * Assigns hosts to groups.
+     *
+     * @param self this daemon
+     * @param hosts all members; this daemon may be left out
+     * @param maxMeanSize highest mean size of a group
+     */
+    public GroupLayout(HostId self, Collection<HostId> hosts, int maxMeanSize) {
+        this.self = self;
+        Set<HostId> all = new TreeSet<>(hosts);
+        all.add(self);
+        int count = 1;
+        while (all.size() > (long) count * maxMeanSize && count < MAX_GROUPS) {
+            count <<= 1;
+        }
+        groups =
+                IntStream.range(0, count)
+                        .mapToObj(g -> (List<HostId>) new ArrayList<HostId>())
+                        .toList();
+        for (HostId h : all) {
+            long hash = hash(h);
+            hashes.put(h, hash);
+            groups.get(number(hash)).add(h);
+        }
+        own = of(self);
+        for (int g = 0; g < count; g++) {
+            links.add(g == own.number() ? List.of() : candidates(g));
+        }
+    }
+
+    private List<Link> candidates(int other) {
+        List<HostId> near = ranked(own.number(), other);
+        List<HostId> far = ranked(other, own.number());
+        if (far.isEmpty()) {
+            return List.of();
+        }
+        return IntStream.range(0, Math.max(near.size(), far.size()))
+                .mapToObj(i -> new Link(near.get(i % near.size()), far.get(i % far.size())))
+                .toList();
+    }
+
+    private List<HostId> ranked(int group, int other) {
+        long pair = mix(((long) Math.min(group, other) << 32) | Math.max(group, other));
+        return groups.get(group).stream()
+                .sorted(Comparator.comparingLong(h -> mix(hashes.get(h) ^ pair)))
+                .toList();
+    }
+
+    /** Returns the number of groups, a power of two. */
+    public int count() {
+        return groups.size();
+    }
+
+    /** Returns whether there is more than one group. */
+    public boolean several() {
+        return groups.size() > 1;
+    }
+
+    /** Returns the group of this daemon. */
+    public GroupId own() {
+        return own;
+    }
+
+    /** Returns the group of a host. */
+    public GroupId of(HostId host) {
+        Long known = hashes.get(host);
+        return new GroupId(number(known == null ? hash(host) : known));
+    }
+
+    /** Returns the members of a group in host order. */
+    public List<HostId> members(GroupId group) {
+        return List.copyOf(groups.get(group.number()));
+    }
+
+    /**
+     * Returns the members of another group with which this daemon holds a link.
+     *
+     * @param silent members that hold no link; the next ones in the hash order replace them
+     * @param wanted links between the two groups
+     */
+    public Set<HostId> links(GroupId other, Predicate<HostId> silent, int wanted) {
+        Set<HostId> partners = new HashSet<>();
+        links.get(other.number()).stream()
+                .filter(l -> !silent.test(l.own()) && !silent.test(l.other()))
+                .limit(wanted)
+                .filter(l -> l.own().equals(self))
+                .forEach(l -> partners.add(l.other()));
+        return partners;
+    }
+
+    private int number(long hash) {
+        return (int) (hash & (groups.size() - 1));
+    }
+
+    static long hash(HostId host) {
+        return Hash64.of(host.value().getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Spreads the bits of a hash over all bits (the finalizer of SplitMix64). */
+    static long mix(long value) {
+        long z = value + 0x9e3779b97f4a7c15L;
+        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
+        return z ^ (z >>> 31);
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/GroupLayoutTest.java
@@ -0,0 +1,86 @@
+package org.godwithoist.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.godwithoist.core.id.HostId;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class GroupLayoutTest {
+    private static final int SIZE = 32;
+
+    private static List<HostId> hosts(int count) {
+        return IntStream.range(0, count).mapToObj(n -> new HostId("h" + n)).toList();
+    }
+
+    private static GroupLayout layout(int self, int count) {
+        return new GroupLayout(new HostId("h" + self), hosts(count), SIZE);
+    }
+
+    @Nested
+    class NumberOfGroups {
+        /** Guards against groups in a small fleet, and groups that grow with the fleet. */
+        @Test
+        void isTheSmallestPowerOfTwoForTheMeanSize() {
+            assertFalse(layout(0, 32).several());
+            assertEquals(2, layout(0, 33).count());
+            assertEquals(4, layout(0, 65).count());
+            assertEquals(32, layout(0, 940).count());
+        }
+
+        /** Guards against daemons that assign members differently. */
+        @Test
+        void dependsOnTheSetOfMembersOnly() {
+            List<HostId> shuffled = new ArrayList<>(hosts(100));
+            Collections.shuffle(shuffled, new Random(1));
+            GroupLayout other = new GroupLayout(new HostId("h7"), shuffled, SIZE);
+            hosts(100).forEach(h -> assertEquals(layout(0, 100).of(h), other.of(h)));
+        }
+    }
+
+    @Nested
+    class Links {
+        private final Set<HostId> silent = new HashSet<>();
+
+        private Set<Set<HostId>> between(int a, int b, int wanted) {
+            Set<Set<HostId>> ends = new HashSet<>();
+            for (HostId h : hosts(100)) {
+                GroupLayout layout = new GroupLayout(h, hosts(100), SIZE);
+                if (layout.own().number() == a) {
+                    layout.links(new GroupId(b), silent::contains, wanted)
+                            .forEach(other -> ends.add(Set.of(h, other)));
+                }
+            }
+            return ends;
+        }
+
+        /** Guards against a link whose ends disagree, so that it works in one direction only. */
+        @Test
+        void areTheSameSeenFromBothGroups() {
+            for (int wanted = 3; wanted <= 15; wanted += 3) {
+                assertEquals(wanted, between(0, 3, wanted).size());
+                assertEquals(between(0, 3, wanted), between(3, 0, wanted));
+            }
+        }
+
+        /** Guards against a link that ends with a silent member. */
+        @Test
+        void passToTheNextMembers() {
+            Set<Set<HostId>> first = between(1, 2, 3);
+            silent.addAll(first.iterator().next());
+            Set<Set<HostId>> next = between(1, 2, 3);
+            assertEquals(3, next.size());
+            assertEquals(next, between(2, 1, 3));
+            assertTrue(next.stream().noneMatch(l -> l.stream().anyMatch(silent::contains)));
+        }
+    }
+}
