--- a/cli/src/main/java/org/godwithoist/cli/Reply.java
+++ b/cli/src/main/java/org/godwithoist/cli/Reply.java
@@ -12,7 +12,8 @@
  * @param text body
  */
 record Reply(int status, String text) {
-    private static final List<String> MEMBERS_WITHOUT = List.of("unacknowledged", "out_of_contact");
+    private static final List<String> MEMBERS_WITHOUT =
+            List.of("unacknowledged", "out_of_contact", "unconfirmed_groups");
 
     /** Returns the body as JSON; an object with the text if it is none. */
     JsonObject body() {
@@ -23,7 +24,7 @@
         }
     }
 
-    /** Returns whether the daemon names members that did not acknowledge. */
+    /** Returns whether the daemon names members or groups that did not acknowledge. */
     boolean isIncomplete() {
         return MEMBERS_WITHOUT.stream()
                 .anyMatch(f -> body().getValue(f) instanceof JsonArray a && !a.isEmpty());
--- a/membership/src/main/java/org/godwithoist/membership/ExchangeMessage.java
+++ b/membership/src/main/java/org/godwithoist/membership/ExchangeMessage.java
@@ -1,5 +1,6 @@
 package org.godwithoist.membership;
 
+import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
 
@@ -16,6 +17,10 @@
      * @param sender the sender itself, until the receiver knows this run of it
      * @param wantMembers asks for the members that the receiver is in contact with
      * @param leaving the sender stops
+     * @param groups number of groups that the sender computes
+     * @param wantedGroups groups whose summaries the sender asks for
+     * @param memberDigests with {@code wantMembers}: digests of the members of each group that the
+     *     sender is in contact with; groups with the same digest are left out of the answer
      */
     public record Request(
             long incarnation,
@@ -23,7 +28,10 @@
             List<Order> orders,
             Optional<Member> sender,
             boolean wantMembers,
-            boolean leaving) {}
+            boolean leaving,
+            int groups,
+            BitSet wantedGroups,
+            List<Integer> memberDigests) {}
 
     /**
      * Answer to a round.
@@ -35,6 +43,8 @@
      * @param members those members, if asked for
      * @param senderUnknown the receiver does not know this run of the sender
      * @param ordersKnown the receiver has the orders of the store or of a peer that has them
+     * @param groups number of groups that the receiver computes
+     * @param summaries summaries of the groups asked for
      */
     public record Response(
             long incarnation,
@@ -43,5 +53,7 @@
             long membersDigest,
             List<Member> members,
             boolean senderUnknown,
-            boolean ordersKnown) {}
+            boolean ordersKnown,
+            int groups,
+            List<GroupSummary> summaries) {}
 }
--- a/membership/src/main/java/org/godwithoist/membership/ExchangeRounds.java
+++ b/membership/src/main/java/org/godwithoist/membership/ExchangeRounds.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +32,17 @@
         private boolean wantMembers;
     }
 
+    /** Orders that all members of another group hold: digest and revision of the book here. */
+    private record Confirmation(long digest, long revision) {}
+
+    /**
+     * Members and groups without an acknowledgement.
+     *
+     * @param members members of the own group that have not acknowledged, silent ones included
+     * @param groups other groups that have not confirmed
+     */
+    public record Missing(Set<HostId> members, Set<GroupId> groups) {}
+
     private final FleetMembers members;
     private final OrderBook orders;
     private final MembershipConfig config;
@@ -38,6 +50,7 @@
     private final Map<HostId, Peer> peers = new ConcurrentHashMap<>();
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition answered = lock.newCondition();
+    private final Map<GroupId, Confirmation> confirmations = new ConcurrentHashMap<>();
     private Optional<Long> lastPull = Optional.empty();
 
     /** Makes rounds over the given state. */
@@ -60,6 +73,7 @@
     public boolean run(HostId host, PeerExchange exchange) {
         Peer peer = peer(host);
         OrderBook.Snapshot held = orders.snapshot();
+        GroupLayout layout = members.layout();
         boolean sendAll = peer.sendAll;
         List<Order> sent = sendAll ? held.orders() : unsent(peer, held);
         boolean wantMembers = peer.wantMembers && takePull();
@@ -70,7 +84,10 @@
                         sent,
                         peer.introduce ? Optional.of(members.self()) : Optional.empty(),
                         wantMembers,
-                        false);
+                        false,
+                        layout.count(),
+                        wantedGroups(layout, held.digest(), host),
+                        wantMembers && members.listKnown() ? members.groupDigests() : List.of());
         long sentAt = ticker.nanos();
         var response =
                 Await.result(
@@ -83,6 +100,8 @@
             members.ordersRead();
         }
         members.answered(host, response.incarnation(), sentAt);
+        members.takeSummaries(response.groups(), response.summaries(), sentAt);
+        confirm(layout, response);
         if (wantMembers && !response.members().isEmpty()) {
             members.learnAll(response.members());
         }
@@ -99,8 +118,62 @@
         return differs && !sendAll;
     }
 
-    /** Tells all members that this daemon stops. */
+    /**
+     * Returns the groups to ask for: those whose contact ages, and those that have not confirmed
+     * the orders held here. A partner on a link is always asked for its own group.
+     */
+    private BitSet wantedGroups(GroupLayout layout, long digest, HostId host) {
+        BitSet wanted = members.wantedGroups();
+        if (!layout.several()) {
+            return wanted;
+        }
+        wanted.set(layout.of(host).number());
+        for (int g = 0; g < layout.count(); g++) {
+            if (!confirmed(new GroupId(g), digest)) {
+                wanted.set(g);
+            }
+        }
+        wanted.clear(layout.own().number());
+        return wanted;
+    }
+
+    private void confirm(GroupLayout layout, ExchangeMessage.Response response) {
+        OrderBook.Snapshot held = orders.snapshot();
+        if (response.ordersDigest() != held.digest() || response.groups() != layout.count()) {
+            return;
+        }
+        response.summaries().stream()
+                .filter(GroupSummary::confirmed)
+                .forEach(
+                        s ->
+                                confirmations.put(
+                                        s.group(),
+                                        new Confirmation(held.digest(), held.revision())));
+        signal();
+    }
+
+    private boolean confirmed(GroupId group, long digest) {
+        Confirmation c = confirmations.get(group);
+        return c != null && c.digest() == digest;
+    }
+
+    /** Returns whether all members of a group that are not silent hold the orders of a digest. */
+    private boolean holds(GroupLayout layout, GroupId group, long digest) {
+        if (!group.equals(layout.own())) {
+            return confirmed(group, digest);
+        }
+        return layout.members(group).stream()
+                .filter(h -> !members.isSilent(h))
+                .allMatch(h -> agrees(h, digest));
+    }
+
+    /**
+     * Tells members that this daemon stops: all members if they form one group, otherwise those
+     * that it runs rounds with, which pass it on in their summaries.
+     */
     public void sayLeaving(PeerExchange exchange) {
+        boolean several = members.layout().several();
+        Set<HostId> partners = members.partners();
         var request =
                 new ExchangeMessage.Request(
                         members.self().incarnation(),
@@ -108,10 +181,14 @@
                         List.of(),
                         Optional.empty(),
                         false,
-                        true);
+                        true,
+                        members.layout().count(),
+                        new BitSet(),
+                        List.of());
         var calls =
                 members.reachable().stream()
                         .filter(m -> !m.host().equals(members.self().host()))
+                        .filter(m -> !several || partners.contains(m.host()))
                         .map(m -> exchange.send(m.host(), request, config.callTimeout()))
                         .toList();
         for (var call : calls) {
@@ -128,7 +205,9 @@
         if (peer.lastDigest.filter(d -> d == held.digest()).isPresent()) {
             return List.of();
         }
-        return orders.ownSince(peer.acknowledged);
+        return members.layout().several()
+                ? orders.since(peer.acknowledged)
+                : orders.ownSince(peer.acknowledged);
     }
 
     private boolean takePull() {
@@ -157,65 +236,108 @@
      */
     public ExchangeMessage.Response answer(HostId from, ExchangeMessage.Request request) {
         orders.merge(request.orders());
+        GroupLayout layout = members.layout();
+        long digest = orders.digest();
+        // Computed before the orders are read, so that the answer has all orders of the members
+        // that a summary covers.
+        List<GroupSummary> summaries =
+                members.summaries(
+                        request.groups(), request.wantedGroups(), g -> holds(layout, g, digest));
         OrderBook.Snapshot held = orders.snapshot();
         if (request.leaving()) {
             members.left(from);
         } else {
             request.sender().filter(m -> m.host().equals(from)).ifPresent(members::announce);
         }
-        peer(from).lastDigest = Optional.of(request.ordersDigest());
+        Peer peer = peer(from);
+        peer.lastDigest = Optional.of(request.ordersDigest());
+        if (request.ordersDigest() == held.digest()) {
+            peer.acknowledged = Math.max(peer.acknowledged, held.revision());
+            signal();
+        }
         return new ExchangeMessage.Response(
                 members.self().incarnation(),
                 held.digest(),
                 held.digest() == request.ordersDigest() ? List.of() : held.orders(),
                 members.reachableDigest(),
-                request.wantMembers() && members.listKnown() ? members.reachable() : List.of(),
+                request.wantMembers() && members.listKnown()
+                        ? members.reachable(request.memberDigests())
+                        : List.of(),
                 !members.knows(from, request.incarnation()),
-                members.ordersKnown());
+                members.ordersKnown(),
+                layout.count(),
+                digest == held.digest() ? summaries : unconfirmed(summaries));
+    }
+
+    /** The confirmations are for orders other than those that the answer names. */
+    private static List<GroupSummary> unconfirmed(List<GroupSummary> summaries) {
+        return summaries.stream()
+                .map(s -> new GroupSummary(s.group(), s.age(), s.covered(), false, s.absent()))
+                .toList();
     }
 
     // ---- acknowledgements
 
     /**
-     * Waits until all members that are not silent have acknowledged the orders given here up to a
-     * revision of the book.
+     * Waits until all members of the own group that are not silent have acknowledged the orders up
+     * to a revision of the book, and all other groups have confirmed them.
      *
-     * @return the members that have not, silent ones included
+     * @return who has not
      */
-    public Set<HostId> awaitAcknowledgements(long revision, Duration timeout) {
+    public Missing awaitAcknowledgements(long revision, Duration timeout) {
         long left = timeout.toNanos();
         lock.lock();
         try {
-            Set<HostId> missing = unacknowledged(revision);
-            while (left > 0 && !missing.stream().allMatch(members::isSilent)) {
+            Missing missing = missing(revision);
+            while (left > 0
+                    && !(missing.groups().isEmpty()
+                            && missing.members().stream().allMatch(members::isSilent))) {
                 left = answered.awaitNanos(left);
-                missing = unacknowledged(revision);
+                missing = missing(revision);
             }
             return missing;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            return unacknowledged(revision);
+            return missing(revision);
         } finally {
             lock.unlock();
         }
     }
 
-    private Set<HostId> unacknowledged(long revision) {
-        Set<HostId> missing = new HashSet<>();
+    private Missing missing(long revision) {
+        GroupLayout layout = members.layout();
+        Set<HostId> hosts = new HashSet<>();
+        Set<GroupId> groups = new HashSet<>();
         for (Member m : members.members()) {
-            boolean self = m.host().equals(members.self().host());
-            if (!self && peer(m.host()).acknowledged < revision) {
-                missing.add(m.host());
+            HostId host = m.host();
+            GroupId group = layout.of(host);
+            if (!group.equals(layout.own())) {
+                Confirmation c = confirmations.get(group);
+                if (c == null || c.revision() < revision) {
+                    groups.add(group);
+                }
+            } else if (!host.equals(members.self().host()) && peer(host).acknowledged < revision) {
+                hosts.add(host);
             }
         }
-        return missing;
+        return new Missing(hosts, groups);
     }
 
-    /** Returns whether a member held the same orders as this daemon when it was last heard. */
+    /**
+     * Returns whether a member held the same orders as this daemon when it or its group was last
+     * heard.
+     */
     public boolean agrees(HostId host) {
         long digest = orders.digest();
+        GroupLayout layout = members.layout();
+        GroupId group = layout.of(host);
+        return agrees(host, digest) || (!group.equals(layout.own()) && confirmed(group, digest));
+    }
+
+    private boolean agrees(HostId host, long digest) {
+        Peer peer = peers.get(host);
         return host.equals(members.self().host())
-                || peer(host).lastDigest.filter(d -> d == digest).isPresent();
+                || (peer != null && peer.lastDigest.filter(d -> d == digest).isPresent());
     }
 
     private void signal() {
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembers.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembers.java
@@ -1,7 +1,7 @@
 package org.godwithoist.membership;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.platform.HostEntry;
@@ -20,28 +21,14 @@
  * the removal time, because the list lags. Thread-safe.
  */
 public final class FleetMembers implements MemberDirectory {
-    private static final class Peer {
-        private Member member;
-        private boolean listed;
-        private boolean announced;
-        private Optional<Long> lastContact = Optional.empty();
-        private long silentFrom;
-        private Optional<Long> leftAt = Optional.empty();
-        private final long hash;
-
-        private Peer(Member member, long now) {
-            this.member = member;
-            this.hash = hash(member.host());
-            this.silentFrom = now;
-        }
-    }
-
     private final Member self;
     private final MembershipConfig config;
     private final Ticker ticker;
-    private final Map<HostId, Peer> peers = new TreeMap<>();
+    private final Map<HostId, MemberContact> peers = new TreeMap<>();
     private long lastTick;
     private long reachableDigest;
+    private final GroupContacts groups;
+    private boolean regroup = true;
     private boolean listKnown;
     private boolean ordersKnown;
 
@@ -57,7 +44,8 @@
         this.config = config;
         this.ticker = ticker;
         this.lastTick = ticker.nanos();
-        this.reachableDigest = hash(self.host());
+        this.groups = new GroupContacts(self, config);
+        this.reachableDigest = GroupLayout.hash(self.host());
         seeds.forEach(this::learn);
     }
 
@@ -73,25 +61,25 @@
             }
             listed.add(h.host());
             Member member = new Member(h.host(), h.failureDomain(), h.address(), 0);
-            Peer peer = peers.computeIfAbsent(h.host(), k -> new Peer(member, ticker.nanos()));
-            if (!peer.announced || silent(peer)) {
+            MemberContact peer = contact(member);
+            if (!peer.announced() || silent(peer)) {
                 // An endpoint that the member itself announced is newer than the lagging list.
-                peer.announced = false;
-                peer.member =
+                peer.setAnnounced(false);
+                peer.setMember(
                         new Member(
                                 h.host(),
                                 h.failureDomain(),
                                 h.address(),
-                                peer.member.incarnation());
+                                peer.member().incarnation()));
             }
         }
-        peers.forEach((host, peer) -> peer.listed = listed.contains(host));
+        peers.forEach((host, peer) -> peer.setListed(listed.contains(host)));
     }
 
     /** Takes a member from a seed or from the list of a peer. */
     public synchronized void learn(Member member) {
         if (!member.host().equals(self.host())) {
-            peers.computeIfAbsent(member.host(), k -> new Peer(member, ticker.nanos()));
+            contact(member);
         }
     }
 
@@ -99,6 +87,26 @@
     public synchronized void learnAll(Collection<Member> members) {
         members.forEach(this::learn);
         listKnown = true;
+        GroupLayout layout = grouped();
+        for (Member m : members) {
+            MemberContact known = peers.get(m.host());
+            // Members of the own group announce a new run themselves.
+            if (known != null
+                    && !layout.of(m.host()).equals(layout.own())
+                    && m.incarnation() > known.member().incarnation()) {
+                known.setMember(m);
+                known.setAnnounced(true);
+            }
+        }
+    }
+
+    private MemberContact contact(Member member) {
+        return peers.computeIfAbsent(
+                member.host(),
+                k -> {
+                    regroup = true;
+                    return new MemberContact(member, ticker.nanos());
+                });
     }
 
     /** Takes what a member said about itself in an authenticated message. */
@@ -106,11 +114,11 @@
         if (member.host().equals(self.host())) {
             return;
         }
-        Peer peer = peers.computeIfAbsent(member.host(), k -> new Peer(member, ticker.nanos()));
-        if (member.incarnation() >= peer.member.incarnation()) {
+        MemberContact peer = contact(member);
+        if (member.incarnation() >= peer.member().incarnation()) {
             restartIfNewer(peer, member.incarnation());
-            peer.member = member;
-            peer.announced = true;
+            peer.setMember(member);
+            peer.setAnnounced(true);
         }
     }
 
@@ -126,9 +134,9 @@
 
     /** Returns whether a run of a member has announced itself. */
     public synchronized boolean knows(HostId host, long incarnation) {
-        Peer peer = peers.get(host);
+        MemberContact peer = peers.get(host);
         return host.equals(self.host())
-                || (peer != null && peer.member.incarnation() == incarnation);
+                || (peer != null && peer.member().incarnation() == incarnation);
     }
 
     // ---- contact
@@ -141,34 +149,31 @@
      *     shows no more than that the member was reachable after it
      */
     public synchronized void answered(HostId host, long incarnation, long sentAt) {
-        Peer peer = peers.get(host);
+        MemberContact peer = peers.get(host);
         if (peer == null) {
             return;
         }
-        if (incarnation > peer.member.incarnation()) {
+        if (incarnation > peer.member().incarnation()) {
             restartIfNewer(peer, incarnation);
-            Member m = peer.member;
-            peer.member = new Member(m.host(), m.failureDomain(), m.peer(), incarnation);
+            Member m = peer.member();
+            peer.setMember(new Member(m.host(), m.failureDomain(), m.peer(), incarnation));
         }
-        if (peer.leftAt.isEmpty()) {
-            peer.lastContact = Optional.of(sentAt);
-            peer.silentFrom = sentAt;
+        if (peer.leftAt().isEmpty()) {
+            peer.contact(sentAt);
         }
     }
 
     /** Records that a member said it stops. */
     public synchronized void left(HostId host) {
-        Peer peer = peers.get(host);
+        MemberContact peer = peers.get(host);
         if (peer != null) {
-            peer.leftAt = Optional.of(ticker.nanos());
+            peer.setLeftAt(Optional.of(ticker.nanos()));
         }
     }
 
-    private void restartIfNewer(Peer peer, long incarnation) {
-        if (incarnation > peer.member.incarnation()) {
-            peer.leftAt = Optional.empty();
-            peer.lastContact = Optional.empty();
-            peer.silentFrom = ticker.nanos();
+    private void restartIfNewer(MemberContact peer, long incarnation) {
+        if (incarnation > peer.member().incarnation()) {
+            peer.restart(ticker.nanos());
         }
     }
 
@@ -183,25 +188,36 @@
     public synchronized void tick() {
         long now = ticker.nanos();
         if (pausedAt(now)) {
-            peers.values().forEach(p -> p.silentFrom = now);
+            peers.values().forEach(p -> p.setSilentFrom(now));
         }
         lastTick = now;
         peers.values()
                 .forEach(
                         p -> {
-                            if (p.leftAt.filter(t -> older(t, config.removalTime())).isPresent()) {
-                                p.leftAt = Optional.empty();
+                            if (p.leftAt()
+                                    .filter(t -> older(t, config.removalTime()))
+                                    .isPresent()) {
+                                p.setLeftAt(Optional.empty());
                             }
                         });
-        peers.values().removeIf(p -> !p.listed && silent(p));
+        regroup |= peers.values().removeIf(p -> !p.listed() && silent(p));
+        if (grouped().several()) {
+            groups.updateDigests(this::inContact);
+            reachableDigest = groups.digests().hashCode();
+            return;
+        }
         // Computed here and not for each message: with 940 members it would cost too much.
-        long digest = hash(self.host());
-        for (Peer p : peers.values()) {
-            digest ^= inContact(p) ? p.hash : 0;
+        long digest = GroupLayout.hash(self.host());
+        for (MemberContact p : peers.values()) {
+            digest ^= inContact(p) ? p.hash() : 0;
         }
         reachableDigest = digest;
     }
 
+    private Duration contactTime() {
+        return grouped().several() ? config.groupContactTime() : config.contactTime();
+    }
+
     private boolean pausedAt(long now) {
         return now - lastTick > config.contactTime().toNanos();
     }
@@ -210,14 +226,14 @@
         return ticker.nanos() - since >= time.toNanos();
     }
 
-    private boolean silent(Peer peer) {
-        return peer.leftAt.isPresent()
-                || (!pausedAt(ticker.nanos()) && older(peer.silentFrom, config.removalTime()));
+    private boolean silent(MemberContact peer) {
+        return peer.leftAt().isPresent()
+                || (!pausedAt(ticker.nanos()) && older(peer.silentFrom(), config.removalTime()));
     }
 
-    private boolean inContact(Peer peer) {
-        return peer.leftAt.isEmpty()
-                && peer.lastContact.filter(t -> !older(t, config.contactTime())).isPresent();
+    private boolean inContact(MemberContact peer) {
+        return peer.leftAt().isEmpty()
+                && peer.lastContact().filter(t -> !older(t, contactTime())).isPresent();
     }
 
     // ---- answers
@@ -233,8 +249,8 @@
         all.put(self.host(), self);
         peers.forEach(
                 (host, peer) -> {
-                    if (peer.leftAt.isEmpty()) {
-                        all.put(host, peer.member);
+                    if (peer.leftAt().isEmpty()) {
+                        all.put(host, peer.member());
                     }
                 });
         return List.copyOf(all.values());
@@ -245,7 +261,7 @@
         if (host.equals(self.host())) {
             return Optional.of(self);
         }
-        return Optional.ofNullable(peers.get(host)).map(p -> p.member);
+        return Optional.ofNullable(peers.get(host)).map(p -> p.member());
     }
 
     /**
@@ -265,7 +281,7 @@
 
     @Override
     public synchronized boolean inContactWith(HostId host) {
-        Peer peer = peers.get(host);
+        MemberContact peer = peers.get(host);
         return host.equals(self.host()) || (peer != null && inContact(peer));
     }
 
@@ -274,7 +290,7 @@
         if (host.equals(self.host())) {
             return false;
         }
-        Peer peer = peers.get(host);
+        MemberContact peer = peers.get(host);
         return peer == null || silent(peer);
     }
 
@@ -302,21 +318,115 @@
         peers.forEach(
                 (host, peer) -> {
                     if (inContact(peer)) {
-                        all.put(host, peer.member);
+                        all.put(host, peer.member());
                     }
                 });
         return List.copyOf(new TreeMap<>(all).values());
     }
 
+    /**
+     * Returns the members to pass on, as {@link #reachable()}, without the groups whose digest the
+     * receiver has.
+     *
+     * @param digests digest of each group, or empty for all members
+     */
+    public synchronized List<Member> reachable(List<Integer> digests) {
+        GroupLayout layout = grouped();
+        List<Integer> own = groups.digests();
+        if (digests.size() != own.size()) {
+            return reachable();
+        }
+        return reachable().stream()
+                .filter(
+                        m -> {
+                            int group = layout.of(m.host()).number();
+                            return !own.get(group).equals(digests.get(group));
+                        })
+                .toList();
+    }
+
     /**
      * Returns a number that is equal at two daemons if they were in contact with the same hosts at
-     * their last tick.
+     * their last tick; with several groups, with the same runs of them.
      */
     public synchronized long reachableDigest() {
         return reachableDigest;
     }
 
-    private static long hash(HostId host) {
-        return Hash64.of(host.value().getBytes(StandardCharsets.UTF_8));
+    // ---- groups
+
+    private GroupLayout grouped() {
+        if (regroup) {
+            groups.assign(peers.values(), ticker.nanos());
+            regroup = false;
+        }
+        return groups.layout();
+    }
+
+    /** Returns the assignment of the members known now. */
+    public synchronized GroupLayout layout() {
+        return grouped();
+    }
+
+    /** Returns the members with which this daemon runs rounds. */
+    public synchronized Set<HostId> partners() {
+        GroupLayout layout = grouped();
+        Set<HostId> partners = new HashSet<>();
+        for (MemberContact c : peers.values()) {
+            HostId host = c.member().host();
+            if (c.leftAt().isEmpty() && layout.of(host).equals(layout.own())) {
+                partners.add(host);
+            }
+        }
+        partners.addAll(groups.linkPartners(this::isSilent, ticker.nanos()));
+        return partners;
+    }
+
+    /**
+     * Returns whether every member of the own group that is not silent has answered. Until then a
+     * new member may not be known to its group, and an order given at it may stay there.
+     */
+    public synchronized boolean introduced() {
+        GroupLayout layout = grouped();
+        return !layout.several()
+                || peers.values().stream()
+                        .filter(c -> layout.of(c.member().host()).equals(layout.own()))
+                        .allMatch(c -> silent(c) || c.lastContact().isPresent());
+    }
+
+    /** Returns the groups whose summaries this daemon should ask for. */
+    public synchronized BitSet wantedGroups() {
+        return grouped().several() ? groups.wanted(this::silent, ticker.nanos()) : new BitSet();
+    }
+
+    /** Returns the digest of the members in contact for each group; empty with one group. */
+    public synchronized List<Integer> groupDigests() {
+        return grouped().several() ? groups.digests() : List.of();
+    }
+
+    /**
+     * Summarises groups for a peer.
+     *
+     * @param count number of groups that the peer computes
+     * @param confirmed whether all members of a group hold the orders of this daemon
+     */
+    public synchronized List<GroupSummary> summaries(
+            int count, BitSet wanted, Predicate<GroupId> confirmed) {
+        return grouped().several() && grouped().count() == count
+                ? groups.summaries(wanted, confirmed, ticker.nanos())
+                : List.of();
+    }
+
+    /**
+     * Takes the summaries of an answer. The orders of the answer must be in force before, because a
+     * contact counts only once the orders of the member are in force here.
+     *
+     * @param count number of groups that the sender computes
+     * @param sentAt when the request was sent
+     */
+    public synchronized void takeSummaries(int count, List<GroupSummary> summaries, long sentAt) {
+        if (grouped().count() == count) {
+            groups.take(count, summaries, sentAt);
+        }
     }
 }
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -6,10 +6,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.error.RunState;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
@@ -18,12 +22,15 @@
 
 /**
  * The membership of one daemon: its state and the tasks that keep it up to date. There is one task
- * for each peer, one for the host list, one for the orders in the store and one that ends and
- * starts the tasks of the peers.
+ * for each member of the own group and each partner on a link to another group, one for the host
+ * list, one for the orders in the store and one that ends and starts the tasks of the peers.
  */
 public final class FleetMembership {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    /** Shortest pause between two rounds with a peer unless an order wakes its task. */
+    private static final Duration MIN_WAIT = Duration.ofMillis(100);
+
     private record PeerTask(Thread thread, Semaphore wake) {}
 
     private final MembershipConfig config;
@@ -38,6 +45,7 @@
     private final Semaphore storeWake = new Semaphore(0);
     private volatile boolean storeAnswers = true;
     private volatile boolean hostListAnswers = true;
+    private volatile Set<HostId> partners = Set.of();
     private volatile boolean stopping;
     private List<Thread> tasks = List.of();
     private PeerExchange exchange;
@@ -62,6 +70,7 @@
         this.orders = new OrderBook(self.host());
         this.targets = new FleetTargets(orders);
         this.rounds = new ExchangeRounds(members, orders, config, ticker);
+        orders.onChange(this::passOnOrders);
     }
 
     /** Returns the members. */
@@ -121,8 +130,17 @@
     /**
      * Gives an order: puts it in force here, sends it to all members at once and waits for their
      * acknowledgements up to the configured time. Needs no store. Called from a virtual thread.
+     *
+     * @throws RequestException with {@code NOT_READY} if the members of the own group have not
+     *     answered this daemon yet
      */
     public OrderOutcome give(OrderSubject subject, OrderState state, OperatorName operator) {
+        if (!members.introduced()) {
+            throw new RequestException(
+                    ErrorCode.NOT_READY,
+                    RunState.NOT_RUN,
+                    "the members of the group have not answered this daemon yet");
+        }
         Order order = orders.give(subject, state, operator);
         long revision = orders.snapshot().revision();
         LOG.atInfo().log("%s ordered %s %s", operator, subject, state.wireName());
@@ -130,7 +148,8 @@
         storeWake.release();
         var missing = rounds.awaitAcknowledgements(revision, config.ackWait());
         var winner = orders.find(subject).filter(o -> o.supersedes(order));
-        List<HostId> unacknowledged = missing.stream().sorted().toList();
+        List<HostId> unacknowledged = missing.members().stream().sorted().toList();
+        List<GroupId> unconfirmed = missing.groups().stream().sorted().toList();
         if (winner.isPresent()) {
             LOG.atWarning().log(
                     "order of %s for %s is superseded by the one of %s",
@@ -139,7 +158,17 @@
         if (!unacknowledged.isEmpty()) {
             LOG.atWarning().log("order for %s is not acknowledged by %s", subject, unacknowledged);
         }
-        return new OrderOutcome(order, winner, unacknowledged);
+        if (!unconfirmed.isEmpty()) {
+            LOG.atWarning().log("order for %s is not confirmed by groups %s", subject, unconfirmed);
+        }
+        return new OrderOutcome(order, winner, unacknowledged, unconfirmed);
+    }
+
+    /** With one group, the daemon at which an order was given sends it to all members itself. */
+    private void passOnOrders() {
+        if (members.layout().several()) {
+            peerTasks.values().forEach(t -> t.wake().release());
+        }
     }
 
     // ---- tasks of the peers
@@ -147,9 +176,10 @@
     private void keepPeerTasks() {
         do {
             members.tick();
+            partners = members.partners();
+            partners.forEach(h -> peerTasks.computeIfAbsent(h, this::startPeerTask));
             for (Member m : members.members()) {
                 if (!m.host().equals(members.self().host())) {
-                    peerTasks.computeIfAbsent(m.host(), this::startPeerTask);
                     logContact(m.host());
                 }
             }
@@ -164,16 +194,63 @@
     private void followPeer(HostId host, Semaphore wake) {
         // A random first wait keeps the rounds of the peers apart, so that the traffic is even.
         Duration wait =
-                Duration.ofNanos(ThreadLocalRandom.current().nextLong(config.round().toNanos()));
+                Duration.ofNanos(ThreadLocalRandom.current().nextLong(period(host).toNanos()));
         do {
+            long start = System.nanoTime();
             exchangeWith(host);
-            if (!pause(wake, wait)) {
+            if (!pause(wake, wait.minus(elapsed(start, wait)), host)) {
                 break;
             }
-            wait = config.round();
-        } while (isMember(host));
+            wait = period(host);
+        } while (isMember(host) && runsRounds(host));
         peerTasks.remove(host);
-        rounds.forget(host);
+        if (!isMember(host)) {
+            rounds.forget(host);
+        }
+    }
+
+    /**
+     * Returns the part of the period that a round has used. With one group the period counts from
+     * the end of a round; with several, from its start, so that a member that answers again after a
+     * timeout is back in contact within the contact time.
+     */
+    private Duration elapsed(long start, Duration wait) {
+        Duration elapsed = Duration.ofNanos(System.nanoTime() - start);
+        if (!members.layout().several()) {
+            return Duration.ZERO;
+        }
+        Duration most = wait.minus(MIN_WAIT);
+        return most.isNegative() ? Duration.ZERO : most.compareTo(elapsed) < 0 ? most : elapsed;
+    }
+
+    private Duration period(HostId host) {
+        GroupLayout layout = members.layout();
+        return layout.several() && layout.of(host).equals(layout.own())
+                ? config.groupRound()
+                : config.round();
+    }
+
+    /**
+     * Members of the only group keep their tasks until they are removed, even if they have left.
+     */
+    private boolean runsRounds(HostId host) {
+        return !members.layout().several() || partners.contains(host);
+    }
+
+    /** Waits for the next round; a new order that the peer already holds starts none. */
+    private boolean pause(Semaphore wake, Duration time, HostId host) {
+        long end = System.nanoTime() + time.toNanos();
+        while (true) {
+            Duration left = Duration.ofNanos(Math.max(0, end - System.nanoTime()));
+            if (!pause(wake, left)) {
+                return false;
+            }
+            if (end - System.nanoTime() <= 0
+                    || !members.layout().several()
+                    || !rounds.agrees(host)) {
+                return true;
+            }
+        }
     }
 
     private boolean isMember(HostId host) {
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/GroupContacts.java
@@ -0,0 +1,271 @@
+package org.godwithoist.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.IntStream;
+import org.godwithoist.core.id.HostId;
+
+/**
+ * Contact with the members of groups. Members of the own group are in contact by their answers,
+ * members of other groups also by the summaries of daemons that had contact with them. Guarded by
+ * the lock of {@link FleetMembers}.
+ */
+final class GroupContacts {
+    /**
+     * Members of the own group with an older contact are listed as absent. The period within a
+     * group is 1 s, and a summary must reach all daemons before the contact time of 2.5 s has
+     * passed; it was on its way for up to 0.5 s on a link and a short time within the group.
+     */
+    private static final Duration OWN_LIMIT = Duration.ofMillis(1_600);
+
+    /** Members of other groups whose contact is older than the newest one by this are absent. */
+    private static final Duration OTHER_LIMIT = Duration.ofMillis(500);
+
+    /** A summary is asked for once the contact with a member of the group is older than this. */
+    private static final Duration REFRESH = Duration.ofMillis(1_300);
+
+    /** Older summaries would reach the receiver too late to be of use. */
+    private static final Duration MAX_PASSED_ON = Duration.ofMillis(2_200);
+
+    /**
+     * Links that were taken over stay for this time. If they ended as soon as the summary is fresh,
+     * it would age again, because the links that they replace are still cut.
+     */
+    private static final Duration TAKEOVER = Duration.ofSeconds(60);
+
+    private static final class Group {
+        private final List<MemberContact> contacts = new ArrayList<>();
+        private int links = GroupLayout.LINKS;
+        private long widenedAt;
+        private int digest;
+    }
+
+    private final Member self;
+    private final long selfHash;
+    private final MembershipConfig config;
+    private GroupLayout layout;
+    private List<Group> groups = List.of();
+    private long assignedAt;
+
+    GroupContacts(Member self, MembershipConfig config) {
+        this.self = self;
+        this.selfHash = GroupLayout.hash(self.host());
+        this.config = config;
+    }
+
+    /** Assigns members to groups. */
+    void assign(Collection<MemberContact> contacts, long now) {
+        layout =
+                new GroupLayout(
+                        self.host(),
+                        contacts.stream().map(c -> c.member().host()).toList(),
+                        config.groupSize());
+        List<Group> old = groups;
+        groups = IntStream.range(0, layout.count()).mapToObj(g -> new Group()).toList();
+        contacts.forEach(c -> groups.get(layout.of(c.member().host()).number()).contacts.add(c));
+        if (old.size() != groups.size()) {
+            assignedAt = now;
+            return;
+        }
+        for (int g = 0; g < groups.size(); g++) {
+            groups.get(g).links = old.get(g).links;
+            groups.get(g).widenedAt = old.get(g).widenedAt;
+            groups.get(g).digest = old.get(g).digest;
+        }
+    }
+
+    GroupLayout layout() {
+        return layout;
+    }
+
+    private boolean isOwn(int group) {
+        return group == layout.own().number();
+    }
+
+    // ---- peers
+
+    /**
+     * Returns the members of other groups with which this daemon holds a link. While no summary of
+     * a group arrives, the next members in the hash order take over.
+     */
+    Set<HostId> linkPartners(Predicate<HostId> silent, long now) {
+        Set<HostId> partners = new HashSet<>();
+        for (int g = 0; g < groups.size(); g++) {
+            if (!isOwn(g) && !groups.get(g).contacts.isEmpty()) {
+                Group group = groups.get(g);
+                widen(group, now);
+                partners.addAll(layout.links(new GroupId(g), silent, group.links));
+            }
+        }
+        return partners;
+    }
+
+    private void widen(Group group, long now) {
+        long limit = config.contactTime().toNanos();
+        long last = newest(group).orElse(assignedAt);
+        long since = Math.max(0, now - Math.max(last, assignedAt));
+        boolean widened = group.links > GroupLayout.LINKS;
+        if (since >= limit && (!widened || now - group.widenedAt >= limit)) {
+            group.links += GroupLayout.LINKS;
+            group.widenedAt = now;
+        } else if (widened && now - group.widenedAt >= TAKEOVER.toNanos()) {
+            group.links = GroupLayout.LINKS;
+        }
+    }
+
+    private static Optional<Long> newest(Group group) {
+        return group.contacts.stream()
+                .filter(c -> c.leftAt().isEmpty())
+                .flatMap(c -> c.lastContact().stream())
+                .max(Long::compare);
+    }
+
+    // ---- summaries
+
+    /** Returns the groups whose summaries this daemon should ask for. */
+    BitSet wanted(Predicate<MemberContact> silent, long now) {
+        BitSet wanted = new BitSet();
+        for (int g = 0; g < groups.size(); g++) {
+            if (!isOwn(g)
+                    && groups.get(g).contacts.stream()
+                            .anyMatch(
+                                    c ->
+                                            !silent.test(c)
+                                                    && !c.contactSince(now - REFRESH.toNanos()))) {
+                wanted.set(g);
+            }
+        }
+        return wanted;
+    }
+
+    /** Summarises the groups asked for, as far as the contacts are fresh enough. */
+    List<GroupSummary> summaries(BitSet wanted, Predicate<GroupId> confirmed, long now) {
+        List<GroupSummary> summaries = new ArrayList<>();
+        wanted.stream()
+                .filter(g -> g < groups.size())
+                .forEach(
+                        g ->
+                                summary(g, confirmed, now)
+                                        .filter(s -> s.age().compareTo(MAX_PASSED_ON) <= 0)
+                                        .ifPresent(summaries::add));
+        return summaries;
+    }
+
+    private Optional<GroupSummary> summary(int number, Predicate<GroupId> confirmed, long now) {
+        Group group = groups.get(number);
+        List<GroupSummary.Contact> contacts = new ArrayList<>();
+        group.contacts.forEach(
+                c ->
+                        contacts.add(
+                                new GroupSummary.Contact(
+                                        c.shortHash(), c.lastContact(), c.leftAt())));
+        long since = now - OWN_LIMIT.toNanos();
+        if (isOwn(number)) {
+            contacts.add(
+                    new GroupSummary.Contact(
+                            MemberContact.shortHash(selfHash), Optional.of(now), Optional.empty()));
+        } else {
+            since = newest(group).orElse(now) - OTHER_LIMIT.toNanos();
+        }
+        GroupId id = new GroupId(number);
+        return GroupSummary.of(id, contacts, now, since, confirmed.test(id));
+    }
+
+    /**
+     * Takes summaries from an answer.
+     *
+     * @param count number of groups that the sender computes; with another one, the same number
+     *     names other members
+     * @param sentAt when the request was sent; the ages count from then, so that a delayed answer
+     *     is not taken for a fresh one
+     */
+    void take(int count, List<GroupSummary> summaries, long sentAt) {
+        if (count != groups.size()) {
+            return;
+        }
+        for (GroupSummary s : summaries) {
+            if (s.group().number() < count && !isOwn(s.group().number())) {
+                take(groups.get(s.group().number()).contacts, s, sentAt);
+            }
+        }
+    }
+
+    private void take(List<MemberContact> contacts, GroupSummary s, long sentAt) {
+        for (GroupSummary.Absent a : s.absent()) {
+            a.leftAgo()
+                    .ifPresent(
+                            ago ->
+                                    contacts.stream()
+                                            .filter(c -> c.shortHash() == a.hash())
+                                            .forEach(c -> left(c, sentAt - ago.toNanos())));
+        }
+        long at = sentAt - s.age().toNanos();
+        List<MemberContact> covered = contacts;
+        if (!s.covers(hashes(covered))) {
+            // The sender may not know a member yet that this daemon has never had contact with, or
+            // may have removed one that has been silent.
+            long recent = at - config.groupContactTime().multipliedBy(2).toNanos();
+            covered = contacts.stream().filter(c -> c.contactSince(recent)).toList();
+            if (!s.covers(hashes(covered))) {
+                return;
+            }
+        }
+        for (MemberContact c : covered) {
+            if (!s.lists(c.shortHash())) {
+                if (c.leftAt().filter(t -> at - t > margin()).isPresent()) {
+                    c.setLeftAt(Optional.empty());
+                }
+                if (c.leftAt().isEmpty()) {
+                    c.contact(at);
+                }
+            }
+        }
+    }
+
+    private static List<Integer> hashes(List<MemberContact> contacts) {
+        return contacts.stream().map(MemberContact::shortHash).toList();
+    }
+
+    /** A contact that is clearly later than the notice of leaving is one with a new run. */
+    private void left(MemberContact contact, long time) {
+        if (contact.leftAt().isEmpty()
+                && contact.lastContact().filter(t -> t - time > margin()).isEmpty()) {
+            contact.setLeftAt(Optional.of(time));
+        }
+    }
+
+    /** Both times are dated early by up to the duration of a round trip. */
+    private long margin() {
+        return config.callTimeout().toNanos();
+    }
+
+    // ---- digests of the members in contact
+
+    /** Computes the digests again. */
+    void updateDigests(Predicate<MemberContact> inContact) {
+        for (int g = 0; g < groups.size(); g++) {
+            int digest = 0;
+            for (MemberContact c : groups.get(g).contacts) {
+                digest ^= inContact.test(c) ? digest(c.hash(), c.member()) : 0;
+            }
+            groups.get(g).digest = digest ^ (isOwn(g) ? digest(selfHash, self) : 0);
+        }
+    }
+
+    /** The run counts, because members of other groups learn of a new run in no other way. */
+    private static int digest(long hash, Member member) {
+        return (int) GroupLayout.mix(hash ^ GroupLayout.mix(member.incarnation()));
+    }
+
+    /** Returns the digest of each group. */
+    List<Integer> digests() {
+        return groups.stream().map(g -> g.digest).toList();
+    }
+}
--- a/membership/src/main/java/org/godwithoist/membership/MembershipConfig.java
+++ b/membership/src/main/java/org/godwithoist/membership/MembershipConfig.java
@@ -14,6 +14,10 @@
  * @param storeInterval time between two reads of the orders in the store
  * @param storeTimeout time after which an operation of the store has failed
  * @param memberPullInterval shortest time between two requests for the members of a peer
+ * @param groupSize highest mean size of a group; with more members there are several groups
+ * @param groupContactTime contact time with several groups; longer, because contact with members of
+ *     other groups is learnt through two further rounds
+ * @param groupRound time between two exchanges with a peer of the own group if there are several
  */
 public record MembershipConfig(
         Duration contactTime,
@@ -24,7 +28,10 @@
         Duration hostListInterval,
         Duration storeInterval,
         Duration storeTimeout,
-        Duration memberPullInterval) {
+        Duration memberPullInterval,
+        int groupSize,
+        Duration groupContactTime,
+        Duration groupRound) {
     /**
      * Times of the design page. The host list is read every second because a leaving target must
      * get no new work 3 s after it is listed. The store is read for orders every 5 s only, because
@@ -40,7 +47,10 @@
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(5),
                     Duration.ofSeconds(1),
-                    Duration.ofSeconds(10));
+                    Duration.ofSeconds(10),
+                    32,
+                    Duration.ofMillis(2_500),
+                    Duration.ofSeconds(1));
 
     /** Returns a copy with another interval of reads of the host list. */
     public MembershipConfig withHostListInterval(Duration interval) {
@@ -53,7 +63,10 @@
                 interval,
                 storeInterval,
                 storeTimeout,
-                memberPullInterval);
+                memberPullInterval,
+                groupSize,
+                groupContactTime,
+                groupRound);
     }
 
     /** Returns a copy with another interval of reads of the orders in the store. */
@@ -67,6 +80,26 @@
                 hostListInterval,
                 interval,
                 storeTimeout,
-                memberPullInterval);
+                memberPullInterval,
+                groupSize,
+                groupContactTime,
+                groupRound);
+    }
+
+    /** Returns a copy with another size of groups. */
+    public MembershipConfig withGroupSize(int size) {
+        return new MembershipConfig(
+                contactTime,
+                removalTime,
+                round,
+                callTimeout,
+                ackWait,
+                hostListInterval,
+                storeInterval,
+                storeTimeout,
+                memberPullInterval,
+                size,
+                groupContactTime,
+                groupRound);
     }
 }
--- a/membership/src/main/java/org/godwithoist/membership/OrderBook.java
+++ b/membership/src/main/java/org/godwithoist/membership/OrderBook.java
@@ -96,6 +96,14 @@
                 .toList();
     }
 
+    /** Returns the orders that came after a revision. */
+    public synchronized List<Order> since(long since) {
+        return entries.values().stream()
+                .filter(e -> e.revision() > since)
+                .map(Entry::order)
+                .toList();
+    }
+
     /** Returns the order in force for a subject. */
     public synchronized Optional<Order> find(OrderSubject subject) {
         return Optional.ofNullable(entries.get(subject)).map(Entry::order);
--- a/membership/src/main/java/org/godwithoist/membership/OrderOutcome.java
+++ b/membership/src/main/java/org/godwithoist/membership/OrderOutcome.java
@@ -9,7 +9,12 @@
  *
  * @param order the order
  * @param supersededBy the order in force instead, if another operator's order has a higher stamp
- * @param unacknowledged members that have not acknowledged the order, in host order
+ * @param unacknowledged members of the own group that have not acknowledged the order, in host
+ *     order
+ * @param unconfirmed other groups that have not confirmed that all their members hold the order
  */
 public record OrderOutcome(
-        Order order, Optional<Order> supersededBy, List<HostId> unacknowledged) {}
+        Order order,
+        Optional<Order> supersededBy,
+        List<HostId> unacknowledged,
+        List<GroupId> unconfirmed) {}
--- a/membership/src/main/java/org/godwithoist/membership/http/MembershipRoutes.java
+++ b/membership/src/main/java/org/godwithoist/membership/http/MembershipRoutes.java
@@ -13,6 +13,7 @@
 import io.vertx.ext.web.handler.BodyHandler;
 import java.util.List;
 import org.godwithoist.core.error.ErrorCode;
+import org.godwithoist.core.error.RequestException;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.membership.FleetMembership;
@@ -95,6 +96,8 @@
                     try {
                         var outcome = membership.give(subject, state, new OperatorName(operator));
                         context.runOnContext(v -> answer(c, outcome));
+                    } catch (RequestException e) {
+                        context.runOnContext(v -> fail(c, e.code(), e.getMessage()));
                     } catch (RuntimeException e) {
                         LOG.atSevere().withCause(e).log("order for %s failed", subject);
                         context.runOnContext(v -> fail(c, ErrorCode.INTERNAL, "order failed"));
@@ -112,6 +115,11 @@
     private static void answer(RoutingContext c, OrderOutcome outcome) {
         JsonObject body =
                 json(outcome.order()).put("unacknowledged", hosts(outcome.unacknowledged()));
+        if (!outcome.unconfirmed().isEmpty()) {
+            JsonArray groups = new JsonArray();
+            outcome.unconfirmed().forEach(g -> groups.add(g.number()));
+            body.put("unconfirmed_groups", groups);
+        }
         outcome.supersededBy()
                 .ifPresent(
                         winner -> {
--- a/membership/src/main/java/org/godwithoist/membership/wire/ExchangeCodec.java
+++ b/membership/src/main/java/org/godwithoist/membership/wire/ExchangeCodec.java
@@ -1,11 +1,18 @@
 package org.godwithoist.membership.wire;
 
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Optional;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.membership.ExchangeMessage;
+import org.godwithoist.membership.GroupId;
+import org.godwithoist.membership.GroupLayout;
+import org.godwithoist.membership.GroupSummary;
 import org.godwithoist.membership.Member;
 import org.godwithoist.membership.OperatorName;
 import org.godwithoist.membership.Order;
@@ -17,6 +24,7 @@
 import org.godwithoist.membership.wire.generated.MemberInfo;
 import org.godwithoist.membership.wire.generated.OrderInfo;
 import org.godwithoist.membership.wire.generated.OrderStateCode;
+import org.godwithoist.membership.wire.generated.SummaryInfo;
 
 /**
  * Encodes the exchange. Decoding throws {@link IllegalArgumentException} if a value is not valid.
@@ -31,7 +39,10 @@
                         .setOrdersDigest(m.ordersDigest())
                         .addAllOrders(orderInfos(m.orders()))
                         .setWantMembers(m.wantMembers())
-                        .setLeaving(m.leaving());
+                        .setLeaving(m.leaving())
+                        .setGroups(groups(m.groups()))
+                        .setWantedGroups(ByteString.copyFrom(m.wantedGroups().toByteArray()))
+                        .addAllMemberDigest(m.memberDigests());
         m.sender().ifPresent(s -> b.setSender(encode(s)));
         return b.build();
     }
@@ -43,7 +54,10 @@
                 orders(m.getOrdersList()),
                 m.hasSender() ? Optional.of(decode(m.getSender())) : Optional.empty(),
                 m.getWantMembers(),
-                m.getLeaving());
+                m.getLeaving(),
+                decodeGroups(m.getGroups()),
+                BitSet.valueOf(m.getWantedGroups().asReadOnlyByteBuffer()),
+                m.getMemberDigestList());
     }
 
     static ExchangeResponse encode(ExchangeMessage.Response m) {
@@ -55,6 +69,8 @@
                 .addAllMembers(m.members().stream().map(ExchangeCodec::encode).toList())
                 .setSenderUnknown(m.senderUnknown())
                 .setOrdersKnown(m.ordersKnown())
+                .setGroups(groups(m.groups()))
+                .addAllSummary(m.summaries().stream().map(ExchangeCodec::encode).toList())
                 .build();
     }
 
@@ -66,7 +82,65 @@
                 m.getMembersDigest(),
                 m.getMembersList().stream().map(ExchangeCodec::decode).toList(),
                 m.getSenderUnknown(),
-                m.getOrdersKnown());
+                m.getOrdersKnown(),
+                decodeGroups(m.getGroups()),
+                m.getSummaryList().stream().map(ExchangeCodec::decode).toList());
+    }
+
+    /** One group is the default of the field and takes no bytes. */
+    private static int groups(int count) {
+        return count == 1 ? 0 : count;
+    }
+
+    private static int decodeGroups(int field) {
+        if (field < 0 || field > GroupLayout.MAX_GROUPS) {
+            throw new IllegalArgumentException("number of groups out of range: " + field);
+        }
+        return Math.max(field, 1);
+    }
+
+    private static SummaryInfo encode(GroupSummary s) {
+        var b =
+                SummaryInfo.newBuilder()
+                        .setGroupAndConfirmed(s.group().number() << 1 | (s.confirmed() ? 1 : 0))
+                        .setAge(units(s.age()))
+                        .setCovered(s.covered());
+        for (GroupSummary.Absent a : s.absent()) {
+            b.addAbsent(a.hash());
+        }
+        if (s.absent().stream().anyMatch(a -> a.leftAgo().isPresent())) {
+            // 0 stands for a member that did not leave.
+            s.absent().forEach(a -> b.addLeft(a.leftAgo().map(t -> units(t) + 1).orElse(0)));
+        }
+        return b.build();
+    }
+
+    private static int units(Duration age) {
+        return Math.toIntExact(age.dividedBy(GroupSummary.AGE_UNIT));
+    }
+
+    private static Duration age(int units) {
+        return GroupSummary.AGE_UNIT.multipliedBy(Integer.toUnsignedLong(units));
+    }
+
+    private static GroupSummary decode(SummaryInfo m) {
+        if (m.getLeftCount() > 0 && m.getLeftCount() != m.getAbsentCount()) {
+            throw new IllegalArgumentException("a summary does not say of each member if it left");
+        }
+        List<GroupSummary.Absent> absent = new ArrayList<>();
+        for (int i = 0; i < m.getAbsentCount(); i++) {
+            int left = m.getLeftCount() == 0 ? 0 : m.getLeft(i);
+            absent.add(
+                    new GroupSummary.Absent(
+                            m.getAbsent(i),
+                            left == 0 ? Optional.empty() : Optional.of(age(left - 1))));
+        }
+        return new GroupSummary(
+                new GroupId(m.getGroupAndConfirmed() >>> 1),
+                age(m.getAge()),
+                m.getCovered(),
+                (m.getGroupAndConfirmed() & 1) != 0,
+                absent);
     }
 
     private static MemberInfo encode(Member m) {
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/FleetGroupsTest.java
@@ -0,0 +1,161 @@
+package org.godwithoist.membership;
+
+import static org.godwithoist.membership.TestDaemon.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.godwithoist.core.error.RequestException;
+import org.godwithoist.platform.fake.FakeHostList;
+import org.godwithoist.platform.fake.FakeTableStore;
+import org.godwithoist.platform.fake.StoreFault;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Daemons of two groups in one process with real connections on loopback; no store. */
+class FleetGroupsTest {
+    private static final OrderSubject DOMAIN = OrderSubject.parse("domain:a");
+    private static final OperatorName ANNA = new OperatorName("anna");
+    private static final int COUNT = 8;
+
+    private final FakeHostList hosts = new FakeHostList();
+    private final FakeTableStore store = new FakeTableStore();
+    private final List<TestDaemon> all = new ArrayList<>();
+    private List<TestDaemon> near;
+    private List<TestDaemon> far;
+
+    @BeforeEach
+    void startTwoGroups() {
+        List<Member> members = TestDaemon.members(COUNT);
+        hosts.set(members.stream().map(TestDaemon::listed).toList());
+        MembershipConfig config = MembershipConfig.DEFAULT.withGroupSize(COUNT / 2);
+        members.forEach(m -> all.add(new TestDaemon(m, List.of(), config, hosts, store)));
+        all.forEach(TestDaemon::start);
+        await(20_000, () -> all.stream().allMatch(d -> membersOf(d).inContactWithAll()));
+        store.setFault(StoreFault.DOWN);
+        GroupLayout layout = membersOf(all.getFirst()).layout();
+        near = all.stream().filter(d -> layout.of(d.host()).equals(layout.own())).toList();
+        far = all.stream().filter(d -> !near.contains(d)).toList();
+        assertEquals(2, layout.count());
+        assertFalse(far.isEmpty());
+    }
+
+    @AfterEach
+    void stopAll() {
+        all.forEach(TestDaemon::close);
+    }
+
+    private static FleetMembers membersOf(TestDaemon d) {
+        return d.membership().members();
+    }
+
+    private static boolean holds(TestDaemon d) {
+        return d.membership().orders().find(DOMAIN).isPresent();
+    }
+
+    private void betweenGroups(BiConsumer<TestDaemon, TestDaemon> change) {
+        near.forEach(a -> far.forEach(b -> change.accept(a, b)));
+    }
+
+    @Nested
+    class Undisturbed {
+        /**
+         * Guards against an order that stays in its group, or is confirmed before it has crossed.
+         */
+        @Test
+        void confirmedOrderIsInForceInBothGroups() {
+            OrderOutcome outcome = near.getFirst().membership().give(DOMAIN, OrderState.OUT, ANNA);
+            if (outcome.unacknowledged().isEmpty() && outcome.unconfirmed().isEmpty()) {
+                all.forEach(d -> assertTrue(holds(d)));
+            }
+            await(5_000, () -> all.stream().allMatch(FleetGroupsTest::holds));
+            await(
+                    5_000,
+                    () ->
+                            far.stream()
+                                    .allMatch(
+                                            d ->
+                                                    near.getFirst()
+                                                            .membership()
+                                                            .rounds()
+                                                            .agrees(d.host())));
+        }
+    }
+
+    @Nested
+    class AllLinksCut {
+        /**
+         * Guards against a group that counts as in contact after all links to it are cut, an order
+         * that is reported as confirmed there, and one that is not delivered afterwards.
+         */
+        @Test
+        void otherGroupIsNamedLosesContactAndCatchesUp() {
+            betweenGroups(TestDaemon::cut);
+            OrderOutcome outcome = near.getFirst().membership().give(DOMAIN, OrderState.OUT, ANNA);
+            assertEquals(List.of(membersOf(far.getFirst()).layout().own()), outcome.unconfirmed());
+            await(3_000, () -> all.stream().noneMatch(d -> membersOf(d).inContactWithAll()));
+            assertTrue(far.stream().noneMatch(FleetGroupsTest::holds));
+            betweenGroups(TestDaemon::heal);
+            await(10_000, () -> all.stream().allMatch(FleetGroupsTest::holds));
+            await(10_000, () -> all.stream().allMatch(d -> membersOf(d).inContactWithAll()));
+        }
+    }
+
+    @Nested
+    class PausedLinkMember {
+        /** Guards against groups that lose contact because one holder of a link does not answer. */
+        @Test
+        void otherLinksKeepContactAndDeliverOrders() {
+            TestDaemon paused =
+                    far.stream()
+                            .filter(d -> membersOf(d).partners().size() >= far.size())
+                            .findFirst()
+                            .orElseThrow();
+            all.stream().filter(d -> !d.equals(paused)).forEach(d -> TestDaemon.cut(d, paused));
+            List<TestDaemon> rest = far.stream().filter(d -> !d.equals(paused)).toList();
+            near.getFirst().membership().give(DOMAIN, OrderState.OUT, ANNA);
+            await(5_000, () -> rest.stream().allMatch(FleetGroupsTest::holds));
+            await(
+                    5_000,
+                    () ->
+                            !membersOf(near.getFirst()).inContactWith(paused.host())
+                                    && rest.stream()
+                                            .allMatch(
+                                                    d ->
+                                                            membersOf(near.getFirst())
+                                                                    .inContactWith(d.host())));
+            assertFalse(membersOf(near.getFirst()).inContactWithAll());
+        }
+    }
+
+    @Nested
+    class NewMember {
+        /** Guards against an order that stays at a member which its group does not know. */
+        @Test
+        void takesNoOrdersBeforeItsGroupHasAnswered() {
+            TestDaemon first = all.removeFirst();
+            Member m = membersOf(first).self();
+            first.close();
+            List<Member> known = all.stream().map(d -> membersOf(d).self()).toList();
+            MembershipConfig config = MembershipConfig.DEFAULT.withGroupSize(COUNT / 2);
+            Member next = new Member(m.host(), m.failureDomain(), m.peer(), 2);
+            TestDaemon fresh = new TestDaemon(next, known, config, hosts, store);
+            all.addFirst(fresh);
+            try {
+                fresh.membership().give(DOMAIN, OrderState.OUT, ANNA);
+                throw new AssertionError("the order was taken");
+            } catch (RequestException e) {
+                assertFalse(holds(fresh));
+            }
+            fresh.start();
+            await(10_000, () -> membersOf(fresh).introduced());
+            fresh.membership().give(DOMAIN, OrderState.OUT, ANNA);
+            await(10_000, () -> all.stream().allMatch(FleetGroupsTest::holds));
+        }
+    }
+}
--- a/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
+++ b/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
@@ -136,6 +136,11 @@
         return membership.members().self().host();
     }
 
+    /** Returns the number of members that this daemon runs rounds with. */
+    int partners() {
+        return membership.members().partners().size();
+    }
+
     /** Loses all exchanges between two daemons. */
     public static void cut(TestDaemon a, TestDaemon b) {
         a.cut.add(b.host());
