--- a/membership/src/main/java/org/godwithoist/membership/ExchangeRounds.java
+++ b/membership/src/main/java/org/godwithoist/membership/ExchangeRounds.java
@@ -86,7 +86,7 @@
                         wantMembers,
                         false,
                         layout.count(),
-                        wantedGroups(layout, held.digest(), host),
+                        wantedGroups(layout, held, host),
                         wantMembers && members.listKnown() ? members.groupDigests() : List.of());
         long sentAt = ticker.nanos();
         var response =
@@ -122,14 +122,14 @@
      * Returns the groups to ask for: those whose contact ages, and those that have not confirmed
      * the orders held here. A partner on a link is always asked for its own group.
      */
-    private BitSet wantedGroups(GroupLayout layout, long digest, HostId host) {
+    private BitSet wantedGroups(GroupLayout layout, OrderBook.Snapshot held, HostId host) {
         BitSet wanted = members.wantedGroups();
         if (!layout.several()) {
             return wanted;
         }
         wanted.set(layout.of(host).number());
         for (int g = 0; g < layout.count(); g++) {
-            if (!confirmed(new GroupId(g), digest)) {
+            if (!held.orders().isEmpty() && !confirmed(new GroupId(g), held.digest())) {
                 wanted.set(g);
             }
         }
--- a/membership/src/main/java/org/godwithoist/membership/GroupContacts.java
+++ b/membership/src/main/java/org/godwithoist/membership/GroupContacts.java
@@ -31,6 +31,15 @@
     /** A summary is asked for once the contact with a member of the group is older than this. */
     private static final Duration REFRESH = Duration.ofMillis(1_300);
 
+    /**
+     * Time between two requests for a summary. The members of a group learn of new summaries at
+     * about the same time; without this, each of about 30 answers a second would carry all groups.
+     */
+    private static final Duration ASK_INTERVAL = Duration.ofMillis(250);
+
+    /** With an older contact every answer is asked for the summary. */
+    private static final Duration URGENT = Duration.ofMillis(1_900);
+
     /** Older summaries would reach the receiver too late to be of use. */
     private static final Duration MAX_PASSED_ON = Duration.ofMillis(2_200);
 
@@ -44,6 +53,7 @@
         private final List<MemberContact> contacts = new ArrayList<>();
         private int links = GroupLayout.LINKS;
         private long widenedAt;
+        private long askedAt;
         private int digest;
     }
 
@@ -129,22 +139,25 @@
 
     // ---- summaries
 
-    /** Returns the groups whose summaries this daemon should ask for. */
+    /** Returns the groups to ask a peer for now; each call counts as having asked. */
     BitSet wanted(Predicate<MemberContact> silent, long now) {
         BitSet wanted = new BitSet();
         for (int g = 0; g < groups.size(); g++) {
-            if (!isOwn(g)
-                    && groups.get(g).contacts.stream()
-                            .anyMatch(
-                                    c ->
-                                            !silent.test(c)
-                                                    && !c.contactSince(now - REFRESH.toNanos()))) {
+            Group group = groups.get(g);
+            boolean due = now - group.askedAt >= ASK_INTERVAL.toNanos();
+            Duration limit = due ? REFRESH : URGENT;
+            if (!isOwn(g) && aged(group, silent, now - limit.toNanos())) {
                 wanted.set(g);
+                group.askedAt = now;
             }
         }
         return wanted;
     }
 
+    private static boolean aged(Group group, Predicate<MemberContact> silent, long since) {
+        return group.contacts.stream().anyMatch(c -> !silent.test(c) && !c.contactSince(since));
+    }
+
     /** Summarises the groups asked for, as far as the contacts are fresh enough. */
     List<GroupSummary> summaries(BitSet wanted, Predicate<GroupId> confirmed, long now) {
         List<GroupSummary> summaries = new ArrayList<>();
--- a/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
+++ b/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
@@ -136,6 +136,11 @@
         return membership.members().self().host();
     }
 
+    /** Returns the way in which the daemon sends its rounds. */
+    PeerExchange exchange() {
+        return exchange;
+    }
+
     /** Returns the number of members that this daemon runs rounds with. */
     int partners() {
         return membership.members().partners().size();
