--- a/membership/src/test/java/org/godwithoist/membership/LargeFleetMeasurement.java
+++ b/membership/src/test/java/org/godwithoist/membership/LargeFleetMeasurement.java
@@ -17,7 +17,8 @@
 /**
  * Measures the control traffic of one daemon that knows a large fleet. Only the members that it
  * runs rounds with exist; they run their rounds with this daemon only, and what they know of all
- * other members is set. Arguments: numbers of members.
+ * other members is set. Each partner asks this daemon alone for summaries, so the bytes sent are
+ * too high. Arguments: COUNT/HOST with the number of members and of the host that is measured.
  */
 public final class LargeFleetMeasurement {
     private static final Duration SETTLE = Duration.ofSeconds(12);
