Name the request of an owner for a report requestReport

Cause: the code called it a summons in one place and a nudge in another; neither is a term of the field. Change: one name, requestReport, in the interface, the ledger, the message and the method of the RPC. The RPC's name changes, so daemons of both versions do not understand each other's requests.

--- a/admission/src/main/java/org/godwithoist/admission/AdmissionPeers.java
+++ b/admission/src/main/java/org/godwithoist/admission/AdmissionPeers.java
@@ -15,8 +15,8 @@
         /** Returns whether this daemon promises not to take a shard over. */
         boolean promise(HostId from, ShardId shard, long epoch);
 
-        /** Takes the wish of a shard's owner to get a report now. */
-        void summon(HostId from, ShardId shard, long epoch);
+        /** Takes the request of a shard's owner for a report now. */
+        void requestReport(HostId from, ShardId shard, long epoch);
     }
 
     /** Registers the handler. Must be called once, before the daemon listens. */
@@ -31,5 +31,5 @@
             HostId candidate, ShardId shard, long epoch, Duration timeout);
 
     /** Asks a holder to report now. A lost message is repaired by the next regular report. */
-    void summon(HostId holder, ShardId shard, long epoch, Duration timeout);
+    void requestReport(HostId holder, ShardId shard, long epoch, Duration timeout);
 }
--- a/admission/src/main/java/org/godwithoist/admission/ShardTask.java
+++ b/admission/src/main/java/org/godwithoist/admission/ShardTask.java
@@ -109,8 +109,8 @@
     private void step() {
         fleet.refresh();
         keepLease();
-        Set<HostId> summoned = tick();
-        summoned.forEach(this::summon);
+        Set<HostId> asked = tick();
+        asked.forEach(this::requestReport);
         if (ownsHere() && cache.reportDue()) {
             exchangeWithSelf();
         }
@@ -125,18 +125,18 @@
             SlotLedger l = ledger.get();
             l.update(fleet.shardView());
             l.tick(lease.owns());
-            return l.ready() ? l.takeNudges() : l.missing();
+            return l.ready() ? l.takeReportRequests() : l.missing();
         } finally {
             lock.unlock();
         }
     }
 
-    private void summon(HostId holder) {
+    private void requestReport(HostId holder) {
         if (holder.equals(self)) {
             exchangeWithSelf();
             return;
         }
-        peers.summon(holder, shard, cache.epoch(), timing.exchangeTimeout());
+        peers.requestReport(holder, shard, cache.epoch(), timing.exchangeTimeout());
     }
 
     void close() {
@@ -368,20 +368,20 @@
 
     OwnerAnswer exchange(HostId from, HolderReport report) {
         OwnerAnswer answer;
-        Set<HostId> nudged;
+        Set<HostId> requested;
         lock.lock();
         try {
             if (ledger.isEmpty()) {
                 return OwnerAnswer.refusal(shard, OwnerAnswer.Status.NOT_OWNER, lease.epoch());
             }
             answer = ledger.get().exchange(from, report, lease.owns());
-            nudged = ledger.get().takeNudges();
+            requested = ledger.get().takeReportRequests();
         } finally {
             lock.unlock();
         }
-        for (HostId h : nudged) {
+        for (HostId h : requested) {
             if (!h.equals(self)) {
-                peers.summon(h, shard, answer.epoch(), timing.exchangeTimeout());
+                peers.requestReport(h, shard, answer.epoch(), timing.exchangeTimeout());
             } else if (!from.equals(self)) {
                 exchangeWithSelf();
             }
@@ -444,8 +444,8 @@
         cache.answered(report, answer);
     }
 
-    /** Takes an owner's wish for a report; returns whether the owner is believed. */
-    boolean summoned(HostId from, long epoch) {
+    /** Takes an owner's request for a report; returns whether the owner is believed. */
+    boolean reportRequested(HostId from, long epoch) {
         lock.lock();
         try {
             boolean known = epoch == ownerEpoch && owner.filter(from::equals).isPresent();
--- a/admission/src/main/java/org/godwithoist/admission/SlotAdmission.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotAdmission.java
@@ -222,8 +222,8 @@
     }
 
     @Override
-    public void summon(HostId from, ShardId shard, long epoch) {
-        if (isKnown(shard) && shard(shard).summoned(from, epoch)) {
+    public void requestReport(HostId from, ShardId shard, long epoch) {
+        if (isKnown(shard) && shard(shard).reportRequested(from, epoch)) {
             wakePeer(from);
         }
     }
--- a/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
@@ -68,7 +68,7 @@
     private final Map<TargetId, Row> rows = new HashMap<>();
     private final long[] speeds = new long[SPEED_WINDOW];
     private final Map<HostId, List<OwnerAnswer.Grant>> waitingGrants = new HashMap<>();
-    private final Set<HostId> nudges = new HashSet<>();
+    private final Set<HostId> reportRequests = new HashSet<>();
 
     private ShardView view;
     private int engines;
@@ -432,12 +432,12 @@
         waitingGrants
                 .computeIfAbsent(h.host, x -> new ArrayList<>())
                 .add(new OwnerAnswer.Grant(row.target, pick.workspace(), pick.priority(), 1));
-        nudges.add(h.host);
+        reportRequests.add(h.host);
     }
 
     private void dropSetAside(Holder h) {
         waitingGrants.remove(h.host);
-        nudges.remove(h.host);
+        reportRequests.remove(h.host);
         for (Map.Entry<TargetId, Count> e : h.counts.entrySet()) {
             row(e.getKey()).taken -= e.getValue().setAside;
             e.getValue().setAside = 0;
@@ -445,7 +445,7 @@
     }
 
     private OwnerAnswer answer(Holder h, boolean mayGrant, long now) {
-        nudges.remove(h.host);
+        reportRequests.remove(h.host);
         List<OwnerAnswer.Grant> grants = List.of();
         if (mayGrant) {
             List<OwnerAnswer.Grant> due = waitingGrants.remove(h.host);
@@ -493,10 +493,12 @@
                 row.warmUp.incarnation());
     }
 
-    /** Returns the nudges due: holders that should report now because slots are set aside. */
-    public Set<HostId> takeNudges() {
-        Set<HostId> due = new TreeSet<>(nudges);
-        nudges.clear();
+    /**
+     * Returns the report requests due: holders that should report now because slots are set aside.
+     */
+    public Set<HostId> takeReportRequests() {
+        Set<HostId> due = new TreeSet<>(reportRequests);
+        reportRequests.clear();
         return due;
     }
 
--- a/admission/src/main/java/org/godwithoist/admission/wire/TransportPeers.java
+++ b/admission/src/main/java/org/godwithoist/admission/wire/TransportPeers.java
@@ -12,8 +12,8 @@
 import org.godwithoist.admission.wire.generated.ExchangeSlotsResponse;
 import org.godwithoist.admission.wire.generated.PromiseRequest;
 import org.godwithoist.admission.wire.generated.PromiseResponse;
-import org.godwithoist.admission.wire.generated.SummonRequest;
-import org.godwithoist.admission.wire.generated.SummonResponse;
+import org.godwithoist.admission.wire.generated.RequestReportRequest;
+import org.godwithoist.admission.wire.generated.RequestReportResponse;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.membership.PeerTransport;
 
@@ -32,9 +32,13 @@
     private static final PeerTransport.Method<PromiseRequest, PromiseResponse> PROMISE =
             new PeerTransport.Method<>(
                     SERVICE, "Promise", PromiseRequest.parser(), PromiseResponse.parser());
-    private static final PeerTransport.Method<SummonRequest, SummonResponse> SUMMON =
-            new PeerTransport.Method<>(
-                    SERVICE, "Summon", SummonRequest.parser(), SummonResponse.parser());
+    private static final PeerTransport.Method<RequestReportRequest, RequestReportResponse>
+            REQUEST_REPORT =
+                    new PeerTransport.Method<>(
+                            SERVICE,
+                            "RequestReport",
+                            RequestReportRequest.parser(),
+                            RequestReportResponse.parser());
 
     private final PeerTransport transport;
 
@@ -54,10 +58,10 @@
                     return PromiseResponse.newBuilder().setPromised(promised).build();
                 });
         transport.serve(
-                SUMMON,
+                REQUEST_REPORT,
                 (from, q) -> {
-                    handler.summon(from, ReportCodec.decode(q.getShard()), q.getEpoch());
-                    return SummonResponse.getDefaultInstance();
+                    handler.requestReport(from, ReportCodec.decode(q.getShard()), q.getEpoch());
+                    return RequestReportResponse.getDefaultInstance();
                 });
     }
 
@@ -99,19 +103,20 @@
     }
 
     @Override
-    public void summon(HostId holder, ShardId shard, long epoch, Duration timeout) {
+    public void requestReport(HostId holder, ShardId shard, long epoch, Duration timeout) {
         var request =
-                SummonRequest.newBuilder()
+                RequestReportRequest.newBuilder()
                         .setShard(ReportCodec.encode(shard))
                         .setEpoch(epoch)
                         .build();
         var _ =
                 transport
-                        .call(holder, SUMMON, request, timeout)
+                        .call(holder, REQUEST_REPORT, request, timeout)
                         .whenComplete(
                                 (r, e) -> {
                                     if (e != null) {
-                                        LOG.atFine().withCause(e).log("no summons to %s", holder);
+                                        LOG.atFine().withCause(e).log(
+                                                "no report request to %s", holder);
                                     }
                                 });
     }
--- a/admission/src/test/java/org/godwithoist/admission/VirtualFleet.java
+++ b/admission/src/test/java/org/godwithoist/admission/VirtualFleet.java
@@ -410,21 +410,21 @@
                 SlotLedger l = ledger.get();
                 l.update(view());
                 l.tick(lease.owns());
-                for (HostId h : l.ready() ? l.takeNudges() : l.missing()) {
-                    summon(h);
+                for (HostId h : l.ready() ? l.takeReportRequests() : l.missing()) {
+                    requestReport(h);
                 }
             }
             report(false);
         }
 
-        private void summon(HostId h) {
+        private void requestReport(HostId h) {
             if (h.equals(host)) {
                 report(true);
             } else {
                 long epoch = lease.epoch();
                 Node to = nodes.get(h);
                 if (to != null) {
-                    send(this, to, () -> to.summoned(host, epoch));
+                    send(this, to, () -> to.reportRequested(host, epoch));
                 }
             }
         }
@@ -528,7 +528,7 @@
 
         // ---- slots
 
-        void summoned(HostId from, long epoch) {
+        void reportRequested(HostId from, long epoch) {
             if (epoch > ownerEpoch) {
                 learn(from, epoch);
             }
@@ -583,9 +583,9 @@
                 return OwnerAnswer.refusal(SHARD, OwnerAnswer.Status.NOT_OWNER, lease.epoch());
             }
             OwnerAnswer a = ledger.get().exchange(from.host, report, lease.owns());
-            for (HostId h : ledger.get().takeNudges()) {
+            for (HostId h : ledger.get().takeReportRequests()) {
                 if (!h.equals(from.host)) {
-                    summon(h);
+                    requestReport(h);
                 }
             }
             return a;
--- a/loadtool/src/main/java/org/godwithoist/loadtool/admission/SlotFleet.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/SlotFleet.java
@@ -231,12 +231,12 @@
                 ledger.get().update(view());
                 ledger.get().tick(lease.owns());
                 boolean ready = ledger.get().ready();
-                summon(ready ? ledger.get().takeNudges() : ledger.get().missing());
+                requestReport(ready ? ledger.get().takeReportRequests() : ledger.get().missing());
             }
             report(false);
         }
 
-        private void summon(Set<HostId> holders) {
+        private void requestReport(Set<HostId> holders) {
             for (Daemon d : daemons) {
                 if (!holders.contains(d.host)) {
                     continue;
@@ -389,9 +389,9 @@
                         List.of());
             }
             OwnerAnswer a = ledger.get().exchange(from.host, report, lease.owns());
-            Set<HostId> nudged = new HashSet<>(ledger.get().takeNudges());
-            nudged.remove(from.host);
-            summon(nudged);
+            Set<HostId> requested = new HashSet<>(ledger.get().takeReportRequests());
+            requested.remove(from.host);
+            requestReport(requested);
             return a;
         }
 
