--- /dev/null
+++ b/admission/src/main/java/org/godwithoist/admission/HolderDelta.java
@@ -0,0 +1,190 @@
+package org.godwithoist.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * The holder's side of the exchange with the owner of one shard: turns complete reports into
+ * differences from the last answered report, and the owner's differences into complete answers. A
+ * complete report is sent until one is answered. Thread-safe.
+ */
+public final class HolderDelta {
+    /** Shorter than the time for which owners keep a base, so that the base is rarely unknown. */
+    private static final Duration MAX_BASE_AGE = Duration.ofSeconds(30);
+
+    /** Bounds the memory for names; a complete report starts the numbers again. */
+    static final int MAX_NAMES = 256;
+
+    private final Ticker ticker;
+    private final ReentrantLock lock = new ReentrantLock();
+    private Optional<DeltaBase> base = Optional.empty();
+    private Optional<HolderReport> pending = Optional.empty();
+    private NameTable reportNames = new NameTable();
+    private long usedAt;
+
+    /** Makes the side of a holder that knows of no answered report. */
+    public HolderDelta(Ticker ticker) {
+        this.ticker = ticker;
+        this.usedAt = ticker.nanos();
+    }
+
+    /** Returns the message of a report. Answers to earlier reports are void from now on. */
+    public ReportDelta encode(HolderReport r) {
+        lock.lock();
+        try {
+            long now = ticker.nanos();
+            boolean old = now - usedAt > MAX_BASE_AGE.toNanos();
+            base =
+                    base.filter(
+                            b ->
+                                    !old
+                                            && b.precedes(r.incarnation(), r.epoch())
+                                            && b.reportNames().size() <= MAX_NAMES);
+            usedAt = now;
+            pending = Optional.of(r);
+            reportNames = base.map(b -> b.reportNames()).orElseGet(NameTable::new);
+            reportNames.rollback();
+            return difference(r);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private ReportDelta difference(HolderReport r) {
+        Map<TargetId, HolderReport.TargetUse> before =
+                new LinkedHashMap<>(base.map(b -> b.uses()).orElse(Map.of()));
+        List<String> added = new ArrayList<>();
+        List<ReportDelta.Use> uses = new ArrayList<>();
+        for (HolderReport.TargetUse u : r.uses()) {
+            if (!u.equals(before.remove(u.target()))) {
+                uses.add(
+                        new ReportDelta.Use(
+                                number(u.target(), added),
+                                u.inUse(),
+                                u.unused(),
+                                u.reservedInUse(),
+                                u.minInUse(),
+                                u.reservedHeld(),
+                                u.grown(),
+                                reportNames.number(u.targetIncarnation(), added)));
+            }
+        }
+        List<Integer> ended = before.keySet().stream().map(t -> number(t, added)).toList();
+        List<ReportDelta.Demand> demands = r.demands().stream().map(d -> demand(d, added)).toList();
+        List<ReportDelta.Speed> speeds = r.speeds().stream().map(s -> speed(s, added)).toList();
+        return new ReportDelta(
+                r.shard(),
+                r.epoch(),
+                r.incarnation(),
+                r.sequence(),
+                base.map(b -> b.report().sequence()).orElse(0L),
+                r.certainFrom() - base.map(b -> b.report().certainTo()).orElse(0L),
+                r.certainTo() - base.map(b -> b.stamp()).orElse(0L),
+                r.minUse() - base.map(b -> b.report().minUse()).orElse(0),
+                added,
+                uses,
+                ended,
+                demands,
+                speeds);
+    }
+
+    private int number(TargetId target, List<String> added) {
+        return reportNames.number(target.value(), added);
+    }
+
+    private ReportDelta.Demand demand(HolderReport.Demand d, List<String> added) {
+        return new ReportDelta.Demand(
+                number(d.target(), added),
+                reportNames.number(d.workspace().value(), added),
+                d.priority(),
+                d.count(),
+                d.waited());
+    }
+
+    private ReportDelta.Speed speed(HolderReport.Speed s, List<String> added) {
+        return new ReportDelta.Speed(
+                number(s.target(), added),
+                s.firstToken(),
+                reportNames.number(s.targetIncarnation(), added));
+    }
+
+    /**
+     * Returns the complete answer to a report. The answer to a report before the last one counts as
+     * stale: what it builds on may be gone.
+     */
+    public OwnerAnswer decode(HolderReport r, AnswerDelta a) {
+        lock.lock();
+        try {
+            if (pending.filter(r::equals).isEmpty()) {
+                return OwnerAnswer.refusal(r.shard(), OwnerAnswer.Status.STALE, r.epoch());
+            }
+            pending = Optional.empty();
+            long epoch = r.epoch() + a.epoch();
+            if (!a.status().taken()) {
+                boolean unknown = a.status() == OwnerAnswer.Status.BASE_UNKNOWN;
+                base = base.filter(b -> !unknown);
+                return OwnerAnswer.refusal(r.shard(), a.status(), epoch);
+            }
+            return taken(r, a, epoch);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private OwnerAnswer taken(HolderReport r, AnswerDelta a, long epoch) {
+        Optional<DeltaBase> from = base.filter(b -> !a.full());
+        NameTable names = from.map(b -> b.answerNames()).orElseGet(NameTable::new);
+        names.rollback();
+        a.names().forEach(names::add);
+        Map<TargetId, OwnerAnswer.TargetNews> news =
+                new HashMap<>(from.map(b -> b.news()).orElse(Map.of()));
+        a.gone().forEach(n -> news.remove(new TargetId(names.name(n))));
+        for (AnswerDelta.News n : a.news()) {
+            TargetId target = new TargetId(names.name(n.target()));
+            news.put(
+                    target,
+                    new OwnerAnswer.TargetNews(
+                            target,
+                            n.reservedOpen(),
+                            n.contended(),
+                            n.expectedWait(),
+                            n.grown(),
+                            names.name(n.targetIncarnation())));
+        }
+        List<OwnerAnswer.Grant> grants =
+                a.grants().stream()
+                        .map(
+                                g ->
+                                        new OwnerAnswer.Grant(
+                                                new TargetId(names.name(g.target())),
+                                                new WorkspaceId(names.name(g.workspace())),
+                                                g.priority(),
+                                                g.count()))
+                        .toList();
+        long stamp = base.map(b -> b.stamp()).orElse(0L) + a.stamp();
+        names.commit();
+        reportNames.commit();
+        base = Optional.of(new DeltaBase(r, stamp, news, reportNames, names));
+        List<OwnerAnswer.TargetNews> all = List.copyOf(news.values());
+        return new OwnerAnswer(r.shard(), a.status(), epoch, stamp, grants, all);
+    }
+
+    /** Returns when the last report was encoded. */
+    public long usedAt() {
+        lock.lock();
+        try {
+            return usedAt;
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/admission/src/main/java/org/godwithoist/admission/NameTable.java
@@ -0,0 +1,57 @@
+package org.godwithoist.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Numbers for the names of one direction of an exchange, in the order in which they were first
+ * sent. Names added by a message count only once the message is known to have arrived. Not
+ * thread-safe.
+ */
+final class NameTable {
+    private final List<String> names = new ArrayList<>(List.of(""));
+    private final Map<String, Integer> numbers = new HashMap<>(Map.of("", 0));
+    private int kept = 1;
+
+    /** Returns the number of a name; 0 is the empty name. A new name is added to {@code added}. */
+    int number(String name, List<String> added) {
+        Integer known = numbers.get(name);
+        if (known != null) {
+            return known;
+        }
+        added.add(name);
+        add(name);
+        return names.size() - 1;
+    }
+
+    void add(String name) {
+        numbers.put(name, names.size());
+        names.add(name);
+    }
+
+    /** Returns the name of a number that the other side sent. */
+    String name(int number) {
+        if (number < 0 || number >= names.size()) {
+            throw new IllegalArgumentException("no name has the number " + number);
+        }
+        return names.get(number);
+    }
+
+    /** Keeps all names. */
+    void commit() {
+        kept = names.size();
+    }
+
+    /** Drops the names that were added since the last commit. */
+    void rollback() {
+        while (names.size() > kept) {
+            numbers.remove(names.removeLast());
+        }
+    }
+
+    int size() {
+        return names.size();
+    }
+}
--- a/admission/src/main/java/org/godwithoist/admission/OwnerAnswer.java
+++ b/admission/src/main/java/org/godwithoist/admission/OwnerAnswer.java
@@ -38,7 +38,9 @@
         /** The report was meant for another epoch or is older than one already taken. */
         STALE(false),
         /** The answering daemon does not own the shard. */
-        NOT_OWNER(false);
+        NOT_OWNER(false),
+        /** The owner does not have the base of the report; the next report must be complete. */
+        BASE_UNKNOWN(false);
 
         private final boolean taken;
 
--- /dev/null
+++ b/admission/src/main/java/org/godwithoist/admission/OwnerDelta.java
@@ -0,0 +1,197 @@
+package org.godwithoist.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Function;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * The owner's side of the exchange with one holder of a shard: applies differences to the last
+ * report that was taken, and answers with what changed since the answer to it. The ledger sees
+ * complete reports only. Thread-safe.
+ */
+public final class OwnerDelta {
+    private final Ticker ticker;
+    private final ReentrantLock lock = new ReentrantLock();
+    private Optional<DeltaBase> base = Optional.empty();
+    private long usedAt;
+
+    /** Makes the side of an owner that has taken no report of the holder. */
+    public OwnerDelta(Ticker ticker) {
+        this.ticker = ticker;
+        this.usedAt = ticker.nanos();
+    }
+
+    /**
+     * Applies a report to its base and answers it.
+     *
+     * @param d report of the holder
+     * @param ledger takes the complete report; it is not called if the base is unknown
+     */
+    public AnswerDelta exchange(ReportDelta d, Function<HolderReport, OwnerAnswer> ledger) {
+        // Reports that cross must not be applied to each other's base, so the lock covers the call.
+        lock.lock();
+        try {
+            usedAt = ticker.nanos();
+            Optional<DeltaBase> from = d.base() == 0 ? Optional.empty() : base;
+            boolean known = from.filter(b -> fits(b, d)).isPresent();
+            if (d.base() != 0 && !known) {
+                return refusal(OwnerAnswer.Status.BASE_UNKNOWN, 0);
+            }
+            NameTable names = from.map(b -> b.reportNames()).orElseGet(NameTable::new);
+            names.rollback();
+            d.names().forEach(names::add);
+            HolderReport report = complete(d, from, names);
+            OwnerAnswer answer = ledger.apply(report);
+            if (!answer.status().taken()) {
+                return refusal(answer.status(), answer.epoch() - report.epoch());
+            }
+            names.commit();
+            return difference(report, answer, from, names);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    private static boolean fits(DeltaBase b, ReportDelta d) {
+        return b.precedes(d.incarnation(), d.epoch()) && b.report().sequence() == d.base();
+    }
+
+    private static AnswerDelta refusal(OwnerAnswer.Status status, long epoch) {
+        return new AnswerDelta(status, epoch, 0, false, List.of(), List.of(), List.of(), List.of());
+    }
+
+    private static HolderReport complete(ReportDelta d, Optional<DeltaBase> from, NameTable names) {
+        Map<TargetId, HolderReport.TargetUse> uses =
+                new LinkedHashMap<>(from.map(b -> b.uses()).orElse(Map.of()));
+        d.ended().forEach(n -> uses.remove(new TargetId(names.name(n))));
+        for (ReportDelta.Use u : d.uses()) {
+            TargetId target = new TargetId(names.name(u.target()));
+            uses.put(
+                    target,
+                    new HolderReport.TargetUse(
+                            target,
+                            u.inUse(),
+                            u.unused(),
+                            u.reservedInUse(),
+                            u.minInUse(),
+                            u.reservedHeld(),
+                            u.grown(),
+                            names.name(u.targetIncarnation())));
+        }
+        List<HolderReport.Demand> demands = new ArrayList<>();
+        for (ReportDelta.Demand q : d.demands()) {
+            demands.add(
+                    new HolderReport.Demand(
+                            new TargetId(names.name(q.target())),
+                            new WorkspaceId(names.name(q.workspace())),
+                            q.priority(),
+                            q.count(),
+                            q.waited()));
+        }
+        List<HolderReport.Speed> speeds = new ArrayList<>();
+        for (ReportDelta.Speed s : d.speeds()) {
+            speeds.add(
+                    new HolderReport.Speed(
+                            new TargetId(names.name(s.target())),
+                            s.firstToken(),
+                            names.name(s.targetIncarnation())));
+        }
+        return new HolderReport(
+                d.shard(),
+                d.epoch(),
+                d.incarnation(),
+                d.sequence(),
+                d.certainFrom() + from.map(b -> b.report().certainTo()).orElse(0L),
+                d.certainTo() + from.map(b -> b.stamp()).orElse(0L),
+                d.minUse() + from.map(b -> b.report().minUse()).orElse(0),
+                List.copyOf(uses.values()),
+                demands,
+                speeds);
+    }
+
+    private AnswerDelta difference(
+            HolderReport r, OwnerAnswer a, Optional<DeltaBase> from, NameTable reportNames) {
+        // Numbers start again with a complete answer, which bounds the memory for names.
+        Optional<DeltaBase> since =
+                from.filter(b -> b.answerNames().size() <= HolderDelta.MAX_NAMES);
+        NameTable names = since.map(b -> b.answerNames()).orElseGet(NameTable::new);
+        Map<TargetId, OwnerAnswer.TargetNews> before =
+                new LinkedHashMap<>(since.map(b -> b.news()).orElse(Map.of()));
+        Map<TargetId, OwnerAnswer.TargetNews> now = new LinkedHashMap<>();
+        List<String> added = new ArrayList<>();
+        List<AnswerDelta.News> news = new ArrayList<>();
+        for (OwnerAnswer.TargetNews exact : a.news()) {
+            OwnerAnswer.TargetNews n = rounded(exact);
+            now.put(n.target(), n);
+            if (!n.equals(before.remove(n.target()))) {
+                news.add(
+                        new AnswerDelta.News(
+                                names.number(n.target().value(), added),
+                                n.reservedOpen(),
+                                n.contended(),
+                                n.expectedWait(),
+                                n.grown(),
+                                names.number(n.targetIncarnation(), added)));
+            }
+        }
+        List<Integer> gone =
+                before.keySet().stream().map(t -> names.number(t.value(), added)).toList();
+        List<AnswerDelta.Grant> grants = new ArrayList<>();
+        for (OwnerAnswer.Grant g : a.grants()) {
+            grants.add(
+                    new AnswerDelta.Grant(
+                            names.number(g.target().value(), added),
+                            names.number(g.workspace().value(), added),
+                            g.priority(),
+                            g.count()));
+        }
+        names.commit();
+        base = Optional.of(new DeltaBase(r, a.stamp(), now, reportNames, names));
+        long stamp = a.stamp() - from.map(b -> b.stamp()).orElse(0L);
+        long epoch = a.epoch() - r.epoch();
+        return new AnswerDelta(
+                a.status(), epoch, stamp, since.isEmpty(), added, grants, news, gone);
+    }
+
+    private static OwnerAnswer.TargetNews rounded(OwnerAnswer.TargetNews n) {
+        return new OwnerAnswer.TargetNews(
+                n.target(),
+                n.reservedOpen(),
+                n.contended(),
+                rounded(n.expectedWait()),
+                n.grown(),
+                n.targetIncarnation());
+    }
+
+    /**
+     * Rounds a wait to two binary digits of milliseconds, which errs by at most a quarter. A wait
+     * above zero stays above zero, because zero means that a slot is free.
+     */
+    static Duration rounded(Duration wait) {
+        if (wait.isZero()) {
+            return wait;
+        }
+        long ms = Math.clamp(wait.toMillis(), 1, Integer.MAX_VALUE / 2);
+        int shift = Math.max(0, Long.SIZE - 2 - Long.numberOfLeadingZeros(ms));
+        long half = (1L << shift) >> 1;
+        return Duration.ofMillis(((ms + half) >> shift) << shift);
+    }
+
+    /** Returns when the last report arrived. */
+    public long usedAt() {
+        lock.lock();
+        try {
+            return usedAt;
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- a/admission/src/main/java/org/godwithoist/admission/ShardTask.java
+++ b/admission/src/main/java/org/godwithoist/admission/ShardTask.java
@@ -431,6 +431,11 @@
     }
 
     void answered(HolderReport report, OwnerAnswer answer) {
+        if (answer.status() == OwnerAnswer.Status.BASE_UNKNOWN) {
+            // Waiting requests must not wait for the next regular report.
+            demand = true;
+            return;
+        }
         if (!answer.status().taken()) {
             doubtOwner = true;
             boolean newer = answer.epoch() > cache.epoch();
--- a/admission/src/main/java/org/godwithoist/admission/wire/AdmissionWiring.java
+++ b/admission/src/main/java/org/godwithoist/admission/wire/AdmissionWiring.java
@@ -41,7 +41,7 @@
                         members,
                         targets,
                         new LeaseRows(store),
-                        new TransportPeers(transport),
+                        new TransportPeers(transport, ticker),
                         loads,
                         ticker,
                         AdmissionTiming.DEFAULT);
--- a/admission/src/main/java/org/godwithoist/admission/wire/ReportCodec.java
+++ b/admission/src/main/java/org/godwithoist/admission/wire/ReportCodec.java
@@ -1,8 +1,13 @@
 package org.godwithoist.admission.wire;
 
 import java.time.Duration;
+import java.util.List;
+import org.godwithoist.admission.AnswerDelta;
+import org.godwithoist.admission.HolderDelta;
 import org.godwithoist.admission.HolderReport;
 import org.godwithoist.admission.OwnerAnswer;
+import org.godwithoist.admission.OwnerDelta;
+import org.godwithoist.admission.ReportDelta;
 import org.godwithoist.admission.ShardId;
 import org.godwithoist.admission.wire.generated.Demand;
 import org.godwithoist.admission.wire.generated.Grant;
@@ -15,8 +20,7 @@
 import org.godwithoist.admission.wire.generated.TargetNews;
 import org.godwithoist.admission.wire.generated.TargetUse;
 import org.godwithoist.core.id.PoolId;
-import org.godwithoist.core.id.TargetId;
-import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.Ticker;
 
 /**
  * Converts reports and answers to messages and back. Decoding fails with {@link
@@ -39,25 +43,33 @@
 
     // ---- reports
 
-    /** Returns the message of a report; the run of the holder goes into the request around it. */
+    /** Returns the message of a complete report, without a base. */
     public static ShardReport encode(HolderReport r) {
+        return encode(new HolderDelta(Ticker.SYSTEM).encode(r));
+    }
+
+    /** Returns the message of a report; the run of the holder goes into the request around it. */
+    public static ShardReport encode(ReportDelta r) {
         ShardReport.Builder b =
                 ShardReport.newBuilder()
                         .setShard(encode(r.shard()))
                         .setEpoch(r.epoch())
                         .setSequence(r.sequence())
+                        .setBaseDistance(r.base() == 0 ? 0 : r.sequence() - r.base())
                         .setCertainFrom(r.certainFrom())
                         .setCertainTo(r.certainTo())
-                        .setMinUse(r.minUse());
+                        .setMinUse(r.minUse())
+                        .addAllNames(r.names())
+                        .addAllEnded(r.ended());
         r.uses().forEach(u -> b.addUses(encode(u)));
         r.demands().forEach(d -> b.addDemands(encode(d)));
         r.speeds().forEach(s -> b.addSpeeds(encode(s)));
         return b.build();
     }
 
-    private static TargetUse encode(HolderReport.TargetUse u) {
+    private static TargetUse encode(ReportDelta.Use u) {
         return TargetUse.newBuilder()
-                .setTarget(u.target().value())
+                .setTarget(u.target())
                 .setInUse(u.inUse())
                 .setUnused(u.unused())
                 .setReservedInUse(u.reservedInUse())
@@ -68,42 +80,46 @@
                 .build();
     }
 
-    private static Demand encode(HolderReport.Demand d) {
+    private static Demand encode(ReportDelta.Demand d) {
         return Demand.newBuilder()
-                .setTarget(d.target().value())
-                .setWorkspace(d.workspace().value())
+                .setTarget(d.target())
+                .setWorkspace(d.workspace())
                 .setPriority(encode(d.priority()))
                 .setCount(d.count())
                 .setWaitedMs(d.waited().toMillis())
                 .build();
     }
 
-    private static Speed encode(HolderReport.Speed s) {
+    private static Speed encode(ReportDelta.Speed s) {
         return Speed.newBuilder()
-                .setTarget(s.target().value())
+                .setTarget(s.target())
                 .setFirstTokenUs(s.firstToken().toNanos() / NANOS_PER_MICRO)
                 .setTargetIncarnation(s.targetIncarnation())
                 .build();
     }
 
     /** Returns the report of a message. */
-    public static HolderReport decode(ShardReport r, long incarnation) {
-        return new HolderReport(
+    public static ReportDelta decode(ShardReport r, long incarnation) {
+        long distance = r.getBaseDistance();
+        return new ReportDelta(
                 decode(r.getShard()),
                 r.getEpoch(),
                 incarnation,
                 r.getSequence(),
+                distance == 0 ? 0 : r.getSequence() - distance,
                 r.getCertainFrom(),
                 r.getCertainTo(),
-                count(r.getMinUse()),
+                r.getMinUse(),
+                r.getNamesList(),
                 r.getUsesList().stream().map(ReportCodec::decode).toList(),
+                r.getEndedList(),
                 r.getDemandsList().stream().map(ReportCodec::decode).toList(),
                 r.getSpeedsList().stream().map(ReportCodec::decode).toList());
     }
 
-    private static HolderReport.TargetUse decode(TargetUse u) {
-        return new HolderReport.TargetUse(
-                new TargetId(u.getTarget()),
+    private static ReportDelta.Use decode(TargetUse u) {
+        return new ReportDelta.Use(
+                u.getTarget(),
                 count(u.getInUse()),
                 count(u.getUnused()),
                 count(u.getReservedInUse()),
@@ -113,18 +129,18 @@
                 u.getTargetIncarnation());
     }
 
-    private static HolderReport.Demand decode(Demand d) {
-        return new HolderReport.Demand(
-                new TargetId(d.getTarget()),
-                new WorkspaceId(d.getWorkspace()),
+    private static ReportDelta.Demand decode(Demand d) {
+        return new ReportDelta.Demand(
+                d.getTarget(),
+                d.getWorkspace(),
                 decode(d.getPriority()),
                 count(d.getCount()),
                 Duration.ofMillis(d.getWaitedMs()));
     }
 
-    private static HolderReport.Speed decode(Speed s) {
-        return new HolderReport.Speed(
-                new TargetId(s.getTarget()),
+    private static ReportDelta.Speed decode(Speed s) {
+        return new ReportDelta.Speed(
+                s.getTarget(),
                 Duration.ofNanos(s.getFirstTokenUs() * NANOS_PER_MICRO),
                 s.getTargetIncarnation());
     }
@@ -139,32 +155,43 @@
 
     // ---- answers
 
-    /** Returns the message of an answer. */
+    /** Returns the message of a complete answer, without a base. */
     public static ShardAnswer encode(OwnerAnswer a) {
+        var none =
+                new HolderReport(
+                        a.shard(), a.epoch(), 0, 0, 0, 0, 0, List.of(), List.of(), List.of());
+        ReportDelta report = new HolderDelta(Ticker.SYSTEM).encode(none);
+        return encode(new OwnerDelta(Ticker.SYSTEM).exchange(report, r -> a));
+    }
+
+    /** Returns the message of an answer. */
+    public static ShardAnswer encode(AnswerDelta a) {
         ShardAnswer.Builder b =
                 ShardAnswer.newBuilder()
-                        .setShard(encode(a.shard()))
                         .setStatus(encode(a.status()))
                         .setEpoch(a.epoch())
-                        .setStamp(a.stamp());
+                        .setStamp(a.stamp())
+                        .setFull(a.full())
+                        .addAllNames(a.names())
+                        .addAllGone(a.gone());
         a.grants().forEach(g -> b.addGrants(encode(g)));
         a.news().forEach(n -> b.addNews(encode(n)));
         return b.build();
     }
 
-    private static Grant encode(OwnerAnswer.Grant g) {
+    private static Grant encode(AnswerDelta.Grant g) {
         return Grant.newBuilder()
-                .setTarget(g.target().value())
-                .setWorkspace(g.workspace().value())
+                .setTarget(g.target())
+                .setWorkspace(g.workspace())
                 .setPriority(encode(g.priority()))
                 .setCount(g.count())
                 .build();
     }
 
-    private static TargetNews encode(OwnerAnswer.TargetNews n) {
+    private static TargetNews encode(AnswerDelta.News n) {
         long waitMs = Math.min(Integer.MAX_VALUE, n.expectedWait().toMillis());
         return TargetNews.newBuilder()
-                .setTarget(n.target().value())
+                .setTarget(n.target())
                 .setReservedOpen(n.reservedOpen())
                 .setContended(n.contended())
                 .setWaitMs((int) waitMs)
@@ -174,27 +201,26 @@
     }
 
     /** Returns the answer of a message. */
-    public static OwnerAnswer decode(ShardAnswer a) {
-        return new OwnerAnswer(
-                decode(a.getShard()),
+    public static AnswerDelta decode(ShardAnswer a) {
+        return new AnswerDelta(
                 decode(a.getStatus()),
                 a.getEpoch(),
                 a.getStamp(),
+                a.getFull(),
+                a.getNamesList(),
                 a.getGrantsList().stream().map(ReportCodec::decode).toList(),
-                a.getNewsList().stream().map(ReportCodec::decode).toList());
+                a.getNewsList().stream().map(ReportCodec::decode).toList(),
+                a.getGoneList());
     }
 
-    private static OwnerAnswer.Grant decode(Grant g) {
-        return new OwnerAnswer.Grant(
-                new TargetId(g.getTarget()),
-                new WorkspaceId(g.getWorkspace()),
-                decode(g.getPriority()),
-                count(g.getCount()));
+    private static AnswerDelta.Grant decode(Grant g) {
+        return new AnswerDelta.Grant(
+                g.getTarget(), g.getWorkspace(), decode(g.getPriority()), count(g.getCount()));
     }
 
-    private static OwnerAnswer.TargetNews decode(TargetNews n) {
-        return new OwnerAnswer.TargetNews(
-                new TargetId(n.getTarget()),
+    private static AnswerDelta.News decode(TargetNews n) {
+        return new AnswerDelta.News(
+                n.getTarget(),
                 n.getReservedOpen(),
                 n.getContended(),
                 Duration.ofMillis(count(n.getWaitMs())),
@@ -227,6 +253,7 @@
             case LAPSED -> ReportStatus.REPORT_STATUS_LAPSED;
             case STALE -> ReportStatus.REPORT_STATUS_STALE;
             case NOT_OWNER -> ReportStatus.REPORT_STATUS_NOT_OWNER;
+            case BASE_UNKNOWN -> ReportStatus.REPORT_STATUS_BASE_UNKNOWN;
         };
     }
 
@@ -236,6 +263,7 @@
             case REPORT_STATUS_LAPSED -> OwnerAnswer.Status.LAPSED;
             case REPORT_STATUS_STALE -> OwnerAnswer.Status.STALE;
             case REPORT_STATUS_NOT_OWNER -> OwnerAnswer.Status.NOT_OWNER;
+            case REPORT_STATUS_BASE_UNKNOWN -> OwnerAnswer.Status.BASE_UNKNOWN;
             case REPORT_STATUS_UNSPECIFIED, UNRECOGNIZED ->
                     throw new IllegalArgumentException("unknown status");
         };
--- a/admission/src/main/java/org/godwithoist/admission/wire/TransportPeers.java
+++ b/admission/src/main/java/org/godwithoist/admission/wire/TransportPeers.java
@@ -2,11 +2,19 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import org.godwithoist.admission.AdmissionPeers;
+import org.godwithoist.admission.AnswerDelta;
+import org.godwithoist.admission.HolderDelta;
 import org.godwithoist.admission.HolderReport;
 import org.godwithoist.admission.OwnerAnswer;
+import org.godwithoist.admission.OwnerDelta;
+import org.godwithoist.admission.ReportDelta;
 import org.godwithoist.admission.ShardId;
 import org.godwithoist.admission.wire.generated.ExchangeSlotsRequest;
 import org.godwithoist.admission.wire.generated.ExchangeSlotsResponse;
@@ -14,7 +22,9 @@
 import org.godwithoist.admission.wire.generated.PromiseResponse;
 import org.godwithoist.admission.wire.generated.RequestReportRequest;
 import org.godwithoist.admission.wire.generated.RequestReportResponse;
+import org.godwithoist.admission.wire.generated.ShardReport;
 import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.membership.PeerTransport;
 
 /** Carries admission's messages over the transport between daemons. */
@@ -40,11 +50,33 @@
                             RequestReportRequest.parser(),
                             RequestReportResponse.parser());
 
+    /** Bases that no report has used for so long are dropped; the next report is complete. */
+    private static final Duration BASE_RETENTION = Duration.ofSeconds(60);
+
+    private static final Duration SWEEP_EVERY = Duration.ofSeconds(10);
+
+    private record Key(HostId peer, ShardId shard) {}
+
     private final PeerTransport transport;
+    private final Ticker ticker;
+    private final Map<Key, HolderDelta> asHolder = new ConcurrentHashMap<>();
+    private final Map<Key, OwnerDelta> asOwner = new ConcurrentHashMap<>();
+    private final AtomicLong nextSweep;
 
-    /** Makes the messages on a transport. */
+    /** Makes the messages on a transport, with the clock of this process. */
     public TransportPeers(PeerTransport transport) {
+        this(transport, Ticker.SYSTEM);
+    }
+
+    /**
+     * Makes the messages on a transport.
+     *
+     * @param ticker clock by which unused bases are dropped
+     */
+    public TransportPeers(PeerTransport transport, Ticker ticker) {
         this.transport = transport;
+        this.ticker = ticker;
+        this.nextSweep = new AtomicLong(ticker.nanos() + SWEEP_EVERY.toNanos());
     }
 
     @Override
@@ -65,28 +97,60 @@
                 });
     }
 
-    private static ExchangeSlotsResponse exchange(
+    private ExchangeSlotsResponse exchange(
             Handler handler, HostId from, ExchangeSlotsRequest request) {
-        List<HolderReport> reports =
-                request.getReportsList().stream()
-                        .map(r -> ReportCodec.decode(r, request.getIncarnation()))
-                        .toList();
+        sweep();
         ExchangeSlotsResponse.Builder b = ExchangeSlotsResponse.newBuilder();
-        handler.exchange(from, reports).forEach(a -> b.addAnswers(ReportCodec.encode(a)));
+        for (ShardReport message : request.getReportsList()) {
+            ReportDelta report = ReportCodec.decode(message, request.getIncarnation());
+            OwnerDelta side =
+                    asOwner.computeIfAbsent(
+                            new Key(from, report.shard()), k -> new OwnerDelta(ticker));
+            AnswerDelta answer =
+                    side.exchange(report, full -> handler.exchange(from, List.of(full)).getFirst());
+            b.addAnswers(ReportCodec.encode(answer));
+        }
         return b.build();
     }
 
+    private void sweep() {
+        long now = ticker.nanos();
+        long due = nextSweep.get();
+        if (now - due < 0 || !nextSweep.compareAndSet(due, now + SWEEP_EVERY.toNanos())) {
+            return;
+        }
+        long oldest = now - BASE_RETENTION.toNanos();
+        asOwner.values().removeIf(d -> d.usedAt() - oldest < 0);
+        asHolder.values().removeIf(d -> d.usedAt() - oldest < 0);
+    }
+
     @Override
     public CompletableFuture<List<OwnerAnswer>> exchange(
             HostId owner, List<HolderReport> reports, Duration timeout) {
+        sweep();
         ExchangeSlotsRequest.Builder b = ExchangeSlotsRequest.newBuilder();
+        List<HolderDelta> sides = new ArrayList<>();
         for (HolderReport r : reports) {
+            HolderDelta side =
+                    asHolder.computeIfAbsent(
+                            new Key(owner, r.shard()), k -> new HolderDelta(ticker));
+            sides.add(side);
             b.setIncarnation(r.incarnation());
-            b.addReports(ReportCodec.encode(r));
+            b.addReports(ReportCodec.encode(side.encode(r)));
         }
         return transport
                 .call(owner, EXCHANGE, b.build(), timeout)
-                .thenApply(r -> r.getAnswersList().stream().map(ReportCodec::decode).toList());
+                .thenApply(r -> answers(r, reports, sides));
+    }
+
+    private static List<OwnerAnswer> answers(
+            ExchangeSlotsResponse response, List<HolderReport> reports, List<HolderDelta> sides) {
+        List<OwnerAnswer> answers = new ArrayList<>();
+        for (int i = 0; i < Math.min(reports.size(), response.getAnswersCount()); i++) {
+            AnswerDelta answer = ReportCodec.decode(response.getAnswers(i));
+            answers.add(sides.get(i).decode(reports.get(i), answer));
+        }
+        return answers;
     }
 
     @Override
--- /dev/null
+++ b/admission/src/test/java/org/godwithoist/admission/ReportDeltaTest.java
@@ -0,0 +1,397 @@
+package org.godwithoist.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Group;
+import net.jqwik.api.Property;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.VirtualTicker;
+
+/** The two sides of the delta exchange, without a ledger. */
+class ReportDeltaTest {
+    private static final ShardId SHARD = new ShardId(new PoolId("p"), 3);
+    private static final long STAMP = 5_000_000_000L;
+
+    private final VirtualTicker clock = new VirtualTicker();
+    private HolderDelta holder = new HolderDelta(clock);
+    private OwnerDelta owner = new OwnerDelta(clock);
+    private Optional<HolderReport> seen = Optional.empty();
+    private OwnerAnswer next = answer(OwnerAnswer.Status.TAKEN, 1, List.of());
+    private long sequence;
+    private long epoch = 1;
+
+    private static HolderReport.TargetUse use(int target, int inUse) {
+        return new HolderReport.TargetUse(new TargetId("t" + target), inUse, 1, 0, 0, 1, 0, "");
+    }
+
+    private HolderReport report(HolderReport.TargetUse... uses) {
+        sequence++;
+        return new HolderReport(
+                SHARD, epoch, 1, sequence, 10, 20, 2, List.of(uses), List.of(), List.of());
+    }
+
+    private static OwnerAnswer answer(
+            OwnerAnswer.Status status, long epoch, List<OwnerAnswer.TargetNews> news) {
+        return new OwnerAnswer(SHARD, status, epoch, STAMP, List.of(), news);
+    }
+
+    private static OwnerAnswer.TargetNews news(int target, boolean open) {
+        TargetId id = new TargetId("t" + target);
+        return new OwnerAnswer.TargetNews(id, open, false, Duration.ofMillis(8), 3, "run");
+    }
+
+    private AnswerDelta arrive(ReportDelta d) {
+        return owner.exchange(
+                d,
+                r -> {
+                    seen = Optional.of(r);
+                    return next;
+                });
+    }
+
+    private OwnerAnswer exchange(HolderReport r) {
+        return holder.decode(r, arrive(holder.encode(r)));
+    }
+
+    @Group
+    class InOrder {
+        /** Guards against targets that are sent again although nothing changed. */
+        @Example
+        void unchangedUseAndNewsAreNotSentAgain() {
+            next = answer(OwnerAnswer.Status.TAKEN, 1, List.of(news(0, true), news(1, false)));
+            exchange(report(use(0, 4), use(1, 2)));
+            HolderReport r = report(use(0, 4), use(1, 3));
+            ReportDelta d = holder.encode(r);
+            assertEquals(List.of(), d.names());
+            assertEquals(1, d.uses().size());
+            AnswerDelta a = arrive(d);
+            assertEquals(List.of(), a.news());
+            assertEquals(r, seen.orElseThrow());
+            assertEquals(Set.copyOf(next.news()), Set.copyOf(holder.decode(r, a).news()));
+        }
+
+        /** Guards against use that stays counted after it has ended, and targets that left. */
+        @Example
+        void endedUseAndGoneTargetsAreRemoved() {
+            next = answer(OwnerAnswer.Status.TAKEN, 1, List.of(news(0, true), news(1, false)));
+            exchange(report(use(0, 4), use(1, 2)));
+            next = answer(OwnerAnswer.Status.TAKEN, 1, List.of(news(1, false)));
+            OwnerAnswer a = exchange(report(use(1, 2)));
+            assertEquals(List.of(use(1, 2)), seen.orElseThrow().uses());
+            assertEquals(List.of(news(1, false)), a.news());
+        }
+
+        /** Guards against news for small differences of waits, and a wait that becomes none. */
+        @Example
+        void waitsAreRounded() {
+            assertEquals(Duration.ZERO, OwnerDelta.rounded(Duration.ZERO));
+            assertEquals(Duration.ofMillis(1), OwnerDelta.rounded(Duration.ofNanos(1)));
+            for (long ms = 1; ms < 100_000; ms += 7) {
+                long rounded = OwnerDelta.rounded(Duration.ofMillis(ms)).toMillis();
+                assertTrue(4 * Math.abs(rounded - ms) <= ms, ms + " became " + rounded);
+            }
+            assertEquals(
+                    OwnerDelta.rounded(Duration.ofMillis(1030)),
+                    OwnerDelta.rounded(Duration.ofMillis(1090)));
+        }
+
+        /** Guards against numbers that a faulty peer made up. */
+        @Example
+        void unknownNumberIsMalformed() {
+            var d =
+                    new ReportDelta(
+                            SHARD,
+                            1,
+                            1,
+                            1,
+                            0,
+                            0,
+                            0,
+                            0,
+                            List.of(),
+                            List.of(),
+                            List.of(9),
+                            List.of(),
+                            List.of());
+            assertThrows(IllegalArgumentException.class, () -> arrive(d));
+            assertEquals(Optional.empty(), seen);
+        }
+    }
+
+    @Group
+    class Losses {
+        /** Guards against a difference that is applied twice because its answer was lost. */
+        @Example
+        void lostAnswerIsRepairedByACompleteReport() {
+            exchange(report(use(0, 1)));
+            arrive(holder.encode(report(use(0, 2))));
+            seen = Optional.empty();
+            HolderReport r = report(use(1, 3));
+            assertEquals(OwnerAnswer.Status.BASE_UNKNOWN, exchange(r).status());
+            assertEquals(Optional.empty(), seen, "a ledger must not see a difference");
+            HolderReport complete = report(use(1, 3));
+            ReportDelta d = holder.encode(complete);
+            assertEquals(0, d.base());
+            arrive(d);
+            assertEquals(complete, seen.orElseThrow());
+        }
+
+        /** Guards against names that the owner never got. */
+        @Example
+        void lostReportRepeatsItsNames() {
+            exchange(report(use(0, 1)));
+            holder.encode(report(use(0, 1), use(1, 1)));
+            HolderReport r = report(use(0, 1), use(1, 2), use(2, 2));
+            assertEquals(OwnerAnswer.Status.TAKEN, exchange(r).status());
+            assertEquals(r, seen.orElseThrow());
+        }
+
+        /** Guards against a repeated message that changes the use a second time. */
+        @Example
+        void repeatedReportIsRefused() {
+            exchange(report(use(0, 1)));
+            HolderReport r = report(use(0, 2));
+            ReportDelta d = holder.encode(r);
+            AnswerDelta a = arrive(d);
+            assertEquals(OwnerAnswer.Status.BASE_UNKNOWN, arrive(d).status());
+            holder.decode(r, a);
+            HolderReport last = report(use(0, 3));
+            assertEquals(OwnerAnswer.Status.TAKEN, exchange(last).status());
+            assertEquals(last, seen.orElseThrow());
+        }
+
+        /** Guards against a late answer that becomes the base of later reports. */
+        @Example
+        void lateAnswerIsVoid() {
+            exchange(report(use(0, 1)));
+            HolderReport first = report(use(0, 2));
+            AnswerDelta late = arrive(holder.encode(first));
+            HolderReport second = report(use(0, 3));
+            ReportDelta d = holder.encode(second);
+            assertEquals(OwnerAnswer.Status.STALE, holder.decode(first, late).status());
+            assertEquals(OwnerAnswer.Status.BASE_UNKNOWN, arrive(d).status());
+        }
+
+        /** Guards against an older report that replaces the base of a newer one. */
+        @Example
+        void crossedReportLeavesTheBaseOfTheNewerOne() {
+            exchange(report(use(0, 1)));
+            ReportDelta first = holder.encode(report(use(0, 2)));
+            HolderReport second = report(use(0, 3));
+            AnswerDelta a = arrive(holder.encode(second));
+            assertEquals(OwnerAnswer.Status.BASE_UNKNOWN, arrive(first).status());
+            holder.decode(second, a);
+            HolderReport third = report(use(0, 3), use(1, 1));
+            assertEquals(OwnerAnswer.Status.TAKEN, exchange(third).status());
+            assertEquals(third, seen.orElseThrow());
+        }
+
+        /** Guards against a late complete report, refused by the ledger, that becomes the base. */
+        @Example
+        void refusedReportIsNoBase() {
+            HolderReport first = report(use(0, 1));
+            exchange(first);
+            next = answer(OwnerAnswer.Status.STALE, 1, List.of());
+            arrive(new HolderDelta(clock).encode(first));
+            next = answer(OwnerAnswer.Status.TAKEN, 1, List.of());
+            HolderReport r = report(use(0, 2));
+            assertEquals(OwnerAnswer.Status.TAKEN, exchange(r).status());
+            assertEquals(r, seen.orElseThrow());
+        }
+    }
+
+    @Group
+    class Owners {
+        /** Guards against a difference from what an owner knew before its restart. */
+        @Example
+        void restartedOwnerAsksForACompleteReport() {
+            exchange(report(use(0, 1)));
+            owner = new OwnerDelta(clock);
+            assertEquals(OwnerAnswer.Status.BASE_UNKNOWN, exchange(report(use(0, 1))).status());
+            HolderReport r = report(use(0, 1));
+            assertEquals(OwnerAnswer.Status.TAKEN, exchange(r).status());
+            assertEquals(r, seen.orElseThrow());
+        }
+
+        /** Guards against a base from an earlier epoch, whose ledger is gone. */
+        @Example
+        void newEpochStartsWithACompleteReport() {
+            exchange(report(use(0, 1)));
+            epoch = 2;
+            next = answer(OwnerAnswer.Status.TAKEN, 2, List.of());
+            HolderReport r = report(use(0, 1));
+            ReportDelta d = holder.encode(r);
+            assertEquals(0, d.base());
+            arrive(d);
+            assertEquals(r, seen.orElseThrow());
+        }
+
+        /** Guards against an extra round trip of a holder that comes back after a long pause. */
+        @Example
+        void oldBaseIsNotUsed() {
+            exchange(report(use(0, 1)));
+            clock.advance(Duration.ofSeconds(31));
+            assertEquals(0, holder.encode(report(use(0, 1))).base());
+        }
+    }
+
+    @Group
+    class RandomLosses {
+        private final List<HolderReport.TargetUse> uses = new ArrayList<>();
+        private final Set<HolderReport> sent = new HashSet<>();
+
+        /**
+         * Guards against an applied report or a decoded answer that differs from the complete one
+         * after any order of losses, repetitions, late messages, restarts and new epochs.
+         */
+        @Property(tries = 500)
+        void appliedReportEqualsTheCompleteOne(@ForAll long seed) {
+            Random random = new Random(seed);
+            List<ReportDelta> network = new ArrayList<>();
+            int taken = 0;
+            begin();
+            for (int i = 0; i < 200; i++) {
+                change(random);
+                epoch += random.nextInt(40) == 0 ? 1 : 0;
+                owner = random.nextInt(40) == 0 ? new OwnerDelta(clock) : owner;
+                HolderReport r = randomReport(random);
+                sent.add(r);
+                ReportDelta d = holder.encode(r);
+                if (random.nextInt(5) == 0) {
+                    network.add(d);
+                }
+                if (!network.isEmpty() && random.nextInt(5) == 0) {
+                    check(network.get(random.nextInt(network.size())), random);
+                }
+                if (random.nextInt(8) == 0) {
+                    continue;
+                }
+                AnswerDelta a = check(d, random);
+                if (random.nextInt(8) != 0) {
+                    OwnerAnswer got = holder.decode(r, a);
+                    taken += got.status().taken() ? 1 : 0;
+                    if (got.status().taken()) {
+                        assertEquals(next.stamp(), got.stamp());
+                        assertEquals(Set.copyOf(next.news()), Set.copyOf(got.news()));
+                        assertEquals(next.grants(), got.grants());
+                    }
+                }
+            }
+            assertTrue(taken > 50, "only " + taken + " reports were taken");
+        }
+
+        private long newest;
+        private long newestEpoch;
+
+        private void begin() {
+            holder = new HolderDelta(clock);
+            owner = new OwnerDelta(clock);
+            sequence = 0;
+            epoch = 1;
+            newest = 0;
+            newestEpoch = 0;
+            uses.clear();
+            sent.clear();
+        }
+
+        /** A ledger that refuses what is not newer than the last report it took. */
+        private AnswerDelta check(ReportDelta d, Random random) {
+            return owner.exchange(
+                    d,
+                    r -> {
+                        assertTrue(sent.contains(sorted(r)), "the report was never sent: " + r);
+                        boolean stale = r.epoch() < newestEpoch || r.sequence() <= newest;
+                        newest = stale ? newest : r.sequence();
+                        newestEpoch = Math.max(newestEpoch, r.epoch());
+                        next = stale ? refused(r) : randomAnswer(random, r);
+                        return next;
+                    });
+        }
+
+        private static OwnerAnswer refused(HolderReport r) {
+            return answer(OwnerAnswer.Status.STALE, r.epoch(), List.of());
+        }
+
+        private static HolderReport sorted(HolderReport r) {
+            return new HolderReport(
+                    r.shard(),
+                    r.epoch(),
+                    r.incarnation(),
+                    r.sequence(),
+                    r.certainFrom(),
+                    r.certainTo(),
+                    r.minUse(),
+                    r.uses().stream()
+                            .sorted(java.util.Comparator.comparing(u -> u.target().value()))
+                            .toList(),
+                    r.demands(),
+                    r.speeds());
+        }
+
+        private void change(Random random) {
+            int target = random.nextInt(6);
+            uses.removeIf(u -> u.target().equals(new TargetId("t" + target)));
+            if (random.nextInt(3) != 0) {
+                uses.add(use(target, random.nextInt(4)));
+            }
+        }
+
+        private HolderReport randomReport(Random random) {
+            sequence++;
+            TargetId target = new TargetId("t" + random.nextInt(6));
+            WorkspaceId workspace = new WorkspaceId("w" + random.nextInt(400));
+            return sorted(
+                    new HolderReport(
+                            SHARD,
+                            epoch,
+                            1,
+                            sequence,
+                            random.nextInt(1000),
+                            random.nextInt(1000),
+                            random.nextInt(9),
+                            uses,
+                            List.of(
+                                    new HolderReport.Demand(
+                                            target,
+                                            workspace,
+                                            Priority.URGENT,
+                                            2,
+                                            Duration.ofMillis(3))),
+                            List.of(
+                                    new HolderReport.Speed(
+                                            target, Duration.ofMillis(5), "run" + sequence))));
+        }
+
+        private static OwnerAnswer randomAnswer(Random random, HolderReport r) {
+            List<OwnerAnswer.TargetNews> news = new ArrayList<>();
+            for (int i = 0; i < 6; i++) {
+                if (random.nextInt(6) != 0) {
+                    news.add(news(i, random.nextInt(4) == 0));
+                }
+            }
+            HolderReport.Demand d = r.demands().getFirst();
+            var grant = new OwnerAnswer.Grant(d.target(), d.workspace(), d.priority(), 1);
+            return new OwnerAnswer(
+                    SHARD,
+                    OwnerAnswer.Status.TAKEN,
+                    r.epoch(),
+                    random.nextLong(1L << 40),
+                    List.of(grant),
+                    news);
+        }
+    }
+}
--- /dev/null
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/admission/ReportFleet.java
@@ -0,0 +1,412 @@
+package org.godwithoist.loadtool.admission;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.MessageLite;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.godwithoist.admission.AdmissionPeers;
+import org.godwithoist.admission.AdmissionTiming;
+import org.godwithoist.admission.EngineLoad;
+import org.godwithoist.admission.HolderReport;
+import org.godwithoist.admission.HolderRules;
+import org.godwithoist.admission.OwnerAnswer;
+import org.godwithoist.admission.ShardId;
+import org.godwithoist.admission.ShardView;
+import org.godwithoist.admission.Slot;
+import org.godwithoist.admission.SlotCache;
+import org.godwithoist.admission.SlotLedger;
+import org.godwithoist.admission.SlotRequest;
+import org.godwithoist.admission.wire.TransportPeers;
+import org.godwithoist.bundle.AdmissionLimits;
+import org.godwithoist.core.Priority;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.membership.PeerTransport;
+import org.godwithoist.membership.ServiceState;
+import org.godwithoist.membership.Target;
+
+/**
+ * One shard with a fixed owner and all its holders in virtual time. Its messages pass through the
+ * real {@link TransportPeers} and a transport that counts their bytes.
+ */
+final class ReportFleet {
+    private static final AdmissionTiming TIMING = AdmissionTiming.DEFAULT;
+    private static final ShardId SHARD = new ShardId(new PoolId("runners"), 117);
+    private static final long EPOCH = 41;
+    private static final Duration RETURN_SPACING = Duration.ofMillis(20);
+
+    /** Frame, header, signature and sequence number around a message between daemons. */
+    private static final long ENVELOPE_BYTES = 160;
+
+    /** A daemon looks four times per report period whether a report is due. */
+    private static final long POLL = 125 * VirtualTime.MILLI;
+
+    private static final long OWNER_STEP = 250 * VirtualTime.MILLI;
+    private static final long LOAD_PERIOD = 500 * VirtualTime.MILLI;
+    private static final long HOP = 1500_000;
+    private static final long PATIENCE = 5 * VirtualTime.SECOND;
+    private static final int WORKSPACES = 10;
+
+    /**
+     * Size of the simulated shard.
+     *
+     * @param daemons holders; the first one is the owner
+     * @param targets targets of the shard
+     * @param maxConcurrent places of each target
+     * @param reservedHolders daemons with a reserved slot of each target
+     * @param skewFloor requests in progress at a target that are always permitted
+     */
+    record Size(int daemons, int targets, int maxConcurrent, int reservedHolders, int skewFloor) {}
+
+    /**
+     * Requests of each daemon to this shard.
+     *
+     * @param rate requests per second
+     * @param holdNanos mean time of use
+     */
+    record Load(double rate, long holdNanos) {}
+
+    /** Messages and their bytes, and the requests that caused them. */
+    record Traffic(
+            long messages,
+            long exchanges,
+            long reportBytes,
+            long answerBytes,
+            long served,
+            long waitedMs,
+            long unserved) {
+        long envelopeBytes() {
+            return messages * ENVELOPE_BYTES;
+        }
+
+        Traffic minus(Traffic t) {
+            return new Traffic(
+                    messages - t.messages,
+                    exchanges - t.exchanges,
+                    reportBytes - t.reportBytes,
+                    answerBytes - t.answerBytes,
+                    served - t.served,
+                    waitedMs - t.waitedMs,
+                    unserved - t.unserved);
+        }
+    }
+
+    private final VirtualTime time = new VirtualTime();
+    private final Random random;
+    private final Load load;
+    private final AdmissionLimits limits;
+    private final List<Target> targets = new ArrayList<>();
+    private final Map<TargetId, Set<HostId>> reserved = new HashMap<>();
+    private final Map<TargetId, Integer> running = new HashMap<>();
+    private final Map<TargetId, EngineLoad> reported = new HashMap<>();
+    private final Map<HostId, Daemon> daemons = new HashMap<>();
+    private final Daemon owner;
+    private final SlotLedger ledger;
+    private long messages;
+    private long exchanges;
+    private long reportBytes;
+    private long answerBytes;
+    private long served;
+    private long waitedMs;
+    private long unserved;
+    private long requests;
+
+    ReportFleet(Size size, Load load, long seed) {
+        this.random = new Random(seed);
+        this.load = load;
+        // Targets are warm from the start: the traffic of a steady state is measured.
+        this.limits =
+                new AdmissionLimits(
+                        1.5,
+                        size.skewFloor(),
+                        size.maxConcurrent(),
+                        2,
+                        3.0,
+                        size.maxConcurrent(),
+                        size.reservedHolders(),
+                        1);
+        List<HostId> hosts = new ArrayList<>();
+        for (int i = 0; i < size.daemons(); i++) {
+            hosts.add(new HostId("daemon-" + i));
+        }
+        for (int i = 0; i < size.targets(); i++) {
+            TargetId id = new TargetId("runner-" + i);
+            targets.add(
+                    new Target(
+                            id,
+                            new HostId("engine-" + i),
+                            SHARD.pool(),
+                            new FailureDomainId("d" + i % 3),
+                            Endpoint.parse("127.0.0.1:1"),
+                            ServiceState.IN));
+            List<HostId> ranked = new ShardId(new PoolId(id.value()), 0).rank(hosts);
+            reserved.put(id, Set.copyOf(ranked.subList(0, size.reservedHolders())));
+            running.put(id, 0);
+        }
+        reportLoads();
+        hosts.forEach(h -> daemons.put(h, new Daemon(h)));
+        this.owner = daemons.get(hosts.get(0));
+        this.ledger = new SlotLedger(SHARD, EPOCH, TIMING, time.ticker(), view());
+        time.every(LOAD_PERIOD, this::reportLoads);
+        time.every(OWNER_STEP, this::ownerStep);
+        hosts.forEach(h -> daemons.get(h).start());
+    }
+
+    private ShardView view() {
+        return new ShardView(
+                limits,
+                true,
+                targets,
+                new HashSet<>(daemons.keySet()),
+                h -> false,
+                w -> 1,
+                t -> Optional.ofNullable(reported.get(t)));
+    }
+
+    private void reportLoads() {
+        long now = time.ticker().nanos();
+        running.forEach(
+                (t, n) -> reported.put(t, new EngineLoad("e3f1-" + t.value(), n, 0, true, now)));
+    }
+
+    private void ownerStep() {
+        ledger.update(view());
+        ledger.tick(true);
+        request(ledger.ready() ? ledger.takeReportRequests() : ledger.missing());
+    }
+
+    private void request(Set<HostId> holders) {
+        for (HostId h : holders) {
+            if (h.equals(owner.host)) {
+                owner.wantsReport();
+            } else {
+                owner.peers.requestReport(h, SHARD, EPOCH, TIMING.exchangeTimeout());
+            }
+        }
+    }
+
+    /** Runs until the given second since the start and returns the traffic up to then. */
+    Traffic runFor(int second) {
+        time.runUntil(second * VirtualTime.SECOND);
+        return new Traffic(
+                messages, exchanges, reportBytes, answerBytes, served, waitedMs, unserved);
+    }
+
+    private final class Daemon implements HolderRules, AdmissionPeers.Handler, PeerTransport {
+        private final HostId host;
+        private final SlotCache cache;
+        private final AdmissionPeers peers;
+        private final Map<String, CountedMethod<?, ?>> methods = new HashMap<>();
+        private boolean demand;
+        private boolean open;
+
+        Daemon(HostId host) {
+            this.host = host;
+            this.cache = new SlotCache(SHARD, 1764800000000L, TIMING, time.ticker(), this);
+            this.peers = new TransportPeers(this, time.ticker());
+            peers.serve(this);
+        }
+
+        void start() {
+            cache.epoch(EPOCH);
+            time.after(random.nextLong(POLL), () -> time.every(POLL, this::exchangeIfDue));
+            nextRequest();
+        }
+
+        // ---- requests
+
+        private void nextRequest() {
+            time.after(
+                    exponential(VirtualTime.SECOND / load.rate()),
+                    () -> {
+                        place(targets.get(random.nextInt(targets.size())).id());
+                        nextRequest();
+                    });
+        }
+
+        private long exponential(double mean) {
+            return (long) (-mean * Math.log(1 - random.nextDouble()));
+        }
+
+        private void place(TargetId target) {
+            Optional<Slot> local = cache.tryAcquire(target);
+            if (local.isPresent()) {
+                use(local.get(), time.now());
+                return;
+            }
+            long since = time.now();
+            SlotCache.Waiter w =
+                    cache.enqueue(
+                            new SlotRequest(
+                                    new RequestId("r" + requests++),
+                                    new WorkspaceId("workspace-" + random.nextInt(WORKSPACES)),
+                                    Priority.INTERACTIVE,
+                                    SHARD.pool(),
+                                    target));
+            var _ = w.slot().thenAccept(s -> use(s, since));
+            time.after(PATIENCE, () -> withdraw(w));
+            wantsReport();
+        }
+
+        private void withdraw(SlotCache.Waiter w) {
+            if (!w.slot().isDone()) {
+                cache.withdraw(w);
+                unserved++;
+            }
+        }
+
+        private void use(Slot slot, long since) {
+            if (!slot.use()) {
+                slot.release(Slot.Outcome.UNUSED, Duration.ZERO);
+                unserved++;
+                return;
+            }
+            served++;
+            waitedMs += (time.now() - since) / VirtualTime.MILLI;
+            running.merge(slot.target(), 1, Integer::sum);
+            time.after(
+                    exponential((double) load.holdNanos()),
+                    () -> {
+                        running.merge(slot.target(), -1, Integer::sum);
+                        slot.release(Slot.Outcome.ANSWERED, Duration.ofMillis(100));
+                    });
+        }
+
+        // ---- exchange with the owner
+
+        void wantsReport() {
+            demand = true;
+            exchangeIfDue();
+        }
+
+        private void exchangeIfDue() {
+            boolean due = demand || cache.reportDue() || cache.urgentReturn(RETURN_SPACING);
+            if (!due || open) {
+                return;
+            }
+            demand = false;
+            HolderReport report = cache.report();
+            if (this == owner) {
+                cache.answered(report, exchange(host, List.of(report)).getFirst());
+                return;
+            }
+            open = true;
+            var _ =
+                    peers.exchange(owner.host, List.of(report), TIMING.exchangeTimeout())
+                            .thenAccept(a -> answered(report, a.getFirst()));
+        }
+
+        private void answered(HolderReport report, OwnerAnswer answer) {
+            open = false;
+            if (answer.status().taken()) {
+                cache.answered(report, answer);
+            } else {
+                demand = true;
+            }
+            exchangeIfDue();
+        }
+
+        // ---- messages
+
+        @Override
+        public List<OwnerAnswer> exchange(HostId from, List<HolderReport> reports) {
+            List<OwnerAnswer> answers = new ArrayList<>();
+            reports.forEach(r -> answers.add(ledger.exchange(from, r, true)));
+            Set<HostId> asked = new HashSet<>(ledger.takeReportRequests());
+            asked.remove(from);
+            time.after(0, () -> request(asked));
+            return answers;
+        }
+
+        @Override
+        public boolean promise(HostId from, ShardId shard, long epoch) {
+            return false;
+        }
+
+        @Override
+        public void requestReport(HostId from, ShardId shard, long epoch) {
+            wantsReport();
+        }
+
+        @Override
+        public <Q extends MessageLite, R extends MessageLite> void serve(
+                Method<Q, R> method, Handler<Q, R> handler) {
+            methods.put(method.name(), new CountedMethod<>(method, handler));
+        }
+
+        @Override
+        public <Q extends MessageLite, R extends MessageLite> CompletableFuture<R> call(
+                HostId peer, Method<Q, R> method, Q request, Duration timeout) {
+            CompletableFuture<R> result = new CompletableFuture<>();
+            messages++;
+            reportBytes += request.getSerializedSize();
+            exchanges += method.name().equals("Exchange") ? 1 : 0;
+            CountedMethod<?, ?> served = daemons.get(peer).methods.get(method.name());
+            time.after(
+                    HOP,
+                    () -> {
+                        byte[] answer = served.answer(host, request.toByteArray());
+                        messages++;
+                        answerBytes += answer.length;
+                        time.after(HOP, () -> result.complete(parse(method, answer)));
+                    });
+            return result;
+        }
+
+        // ---- rules
+
+        @Override
+        public boolean acceptsWork(TargetId target) {
+            return true;
+        }
+
+        @Override
+        public int reservedHeld(TargetId target) {
+            return reserved.get(target).contains(host) ? 1 : 0;
+        }
+
+        @Override
+        public boolean inContactWithAll() {
+            return true;
+        }
+
+        @Override
+        public boolean reservedFitWithoutOwner(TargetId target, long since) {
+            return false;
+        }
+    }
+
+    private record CountedMethod<Q extends MessageLite, R extends MessageLite>(
+            PeerTransport.Method<Q, R> method, PeerTransport.Handler<Q, R> handler) {
+        byte[] answer(HostId from, byte[] request) {
+            try {
+                return handler.handle(from, method.requestParser().parseFrom(request))
+                        .toByteArray();
+            } catch (InvalidProtocolBufferException e) {
+                throw new IllegalStateException("the transport changes no byte", e);
+            }
+        }
+    }
+
+    private static <Q extends MessageLite, R extends MessageLite> R parse(
+            PeerTransport.Method<Q, R> method, byte[] answer) {
+        try {
+            return method.responseParser().parseFrom(answer);
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException("the transport changes no byte", e);
+        }
+    }
+}
