Let idle holders send no slot reports

Cause: every holder reported every 2 s to the owner of a shard that it does not use, and every 500 ms while slots were in use. Change: a holder without work and without reserved slots stops once the owner has answered a report that says so; use that does not change is reported every 2 s. The loss of the owner counts from a report without answer, because silence of an idle holder shows nothing. A pause of the process shows in the looks at the clock and no longer in the gap between reports. Holders of reserved slots keep reporting every 2 s, which keeps the slots open.

--- a/admission/src/main/java/org/godwithoist/admission/SlotCache.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotCache.java
@@ -116,7 +116,12 @@
     private long reportedEpoch;
     private long introducedEpoch;
     private long sentAt;
+    private long lookedAt;
     private long answeredAt = NEVER;
+    private long unansweredSince = NEVER;
+    private long openedAt = NEVER;
+    private boolean sentEmpty;
+    private boolean knownEmpty;
     private long lapsedSince = NEVER;
     private long lastStamp;
     private long stampBefore;
@@ -139,6 +144,7 @@
         this.ticker = ticker;
         this.rules = rules;
         this.sentAt = ticker.nanos();
+        this.lookedAt = sentAt;
     }
 
     // ---- requests
@@ -244,8 +250,10 @@
             return lapsedSince;
         }
         // An owner that took no report for the removal time has lost its lease, or it is cut off
-        // and the contact rule holds for all others.
-        long gone = answeredAt == NEVER ? NEVER : answeredAt + timing.silence().toNanos();
+        // and the contact rule holds for all others. The time counts from a report without answer,
+        // because an idle holder sends none.
+        boolean lost = answeredAt != NEVER && unansweredSince != NEVER;
+        long gone = lost ? unansweredSince + timing.silence().toNanos() : NEVER;
         return gone != NEVER && ticker.nanos() - gone > 0 ? gone : NEVER;
     }
 
@@ -366,18 +374,63 @@
         }
     }
 
-    /** Returns whether a report is due now. */
+    /**
+     * Returns whether a report is due now. To be called several times per report period: a longer
+     * gap shows that the process was paused.
+     */
     public boolean reportDue() {
         lock.lock();
         try {
-            boolean busy = changed || total.now > 0 || reportedEpoch != epoch;
-            Duration every = busy ? timing.reportEvery() : timing.idleReportEvery();
-            return reportedEpoch != epoch || ticker.nanos() - sentAt >= every.toNanos();
+            long now = ticker.nanos();
+            look(now);
+            if (reportedEpoch != epoch) {
+                return true;
+            }
+            Optional<Duration> every = period(now);
+            return every.isPresent() && now - sentAt >= every.get().toNanos();
         } finally {
             lock.unlock();
         }
     }
 
+    /** Returns the time between reports; empty if the owner needs no further report. */
+    private Optional<Duration> period(long now) {
+        boolean quiet = !changed && knownEmpty && !hasWork();
+        if (changed || (!quiet && unansweredSince != NEVER)) {
+            return Optional.of(timing.reportEvery());
+        }
+        if (!quiet || unansweredSince != NEVER) {
+            return Optional.of(timing.idleReportEvery());
+        }
+        if (targets.keySet().stream().anyMatch(t -> rules.reservedHeld(t) > 0)) {
+            // Reports keep the reserved slots open, and show whether the owner still answers:
+            // without one, they serve as they are.
+            return Optional.of(timing.idleReportEvery());
+        }
+        // The owner counts slots that it opened until a report from after their TTL, which takes
+        // two periods.
+        boolean counted = openedAt != NEVER && now - openedAt < timing.grantLife().toNanos() * 2;
+        return counted ? Optional.of(timing.idleReportEvery()) : Optional.empty();
+    }
+
+    private boolean hasWork() {
+        return targets.values().stream()
+                .anyMatch(
+                        t ->
+                                t.used() > 0
+                                        || t.reservedTaken > 0
+                                        || !t.waiters.isEmpty()
+                                        || !t.held.isEmpty()
+                                        || !t.free.isEmpty());
+    }
+
+    private void look(long now) {
+        if (now - lookedAt > longestGap()) {
+            pauseSeen();
+        }
+        lookedAt = now;
+    }
+
     /** Returns whether requests wait for a slot. */
     public boolean hasDemand() {
         lock.lock();
@@ -411,11 +464,10 @@
         lock.lock();
         try {
             long now = ticker.nanos();
-            if (now - sentAt > longestGap()) {
-                pauseSeen();
-            }
+            look(now);
             sequence++;
             sentAt = now;
+            unansweredSince = unansweredSince == NEVER ? now : unansweredSince;
             changed = false;
             List<HolderReport.TargetUse> uses = new ArrayList<>();
             List<HolderReport.Demand> demands = new ArrayList<>();
@@ -441,6 +493,7 @@
                             demands,
                             speeds);
             speeds.clear();
+            sentEmpty = !hasWork();
             total.reportSent();
             targets.values().forEach(t -> t.minimum.reportSent());
             return report;
@@ -450,9 +503,9 @@
     }
 
     /**
-     * Returns the longest time between reports of a process that runs. A longer gap shows that it
-     * was paused: requests may have ended meanwhile without this daemon noticing, so the use before
-     * the gap is not certain.
+     * Returns the longest time between looks at the clock of a process that runs. A longer gap
+     * shows that it was paused: requests may have ended meanwhile without this daemon noticing, so
+     * the use before the gap is not certain.
      */
     private long longestGap() {
         return timing.reportEvery().multipliedBy(2).plus(timing.exchangeTimeout()).toNanos();
@@ -550,6 +603,8 @@
             long now = ticker.nanos();
             introducedEpoch = epoch;
             answeredAt = now;
+            unansweredSince = NEVER;
+            knownEmpty = sentEmpty;
             boolean lapsed = answer.status() == OwnerAnswer.Status.LAPSED;
             lapsedSince = !lapsed ? NEVER : lapsedSince == NEVER ? now : lapsedSince;
             stampBefore = lastStamp;
@@ -562,6 +617,7 @@
                 TargetSlots t = slots(n.target());
                 t.news = Optional.of(n);
                 t.openUntil = n.reservedOpen() && !expired ? expiry : NEVER;
+                openedAt = n.reservedOpen() ? now : openedAt;
             }
             if (!expired) {
                 answer.grants().forEach(g -> granted(g, expiry));
--- /dev/null
+++ b/admission/src/test/java/org/godwithoist/admission/IdleHolderTest.java
@@ -0,0 +1,171 @@
+package org.godwithoist.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.time.VirtualTicker;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** When a holder reports, and what its silence means to itself. */
+class IdleHolderTest {
+    private static final ShardId SHARD = new ShardId(new PoolId("p"), 0);
+    private static final TargetId TARGET = new TargetId("t");
+
+    private final VirtualTicker clock = new VirtualTicker();
+    private int reserved;
+    private final SlotCache cache =
+            new SlotCache(SHARD, 1, AdmissionTiming.DEFAULT, clock, new Rules());
+
+    private final class Rules implements HolderRules {
+        @Override
+        public boolean acceptsWork(TargetId target) {
+            return true;
+        }
+
+        @Override
+        public int reservedHeld(TargetId target) {
+            return reserved;
+        }
+
+        @Override
+        public boolean inContactWithAll() {
+            return true;
+        }
+
+        @Override
+        public boolean reservedFitWithoutOwner(TargetId target, long since) {
+            return true;
+        }
+    }
+
+    @BeforeEach
+    void learnOwner() {
+        clock.advance(Duration.ofHours(1));
+        cache.epoch(1);
+    }
+
+    private void exchange(boolean open) {
+        HolderReport r = cache.report();
+        var news = new OwnerAnswer.TargetNews(TARGET, open, false, Duration.ZERO, 0, "");
+        cache.answered(
+                r,
+                new OwnerAnswer(
+                        SHARD,
+                        OwnerAnswer.Status.TAKEN,
+                        1,
+                        clock.nanos(),
+                        List.of(),
+                        List.of(news)));
+    }
+
+    /** Looks every 100 ms and returns how many reports were due; each one is answered. */
+    private int reportsIn(Duration time, boolean open) {
+        int due = 0;
+        for (long i = 0; i < time.toMillis() / 100; i++) {
+            clock.advance(Duration.ofMillis(100));
+            if (cache.reportDue()) {
+                due++;
+                exchange(open);
+            }
+        }
+        return due;
+    }
+
+    @Nested
+    class WithoutSlots {
+        /** Guards against traffic for shards that a daemon does not use. */
+        @Test
+        void sendsNothingOnceTheOwnerKnows() {
+            assertTrue(cache.reportDue(), "a new owner needs the first report");
+            exchange(false);
+            assertEquals(0, reportsIn(Duration.ofMinutes(1), false));
+        }
+
+        /** Guards against an owner that counts ended use because its last report was lost. */
+        @Test
+        void repeatsALostReport() {
+            cache.report();
+            clock.advance(Duration.ofSeconds(2));
+            assertTrue(cache.reportDue());
+        }
+
+        /** Guards against a holder that does not answer to a new owner. */
+        @Test
+        void reportsToANewOwner() {
+            exchange(false);
+            cache.epoch(2);
+            assertTrue(cache.reportDue());
+        }
+
+        /** Guards against reserved slots used without the owner because nothing was asked of it. */
+        @Test
+        void silenceOfAnIdleHolderIsNoLossOfTheOwner() {
+            exchange(false);
+            clock.advance(Duration.ofMinutes(1));
+            reserved = 1;
+            assertEquals(Optional.empty(), cache.tryAcquire(TARGET));
+        }
+    }
+
+    @Nested
+    class WithReservedSlots {
+        @BeforeEach
+        void hold() {
+            reserved = 1;
+            exchange(true);
+        }
+
+        /** Guards against reserved slots that close because nobody uses them. */
+        @Test
+        void keepsUnusedSlotsOpen() {
+            assertTrue(reportsIn(Duration.ofMinutes(1), true) >= 28);
+            assertTrue(cache.tryAcquire(TARGET).isPresent());
+        }
+
+        /** Guards against reserved slots that stay closed although the owner is lost. */
+        @Test
+        void servesWithoutTheOwnerOnceReportsGetNoAnswer() {
+            clock.advance(Duration.ofSeconds(2));
+            cache.report();
+            clock.advance(Duration.ofSeconds(15));
+            assertEquals(Optional.empty(), cache.tryAcquire(TARGET));
+            clock.advance(Duration.ofSeconds(3));
+            assertTrue(cache.tryAcquire(TARGET).isPresent());
+        }
+
+        /** Guards against opened slots that an owner counts for a holder that has gone quiet. */
+        @Test
+        void reportsTwiceAfterLosingTheRole() {
+            reserved = 0;
+            assertEquals(2, reportsIn(Duration.ofSeconds(20), false));
+        }
+    }
+
+    @Nested
+    class WithSlotsInUse {
+        /** Guards against use that an owner no longer counts as certain, and needless reports. */
+        @Test
+        void reportsEveryTwoSecondsWhileNothingChanges() {
+            reserved = 1;
+            exchange(true);
+            Slot slot = cache.tryAcquire(TARGET).orElseThrow();
+            assertTrue(slot.use());
+            exchange(false);
+            reserved = 0;
+            assertEquals(10, reportsIn(Duration.ofSeconds(20), false));
+            slot.release(Slot.Outcome.ANSWERED, Duration.ofMillis(1));
+            clock.advance(Duration.ofMillis(500));
+            assertTrue(cache.reportDue());
+            exchange(false);
+            assertFalse(cache.reportDue());
+        }
+    }
+}
