Read the host list at two daemons of each failure domain

The first two members of each failure domain by rendezvous hash read the list; the others pull changed entries or pages from them. Copies carry bounds of their age, so a copy that arrives late never replaces a younger one. Every daemon answers pulls, so a fresh one takes the list from its seeds.

TestDaemon binds the pull and cuts it together with the exchange.

--- a/daemon/src/main/java/org/godwithoist/daemon/Control.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Control.java
@@ -21,6 +21,7 @@
 import org.godwithoist.membership.MembershipConfig;
 import org.godwithoist.membership.http.MembershipRoutes;
 import org.godwithoist.membership.wire.GrpcExchange;
+import org.godwithoist.membership.wire.GrpcHostList;
 import org.godwithoist.membership.wire.GrpcPeerTransport;
 import org.godwithoist.membership.wire.TableOrderStore;
 import org.godwithoist.platform.http.PlatformClient;
@@ -35,6 +36,7 @@
     private final FleetMembership membership;
     private final GrpcPeerTransport transport;
     private final GrpcExchange exchange;
+    private final GrpcHostList hostList;
     private final HeadState head;
     private final BundleSpread spread;
     private final BundleOperations operations;
@@ -61,6 +63,7 @@
                         h -> membership.members().find(h).map(Member::peer),
                         Ticker.SYSTEM);
         exchange = GrpcExchange.bind(transport, membership.rounds());
+        hostList = GrpcHostList.bind(transport, membership.hostList());
         var keys = new OperatorKeys(settings.operatorKeys());
         head = new HeadState(keys);
         var tables = new BundleTables(platform);
@@ -82,7 +85,7 @@
     /** Starts to listen for peers and starts the tasks; all handlers must be registered by now. */
     void start() {
         transport.listen(settings.peers());
-        membership.start(exchange);
+        membership.start(exchange, hostList);
         spread.start();
     }
 
@@ -115,6 +118,10 @@
         return membership.members();
     }
 
+    FleetMembership membership() {
+        return membership;
+    }
+
     FleetTargets targets() {
         return membership.targets();
     }
--- a/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/Daemon.java
@@ -44,6 +44,7 @@
         this.settings = settings;
         var platform = new PlatformClient(vertx, settings.platform(), STORE_TIMEOUT);
         this.control = new Control(settings, platform, System.currentTimeMillis());
+        HostListMetrics.register(control.membership(), registry);
         this.reports = new Reports(control, platform, registry);
         this.work = new Work(vertx, control, platform, reports);
     }
@@ -80,7 +81,7 @@
         new StatusRoutes(
                         settings,
                         lifecycle,
-                        control.members(),
+                        control.membership(),
                         control.head(),
                         control.transport().traffic(),
                         control.auth())
--- /dev/null
+++ b/daemon/src/main/java/org/godwithoist/daemon/HostListMetrics.java
@@ -0,0 +1,47 @@
+package org.godwithoist.daemon;
+
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.godwithoist.membership.FleetMembership;
+import org.godwithoist.membership.HostListFollower;
+import org.godwithoist.membership.HostListResult;
+import org.godwithoist.membership.HostListState;
+
+/** Shows the age of the host list and how it is kept up to date as metrics. */
+final class HostListMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private HostListMetrics() {}
+
+    static void register(FleetMembership membership, PrometheusRegistry registry) {
+        HostListState list = membership.hostList();
+        HostListFollower follower = membership.hostListFollower();
+        GaugeWithCallback.builder()
+                .name("godwithoist_host_list_age_seconds")
+                .help("Time since the platform returned the host list; absent without a list")
+                .callback(c -> list.age().ifPresent(a -> c.call(a.toNanos() / NANOS_PER_SECOND)))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("godwithoist_host_list_entries")
+                .help("Entries of the host list; absent without a list")
+                .callback(c -> list.held().ifPresent(h -> c.call(h.copy().entries().size())))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("godwithoist_host_list_reader")
+                .help("1 if the daemon reads the host list from the platform, 0 if it pulls it")
+                .callback(c -> c.call(follower.isReader() ? 1 : 0))
+                .register(registry);
+        CounterWithCallback.builder()
+                .name("godwithoist_host_list_updates_total")
+                .help("Reads and pulls of the host list, by result")
+                .labelNames("result")
+                .callback(
+                        c -> {
+                            for (HostListResult r : HostListResult.values()) {
+                                c.call((double) follower.count(r), r.wireName());
+                            }
+                        })
+                .register(registry);
+    }
+}
--- a/daemon/src/main/java/org/godwithoist/daemon/http/StatusRoutes.java
+++ b/daemon/src/main/java/org/godwithoist/daemon/http/StatusRoutes.java
@@ -8,6 +8,8 @@
 import org.godwithoist.bundle.http.OperatorAuth;
 import org.godwithoist.daemon.Lifecycle;
 import org.godwithoist.membership.FleetMembers;
+import org.godwithoist.membership.FleetMembership;
+import org.godwithoist.membership.HostListState;
 import org.godwithoist.membership.Member;
 import org.godwithoist.membership.wire.PeerTraffic;
 import org.godwithoist.settings.DaemonSettings;
@@ -18,7 +20,7 @@
 
     private final DaemonSettings settings;
     private final Lifecycle lifecycle;
-    private final FleetMembers members;
+    private final FleetMembership membership;
     private final HeadState head;
     private final PeerTraffic traffic;
     private final OperatorAuth auth;
@@ -28,13 +30,13 @@
     public StatusRoutes(
             DaemonSettings settings,
             Lifecycle lifecycle,
-            FleetMembers members,
+            FleetMembership membership,
             HeadState head,
             PeerTraffic traffic,
             OperatorAuth auth) {
         this.settings = settings;
         this.lifecycle = lifecycle;
-        this.members = members;
+        this.membership = membership;
         this.head = head;
         this.traffic = traffic;
         this.auth = auth;
@@ -46,6 +48,7 @@
     }
 
     private void status(RoutingContext c) {
+        FleetMembers members = membership.members();
         JsonArray list = new JsonArray();
         for (Member m : members.members()) {
             list.add(
@@ -64,6 +67,15 @@
                         .put("bundle_revision", head.revisionNumber())
                         .put("control_bytes_sent", traffic.bytesSent())
                         .put("control_bytes_per_second", traffic.bytesSent() / seconds)
+                        .put("host_list", hostList())
                         .put("members", list));
     }
+
+    private JsonObject hostList() {
+        HostListState list = membership.hostList();
+        JsonObject json = new JsonObject().put("reader", membership.hostListFollower().isReader());
+        list.held().ifPresent(h -> json.put("entries", h.copy().entries().size()));
+        list.age().ifPresent(a -> json.put("age_seconds", a.toNanos() / NANOS_PER_SECOND));
+        return json;
+    }
 }
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -6,12 +6,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.godwithoist.core.id.HostId;
-import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.platform.HostList;
@@ -27,20 +27,21 @@
     private record PeerTask(Thread thread, Semaphore wake) {}
 
     private final MembershipConfig config;
-    private final HostList hostList;
     private final OrderStore store;
     private final FleetMembers members;
     private final OrderBook orders;
     private final FleetTargets targets;
     private final ExchangeRounds rounds;
+    private final HostListState hostList;
+    private final HostListFollower hostListFollower;
     private final Map<HostId, PeerTask> peerTasks = new ConcurrentHashMap<>();
     private final Map<HostId, ContactState> logged = new HashMap<>();
     private final Semaphore storeWake = new Semaphore(0);
     private volatile boolean storeAnswers = true;
-    private volatile boolean hostListAnswers = true;
     private volatile boolean stopping;
     private List<Thread> tasks = List.of();
     private PeerExchange exchange;
+    private long appliedDigest = HostListCopy.EMPTY.digest();
 
     /**
      * Makes a membership that does nothing yet.
@@ -53,15 +54,24 @@
             Collection<Member> seeds,
             MembershipConfig config,
             Ticker ticker,
-            HostList hostList,
+            HostList platform,
             OrderStore store) {
         this.config = config;
-        this.hostList = hostList;
         this.store = store;
         this.members = new FleetMembers(self, seeds, config, ticker);
         this.orders = new OrderBook(self.host());
         this.targets = new FleetTargets(orders);
         this.rounds = new ExchangeRounds(members, orders, config, ticker);
+        this.hostList = new HostListState(ticker);
+        this.hostListFollower =
+                new HostListFollower(
+                        hostList,
+                        new HostListSources(members),
+                        platform,
+                        config,
+                        ticker,
+                        new SplittableRandom(),
+                        this::applyHostList);
     }
 
     /** Returns the members. */
@@ -84,6 +94,16 @@
         return rounds;
     }
 
+    /** Returns the copy of the host list; the wire endpoint answers with it. */
+    public HostListState hostList() {
+        return hostList;
+    }
+
+    /** Returns what keeps the copy of the host list up to date. */
+    public HostListFollower hostListFollower() {
+        return hostListFollower;
+    }
+
     /** Returns whether the last operation on the table of orders worked. */
     public boolean storeAnswers() {
         return storeAnswers;
@@ -92,11 +112,11 @@
     // ---- life
 
     /** Starts the tasks. The wire endpoint must be listening. */
-    public synchronized void start(PeerExchange peerExchange) {
+    public synchronized void start(PeerExchange peerExchange, PeerHostList peerHostList) {
         exchange = peerExchange;
         tasks =
                 List.of(
-                        Tasks.start("host-list", this::followHostList),
+                        Tasks.start("host-list", () -> hostListFollower.run(peerHostList)),
                         Tasks.start("order-store", this::followStore),
                         Tasks.start("peer-tasks", this::keepPeerTasks));
     }
@@ -223,24 +243,24 @@
 
     // ---- platform
 
-    private void followHostList() {
-        do {
-            try {
-                var list = Await.result(hostList.list(), config.storeTimeout());
-                members.update(list);
-                targets.update(list);
-                if (!hostListAnswers) {
-                    LOG.atInfo().log("the host list can be read again");
-                }
-                hostListAnswers = true;
-            } catch (RuntimeException e) {
-                if (hostListAnswers && !stopping) {
-                    LOG.atWarning().withCause(e).log(
-                            "cannot read the host list; the last one stays in use");
-                }
-                hostListAnswers = false;
-            }
-        } while (!stopping && Tasks.sleep(config.hostListInterval()));
+    private void applyHostList(HostListState.Held list) {
+        HostListCopy copy = list.copy();
+        boolean changed = copy.digest() != appliedDigest;
+        appliedDigest = copy.digest();
+        if (changed) {
+            targets.update(copy.entries());
+        }
+        if (hostList.age().orElseThrow().compareTo(config.removalTime()) <= 0) {
+            members.update(copy.entries());
+        } else if (changed) {
+            // Members may have joined since the platform returned this list. They become known
+            // only through the list of a peer, so that this daemon does not believe before that it
+            // is in contact with all.
+            copy.entries().stream()
+                    .filter(h -> !h.kind().isTarget())
+                    .map(h -> new Member(h.host(), h.failureDomain(), h.address(), 0))
+                    .forEach(members::learn);
+        }
     }
 
     private void followStore() {
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/HostListCopy.java
@@ -0,0 +1,138 @@
+package org.godwithoist.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.godwithoist.core.id.PoolId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.platform.HostEntry;
+
+/**
+ * The content of a host list with its digest. Immutable. Copies that follow each other share the
+ * entries that did not change, so that keeping the copies of the last minute costs little memory.
+ */
+public final class HostListCopy {
+    /** The list without entries. */
+    public static final HostListCopy EMPTY = new HostListCopy(List.of(), 0);
+
+    /**
+     * The difference between two copies.
+     *
+     * @param changed entries that are new or differ, in the order of their names
+     * @param removed names of entries that are gone
+     */
+    public record Changes(List<HostEntry> changed, List<HostEntryName> removed) {
+        /** Returns the number of entries that differ. */
+        public int size() {
+            return changed.size() + removed.size();
+        }
+    }
+
+    private final List<HostEntry> entries;
+    private final long digest;
+
+    private HostListCopy(List<HostEntry> entries, long digest) {
+        this.entries = entries;
+        this.digest = digest;
+    }
+
+    /** Returns the entries in the order of their names; no name occurs twice. */
+    public List<HostEntry> entries() {
+        return entries;
+    }
+
+    /** Returns the digest of the content; it does not depend on the order of the entries. */
+    public long digest() {
+        return digest;
+    }
+
+    /**
+     * Returns the copy with the given content; it is this copy if the content is the same. If a
+     * name occurs twice, the entry that may get less work counts.
+     */
+    public HostListCopy replacedBy(Collection<HostEntry> hosts) {
+        Map<HostEntryName, HostEntry> byName = new TreeMap<>();
+        for (HostEntry h : hosts) {
+            byName.merge(HostEntryName.of(h), h, (a, b) -> a.state().acceptsWork() ? b : a);
+        }
+        return with(difference(List.copyOf(byName.values())));
+    }
+
+    /** Returns what changes from this copy to another one. */
+    public Changes changesTo(HostListCopy newer) {
+        return difference(newer.entries);
+    }
+
+    private Changes difference(List<HostEntry> newer) {
+        List<HostEntry> changed = new ArrayList<>();
+        List<HostEntryName> removed = new ArrayList<>();
+        int i = 0;
+        int j = 0;
+        while (i < entries.size() || j < newer.size()) {
+            if (i < entries.size() && j < newer.size() && entries.get(i).equals(newer.get(j))) {
+                i++;
+                j++;
+                continue;
+            }
+            int order = compare(i, newer, j);
+            if (order < 0) {
+                removed.add(HostEntryName.of(entries.get(i)));
+            } else {
+                changed.add(newer.get(j));
+            }
+            i += order <= 0 ? 1 : 0;
+            j += order >= 0 ? 1 : 0;
+        }
+        return new Changes(changed, removed);
+    }
+
+    private int compare(int i, List<HostEntry> newer, int j) {
+        if (i == entries.size()) {
+            return 1;
+        }
+        if (j == newer.size()) {
+            return -1;
+        }
+        return HostEntryName.of(entries.get(i)).compareTo(HostEntryName.of(newer.get(j)));
+    }
+
+    /** Returns the copy with changes applied. */
+    public HostListCopy with(Changes changes) {
+        if (changes.size() == 0) {
+            return this;
+        }
+        Map<HostEntryName, HostEntry> byName = new TreeMap<>();
+        entries.forEach(h -> byName.put(HostEntryName.of(h), h));
+        // Only the entries that differ are hashed: hashing 10,940 entries each second would cost
+        // a reader about 1 % of a core.
+        long sum = digest;
+        for (HostEntryName name : changes.removed()) {
+            sum -= hash(byName.remove(name));
+        }
+        for (HostEntry h : changes.changed()) {
+            sum += hash(h) - hash(byName.put(HostEntryName.of(h), h));
+        }
+        return new HostListCopy(List.copyOf(byName.values()), sum);
+    }
+
+    private static long hash(HostEntry h) {
+        if (h == null) {
+            return 0;
+        }
+        // No part contains a space, so no two entries have the same text.
+        String text =
+                String.join(
+                        " ",
+                        h.host().value(),
+                        h.kind().name(),
+                        h.target().map(TargetId::value).orElse(""),
+                        h.pool().map(PoolId::value).orElse(""),
+                        h.failureDomain().value(),
+                        h.address().toString(),
+                        h.state().name());
+        return Hash64.of(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/membership/src/main/java/org/godwithoist/membership/HostListSources.java
@@ -0,0 +1,86 @@
+package org.godwithoist.membership;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+
+/**
+ * Decides which daemons read the host list from the platform and from whom the others pull it. All
+ * daemons decide alike as long as they know the same members; a difference costs a few more reads
+ * or one more hop and nothing else.
+ */
+public final class HostListSources {
+    /** Two, so that the loss of one reader costs no more than one failed pull. */
+    static final int READERS_PER_DOMAIN = 2;
+
+    private final MemberDirectory members;
+
+    /** Makes the decision over the members of a fleet. */
+    public HostListSources(MemberDirectory members) {
+        this.members = members;
+    }
+
+    /** Returns whether this daemon reads the list from the platform. */
+    public boolean isReader() {
+        Member self = members.self();
+        return readers(self.failureDomain(), members.members()).contains(self.host());
+    }
+
+    /**
+     * Returns the daemons to pull from, the best one first: the readers of the own failure domain,
+     * those of the other ones, and for a daemon without a list all other members, because a daemon
+     * that knows only its seeds does not know the readers. Members out of contact come last within
+     * the result.
+     *
+     * @param listKnown whether this daemon has a list
+     */
+    public List<HostId> sources(boolean listKnown) {
+        Member self = members.self();
+        List<Member> all = members.members();
+        Stream<HostId> own = readers(self.failureDomain(), all).stream().sorted(bySelf());
+        Stream<HostId> others =
+                all.stream()
+                        .map(Member::failureDomain)
+                        .distinct()
+                        .filter(d -> !d.equals(self.failureDomain()))
+                        .flatMap(d -> readers(d, all).stream())
+                        .sorted(bySelf());
+        Stream<HostId> rest = listKnown ? Stream.empty() : all.stream().map(Member::host);
+        List<HostId> sources =
+                new ArrayList<>(
+                        Stream.of(own, others, rest)
+                                .flatMap(s -> s)
+                                .distinct()
+                                .filter(h -> !h.equals(self.host()))
+                                .filter(h -> !members.isSilent(h))
+                                .toList());
+        sources.sort(Comparator.comparing(h -> !members.inContactWith(h)));
+        return sources;
+    }
+
+    /** Spreads the pulls over the readers: each daemon has an order of its own. */
+    private Comparator<HostId> bySelf() {
+        String self = members.self().host().value();
+        return Comparator.comparingLong(h -> score(self, h));
+    }
+
+    private List<HostId> readers(FailureDomainId domain, List<Member> all) {
+        return all.stream()
+                .filter(m -> m.failureDomain().equals(domain))
+                .map(Member::host)
+                .filter(h -> !members.isSilent(h))
+                .sorted(
+                        Comparator.comparingLong((HostId h) -> score(domain.value(), h))
+                                .thenComparing(Comparator.naturalOrder()))
+                .limit(READERS_PER_DOMAIN)
+                .toList();
+    }
+
+    private static long score(String seed, HostId host) {
+        return Hash64.of((seed + " " + host.value()).getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/HostListBench.java
@@ -0,0 +1,56 @@
+package org.godwithoist.membership;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.LongConsumer;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.platform.HostEntry;
+import org.godwithoist.platform.HostList;
+
+/** The host list of one daemon whose rounds a measurement runs; all members are in contact. */
+public final class HostListBench {
+    private final HostListState state;
+    private final HostListFollower follower;
+
+    /** Makes a daemon without a list; {@code reads} is told each read of the platform. */
+    public HostListBench(
+            Member self, List<Member> all, HostList platform, Ticker ticker, LongConsumer reads) {
+        state = new HostListState(ticker);
+        HostList counted =
+                () -> {
+                    reads.accept(1);
+                    return platform.list();
+                };
+        follower =
+                new HostListFollower(
+                        state,
+                        new HostListSources(new ListedMembers(self, all, Set.of(), Set.of())),
+                        counted,
+                        MembershipConfig.DEFAULT,
+                        ticker,
+                        new SplittableRandom(self.host().hashCode()),
+                        h -> {});
+    }
+
+    /** Runs one round. */
+    public void round(PeerHostList peers) {
+        follower.round(peers);
+    }
+
+    /** Returns the state, which answers pulls. */
+    public HostListState state() {
+        return state;
+    }
+
+    /** Returns the digest of the copy. */
+    public Optional<Long> digest() {
+        return state.held().map(h -> h.copy().digest());
+    }
+
+    /** Returns whether the copy has an entry. */
+    public boolean has(HostEntry entry) {
+        return state.held().filter(h -> h.copy().entries().contains(entry)).isPresent();
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/HostListFollowerTest.java
@@ -0,0 +1,325 @@
+package org.godwithoist.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import java.util.stream.IntStream;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.platform.HostEntry;
+import org.godwithoist.platform.HostEntry.State;
+import org.godwithoist.platform.fake.FakeHostList;
+import org.godwithoist.platform.fake.StoreFault;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Four daemons of each of two domains in virtual time; a call takes no time unless it is lost. */
+class HostListFollowerTest {
+    private static final Duration TIMEOUT = Duration.ofMillis(500);
+
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final FakeHostList platform = new FakeHostList();
+    private final Set<HostId> silent = new HashSet<>();
+    private final Set<HostId> lost = new HashSet<>();
+    private final Map<HostId, HostListMessage.Response> forged = new HashMap<>();
+    private final Map<HostId, Node> nodes = new HashMap<>();
+    private final List<Member> all = IntStream.range(0, 8).mapToObj(n -> member(n)).toList();
+    private Node reader;
+    private Node second;
+    private Node puller;
+
+    private final class Node {
+        private final HostId host;
+        private final HostListState state = new HostListState(ticker);
+        private final HostListSources sources;
+        private final HostListFollower follower;
+
+        private Node(Member self) {
+            this.host = self.host();
+            sources = new HostListSources(new ListedMembers(self, all, silent, Set.of()));
+            follower =
+                    new HostListFollower(
+                            state,
+                            sources,
+                            platform,
+                            MembershipConfig.DEFAULT,
+                            ticker,
+                            new SplittableRandom(1),
+                            h -> {});
+        }
+
+        private List<HostEntry> list() {
+            return state.held().orElseThrow().copy().entries();
+        }
+
+        private void round() {
+            follower.round(HostListFollowerTest.this::pull);
+        }
+
+        private long count(HostListResult result) {
+            return follower.count(result);
+        }
+    }
+
+    private static Member member(int n) {
+        var domain = new FailureDomainId("d" + n % 2);
+        return new Member(new HostId("h" + n), domain, new Endpoint("127.0.0.1", 9), 1);
+    }
+
+    private static HostEntry engine(int n, State state) {
+        return TestDaemon.engine(n, "p", "d", state);
+    }
+
+    private CompletableFuture<HostListMessage.Response> pull(
+            HostId peer, HostListMessage.Request request, Duration timeout) {
+        if (lost.contains(peer)) {
+            ticker.advance(timeout);
+            return CompletableFuture.failedFuture(new TimeoutException());
+        }
+        return CompletableFuture.completedFuture(
+                forged.containsKey(peer)
+                        ? forged.get(peer)
+                        : nodes.get(peer).state.answer(request));
+    }
+
+    @BeforeEach
+    void start() {
+        list(State.LIVE);
+        all.forEach(m -> nodes.put(m.host(), new Node(m)));
+        nodes.values().forEach(Node::round);
+        second();
+        puller = nodes.values().stream().filter(n -> !n.follower.isReader()).findFirst().get();
+        var members = new ListedMembers(find(puller), all, silent, Set.of());
+        List<HostId> sources = new HostListSources(members).sources(true);
+        reader = nodes.get(sources.get(0));
+        second = nodes.get(sources.get(1));
+        puller.round();
+    }
+
+    private Member find(Node node) {
+        return all.stream().filter(m -> m.host().equals(node.host)).findFirst().orElseThrow();
+    }
+
+    private void list(State state) {
+        platform.set(List.of(engine(1, state), engine(2, State.LIVE)));
+    }
+
+    private void second() {
+        ticker.advance(Duration.ofSeconds(1));
+        nodes.values().stream().filter(n -> n.sources.isReader()).forEach(Node::round);
+    }
+
+    private long reads() {
+        return nodes.values().stream()
+                .mapToLong(n -> n.count(HostListResult.READ) + n.count(HostListResult.READ_FAILED))
+                .sum();
+    }
+
+    private boolean isLeaving(Node node) {
+        return node.list().contains(engine(1, State.LEAVING));
+    }
+
+    @Nested
+    class Undisturbed {
+        /** Guards against a change that does not reach a daemon within two intervals. */
+        @Test
+        void changeReachesAPullerAsADifference() {
+            list(State.LEAVING);
+            second();
+            puller.round();
+            assertTrue(isLeaving(puller));
+            assertEquals(1, puller.count(HostListResult.CHANGES));
+            assertEquals(0, puller.count(HostListResult.READ));
+        }
+    }
+
+    @Nested
+    class Readers {
+        /** Guards against a killed or paused reader that delays a change beyond 3 s. */
+        @Test
+        void deadReaderIsReplacedBySecondInTheSameRound() {
+            lost.add(reader.host);
+            list(State.LEAVING);
+            second();
+            long before = ticker.nanos();
+            puller.round();
+            assertTrue(isLeaving(puller));
+            assertEquals(TIMEOUT.toNanos(), ticker.nanos() - before);
+            // The next rounds do not wait for the dead reader again.
+            second();
+            before = ticker.nanos();
+            puller.round();
+            assertEquals(before, ticker.nanos());
+        }
+
+        /** Guards against a domain that hangs on the two readers that it has. */
+        @Test
+        void readerOfAnotherDomainAnswersInThirdPlace() {
+            lost.addAll(Set.of(reader.host, second.host));
+            list(State.LEAVING);
+            second();
+            puller.round();
+            assertTrue(isLeaving(puller));
+            assertEquals(0, puller.count(HostListResult.READ));
+        }
+
+        /** Guards against a reader that answers with an old list, as after a pause. */
+        @Test
+        void readerWithoutPlatformIsPassedOver() {
+            ticker.advance(Duration.ofSeconds(3));
+            list(State.LEAVING);
+            nodes.get(second.host).round();
+            puller.round();
+            assertTrue(isLeaving(puller));
+        }
+
+        /** Guards against a daemon that waits for peers for ever. */
+        @Test
+        void platformIsReadWhenNoPeerAnswers() {
+            nodes.keySet().forEach(lost::add);
+            list(State.LEAVING);
+            for (int i = 0; i < 4 && !isLeaving(puller); i++) {
+                ticker.advance(Duration.ofSeconds(1));
+                puller.round();
+            }
+            assertTrue(isLeaving(puller));
+        }
+    }
+
+    @Nested
+    class LostAnswers {
+        /** Guards against a lost answer after which the next difference does not fit. */
+        @Test
+        void nextPullStartsFromWhatTheCallerHas() {
+            list(State.LEAVING);
+            second();
+            // The answer is computed, but never arrives.
+            reader.state.answer(
+                    HostListMessage.Request.since(puller.state.held().map(h -> h.copy().digest())));
+            platform.set(List.of(engine(3, State.LIVE)));
+            second();
+            puller.round();
+            assertEquals(reader.list(), puller.list());
+        }
+    }
+
+    @Nested
+    class Pages {
+        /** Guards against a daemon with an unknown digest that stays without the whole list. */
+        @Test
+        void unknownDigestLeadsToTheWholeList() {
+            List<HostEntry> many =
+                    IntStream.range(0, 2_500).mapToObj(n -> engine(n, State.LIVE)).toList();
+            platform.set(many);
+            long before = puller.count(HostListResult.WHOLE);
+            second();
+            puller.round();
+            assertEquals(reader.list(), puller.list());
+            assertEquals(before + 1, puller.count(HostListResult.WHOLE));
+        }
+    }
+
+    @Nested
+    class Malformed {
+        /** Without this the puller would read the list itself. */
+        @BeforeEach
+        void down() {
+            platform.setFault(StoreFault.DOWN);
+        }
+
+        private void assertNoEffect(HostListMessage.Content content) {
+            second();
+            List<HostEntry> before = puller.list();
+            var age = new HostListMessage.Age(Duration.ofMillis(1), Duration.ZERO);
+            var response = new HostListMessage.Response(age, Optional.of(content));
+            nodes.keySet().forEach(h -> forged.put(h, response));
+            long failures = puller.count(HostListResult.PULL_FAILED);
+            puller.round();
+            assertEquals(before, puller.list());
+            assertTrue(puller.count(HostListResult.PULL_FAILED) > failures);
+        }
+
+        /** Guards against changes of another base, which would leave a list nobody has. */
+        @Test
+        void changesThatMissTheirDigestHaveNoEffect() {
+            var one = new HostListCopy.Changes(List.of(engine(9, State.LIVE)), List.of());
+            ticker.advance(Duration.ofSeconds(2));
+            assertNoEffect(new HostListMessage.Changed(7, one));
+        }
+
+        /** Guards against pages that never end, do not fit or exceed the memory. */
+        @Test
+        void pagesThatDoNotFitHaveNoEffect() {
+            List<HostEntry> one = List.of(engine(9, State.LIVE));
+            ticker.advance(Duration.ofSeconds(2));
+            for (var page :
+                    List.of(
+                            new HostListMessage.Page(7, 0, 5, List.of()),
+                            new HostListMessage.Page(7, 1, 5, one),
+                            new HostListMessage.Page(7, 0, -1, one),
+                            new HostListMessage.Page(7, 0, Integer.MAX_VALUE, one),
+                            new HostListMessage.Page(7, 0, 1, one))) {
+                assertNoEffect(page);
+            }
+        }
+    }
+
+    @Nested
+    class PlatformDown {
+        @BeforeEach
+        void down() {
+            platform.setFault(StoreFault.DOWN);
+        }
+
+        /** Guards against a list that is dropped, and against reads of all daemons at once. */
+        @Test
+        void lastListStaysAndReadsStayFew() {
+            List<HostEntry> before = puller.list();
+            long reads = reads();
+            for (int i = 0; i < 600; i++) {
+                second();
+                puller.round();
+            }
+            assertEquals(before, puller.list());
+            long own = puller.count(HostListResult.READ_FAILED);
+            assertTrue(own <= 35, own + " reads of a daemon that is no reader in 600 s");
+            // Four readers with one read each second.
+            assertEquals(4 * 600 + own, reads() - reads);
+            platform.setFault(StoreFault.NONE);
+            list(State.LEAVING);
+            second();
+            puller.round();
+            assertTrue(isLeaving(puller));
+        }
+
+        /** Guards against a fresh daemon that knows no targets during an outage. */
+        @Test
+        void freshDaemonTakesTheOldListFromAPeer() {
+            ticker.advance(Duration.ofHours(1));
+            List<Node> fresh = new ArrayList<>();
+            for (Node n : List.of(reader, puller)) {
+                fresh.add(new Node(find(n)));
+            }
+            fresh.forEach(Node::round);
+            for (Node n : fresh) {
+                assertEquals(second.list(), n.list());
+                assertFalse(n.state.age().orElseThrow().compareTo(Duration.ofHours(1)) < 0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/membership/src/test/java/org/godwithoist/membership/HostListStateTest.java
@@ -0,0 +1,173 @@
+package org.godwithoist.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.platform.HostEntry;
+import org.godwithoist.platform.HostEntry.State;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class HostListStateTest {
+    private static final long MS = 1_000_000;
+
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final HostListState state = new HostListState(ticker);
+
+    private static HostEntry engine(int n) {
+        return TestDaemon.engine(n, "p", "d", State.LIVE);
+    }
+
+    private static HostEntry leaving(int n) {
+        return TestDaemon.engine(n, "p", "d", State.LEAVING);
+    }
+
+    private static HostListCopy copy(HostEntry... hosts) {
+        return HostListCopy.EMPTY.replacedBy(List.of(hosts));
+    }
+
+    private static HostListCopy copyOf(int count) {
+        List<HostEntry> hosts =
+                IntStream.range(0, count).mapToObj(HostListStateTest::engine).toList();
+        return HostListCopy.EMPTY.replacedBy(hosts);
+    }
+
+    private boolean adopt(HostListCopy copy, long earliestMs, long latestMs) {
+        return state.adopt(copy, new ReadTime(earliestMs * MS, latestMs * MS));
+    }
+
+    private HostListMessage.Content pull(HostListCopy held) {
+        var request = HostListMessage.Request.since(Optional.of(held.digest()));
+        return state.answer(request).content().orElseThrow();
+    }
+
+    @Nested
+    class Content {
+        /** Guards against equal lists that seem different because the platform reorders them. */
+        @Test
+        void digestDependsOnContentOnly() {
+            HostListCopy a = copy(engine(1), leaving(2));
+            assertEquals(a.digest(), copy(leaving(2), engine(1)).digest());
+            assertFalse(a.digest() == copy(engine(1), engine(2)).digest());
+            assertSame(a, a.replacedBy(List.of(leaving(2), engine(1))));
+        }
+
+        /** Guards against a digest that drifts from the content through a series of changes. */
+        @Test
+        void changesLeadToTheSameCopyAsTheWholeList() {
+            HostListCopy old = copy(engine(1), engine(2), engine(3));
+            HostListCopy whole = copy(engine(4), leaving(2), engine(3));
+            HostListCopy.Changes changes = old.changesTo(whole);
+            assertEquals(List.of(leaving(2), engine(4)), changes.changed());
+            assertEquals(List.of(HostEntryName.of(engine(1))), changes.removed());
+            assertEquals(whole.entries(), old.with(changes).entries());
+            assertEquals(whole.digest(), old.with(changes).digest());
+        }
+
+        /** Guards against new work for a target that one of two entries lists as leaving. */
+        @Test
+        void entryThatMayGetLessWorkCounts() {
+            assertEquals(List.of(leaving(1)), copy(leaving(1), engine(1)).entries());
+            assertEquals(List.of(leaving(1)), copy(engine(1), leaving(1)).entries());
+        }
+    }
+
+    @Nested
+    class Age {
+        /** Guards against an old copy that arrives late and brings a leaving target back. */
+        @Test
+        void lateCopyNeverReplacesAYoungerOne() {
+            assertTrue(adopt(copy(leaving(1)), 5_000, 5_010));
+            var tenSeconds = new HostListMessage.Age(Duration.ofSeconds(10), Duration.ZERO);
+            // Sent at 4 s and received at 9 s: the copy may be from any moment before.
+            assertFalse(
+                    state.adopt(
+                            copy(engine(1)), ReadTime.ofPeer(4_000 * MS, 9_000 * MS, tenSeconds)));
+            assertFalse(adopt(copy(engine(1)), 5_005, 5_020));
+            assertTrue(adopt(copy(engine(1)), 5_011, 5_020));
+        }
+
+        /** Guards against an age that shrinks when a copy travels over several daemons. */
+        @Test
+        void ageGrowsFromDaemonToDaemon() {
+            adopt(copy(engine(1)), 0, 10);
+            ticker.advance(Duration.ofMillis(500));
+            var age = state.answer(HostListMessage.Request.since(Optional.empty())).age();
+            ReadTime read = ReadTime.ofPeer(500 * MS, 510 * MS, age);
+            assertTrue(read.earliest() <= 0 && read.latest() >= 10 * MS);
+            assertEquals(Optional.of(Duration.ofMillis(500)), state.age());
+        }
+    }
+
+    @Nested
+    class Answers {
+        /** Guards against whole lists in steady state. */
+        @Test
+        void namesOnlyWhatChanged() {
+            HostListCopy first = copy(engine(1), engine(2));
+            HostListCopy second = copy(leaving(1));
+            adopt(first, 0, 0);
+            assertInstanceOf(HostListMessage.Unchanged.class, pull(first));
+            adopt(second, 1, 1);
+            var changed = assertInstanceOf(HostListMessage.Changed.class, pull(first));
+            assertEquals(second.digest(), changed.digest());
+            assertEquals(second.entries(), first.with(changed.changes()).entries());
+        }
+
+        /** Guards against a caller with an unknown digest that never gets a list. */
+        @Test
+        void unknownDigestGetsPagesOfOneCopy() {
+            HostListCopy whole = copyOf(2 * HostListState.PAGE_ENTRIES + 1);
+            adopt(whole, 0, 0);
+            var page = assertInstanceOf(HostListMessage.Page.class, pull(copy(engine(-1))));
+            assertEquals(HostListState.PAGE_ENTRIES, page.entries().size());
+            // The list changes between two pages; the rest must still be of the first copy.
+            adopt(copy(engine(1)), 1, 1);
+            int next = page.entries().size();
+            var request = HostListMessage.Request.page(page.digest(), next);
+            var second = (HostListMessage.Page) state.answer(request).content().orElseThrow();
+            assertEquals(whole.entries().subList(next, 2 * next), second.entries());
+        }
+
+        /** Guards against memory that grows with each change, and against lost recent copies. */
+        @Test
+        void keepsReplacedCopiesForAMinute() {
+            HostListCopy first = copy(engine(1));
+            adopt(first, 0, 0);
+            adopt(copy(engine(2)), 1, 1);
+            ticker.advance(HostListState.KEPT);
+            adopt(copy(engine(3)), 2, 2);
+            assertInstanceOf(HostListMessage.Changed.class, pull(first));
+            ticker.advance(Duration.ofMillis(1));
+            adopt(copy(engine(4)), 3, 3);
+            assertInstanceOf(HostListMessage.Page.class, pull(first));
+        }
+
+        /** Guards against a difference that is longer than the longest message. */
+        @Test
+        void largeDifferenceIsSentAsPages() {
+            HostListCopy small = copyOf(1);
+            adopt(small, 0, 0);
+            adopt(copyOf(HostListState.MAX_CHANGES + 2), 1, 1);
+            assertInstanceOf(HostListMessage.Page.class, pull(small));
+        }
+
+        /** Guards against answers that pretend a list although there is none. */
+        @Test
+        void withoutACopyThereIsNoContent() {
+            Stream.of(
+                            HostListMessage.Request.since(Optional.empty()),
+                            HostListMessage.Request.page(7, 0))
+                    .forEach(r -> assertEquals(HostListMessage.Response.NONE, state.answer(r)));
+        }
+    }
+}
--- a/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
+++ b/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
@@ -23,6 +23,7 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.membership.wire.GrpcExchange;
+import org.godwithoist.membership.wire.GrpcHostList;
 import org.godwithoist.membership.wire.GrpcPeerTransport;
 import org.godwithoist.membership.wire.TableOrderStore;
 import org.godwithoist.platform.HostEntry;
@@ -47,6 +48,7 @@
     private final FleetMembership membership;
     private final GrpcPeerTransport transport;
     private final PeerExchange exchange;
+    private final PeerHostList hostList;
 
     /** Makes a daemon that listens and has no tasks yet. */
     public TestDaemon(
@@ -64,12 +66,15 @@
         exchange =
                 (peer, request, timeout) ->
                         cut.contains(peer) ? lost(timeout) : wire.send(peer, request, timeout);
+        GrpcHostList pulls = GrpcHostList.bind(transport, membership.hostList());
+        hostList =
+                (peer, request, timeout) ->
+                        cut.contains(peer) ? lost(timeout) : pulls.pull(peer, request, timeout);
         transport.listen(self.peer());
     }
 
-    private static CompletableFuture<ExchangeMessage.Response> lost(Duration timeout) {
-        return new CompletableFuture<ExchangeMessage.Response>()
-                .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    private static <T> CompletableFuture<T> lost(Duration timeout) {
+        return new CompletableFuture<T>().orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Returns a member on a free loopback port. */
@@ -120,7 +125,7 @@
 
     /** Starts the tasks. */
     public TestDaemon start() {
-        membership.start(exchange);
+        membership.start(exchange, hostList);
         return this;
     }
 
@@ -136,7 +141,7 @@
         return membership.members().self().host();
     }
 
-    /** Loses all exchanges between two daemons. */
+    /** Loses all exchanges and pulls between two daemons. */
     public static void cut(TestDaemon a, TestDaemon b) {
         a.cut.add(b.host());
         b.cut.add(a.host());
