Ask the next source after a failed pull of the host list

A daemon whose list was younger than 2 s did not ask a second source when the first one failed, so a killed reader could delay a change by a round. Hashes of members are kept, because sorting 940 members hashed each host several times.

--- a/membership/src/main/java/org/godwithoist/membership/HostListFollower.java
+++ b/membership/src/main/java/org/godwithoist/membership/HostListFollower.java
@@ -208,8 +208,9 @@
                 Comparator.comparingLong(
                         h -> failedAt.getOrDefault(h, now - AVOIDED.toNanos() - 1)));
         for (HostId source : order.subList(0, Math.min(most, order.size()))) {
-            count(pull(peers, source), Optional.of(source));
-            if (!isOlderThan(OLD_INTERVALS) && state.held().isPresent()) {
+            HostListResult result = pull(peers, source);
+            count(result, Optional.of(source));
+            if (result.isAnswer() && !isOlderThan(OLD_INTERVALS)) {
                 failedRounds = 0;
                 return;
             }
--- a/membership/src/main/java/org/godwithoist/membership/HostListResult.java
+++ b/membership/src/main/java/org/godwithoist/membership/HostListResult.java
@@ -21,6 +21,11 @@
     /** The peer did not answer, or its answer is malformed. */
     PULL_FAILED;
 
+    /** Returns whether the platform or a peer answered with what it has. */
+    public boolean isAnswer() {
+        return this != READ_FAILED && this != NONE && this != PULL_FAILED;
+    }
+
     /** Returns the name shown to operators. */
     public String wireName() {
         return name().toLowerCase(Locale.ROOT);
--- a/membership/src/main/java/org/godwithoist/membership/HostListSources.java
+++ b/membership/src/main/java/org/godwithoist/membership/HostListSources.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
@@ -19,6 +21,9 @@
 
     private final MemberDirectory members;
 
+    /** Hashes of the hosts, kept because sorting compares each member several times. */
+    private final Map<HostId, Long> scores = new ConcurrentHashMap<>();
+
     /** Makes the decision over the members of a fleet. */
     public HostListSources(MemberDirectory members) {
         this.members = members;
@@ -27,7 +32,12 @@
     /** Returns whether this daemon reads the list from the platform. */
     public boolean isReader() {
         Member self = members.self();
-        return readers(self.failureDomain(), members.members()).contains(self.host());
+        List<Member> all = members.members();
+        if (scores.size() > 2 * all.size()) {
+            // Most of the hashes are of hosts that were replaced.
+            scores.clear();
+        }
+        return readers(self.failureDomain(), all).contains(self.host());
     }
 
     /**
@@ -64,8 +74,8 @@
 
     /** Spreads the pulls over the readers: each daemon has an order of its own. */
     private Comparator<HostId> bySelf() {
-        String self = members.self().host().value();
-        return Comparator.comparingLong(h -> score(self, h));
+        long self = score(members.self().host());
+        return Comparator.comparingLong(h -> self ^ score(h));
     }
 
     private List<HostId> readers(FailureDomainId domain, List<Member> all) {
@@ -74,13 +84,14 @@
                 .map(Member::host)
                 .filter(h -> !members.isSilent(h))
                 .sorted(
-                        Comparator.comparingLong((HostId h) -> score(domain.value(), h))
+                        Comparator.comparingLong(this::score)
                                 .thenComparing(Comparator.naturalOrder()))
                 .limit(READERS_PER_DOMAIN)
                 .toList();
     }
 
-    private static long score(String seed, HostId host) {
-        return Hash64.of((seed + " " + host.value()).getBytes(StandardCharsets.UTF_8));
+    private long score(HostId host) {
+        return scores.computeIfAbsent(
+                host, h -> Hash64.of(h.value().getBytes(StandardCharsets.UTF_8)));
     }
 }
