--- a/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/SessionSteps.java
@@ -200,6 +200,14 @@
         transcript.note("both daemons have revision " + revision);
     }
 
+    /** Checks the host list of a daemon: engines, services and daemons. */
+    @Then("{string} knows {int} hosts")
+    public void knowsHosts(String daemon, int count) throws IOException, InterruptedException {
+        JsonObject list = fleet.status(daemon).getJsonObject("host_list");
+        assertEquals(count, list.getInteger("entries"), list.encode());
+        transcript.note(daemon + " knows " + count + " hosts");
+    }
+
     // ---- failure domains
 
     /** Waits. */
--- a/acceptance/src/test/resources/features/store_outage.feature
+++ b/acceptance/src/test/resources/features/store_outage.feature
@@ -11,9 +11,10 @@
     Then the service executed key "b-3" 1 times
     And the session matches "store_outage"
 
-  Scenario: A daemon starts fresh during the outage and takes the bundle from a peer
+  Scenario: A daemon starts fresh during the outage and takes the bundle and the host list from a peer
     Given a fleet with 1 engines and 2 daemons
     And platform faults {"down": true}
     When "daemon-2" is killed and started again
     Then both daemons have revision 1
+    And "daemon-2" knows 4 hosts
     And the session matches "fresh_daemon"
