--- a/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
@@ -15,7 +16,6 @@
 import org.godwithoist.core.error.RequestException;
 import org.godwithoist.core.error.RunState;
 import org.godwithoist.core.id.HostId;
-import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.platform.HostList;
@@ -34,21 +34,22 @@
     private record PeerTask(Thread thread, Semaphore wake) {}
 
     private final MembershipConfig config;
-    private final HostList hostList;
     private final OrderStore store;
     private final FleetMembers members;
     private final OrderBook orders;
     private final FleetTargets targets;
     private final ExchangeRounds rounds;
+    private final HostListState hostList;
+    private final HostListFollower hostListFollower;
     private final Map<HostId, PeerTask> peerTasks = new ConcurrentHashMap<>();
     private final Map<HostId, ContactState> logged = new HashMap<>();
     private final Semaphore storeWake = new Semaphore(0);
     private volatile boolean storeAnswers = true;
-    private volatile boolean hostListAnswers = true;
     private volatile Set<HostId> partners = Set.of();
     private volatile boolean stopping;
     private List<Thread> tasks = List.of();
     private PeerExchange exchange;
+    private long appliedDigest = HostListCopy.EMPTY.digest();
 
     /**
      * Makes a membership that does nothing yet.
@@ -61,16 +62,25 @@
             Collection<Member> seeds,
             MembershipConfig config,
             Ticker ticker,
-            HostList hostList,
+            HostList platform,
             OrderStore store) {
         this.config = config;
-        this.hostList = hostList;
         this.store = store;
         this.members = new FleetMembers(self, seeds, config, ticker);
         this.orders = new OrderBook(self.host());
         this.targets = new FleetTargets(orders);
         this.rounds = new ExchangeRounds(members, orders, config, ticker);
         orders.onChange(this::passOnOrders);
+        this.hostList = new HostListState(ticker);
+        this.hostListFollower =
+                new HostListFollower(
+                        hostList,
+                        new HostListSources(members),
+                        platform,
+                        config,
+                        ticker,
+                        new SplittableRandom(),
+                        this::applyHostList);
     }
 
     /** Returns the members. */
@@ -93,6 +103,16 @@
         return rounds;
     }
 
+    /** Returns the copy of the host list; the wire endpoint answers with it. */
+    public HostListState hostList() {
+        return hostList;
+    }
+
+    /** Returns what keeps the copy of the host list up to date. */
+    public HostListFollower hostListFollower() {
+        return hostListFollower;
+    }
+
     /** Returns whether the last operation on the table of orders worked. */
     public boolean storeAnswers() {
         return storeAnswers;
@@ -101,11 +121,11 @@
     // ---- life
 
     /** Starts the tasks. The wire endpoint must be listening. */
-    public synchronized void start(PeerExchange peerExchange) {
+    public synchronized void start(PeerExchange peerExchange, PeerHostList peerHostList) {
         exchange = peerExchange;
         tasks =
                 List.of(
-                        Tasks.start("host-list", this::followHostList),
+                        Tasks.start("host-list", () -> hostListFollower.run(peerHostList)),
                         Tasks.start("order-store", this::followStore),
                         Tasks.start("peer-tasks", this::keepPeerTasks));
     }
@@ -300,24 +320,24 @@
 
     // ---- platform
 
-    private void followHostList() {
-        do {
-            try {
-                var list = Await.result(hostList.list(), config.storeTimeout());
-                members.update(list);
-                targets.update(list);
-                if (!hostListAnswers) {
-                    LOG.atInfo().log("the host list can be read again");
-                }
-                hostListAnswers = true;
-            } catch (RuntimeException e) {
-                if (hostListAnswers && !stopping) {
-                    LOG.atWarning().withCause(e).log(
-                            "cannot read the host list; the last one stays in use");
-                }
-                hostListAnswers = false;
-            }
-        } while (!stopping && Tasks.sleep(config.hostListInterval()));
+    private void applyHostList(HostListState.Held list) {
+        HostListCopy copy = list.copy();
+        boolean changed = copy.digest() != appliedDigest;
+        appliedDigest = copy.digest();
+        if (changed) {
+            targets.update(copy.entries());
+        }
+        if (hostList.age().orElseThrow().compareTo(config.removalTime()) <= 0) {
+            members.update(copy.entries());
+        } else if (changed) {
+            // Members may have joined since the platform returned this list. They become known
+            // only through the list of a peer, so that this daemon does not believe before that it
+            // is in contact with all.
+            copy.entries().stream()
+                    .filter(h -> !h.kind().isTarget())
+                    .map(h -> new Member(h.host(), h.failureDomain(), h.address(), 0))
+                    .forEach(members::learn);
+        }
     }
 
     private void followStore() {
