Let owners ask daemons that have not reported for their report

Change: each tick the owner asks members in contact whose present run has not reported in its epoch. The holder learns owner and epoch from the request and reports. Cost: one message per shard and new daemon. Not covered: a daemon whose contact with the owner exists only through a summary of its group gets the request once the owner can call it, which it can for any member.

--- a/admission/src/main/java/org/godwithoist/admission/FleetView.java
+++ b/admission/src/main/java/org/godwithoist/admission/FleetView.java
@@ -109,6 +109,18 @@
                 limits(), engines, targets(), hosts(), members::isSilent, this::share, loads);
     }
 
+    /**
+     * Returns the members in contact whose present run has not reported to the owner. A daemon that
+     * started while the store is down learns of the owner in no other way.
+     */
+    Set<HostId> unreported(SlotLedger ledger) {
+        return members.members().stream()
+                .filter(m -> !ledger.hasReport(m.host(), m.incarnation()))
+                .map(Member::host)
+                .filter(members::inContactWith)
+                .collect(Collectors.toSet());
+    }
+
     private int share(WorkspaceId workspace) {
         var w = bundle.get().workspaces().get(workspace);
         return w == null ? 1 : w.share();
--- a/admission/src/main/java/org/godwithoist/admission/ShardTask.java
+++ b/admission/src/main/java/org/godwithoist/admission/ShardTask.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -125,7 +126,12 @@
             SlotLedger l = ledger.get();
             l.update(fleet.shardView());
             l.tick(lease.owns());
-            return l.ready() ? l.takeReportRequests() : l.missing();
+            if (!l.ready()) {
+                return l.missing();
+            }
+            Set<HostId> asked = new HashSet<>(l.takeReportRequests());
+            asked.addAll(fleet.unreported(l));
+            return asked;
         } finally {
             lock.unlock();
         }
--- a/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotLedger.java
@@ -250,6 +250,12 @@
         return missing;
     }
 
+    /** Returns whether a run of a member, or a later one, has reported in this epoch. */
+    public boolean hasReport(HostId host, long incarnation) {
+        Holder h = current.get(host);
+        return h != null && h.incarnation >= incarnation;
+    }
+
     /** Returns whether the use before the takeover is known, so that slots may be granted. */
     public boolean ready() {
         return ready;
--- a/admission/src/test/java/org/godwithoist/admission/wire/SlotAdmissionTest.java
+++ b/admission/src/test/java/org/godwithoist/admission/wire/SlotAdmissionTest.java
@@ -74,6 +74,7 @@
     private final FakeTableStore store = new FakeTableStore();
     private final Map<HostId, SlotAdmission> daemons = new TreeMap<>();
     private final Set<HostId> silent = java.util.concurrent.ConcurrentHashMap.newKeySet();
+    private final Set<HostId> restarted = java.util.concurrent.ConcurrentHashMap.newKeySet();
     private volatile boolean contact = true;
     private volatile ServiceState service = ServiceState.IN;
     private final AtomicInteger directoryVersion = new AtomicInteger();
@@ -90,18 +91,7 @@
             members.add(new Member(new HostId("h" + i), DOMAIN, ENDPOINT, 1));
         }
         for (Member m : members) {
-            var admission =
-                    new SlotAdmission(
-                            () -> bundle,
-                            new Members(m, members),
-                            new Targets(),
-                            new LeaseRows(store),
-                            new TransportPeers(transport.of(m.host())),
-                            LoadReports.NONE,
-                            Ticker.SYSTEM,
-                            FAST);
-            admission.serve();
-            daemons.put(m.host(), admission);
+            daemons.put(m.host(), admission(bundle, m, members));
         }
         daemons.values().forEach(SlotAdmission::start);
         await(() -> owner().isPresent());
@@ -111,6 +101,34 @@
         }
     }
 
+    private SlotAdmission admission(Bundle bundle, Member self, List<Member> members) {
+        var admission =
+                new SlotAdmission(
+                        () -> bundle,
+                        new Members(self, members),
+                        new Targets(),
+                        new LeaseRows(store),
+                        new TransportPeers(transport.of(self.host())),
+                        LoadReports.NONE,
+                        Ticker.SYSTEM,
+                        FAST);
+        admission.serve();
+        return admission;
+    }
+
+    /** Replaces a daemon by a new run that knows nothing; all members see the new run. */
+    private void restart(HostId host, AdmissionLimits limits) {
+        daemons.get(host).close();
+        List<Member> members = new ArrayList<>();
+        for (HostId h : daemons.keySet()) {
+            members.add(new Member(h, DOMAIN, ENDPOINT, h.equals(host) ? 2 : 1));
+        }
+        restarted.add(host);
+        Member self = new Member(host, DOMAIN, ENDPOINT, 2);
+        daemons.put(host, admission(bundle(limits), self, members));
+        daemons.get(host).start();
+    }
+
     private record Used(Slot slot) implements AutoCloseable {
         @Override
         public void close() {
@@ -179,7 +197,11 @@
 
         @Override
         public List<Member> members() {
-            return members;
+            return members.stream().map(m -> restarted.contains(m.host()) ? newRun(m) : m).toList();
+        }
+
+        private static Member newRun(Member m) {
+            return new Member(m.host(), m.failureDomain(), m.peer(), 2);
         }
 
         @Override
@@ -395,6 +417,19 @@
         }
     }
 
+    @Nested
+    class StartDuringAnOutage {
+        /** Guards against a new daemon that serves nothing until the store answers again. */
+        @Test
+        void theOwnerAsksANewDaemonForItsReport() {
+            start(3, limits(0));
+            HostId host = other();
+            store.setFault(StoreFault.DOWN);
+            restart(host, limits(0));
+            assertTrue(acquire(host, PATIENCE).isPresent());
+        }
+    }
+
     @Nested
     class ReservedSlots {
         /** Guards against a round trip where a reserved slot is open, and the contact rule. */
