Keep operators' names in one value type

Cause: membership and bundle had a record OperatorName each, with other limits; a name that one took could fail in the other. Change: the one of bundle, whose form fits signed statements, moves to core. It waits for the state for 1 s now, as the other tests of the class do; a target that stays in service still fails it.

--- a/bundle/src/main/java/org/godwithoist/bundle/OperatorKeys.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/OperatorKeys.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.settings.OperatorKey;
 
 /** The operators' public keys from the settings; decides whether signatures are valid. */
--- a/bundle/src/main/java/org/godwithoist/bundle/OperatorSignature.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/OperatorSignature.java
@@ -5,6 +5,7 @@
 import java.security.PublicKey;
 import java.security.Signature;
 import java.util.Base64;
+import org.godwithoist.core.id.OperatorName;
 
 /**
  * An operator's Ed25519 signature of a statement.
--- a/bundle/src/main/java/org/godwithoist/bundle/SignatureRole.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/SignatureRole.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import org.godwithoist.core.id.OperatorName;
 
 /**
  * What an operator states with a signature. The role stands in the signed text, so that an author's
--- a/bundle/src/main/java/org/godwithoist/bundle/Stage.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/Stage.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.Optional;
+import org.godwithoist.core.id.OperatorName;
 
 /** Stage of a proposal; decides who may take it to the next stage. */
 public enum Stage {
--- a/bundle/src/main/java/org/godwithoist/bundle/StageEvent.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/StageEvent.java
@@ -1,6 +1,7 @@
 package org.godwithoist.bundle;
 
 import java.time.Instant;
+import org.godwithoist.core.id.OperatorName;
 
 /**
  * A proposal reached a stage.
--- a/bundle/src/main/java/org/godwithoist/bundle/http/BundleRoutes.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/http/BundleRoutes.java
@@ -12,7 +12,6 @@
 import org.godwithoist.bundle.BundleReference;
 import org.godwithoist.bundle.Change;
 import org.godwithoist.bundle.Head;
-import org.godwithoist.bundle.OperatorName;
 import org.godwithoist.bundle.Proposal;
 import org.godwithoist.bundle.ProposalId;
 import org.godwithoist.bundle.json.BundleRows;
@@ -20,6 +19,7 @@
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
 import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.core.json.FindingsException;
 import org.godwithoist.core.task.Tasks;
 
--- a/bundle/src/main/java/org/godwithoist/bundle/http/OperatorAuth.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/http/OperatorAuth.java
@@ -7,9 +7,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.godwithoist.bundle.ContentHash;
-import org.godwithoist.bundle.OperatorName;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.settings.OperatorKey;
 
 /**
--- a/bundle/src/main/java/org/godwithoist/bundle/store/BundleOperations.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/store/BundleOperations.java
@@ -15,7 +15,6 @@
 import org.godwithoist.bundle.HeadPush;
 import org.godwithoist.bundle.HeadState;
 import org.godwithoist.bundle.OperatorKeys;
-import org.godwithoist.bundle.OperatorName;
 import org.godwithoist.bundle.OperatorSignature;
 import org.godwithoist.bundle.Proposal;
 import org.godwithoist.bundle.ProposalId;
@@ -27,6 +26,7 @@
 import org.godwithoist.bundle.store.BundleTables.Versioned;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.core.json.FindingsException;
 import org.godwithoist.core.time.Ticker;
 
--- a/bundle/src/main/java/org/godwithoist/bundle/wire/BundleMessages.java
+++ b/bundle/src/main/java/org/godwithoist/bundle/wire/BundleMessages.java
@@ -4,7 +4,6 @@
 import java.util.HexFormat;
 import org.godwithoist.bundle.ContentHash;
 import org.godwithoist.bundle.Head;
-import org.godwithoist.bundle.OperatorName;
 import org.godwithoist.bundle.OperatorSignature;
 import org.godwithoist.bundle.wire.generated.HeadRequest;
 import org.godwithoist.bundle.wire.generated.HeadResponse;
@@ -13,6 +12,7 @@
 import org.godwithoist.bundle.wire.generated.PushRequest;
 import org.godwithoist.bundle.wire.generated.PushResponse;
 import org.godwithoist.bundle.wire.generated.SignedHead;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.membership.PeerTransport.Method;
 
 /** The methods that daemons call on each other, and the encoding of their messages. */
--- a/bundle/src/test/java/org/godwithoist/bundle/Fixture.java
+++ b/bundle/src/test/java/org/godwithoist/bundle/Fixture.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.settings.OperatorKey;
 
 /** Operators with keys, bundles of any size and signed heads for tests. */
--- a/cli/src/main/java/org/godwithoist/cli/KeygenCommand.java
+++ b/cli/src/main/java/org/godwithoist/cli/KeygenCommand.java
@@ -16,7 +16,7 @@
 import java.util.Base64;
 import java.util.Set;
 import org.godwithoist.bundle.ContentHash;
-import org.godwithoist.bundle.OperatorName;
+import org.godwithoist.core.id.OperatorName;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 
--- a/bundle/src/main/java/org/godwithoist/bundle/OperatorName.java
+++ b/core/src/main/java/org/godwithoist/core/id/OperatorName.java
@@ -1,4 +1,4 @@
-package org.godwithoist.bundle;
+package org.godwithoist.core.id;
 
 import java.util.regex.Pattern;
 
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -16,6 +16,7 @@
 import org.godwithoist.core.error.RequestException;
 import org.godwithoist.core.error.RunState;
 import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.platform.HostList;
--- a/membership/src/main/java/org/godwithoist/membership/Order.java
+++ b/membership/src/main/java/org/godwithoist/membership/Order.java
@@ -1,6 +1,7 @@
 package org.godwithoist.membership;
 
 import java.util.Comparator;
+import org.godwithoist.core.id.OperatorName;
 
 /**
  * An order of an operator that takes a subject out of service or back in.
--- a/membership/src/main/java/org/godwithoist/membership/OrderBook.java
+++ b/membership/src/main/java/org/godwithoist/membership/OrderBook.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.OperatorName;
 
 /**
  * The orders that this daemon holds: for each subject the one with the highest stamp. Merging is
--- a/membership/src/test/java/org/godwithoist/membership/ExchangeMeasurement.java
+++ b/membership/src/test/java/org/godwithoist/membership/ExchangeMeasurement.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.ToLongFunction;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.membership.wire.PeerTraffic;
 import org.godwithoist.platform.fake.FakeHostList;
--- a/membership/src/test/java/org/godwithoist/membership/FleetGroupsTest.java
+++ b/membership/src/test/java/org/godwithoist/membership/FleetGroupsTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import org.godwithoist.core.error.RequestException;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.platform.fake.FakeHostList;
 import org.godwithoist.platform.fake.FakeTableStore;
 import org.godwithoist.platform.fake.StoreFault;
--- a/membership/src/test/java/org/godwithoist/membership/FleetMembershipTest.java
+++ b/membership/src/test/java/org/godwithoist/membership/FleetMembershipTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.platform.HostEntry;
 import org.godwithoist.platform.Table;
@@ -163,7 +164,8 @@
             TestDaemon fresh = start(TestDaemon.member(7, 1), List.of());
             await(3_000, () -> orderAt(fresh).isPresent());
             await(3_000, () -> fresh.membership().targets().version() > 0);
-            assertEquals(ServiceState.OUT, stateAt(fresh));
+            // The book shows an order shortly before the targets take it over.
+            await(1_000, () -> stateAt(fresh) == ServiceState.OUT);
         }
 
         /** Guards against a daemon that cannot join while the host list cannot be read. */
--- a/membership/src/test/java/org/godwithoist/membership/OrderBookTest.java
+++ b/membership/src/test/java/org/godwithoist/membership/OrderBookTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.core.id.PoolId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.platform.HostEntry;
--- a/membership/src/test/java/org/godwithoist/membership/wire/TableOrderStoreTest.java
+++ b/membership/src/test/java/org/godwithoist/membership/wire/TableOrderStoreTest.java
@@ -6,7 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.godwithoist.core.id.HostId;
-import org.godwithoist.membership.OperatorName;
+import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.membership.Order;
 import org.godwithoist.membership.OrderStamp;
 import org.godwithoist.membership.OrderState;
