Follow tables at the leader of the failure domain in large fleets

Each daemon follows two tables, and every change of an entry answers all of them.

Change: module relay. From 17 daemons on, members ask the leader of their domain over TCP, at the port that has the number of the UDP port; versions are those of the store. A leader passes nothing on once its knowledge is older than 0.4 of the news time, and a member whose leader is silent or has no fresh news asks the store in the same call. While the store answers neither, members leave it to the leader most of the time. The plan of the exchange carries the daemon's role, and with it the period of messages.

RelayFleetTest plays 72 daemons in virtual time: 3 store calls for each change.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -30,6 +30,13 @@
 import org.godwithoist.platform.OperatorRows;
 import org.godwithoist.platform.RunnerRows;
 import org.godwithoist.platform.StoreTable;
+import org.godwithoist.relay.Leadership;
+import org.godwithoist.relay.RecentChanges;
+import org.godwithoist.relay.RelayTiming;
+import org.godwithoist.relay.RelayedFeed;
+import org.godwithoist.relay.TableName;
+import org.godwithoist.relay.wire.RelayConnection;
+import org.godwithoist.relay.wire.RelayServer;
 import org.godwithoist.settings.EdgeSettings;
 import org.godwithoist.store.feed.TableFollower;
 import org.godwithoist.targets.ColdLimit;
@@ -47,8 +54,8 @@
 
     private static final Duration TARGETS_WAIT = Duration.ofSeconds(10);
 
-    /** Changes are read within this part of the time in which they must be in force. */
-    private static final int NEWS_DIVISOR = 3;
+    private static final TableName OPERATOR = new TableName("operator");
+    private static final TableName TARGETS = new TableName("targets");
 
     private static final Duration HOUSEKEEPING = Duration.ofMillis(250);
     private static final int READY = 200;
@@ -68,11 +75,14 @@
     private final PeerLoads peers;
     private final FeedLog operatorFeed;
     private final FeedLog targetFeed;
+    private final RecentChanges operatorChanges;
+    private final RecentChanges targetChanges;
     private final HttpTargetGateway gateway;
     private final Dialect dialect = new HttpDialect();
     private FrontListener front;
     private FrontListener ready;
     private FrontListener metricsListener;
+    private FrontListener relayListener;
     private LoadExchange exchange;
     private TableFollower targets;
 
@@ -90,6 +100,8 @@
         peers = new PeerLoads(ticker);
         operatorFeed = new FeedLog(log, "operator", this::openIfKnown, this::storeReturned);
         targetFeed = new FeedLog(log, "targets", this::openIfKnown, () -> {});
+        operatorChanges = new RecentChanges(ticker);
+        targetChanges = new RecentChanges(ticker);
         gateway = new HttpTargetGateway(dialect, ticker);
     }
 
@@ -151,12 +163,22 @@
         front.close();
         ready.close();
         metricsListener.close();
+        relayListener.close();
         exchange.close();
     }
 
     private FleetList startExchange() throws IOException {
         UdpTransport transport = UdpTransport.open(settings.peers());
         Endpoint address = new Endpoint(settings.peers().ip(), transport.port());
+        RelayServer relay =
+                new RelayServer(
+                        Map.of(OPERATOR, operatorChanges, TARGETS, targetChanges),
+                        this::relayTiming,
+                        log,
+                        ticker);
+        // Members ask at the TCP port that has the number of the UDP port. Where the settings leave
+        // the ports to the system the two differ, and the daemon serves no members.
+        relayListener = FrontListener.open(settings.peers(), "relay", relay::serve);
         Member self = new Member(settings.host(), settings.domain(), address);
         exchange =
                 new LoadExchange(
@@ -178,33 +200,48 @@
     }
 
     private void followStore() {
-        RunnerRows runners = new RunnerRows(directory, targetFeed);
+        RelayedFeed targetRows =
+                relayed(TARGETS, StoreTable.runners(settings.store(), ticker), targetChanges);
+        RelayedFeed operatorRows =
+                relayed(OPERATOR, StoreTable.operator(settings.store(), ticker), operatorChanges);
         targets =
                 new TableFollower(
-                        StoreTable.runners(settings.store(), ticker),
-                        runners,
-                        new TableFollower.Timing(TARGETS_WAIT, this::feedPace),
+                        targetRows,
+                        new RunnerRows(directory, targetFeed),
+                        new TableFollower.Timing(TARGETS_WAIT, targetRows::pace),
                         random);
-        OperatorRows rows = new OperatorRows(this::catalog, catalogs::outOfService, operatorFeed);
         TableFollower operator =
                 new TableFollower(
-                        StoreTable.operator(settings.store(), ticker),
-                        rows,
-                        new TableFollower.Timing(OPERATOR_WAIT, this::feedPace),
+                        operatorRows,
+                        new OperatorRows(this::catalog, catalogs::outOfService, operatorFeed),
+                        new TableFollower.Timing(OPERATOR_WAIT, operatorRows::pace),
                         random);
         operator.start("follow-operator");
         targets.start("follow-targets");
     }
 
+    private RelayedFeed relayed(TableName table, StoreTable store, RecentChanges recent) {
+        return new RelayedFeed(
+                new RelayedFeed.Parts(
+                        table,
+                        store,
+                        recent,
+                        new RelayConnection(ticker),
+                        new Leadership(exchange::leader, exchange::leads),
+                        this::relayTiming,
+                        log,
+                        ticker));
+    }
+
+    private RelayTiming relayTiming() {
+        return new RelayTiming(file.current().bounds().news());
+    }
+
     /** A call for the other table may have been lost with the one that was noticed. */
     private void storeReturned() {
         targets.refresh();
     }
 
-    private Duration feedPace() {
-        return file.current().bounds().news().dividedBy(NEWS_DIVISOR);
-    }
-
     private void catalog(Catalog next) {
         boolean adopted = catalogs.offer(next);
         openIfKnown();
--- a/peers/src/main/java/org/godwithoist/peers/ExchangePlan.java
+++ b/peers/src/main/java/org/godwithoist/peers/ExchangePlan.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.godwithoist.core.id.FailureDomainId;
@@ -19,10 +20,13 @@
  * sum of all others. The leader is the first daemon of the domain by its id that is not silent, so
  * no agreement is needed; while two daemons lead, members use what the first of them tells.
  *
+ * @param role part of this daemon
  * @param receivers what each receiver is told
- * @param leads whether this daemon leads its failure domain
  */
-public record ExchangePlan(Map<HostId, PeerLoads.Scope> receivers, boolean leads) {
+record ExchangePlan(ExchangeRole role, Map<HostId, PeerLoads.Scope> receivers) {
+    /** The plan of a daemon that knows no others. */
+    static final ExchangePlan ALONE = new ExchangePlan(ExchangeRole.EQUAL, Map.of());
+
     /** Largest fleet in which each daemon tells all others. */
     static final int MESH_SIZE = 16;
 
@@ -30,10 +34,22 @@
     private static final int LEADERS_TOLD = 2;
 
     /** Copies the receivers. */
-    public ExchangePlan {
+    ExchangePlan {
         receivers = Map.copyOf(receivers);
     }
 
+    /** Returns whether this daemon leads its failure domain. */
+    boolean leads() {
+        return role == ExchangeRole.LEADER;
+    }
+
+    /** Returns the daemon that leads the failure domain of this one. */
+    Optional<HostId> leader() {
+        return role == ExchangeRole.MEMBER
+                ? receivers.keySet().stream().findFirst()
+                : Optional.empty();
+    }
+
     /**
      * Makes a plan.
      *
@@ -50,15 +66,15 @@
         if (others.size() < MESH_SIZE) {
             Map<HostId, PeerLoads.Scope> all = new HashMap<>();
             others.forEach(m -> all.put(m.host(), PeerLoads.Scope.OWN));
-            return new ExchangePlan(all, false);
+            return new ExchangePlan(ExchangeRole.EQUAL, all);
         }
         for (Member m : sorted(others)) {
             boolean before = m.host().compareTo(self.host()) < 0;
             if (m.domain().equals(self.domain()) && before && !silent.test(m.host())) {
-                return new ExchangePlan(Map.of(m.host(), PeerLoads.Scope.OWN), false);
+                return new ExchangePlan(ExchangeRole.MEMBER, Map.of(m.host(), PeerLoads.Scope.OWN));
             }
         }
-        return new ExchangePlan(toldByLeader(self, others, speaks), true);
+        return new ExchangePlan(ExchangeRole.LEADER, toldByLeader(self, others, speaks));
     }
 
     private static Map<HostId, PeerLoads.Scope> toldByLeader(
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -6,9 +6,11 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Tasks;
@@ -22,15 +24,6 @@
  * keeps the plan.
  */
 public final class LoadExchange implements Closeable {
-    /** Time between two messages in a small fleet. */
-    private static final Duration MESH_PERIOD = Duration.ofMillis(150);
-
-    /** Time between two messages in a fleet with leaders. */
-    private static final Duration DOMAIN_PERIOD = Duration.ofMillis(300);
-
-    /** Time between two messages to a daemon that has been silent. */
-    private static final Duration SILENT_PERIOD = Duration.ofSeconds(1);
-
     private static final Duration PLAN_PERIOD = Duration.ofSeconds(1);
 
     /** Pause after a failure of the transport, so that a lasting one costs little. */
@@ -51,7 +44,7 @@
     private final AtomicLong sequence = new AtomicLong();
     private final Map<HostId, Peer> peers = new ConcurrentHashMap<>();
     private final Set<HostId> told = ConcurrentHashMap.newKeySet();
-    private volatile ExchangePlan plan = new ExchangePlan(Map.of(), false);
+    private volatile ExchangePlan plan = ExchangePlan.ALONE;
     private volatile boolean closed;
 
     /** Makes an exchange without other daemons. */
@@ -72,6 +65,16 @@
         replan();
     }
 
+    /** Returns whether this daemon leads its failure domain. */
+    public boolean leads() {
+        return plan.leads();
+    }
+
+    /** Returns where the daemon that leads this one's failure domain receives messages. */
+    public Optional<Endpoint> leader() {
+        return plan.leader().map(h -> peers.get(h).member().address());
+    }
+
     private Peer know(Member member) {
         Peer known = peers.get(member.host());
         if (known != null) {
@@ -128,10 +131,7 @@
     }
 
     private Duration period(Peer peer) {
-        if (peers.size() < ExchangePlan.MESH_SIZE) {
-            return peer.silent(parts.ticker().nanos()) ? SILENT_PERIOD : MESH_PERIOD;
-        }
-        return DOMAIN_PERIOD;
+        return plan.role().period(peer.silent(parts.ticker().nanos()));
     }
 
     private boolean send(Peer peer) {
--- /dev/null
+++ b/relay/src/main/java/org/godwithoist/relay/TableName.java
@@ -0,0 +1,34 @@
+package org.godwithoist.relay;
+
+/**
+ * Name of a table that leaders pass on.
+ *
+ * @param value text, the same on all daemons
+ */
+public record TableName(String value) {
+    /**
+     * Checks the name.
+     *
+     * @throws IllegalArgumentException if it is empty
+     */
+    public TableName {
+        if (value.isEmpty()) {
+            throw new IllegalArgumentException("a table has no name");
+        }
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TableName o && value.equals(o.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/godwithoist/relay/wire/RelayServer.java
@@ -0,0 +1,81 @@
+package org.godwithoist.relay.wire;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.relay.RecentChanges;
+import org.godwithoist.relay.RelayClient;
+import org.godwithoist.relay.RelayTiming;
+import org.godwithoist.relay.TableName;
+import org.godwithoist.store.feed.FeedPage;
+
+/** Answers the questions of members; one task for each connection. */
+public final class RelayServer {
+    /** A member that asks the store itself comes back sooner than this. */
+    private static final Duration IDLE = Duration.ofSeconds(20);
+
+    private final Map<TableName, RecentChanges> tables;
+    private final Supplier<RelayTiming> timing;
+    private final EventLog log;
+    private final Ticker ticker;
+
+    /**
+     * Makes a server.
+     *
+     * @param tables the tables that are passed on
+     * @param timing times in force
+     */
+    public RelayServer(
+            Map<TableName, RecentChanges> tables,
+            Supplier<RelayTiming> timing,
+            EventLog log,
+            Ticker ticker) {
+        this.tables = Map.copyOf(tables);
+        this.timing = timing;
+        this.log = log;
+        this.ticker = ticker;
+    }
+
+    /** Answers the questions of one connection until it ends. */
+    public void serve(Socket member) {
+        try (member) {
+            member.setTcpNoDelay(true);
+            while (true) {
+                Deadline deadline = Deadline.after(IDLE, ticker);
+                byte[] question = Frames.read(member, RelayCodec.QUESTION_BYTES, deadline);
+                Frames.write(member, RelayCodec.encode(answer(RelayCodec.question(question))));
+            }
+        } catch (EOFException | SocketTimeoutException | SocketException e) {
+            // The member has left; it says why in its own log.
+            return;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            log.event("relay_question_left_out")
+                    .with("from", String.valueOf(member.getRemoteSocketAddress()))
+                    .with("reason", String.valueOf(e.getMessage()))
+                    .write();
+        }
+    }
+
+    private Optional<FeedPage> answer(RelayClient.Question question) throws InterruptedException {
+        RecentChanges recent = tables.get(question.table());
+        if (recent == null) {
+            return Optional.empty();
+        }
+        RelayTiming times = timing.get();
+        Duration asked = question.longestWait();
+        Duration most = times.memberWait();
+        Duration wait = asked.compareTo(most) < 0 ? asked : most;
+        return recent.after(question.after(), wait, times.fresh());
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/godwithoist/relay/RecentChangesTest.java
@@ -0,0 +1,139 @@
+package org.godwithoist.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.store.feed.FeedPage;
+import org.godwithoist.store.feed.FeedRow;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests of {@link RecentChanges}. */
+final class RecentChangesTest {
+    private static final Duration FRESH = Duration.ofMillis(1200);
+
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final RecentChanges recent = new RecentChanges(ticker);
+
+    private static FeedRow row(String key, long version) {
+        return new FeedRow(key, new byte[] {1}, version, false);
+    }
+
+    private void add(long after, long version, FeedRow... rows) {
+        recent.add(after, new FeedPage(List.of(rows), version), ticker.nanos());
+    }
+
+    private Optional<FeedPage> after(long version) throws InterruptedException {
+        return recent.after(version, Duration.ZERO, FRESH);
+    }
+
+    private List<String> keysAfter(long version) throws InterruptedException {
+        return after(version).orElseThrow().rows().stream().map(FeedRow::key).toList();
+    }
+
+    @Nested
+    final class FreshKnowledge {
+        /** Guards against a change that a member misses or gets twice. */
+        @Test
+        void memberGetsTheChangesAfterItsVersion() throws InterruptedException {
+            add(10, 12, row("a", 11), row("b", 12));
+            add(12, 14, row("a", 14));
+            assertEquals(List.of("b", "a"), keysAfter(10));
+            assertEquals(List.of("a"), keysAfter(12));
+            assertEquals(14, after(12).orElseThrow().version());
+        }
+
+        /** Guards against a member ahead of its leader that goes back. */
+        @Test
+        void memberAheadOfTheLeaderGetsNothing() throws InterruptedException {
+            add(10, 12, row("a", 11));
+            assertEquals(List.of(), keysAfter(20));
+        }
+
+        /** Guards against members that are told of a change only at the end of their wait. */
+        @Test
+        void changeEndsTheWait() throws Exception {
+            RecentChanges live = new RecentChanges(Ticker.SYSTEM);
+            live.add(10, new FeedPage(List.of(), 10), System.nanoTime());
+            CompletableFuture<Optional<FeedPage>> answer = new CompletableFuture<>();
+            Tasks.start("member", () -> answer.complete(waitFor(live)));
+            Thread.sleep(50);
+            assertFalse(answer.isDone());
+            live.add(10, new FeedPage(List.of(row("a", 11)), 11), System.nanoTime());
+            assertEquals(1, answer.get(2, TimeUnit.SECONDS).orElseThrow().rows().size());
+        }
+
+        private Optional<FeedPage> waitFor(RecentChanges live) {
+            try {
+                return live.after(10, Duration.ofSeconds(10), Duration.ofSeconds(20));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return Optional.empty();
+            }
+        }
+    }
+
+    /** Pattern: a leader stands still ({@code node_freeze}) or its link is squeezed. */
+    @Nested
+    final class OldKnowledge {
+        /** Guards against news that a leader holds back because it does not know of them. */
+        @Test
+        void oldKnowledgeIsNotPassedOn() throws InterruptedException {
+            add(10, 12, row("a", 11));
+            ticker.advance(FRESH);
+            assertTrue(after(10).isEmpty());
+            add(12, 12);
+            assertEquals(List.of("a"), keysAfter(10));
+        }
+
+        /** Guards against members that wait although the leader knows that it lost the store. */
+        @Test
+        void lostStoreIsToldAtOnce() throws InterruptedException {
+            add(10, 12, row("a", 11));
+            recent.lost();
+            assertTrue(recent.after(10, Duration.ofSeconds(30), FRESH).isEmpty());
+        }
+    }
+
+    @Nested
+    final class UnknownPast {
+        /** Guards against a member that misses what changed before this daemon led. */
+        @Test
+        void memberFromBeforeTheFirstAnswerIsNotServed() throws InterruptedException {
+            add(10, 12, row("a", 11));
+            assertTrue(after(9).isEmpty());
+        }
+
+        /** Guards against a gap between two spans in which this daemon led. */
+        @Test
+        void gapStartsTheListAnew() throws InterruptedException {
+            add(10, 12, row("a", 11));
+            add(15, 16, row("b", 16));
+            assertTrue(after(12).isEmpty());
+            assertEquals(List.of("b"), keysAfter(15));
+        }
+
+        /** Pattern: a large fleet of targets is replaced. Guards against memory without bound. */
+        @Test
+        void oldestRowsAreForgottenAndNotSkipped() throws InterruptedException {
+            List<FeedRow> rows = new ArrayList<>();
+            for (int i = 1; i <= 1000; i++) {
+                rows.add(row("target-" + i, 10 + i));
+            }
+            add(10, 1010, rows.toArray(FeedRow[]::new));
+            assertTrue(after(10).isEmpty());
+            assertEquals(List.of("target-999", "target-1000"), keysAfter(1008));
+            assertEquals(512, keysAfter(1010 - 512).size());
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/godwithoist/relay/RelayFleetTest.java
@@ -0,0 +1,137 @@
+package org.godwithoist.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.store.feed.FeedPage;
+import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.HistoryGoneException;
+import org.godwithoist.store.feed.TableFeed;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Many daemons that follow one table, in virtual time. */
+final class RelayFleetTest {
+    private static final TableName TABLE = new TableName("targets");
+    private static final RelayTiming TIMING = new RelayTiming(Duration.ofSeconds(3));
+    private static final int DAEMONS = 72;
+    private static final int DOMAINS = 3;
+
+    /** A store that counts the calls of the fleet. */
+    private static final class Store implements TableFeed {
+        private final List<FeedRow> rows = new ArrayList<>();
+        private int calls;
+
+        void change() {
+            long version = rows.size() + 1L;
+            rows.add(new FeedRow("target-" + version, new byte[0], version, false));
+        }
+
+        @Override
+        public FeedPage readAll() {
+            return new FeedPage(List.copyOf(rows), rows.size());
+        }
+
+        @Override
+        public FeedPage changes(long after, Duration wait) {
+            calls++;
+            return new FeedPage(List.copyOf(rows.subList((int) after, rows.size())), rows.size());
+        }
+
+        @Override
+        public void interrupt() {
+            calls++;
+        }
+    }
+
+    private final class Daemon implements RelayClient {
+        private final Endpoint at;
+        private final Endpoint leader;
+        private final RecentChanges recent = new RecentChanges(ticker);
+        private final RelayedFeed feed;
+        private long version;
+        private int rows;
+
+        Daemon(int number) {
+            at = new Endpoint("10.0.0.1", 7000 + number);
+            leader = new Endpoint("10.0.0.1", 7000 + number % DOMAINS);
+            feed =
+                    new RelayedFeed(
+                            new RelayedFeed.Parts(
+                                    TABLE,
+                                    store,
+                                    recent,
+                                    this,
+                                    new Leadership(
+                                            () -> Optional.of(leader), () -> at.equals(leader)),
+                                    () -> TIMING,
+                                    EventLog.start(OutputStream.nullOutputStream()),
+                                    ticker));
+            fleet.put(at, this);
+        }
+
+        void follow() throws IOException, HistoryGoneException {
+            FeedPage page = feed.changes(version, Duration.ofSeconds(10));
+            version = Math.max(version, page.version());
+            rows += page.rows().size();
+        }
+
+        @Override
+        public FeedPage changes(Endpoint asked, Question question, Duration margin)
+                throws IOException {
+            try {
+                return fleet.get(asked)
+                        .recent
+                        .after(question.after(), Duration.ZERO, TIMING.fresh())
+                        .orElseThrow(() -> new NoFreshNewsException(question.table()));
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted", e);
+            }
+        }
+
+        @Override
+        public void close() {
+            recent.lost();
+        }
+    }
+
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final Store store = new Store();
+    private final Map<Endpoint, Daemon> fleet = new HashMap<>();
+
+    /** Pattern: runners are replaced one after the other ({@code release}) before a large fleet. */
+    @Nested
+    final class ManyChanges {
+        /** Guards against calls to the store that grow with the fleet. */
+        @Test
+        void callsGrowWithTheDomainsAndAllDaemonsHaveAllNews() throws Exception {
+            List<Daemon> daemons = new ArrayList<>();
+            for (int i = 0; i < DAEMONS; i++) {
+                daemons.add(new Daemon(i));
+            }
+            int changes = 100;
+            for (int i = 0; i < changes; i++) {
+                store.change();
+                for (Daemon d : daemons) {
+                    d.follow();
+                }
+                ticker.advance(Duration.ofMillis(300));
+            }
+            assertEquals(DOMAINS * changes, store.calls);
+            for (Daemon d : daemons) {
+                assertEquals(changes, d.rows);
+            }
+        }
+    }
+}
