Shorten the start of an edge daemon

The log of loaded classes shows what is linked at run time and is not in the archive: concatenations of strings, a proxy for the hangup signal, and the generated equals and hashCode of records, among them Attempt, which stood as a key with all its parts.

--- a/catalog/src/main/java/org/godwithoist/catalog/ApiKey.java
+++ b/catalog/src/main/java/org/godwithoist/catalog/ApiKey.java
@@ -21,6 +21,16 @@
         }
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ApiKey o && value.equals(o.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return "ApiKey(hidden)";
--- a/catalog/src/main/java/org/godwithoist/catalog/ServiceId.java
+++ b/catalog/src/main/java/org/godwithoist/catalog/ServiceId.java
@@ -24,6 +24,16 @@
         }
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceId o && value.equals(o.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/core/src/main/java/org/godwithoist/core/id/Endpoint.java
+++ b/core/src/main/java/org/godwithoist/core/id/Endpoint.java
@@ -47,6 +47,16 @@
         }
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Endpoint o && ip.equals(o.ip) && port == o.port;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * ip.hashCode() + port;
+    }
+
     @Override
     public String toString() {
         return ip.indexOf(':') >= 0 ? "[" + ip + "]:" + port : ip + ":" + port;
--- a/core/src/main/java/org/godwithoist/core/id/FailureDomainId.java
+++ b/core/src/main/java/org/godwithoist/core/id/FailureDomainId.java
@@ -24,6 +24,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FailureDomainId o && value.equals(o.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/core/src/main/java/org/godwithoist/core/id/HostId.java
+++ b/core/src/main/java/org/godwithoist/core/id/HostId.java
@@ -24,6 +24,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof HostId o && value.equals(o.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/core/src/main/java/org/godwithoist/core/id/TargetId.java
+++ b/core/src/main/java/org/godwithoist/core/id/TargetId.java
@@ -24,6 +24,16 @@
         return value.compareTo(other.value);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof TargetId o && value.equals(o.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+
     @Override
     public String toString() {
         return value;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -21,6 +21,7 @@
  * @param silence longest time without a byte of the answer before the attempt is given up; empty if
  *     the call cannot go anywhere else
  * @param resumeAfter event after which the target goes on
+ * @param waiting the wait for the first byte of the answer
  */
 public record Attempt(
         Call call,
@@ -31,4 +32,5 @@
         int priority,
         Deadline deadline,
         Optional<Duration> silence,
-        OptionalLong resumeAfter) {}
+        OptionalLong resumeAfter,
+        Target.Waiting waiting) {}
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -185,10 +185,10 @@
                         admitted.priority(),
                         deadline,
                         silence,
-                        rule.lastEvent());
+                        rule.lastEvent(),
+                        target.awaiting());
         long began = ticker.nanos();
         Verdict verdict = Verdict.NEUTRAL;
-        target.awaiting(attempt);
         try {
             AttemptResult result = gateway.attempt(attempt, caller);
             verdict = result.outcome().verdict();
@@ -197,7 +197,7 @@
             observer.attempted(call, placed, result, took);
             return result.outcome() == AttemptOutcome.ANSWERED;
         } finally {
-            target.notAwaiting(attempt);
+            target.notAwaiting(attempt.waiting());
             target.end(verdict);
         }
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -176,7 +176,7 @@
         }
         Duration waited = Duration.ofNanos(ticker.nanos() - sentAt);
         firstByte = Optional.of(waited);
-        attempt.target().answered(attempt);
+        attempt.target().answered(attempt.waiting());
         attempt.call().head().prompt().ifPresent(p -> attempt.target().hasRead(p.key()));
         if (attempt.route().kind().answersWithEvents()) {
             return passEvents(head, body(answer));
--- a/edge/src/main/java/org/godwithoist/edge/EdgeMain.java
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeMain.java
@@ -10,6 +10,7 @@
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.platform.NodeFile;
+import org.godwithoist.signals.HangupSignal;
 
 /** Starts the edge daemon. */
 public final class EdgeMain {
--- a/targets/src/main/java/org/godwithoist/targets/PartsRead.java
+++ b/targets/src/main/java/org/godwithoist/targets/PartsRead.java
@@ -8,4 +8,14 @@
  * @param target the engine
  * @param key the parts
  */
-public record PartsRead(TargetId target, PromptKey key) {}
+public record PartsRead(TargetId target, PromptKey key) {
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PartsRead o && target.equals(o.target) && key.equals(o.key);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * target.hashCode() + key.hashCode();
+    }
+}
--- a/targets/src/main/java/org/godwithoist/targets/Placement.java
+++ b/targets/src/main/java/org/godwithoist/targets/Placement.java
@@ -134,7 +134,7 @@
     private static Optional<Target> mapped(PromptKey key, Target chosen, List<Target> others) {
         return others.stream()
                 .filter(Target::settled)
-                .max(Comparator.comparingLong(t -> weight(key, t)))
+                .max((a, b) -> Long.compare(weight(key, a), weight(key, b)))
                 .filter(t -> !chosen.settled() || weight(key, t) > weight(key, chosen));
     }
 
@@ -185,7 +185,7 @@
             boolean slow = t.recentWaitMs() > slowMs;
             candidates.add(new Candidate(t, estimate.load(t), bound, slow, weight(key, t)));
         }
-        candidates.sort(Comparator.comparingDouble(Candidate::rank).reversed());
+        candidates.sort((a, b) -> Double.compare(b.rank(), a.rank()));
         return inOrder(candidates);
     }
 
@@ -200,7 +200,7 @@
         ranked.stream().filter(c -> !c.passedOver()).forEach(order::add);
         ranked.stream()
                 .filter(Candidate::passedOver)
-                .sorted(Comparator.comparingDouble(Candidate::load))
+                .sorted((a, b) -> Double.compare(a.load(), b.load()))
                 .forEach(order::add);
         return order;
     }
@@ -220,7 +220,7 @@
             double rank = -expectedMs(t, load);
             candidates.add(new Candidate(t, load, Double.POSITIVE_INFINITY, false, rank));
         }
-        candidates.sort(Comparator.comparingDouble(Candidate::rank).reversed());
+        candidates.sort((a, b) -> Double.compare(b.rank(), a.rank()));
         return candidates;
     }
 
--- a/targets/src/main/java/org/godwithoist/targets/PromptKey.java
+++ b/targets/src/main/java/org/godwithoist/targets/PromptKey.java
@@ -29,4 +29,14 @@
         v = (v ^ (v >>> 33)) * 0xc4ceb9fe1a85ec53L;
         return v ^ (v >>> 33);
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof PromptKey o && hash == o.hash;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(hash);
+    }
 }
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -2,10 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.time.Ticker;
 
@@ -28,6 +28,15 @@
 
     private record NewRead(PromptKey key, long at) {}
 
+    /** A call that waits for the first byte of its answer. */
+    public static final class Waiting {
+        private final long since;
+
+        private Waiting(long since) {
+            this.since = since;
+        }
+    }
+
     private final Ticker ticker;
     private final long listedAt;
     private final boolean listedFirst;
@@ -41,7 +50,7 @@
     private int othersAtReport;
     private long reportedAt;
     private boolean hasReport;
-    private final Map<Object, Long> waiting = new LinkedHashMap<>();
+    private final Set<Waiting> waiting = new LinkedHashSet<>();
     private double latencyMs;
     private long latencyAt;
 
@@ -117,21 +126,22 @@
     }
 
     /** Takes note that a call waits for the first byte of its answer. */
-    public synchronized void awaiting(Object call) {
-        waiting.put(call, ticker.nanos());
+    public synchronized Waiting awaiting() {
+        Waiting call = new Waiting(ticker.nanos());
+        waiting.add(call);
+        return call;
     }
 
     /** Takes note that a call no longer waits, because it ended without an answer. */
-    public synchronized void notAwaiting(Object call) {
+    public synchronized void notAwaiting(Waiting call) {
         waiting.remove(call);
     }
 
     /** Takes note of the first byte of a call's answer. */
-    public synchronized void answered(Object call) {
-        Long since = waiting.remove(call);
-        if (since != null) {
+    public synchronized void answered(Waiting call) {
+        if (waiting.remove(call)) {
             latencyAt = ticker.nanos();
-            double ms = (latencyAt - since) / NANOS_PER_MS;
+            double ms = (latencyAt - call.since) / NANOS_PER_MS;
             latencyMs = latencyMs == 0 ? ms : latencyMs + LATENCY_WEIGHT * (ms - latencyMs);
         }
     }
@@ -231,7 +241,7 @@
         if (waiting.isEmpty()) {
             return faded;
         }
-        long oldest = waiting.values().iterator().next();
+        long oldest = waiting.iterator().next().since;
         return Math.max(faded, (now - oldest) / NANOS_PER_MS);
     }
 
--- a/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
@@ -6,8 +6,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -200,10 +202,10 @@
         @Test
         void callsGoToTheNextEngineWhileAnAnswerIsOverdue() {
             Target slow = placeAndEnd(HOT);
-            slow.awaiting("call");
+            Target.Waiting call = slow.awaiting();
             ticker.advance(Duration.ofMillis(301));
             assertNotEquals(slow, placeAndEnd(HOT));
-            slow.answered("call");
+            slow.answered(call);
             ticker.advance(Duration.ofMillis(1500));
             assertEquals(slow, placeAndEnd(HOT));
         }
@@ -310,11 +312,12 @@
         void slowTargetGetsFewCalls() {
             List<Target> targets = directory.targets(Samples.MODELS);
             Target slow = targets.get(0);
-            targets.forEach(t -> t.awaiting(t));
+            Map<Target, Target.Waiting> calls = new HashMap<>();
+            targets.forEach(t -> calls.put(t, t.awaiting()));
             ticker.advance(Duration.ofMillis(20));
-            targets.stream().filter(t -> t != slow).forEach(t -> t.answered(t));
+            targets.stream().filter(t -> t != slow).forEach(t -> t.answered(calls.get(t)));
             ticker.advance(Duration.ofMillis(400));
-            slow.answered(slow);
+            slow.answered(calls.get(slow));
             for (int i = 0; i < 40; i++) {
                 Target t = begin(Optional.empty(), Set.of(), Set.of()).orElseThrow().target();
                 assertNotEquals(slow, t);
