Keep parts by use only; share the sums of reports

A look-up counted as use in HeldParts, so parts that calls were only compared with stayed, and parts in use were forgotten beyond 2,000 keys (HeldPartsTest.lookUpDoesNotCountAsUse, seen to fail). The holder of parts is found in one pass with one look at each engine. Report and View have with and without in place of the same lines twice in ReportBook; a peer keeps optional instants; the span in which a report is fresh stands once.

--- a/peers/src/main/java/org/godwithoist/peers/Peer.java
+++ b/peers/src/main/java/org/godwithoist/peers/Peer.java
@@ -1,6 +1,7 @@
 package org.godwithoist.peers;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 
 /** What this daemon knows of another one. Thread-safe. */
 final class Peer {
@@ -8,10 +9,8 @@
     static final Duration SILENCE = Duration.ofSeconds(3);
 
     private Member member;
-    private long heardAt;
-    private long expectedSince;
-    private boolean heard;
-    private boolean expected;
+    private OptionalLong heardAt = OptionalLong.empty();
+    private OptionalLong expectedSince = OptionalLong.empty();
 
     Peer(Member member) {
         this.member = member;
@@ -26,13 +25,12 @@
     }
 
     synchronized void heard(long now) {
-        heard = true;
-        heardAt = now;
+        heardAt = OptionalLong.of(now);
     }
 
     /** Returns whether the daemon has said something a short time ago. */
     synchronized boolean speaks(long now) {
-        return heard && now - heardAt < SILENCE.toNanos();
+        return heardAt.isPresent() && now - heardAt.getAsLong() < SILENCE.toNanos();
     }
 
     /**
@@ -40,10 +38,9 @@
      * expected to speak.
      */
     synchronized boolean silent(long now) {
-        if (!expected) {
-            expected = true;
-            expectedSince = now;
+        if (expectedSince.isEmpty()) {
+            expectedSince = OptionalLong.of(now);
         }
-        return !speaks(now) && now - expectedSince >= SILENCE.toNanos();
+        return !speaks(now) && now - expectedSince.getAsLong() >= SILENCE.toNanos();
     }
 }
--- a/peers/src/main/java/org/godwithoist/peers/ReportBook.java
+++ b/peers/src/main/java/org/godwithoist/peers/ReportBook.java
@@ -1,15 +1,11 @@
 package org.godwithoist.peers;
 
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.godwithoist.core.id.HostId;
-import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.targets.PartsRead;
 import org.godwithoist.targets.PeerLoads;
@@ -20,9 +16,6 @@
  * others have told it. Thread-safe.
  */
 final class ReportBook {
-    /** A leader passes parts on for this long after it has heard of them. */
-    private static final Duration PASSED_ON = Duration.ofMillis(800);
-
     private record Heard(PartsRead read, PeerLoads.Scope from, long at) {}
 
     private final TargetDirectory directory;
@@ -45,7 +38,7 @@
     }
 
     private void forget(long now) {
-        while (!heard.isEmpty() && now - heard.peekFirst().at() >= PASSED_ON.toNanos()) {
+        while (!heard.isEmpty() && now - heard.peekFirst().at() >= PeerLoads.FRESH.toNanos()) {
             heard.pollFirst();
         }
     }
@@ -60,40 +53,19 @@
         PeerLoads.Report own = directory.report(incarnation, sequence);
         return switch (scope) {
             case OWN -> own;
-            case DOMAIN -> ofDomain(own);
-            case FLEET -> ofFleet(own, to);
+            case DOMAIN ->
+                    own.withSum(
+                            scope,
+                            loads.own().with(own.calls()),
+                            reads(own, Set.of(PeerLoads.Scope.OWN)));
+            case FLEET ->
+                    own.withSum(
+                            scope,
+                            loads.view().with(own.calls()).without(loads.ownCalls(to)),
+                            reads(own, Set.of(PeerLoads.Scope.OWN, PeerLoads.Scope.DOMAIN)));
         };
     }
 
-    private PeerLoads.Report ofDomain(PeerLoads.Report own) {
-        PeerLoads.View members = loads.own();
-        Map<TargetId, Integer> calls = new HashMap<>(own.calls());
-        members.calls().forEach((t, n) -> calls.merge(t, n, Integer::sum));
-        return new PeerLoads.Report(
-                own.incarnation(),
-                own.sequence(),
-                PeerLoads.Scope.DOMAIN,
-                members.complete(),
-                calls,
-                reads(own, Set.of(PeerLoads.Scope.OWN)));
-    }
-
-    private PeerLoads.Report ofFleet(PeerLoads.Report own, HostId to) {
-        PeerLoads.View others = loads.view();
-        Map<TargetId, Integer> calls = new HashMap<>(own.calls());
-        others.calls().forEach((t, n) -> calls.merge(t, n, Integer::sum));
-        // A report that arrives in between may name more calls than the sum has.
-        loads.ownCalls(to)
-                .forEach((t, n) -> calls.computeIfPresent(t, (k, all) -> Math.max(0, all - n)));
-        return new PeerLoads.Report(
-                own.incarnation(),
-                own.sequence(),
-                PeerLoads.Scope.FLEET,
-                others.complete(),
-                calls,
-                reads(own, Set.of(PeerLoads.Scope.OWN, PeerLoads.Scope.DOMAIN)));
-    }
-
     /** Returns the reads of this daemon and those it has heard of, the newest last. */
     private synchronized List<PartsRead> reads(PeerLoads.Report own, Set<PeerLoads.Scope> scopes) {
         forget(ticker.nanos());
--- a/targets/src/main/java/org/godwithoist/targets/HeldParts.java
+++ b/targets/src/main/java/org/godwithoist/targets/HeldParts.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
+import java.util.SequencedMap;
 
 /**
  * The prompt parts that one engine has read, as far as known. An engine gives up the parts that
@@ -16,18 +16,15 @@
     /** Parts that were not used for this long are taken to have been given up. */
     private static final Duration LIFE = Duration.ofMinutes(2);
 
-    private final Map<PromptKey, Long> usedAt =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<PromptKey, Long> eldest) {
-                    return size() > MOST_KEYS;
-                }
-            };
+    /** Instants of the last use, in their order. */
+    private final SequencedMap<PromptKey, Long> usedAt = new LinkedHashMap<>();
 
     void used(PromptKey key, long now) {
+        usedAt.remove(key);
         usedAt.put(key, now);
+        if (usedAt.size() > MOST_KEYS) {
+            usedAt.pollFirstEntry();
+        }
     }
 
     /** Returns when the engine last used the parts, or empty if it does not hold them. */
--- a/targets/src/main/java/org/godwithoist/targets/PeerLoads.java
+++ b/targets/src/main/java/org/godwithoist/targets/PeerLoads.java
@@ -56,6 +56,16 @@
             calls = Map.copyOf(calls);
             reads = List.copyOf(reads);
         }
+
+        /**
+         * Returns this message with the sum of a scope in place of its own calls.
+         *
+         * @param sum calls of the scope
+         * @param read parts that engines have read for the scope
+         */
+        public Report withSum(Scope summed, View sum, List<PartsRead> read) {
+            return new Report(incarnation, sequence, summed, sum.complete(), sum.calls(), read);
+        }
     }
 
     /**
@@ -69,6 +79,24 @@
         public int calls(TargetId target) {
             return calls.getOrDefault(target, 0);
         }
+
+        /** Returns this view with the calls of one more daemon. */
+        public View with(Map<TargetId, Integer> more) {
+            Map<TargetId, Integer> sums = new HashMap<>(calls);
+            more.forEach((target, n) -> sums.merge(target, n, Integer::sum));
+            return new View(sums, complete);
+        }
+
+        /**
+         * Returns this view without the calls of one daemon. A target keeps no less than 0, because
+         * a report that arrives in between may name more calls than the view has.
+         */
+        public View without(Map<TargetId, Integer> fewer) {
+            Map<TargetId, Integer> rest = new HashMap<>(calls);
+            fewer.forEach(
+                    (target, n) -> rest.computeIfPresent(target, (t, all) -> Math.max(0, all - n)));
+            return new View(rest, complete);
+        }
     }
 
     private record Told(Report report, long at) {}
--- a/targets/src/main/java/org/godwithoist/targets/Placement.java
+++ b/targets/src/main/java/org/godwithoist/targets/Placement.java
@@ -1,7 +1,6 @@
 package org.godwithoist.targets;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -123,13 +122,24 @@
                 targets.stream()
                         .filter(t -> t != chosen && t.health() != HealthState.RESTING)
                         .toList();
-        Optional<Target> known =
-                others.stream()
-                        .filter(t -> t.hasParts(key))
-                        .max(Comparator.comparing(t -> t.lastUse(key).orElse(0L)));
+        Optional<Target> known = lastUser(key, others);
         return known.isPresent() ? known : mapped(key, chosen, others);
     }
 
+    /** Returns the engine that used parts last, of those that are known to have read them. */
+    private static Optional<Target> lastUser(PromptKey key, List<Target> engines) {
+        Optional<Target> last = Optional.empty();
+        long lastUse = 0;
+        for (Target t : engines) {
+            Optional<Long> use = t.lastUse(key);
+            if (use.isPresent() && (last.isEmpty() || use.get() - lastUse > 0)) {
+                last = Optional.of(t);
+                lastUse = use.get();
+            }
+        }
+        return last;
+    }
+
     /** Returns the engine that parts map to, if it is not the chosen one. */
     private static Optional<Target> mapped(PromptKey key, Target chosen, List<Target> others) {
         return others.stream()
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -24,7 +24,7 @@
     private static final long SETTLE_NANOS = Duration.ofSeconds(12).toNanos();
 
     /** Reads are told to the other daemons for this long; each message repeats the last ones. */
-    private static final long NEW_READ_NANOS = Duration.ofMillis(800).toNanos();
+    private static final long NEW_READ_NANOS = PeerLoads.FRESH.toNanos();
 
     private record NewRead(PromptKey key, long at) {}
 
