Give a new daemon no part in cold limits before the others know it

Change: a daemon whose row was not in the list is a newcomer for 15 s, with no part in limits of a second. The list is read before the row is written, and a row that stands there is not written again, so a restart costs one call in place of two and nobody is a newcomer after it. FleetShare has withOthersKnowing, WritableTable makes the list testable without the platform.

--- a/cli/src/main/java/org/godwithoist/cli/CliMain.java
+++ b/cli/src/main/java/org/godwithoist/cli/CliMain.java
@@ -24,7 +24,7 @@
     @Argument(
             required = true,
             metaVar = "COMMAND",
-            usage = "bundle, domain, host, status, usage, report or keygen",
+            usage = "bundle, domain, host, status, usage, report, log or keygen",
             handler = SubCommandHandler.class)
     @SubCommands({
         @SubCommand(name = "bundle", impl = BundleCommands.class),
@@ -33,6 +33,7 @@
         @SubCommand(name = "status", impl = ReadCommands.Status.class),
         @SubCommand(name = "usage", impl = ReadCommands.UsageAccounts.class),
         @SubCommand(name = "report", impl = ReadCommands.Reports.class),
+        @SubCommand(name = "log", impl = LogCommands.Logs.class),
         @SubCommand(name = "keygen", impl = KeygenCommand.class),
     })
     private Command command;
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/LogCommands.java
@@ -0,0 +1,119 @@
+package org.godwithoist.cli;
+
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.godwithoist.cli.log.CallStory;
+import org.godwithoist.cli.log.LogFiles;
+import org.godwithoist.cli.log.LogSummary;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** Commands that read the logs of edge daemons. */
+public final class LogCommands {
+    private LogCommands() {}
+
+    /** The group of these commands. */
+    public static final class Logs extends Group {
+        @Argument(
+                required = true,
+                metaVar = "COMMAND",
+                usage = "call or summary",
+                handler = SubCommandHandler.class)
+        @SubCommands({
+            @SubCommand(name = "call", impl = Call.class),
+            @SubCommand(name = "summary", impl = Summary.class),
+        })
+        private Command command;
+
+        @Override
+        Command member() {
+            return command;
+        }
+
+        @Override
+        String description() {
+            return "godwithoist log COMMAND: reads the logs of edge daemons.";
+        }
+    }
+
+    /** A command with log files. */
+    abstract static class LogCommand extends Command {
+        @Option(name = "--json", usage = "prints the answer as JSON")
+        private boolean json;
+
+        @Option(
+                name = "--log",
+                required = true,
+                metaVar = "FILE",
+                usage = "log of one daemon or of several; may be given more than once")
+        private List<String> files = new ArrayList<>();
+
+        @Override
+        boolean isJson() {
+            return json;
+        }
+
+        /**
+         * Reads the logs.
+         *
+         * @throws IOException if a file cannot be read; the message names it
+         */
+        abstract JsonObject read(LogFiles logs) throws IOException;
+
+        @Override
+        ExitCode run(Console console) {
+            try {
+                console.print(read(new LogFiles(files.stream().map(Path::of).toList())), json);
+                return ExitCode.OK;
+            } catch (IOException e) {
+                throw new CliException(ExitCode.FAILED, e.getMessage(), e);
+            }
+        }
+    }
+
+    /** Tells what happened to one call. */
+    public static final class Call extends LogCommand {
+        @Argument(required = true, metaVar = "ID", usage = "id of the call")
+        private String id;
+
+        @Override
+        String description() {
+            return "godwithoist log call ID: shows the attempts and the end of a call, and what its"
+                    + " daemon believed then.";
+        }
+
+        @Override
+        JsonObject read(LogFiles logs) throws IOException {
+            return CallStory.of(id, logs)
+                    .orElseThrow(
+                            () ->
+                                    new CliException(
+                                            ExitCode.FAILED, "no line names the call " + id));
+        }
+    }
+
+    /** Tells how calls ended and which targets failed. */
+    public static final class Summary extends LogCommand {
+        private static final int USUAL_TARGETS = 20;
+
+        @Option(name = "--targets", metaVar = "N", usage = "targets to show; default: 20")
+        private int targets = USUAL_TARGETS;
+
+        @Override
+        String description() {
+            return "godwithoist log summary: shows how calls ended, which targets failed or were"
+                    + " slow, and what else was logged.";
+        }
+
+        @Override
+        JsonObject read(LogFiles logs) throws IOException {
+            return LogSummary.of(logs, targets);
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/log/CallStory.java
@@ -0,0 +1,88 @@
+package org.godwithoist.cli.log;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What the logs tell of one call: its attempts, its end, and what its daemon believed of the store
+ * and of itself at that time.
+ */
+public final class CallStory {
+    private final String id;
+    private final List<LogEntry> lines = new ArrayList<>();
+
+    /** Last state of each kind, by source and kind, until the first line of the call. */
+    private final Map<String, Map<String, LogEntry>> states = new HashMap<>();
+
+    private CallStory(String id) {
+        this.id = id;
+    }
+
+    /**
+     * Reads the story of a call.
+     *
+     * @param id the call's id
+     * @return the story as JSON; empty if no line names the call
+     */
+    public static Optional<JsonObject> of(String id, LogFiles files) throws IOException {
+        CallStory story = new CallStory(id);
+        files.forEach(story::take);
+        return story.lines.isEmpty() ? Optional.empty() : Optional.of(story.toJson());
+    }
+
+    private void take(LogEntry entry) {
+        if (id.equals(entry.fields().getString("id"))) {
+            lines.add(entry);
+            return;
+        }
+        Optional<String> kind = StateEvent.kindOf(entry);
+        boolean over = lines.stream().anyMatch(l -> l.source().equals(entry.source()));
+        if (kind.isPresent() && !over) {
+            states.computeIfAbsent(entry.source(), s -> new LinkedHashMap<>())
+                    .put(kind.get(), entry);
+        }
+    }
+
+    private JsonObject toJson() {
+        lines.sort(Comparator.comparingLong(LogEntry::atMs));
+        long first = lines.getFirst().atMs();
+        JsonObject json = new JsonObject().put("call", id).put("first_line_at_ms", first);
+        JsonArray told = new JsonArray();
+        for (LogEntry line : lines) {
+            JsonObject row =
+                    new JsonObject()
+                            .put("after_ms", line.atMs() - first)
+                            .put("daemon", line.source())
+                            .put("event", line.event());
+            JsonObject details = line.details();
+            details.remove("id");
+            told.add(row.mergeIn(details));
+        }
+        return json.put("lines", told).put("state_before", stateBefore(first));
+    }
+
+    private JsonArray stateBefore(long first) {
+        JsonArray before = new JsonArray();
+        lines.stream()
+                .map(LogEntry::source)
+                .distinct()
+                .flatMap(s -> states.getOrDefault(s, Map.of()).values().stream())
+                .forEach(
+                        e ->
+                                before.add(
+                                        new JsonObject()
+                                                .put("age_ms", first - e.atMs())
+                                                .put("daemon", e.source())
+                                                .put("event", e.event())
+                                                .mergeIn(e.details())));
+        return before;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/log/LogFiles.java
@@ -0,0 +1,82 @@
+package org.godwithoist.cli.log;
+
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Reads log files line by line, so that their size does not matter. */
+public final class LogFiles {
+    private final List<Path> files;
+    private long unreadable;
+
+    /** Makes a reader. */
+    public LogFiles(List<Path> files) {
+        this.files = List.copyOf(files);
+    }
+
+    /**
+     * Hands on each line that a daemon wrote, in the order of the files.
+     *
+     * @throws IOException if a file cannot be read; the message names it
+     */
+    public void forEach(Consumer<LogEntry> reader) throws IOException {
+        unreadable = 0;
+        for (Path file : files) {
+            try (BufferedReader lines = Files.newBufferedReader(file)) {
+                for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                    read(file, line, reader);
+                }
+            } catch (IOException e) {
+                throw new IOException("cannot read " + file + ": " + e.getMessage(), e);
+            }
+        }
+    }
+
+    /** Returns the lines of the last reading that no daemon wrote. */
+    public long unreadable() {
+        return unreadable;
+    }
+
+    private void read(Path file, String line, Consumer<LogEntry> reader) {
+        Optional<LogEntry> entry = entry(file, line);
+        if (entry.isPresent()) {
+            reader.accept(entry.get());
+        } else if (!line.isBlank()) {
+            unreadable++;
+        }
+    }
+
+    private static Optional<LogEntry> entry(Path file, String line) {
+        int brace = line.indexOf('{');
+        if (brace < 0) {
+            return Optional.empty();
+        }
+        try {
+            JsonObject fields = new JsonObject(line.substring(brace));
+            Long at = fields.getLong("at_ms");
+            String event = fields.getString("event");
+            if (at == null || event == null) {
+                return Optional.empty();
+            }
+            return Optional.of(new LogEntry(at, source(file, line, brace), event, fields));
+        } catch (DecodeException | ClassCastException e) {
+            // The caller counts the line.
+            return Optional.empty();
+        }
+    }
+
+    /** Collectors put a host's name before each line, often after a time. */
+    private static String source(Path file, String line, int brace) {
+        String before = line.substring(0, brace).strip();
+        if (before.isEmpty()) {
+            return String.valueOf(file.getFileName());
+        }
+        return before.substring(before.lastIndexOf(' ') + 1);
+    }
+}
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -196,7 +196,8 @@
                 settings.bounds().fleet(),
                 StoreTable.daemons(settings.store(), ticker),
                 exchange::listed,
-                log);
+                log,
+                ticker);
     }
 
     private void followStore() {
--- a/edge/src/main/java/org/godwithoist/edge/FleetList.java
+++ b/edge/src/main/java/org/godwithoist/edge/FleetList.java
@@ -4,24 +4,30 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.peers.Member;
-import org.godwithoist.platform.StoreTable;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.WritableTable;
 import org.godwithoist.targets.FleetShare;
 
 /**
- * The daemons that may be at work, each of which writes a row with its address for messages once
- * when it starts. Rows of hosts that are gone stay, which makes the shares smaller than they need
- * be and never too large. The list is read now and then, not followed: a change of one row would
- * otherwise cost a call of each daemon.
+ * The daemons that may be at work, each of which has a row with its address for messages, written
+ * when it starts on a new host. Rows of hosts that are gone stay, which makes the shares smaller
+ * than they need be and never too large. The list is read now and then, not followed: a change of
+ * one row would otherwise cost a call of each daemon. A daemon that was not listed is a newcomer
+ * until all others have looked again.
  */
 final class FleetList {
     /** Daemons start together; by then all have written their rows. */
@@ -33,12 +39,17 @@
     private static final Duration NEXT_LOOK = Duration.ofSeconds(12);
     private static final Duration AFTER_FAILURE = Duration.ofSeconds(1);
 
+    /** By then all others have looked again, also after a look that failed. */
+    private static final Duration NEWCOMER = NEXT_LOOK.plus(SECOND_LOOK);
+
     private final Member self;
-    private final StoreTable table;
+    private final WritableTable table;
     private final Consumer<Collection<Member>> listener;
     private final EventLog log;
+    private final Ticker ticker;
     private volatile FleetShare share;
     private boolean registered;
+    private volatile OptionalLong newcomerUntil = OptionalLong.empty();
 
     /**
      * Makes a list that has not been read.
@@ -50,20 +61,28 @@
     FleetList(
             Member self,
             int assumed,
-            StoreTable table,
+            WritableTable table,
             Consumer<Collection<Member>> listener,
-            EventLog log) {
+            EventLog log,
+            Ticker ticker) {
         this.self = self;
         this.table = table;
         this.listener = listener;
         this.log = log;
-        int rank = Math.floorMod(self.host().value().hashCode(), assumed);
+        this.ticker = ticker;
+        int rank = Math.floorMod(name().hashCode(), assumed);
         share = new FleetShare(assumed, rank);
     }
 
     /** Returns this daemon's share of limits of the fleet. */
     FleetShare share() {
-        return share;
+        FleetShare now = share;
+        return now.newcomer() && !newcomer() ? now.withOthersKnowing() : now;
+    }
+
+    private boolean newcomer() {
+        OptionalLong until = newcomerUntil;
+        return until.isPresent() && ticker.nanos() - until.getAsLong() < 0;
     }
 
     void start() {
@@ -78,37 +97,53 @@
     }
 
     /** Makes one step and returns the time until the next one. */
-    private Duration step() {
+    Duration step() {
         try {
-            if (!registered) {
-                table.write(self.host().value(), row(self));
-                registered = true;
-                look();
-                return SECOND_LOOK;
+            List<FeedRow> rows = table.readAll().rows();
+            boolean first = !registered;
+            if (first) {
+                register(rows);
             }
-            look();
-            return NEXT_LOOK;
+            take(rows);
+            return first ? SECOND_LOOK : NEXT_LOOK;
         } catch (IOException e) {
             log.event("fleet_list_failed").with("reason", String.valueOf(e.getMessage())).write();
             return AFTER_FAILURE;
         }
     }
 
-    private void look() throws IOException {
-        List<FeedRow> rows = table.readAll().rows();
+    /** Writes this daemon's row, unless it stands there from an earlier start. */
+    private void register(List<FeedRow> rows) throws IOException {
+        Optional<FeedRow> mine = rows.stream().filter(r -> r.key().equals(name())).findFirst();
+        if (mine.isEmpty() && !rows.isEmpty() && newcomerUntil.isEmpty()) {
+            newcomerUntil = OptionalLong.of(ticker.nanos() + NEWCOMER.toNanos());
+        }
+        byte[] value = row(self);
+        if (mine.isEmpty() || !Arrays.equals(mine.get().value(), value)) {
+            table.write(name(), value);
+        }
+        registered = true;
+    }
+
+    private void take(List<FeedRow> rows) {
         listener.accept(members(rows));
-        List<String> names = rows.stream().map(FeedRow::key).sorted().toList();
-        int rank = names.indexOf(self.host().value());
-        FleetShare next =
-                rank < 0
-                        ? new FleetShare(names.size() + 1, names.size())
-                        : new FleetShare(names.size(), rank);
+        TreeSet<String> names = new TreeSet<>(List.of(name()));
+        rows.forEach(r -> names.add(r.key()));
+        FleetShare next = new FleetShare(names.size(), names.headSet(name()).size(), newcomer());
         if (!next.equals(share)) {
             share = next;
-            log.event("fleet").with("members", next.members()).with("rank", next.rank()).write();
+            log.event("fleet")
+                    .with("members", next.members())
+                    .with("rank", next.rank())
+                    .with("newcomer", next.newcomer())
+                    .write();
         }
     }
 
+    private String name() {
+        return self.host().value();
+    }
+
     private List<Member> members(List<FeedRow> rows) {
         List<Member> members = new ArrayList<>();
         for (FeedRow row : rows) {
