Let one table's failed call keep members from the store for all tables

While the store is down and the leader has no news, each member tried the store for each of its two tables. RelayedFeedTest.oneTableAsksForAll, seen to fail before (two calls in place of one).

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -30,6 +30,7 @@
 import org.godwithoist.platform.OperatorRows;
 import org.godwithoist.platform.RunnerRows;
 import org.godwithoist.platform.StoreTable;
+import org.godwithoist.relay.Cooldown;
 import org.godwithoist.relay.Leadership;
 import org.godwithoist.relay.RecentChanges;
 import org.godwithoist.relay.RelayTiming;
@@ -75,6 +76,7 @@
     private final PeerLoads peers;
     private final FeedLog operatorFeed;
     private final FeedLog targetFeed;
+    private final Cooldown storeAside;
     private final RecentChanges operatorChanges;
     private final RecentChanges targetChanges;
     private final HttpTargetGateway gateway;
@@ -100,6 +102,7 @@
         peers = new PeerLoads(ticker);
         operatorFeed = new FeedLog(log, "operator", this::openIfKnown, this::storeReturned);
         targetFeed = new FeedLog(log, "targets", this::openIfKnown, () -> {});
+        storeAside = new Cooldown(ticker);
         operatorChanges = new RecentChanges(ticker);
         targetChanges = new RecentChanges(ticker);
         gateway = new HttpTargetGateway(dialect, ticker);
@@ -228,6 +231,7 @@
                         store,
                         recent,
                         new RelayConnection(ticker),
+                        storeAside,
                         new Leadership(exchange::leader, exchange::leads),
                         this::relayTiming,
                         log,
--- a/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
+++ b/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
@@ -58,6 +58,7 @@
      * @param store the table at the store
      * @param recent takes the changes while this daemon leads
      * @param client asks the leader
+     * @param storeAside span during which members leave the store alone, the same for all tables
      * @param leadership who leads
      * @param timing times in force
      */
@@ -66,6 +67,7 @@
             TableFeed store,
             RecentChanges recent,
             RelayClient client,
+            Cooldown storeAside,
             Leadership leadership,
             Supplier<RelayTiming> timing,
             EventLog log,
@@ -73,14 +75,12 @@
 
     private final Parts parts;
     private final Cooldown leaderAside;
-    private final Cooldown storeAside;
     private Source source = Source.STORE;
 
     /** Makes a feed that asks the store first. */
     public RelayedFeed(Parts parts) {
         this.parts = parts;
         leaderAside = new Cooldown(parts.ticker());
-        storeAside = new Cooldown(parts.ticker());
     }
 
     /** Returns the time between an answer with changes and the next call. */
@@ -146,7 +146,8 @@
                 return page.get();
             }
         }
-        if (storeAside.active()) {
+        if (parts.storeAside().active()) {
+            leaderAside.end();
             throw new IOException("neither the leader " + leader + " nor the store has answered");
         }
         return besideLeader(after, shorter(wait, AT_STORE));
@@ -159,7 +160,7 @@
         try {
             FeedPage page = parts.client().changes(leader, question, timing.answerMargin());
             source(Source.LEADER, leader.toString());
-            storeAside.end();
+            parts.storeAside().end();
             return Optional.of(page);
         } catch (IOException e) {
             source(Source.STORE, leader + ": " + e.getMessage());
@@ -177,7 +178,7 @@
             return page;
         } catch (IOException e) {
             leaderAside.end();
-            storeAside.start(STORE_LEFT_ALONE);
+            parts.storeAside().start(STORE_LEFT_ALONE);
             throw e;
         }
     }
--- a/relay/src/test/java/org/godwithoist/relay/RelayFleetTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RelayFleetTest.java
@@ -72,6 +72,7 @@
                                     store,
                                     recent,
                                     this,
+                                    new Cooldown(ticker),
                                     new Leadership(
                                             () -> Optional.of(leader), () -> at.equals(leader)),
                                     () -> TIMING,
--- a/relay/src/test/java/org/godwithoist/relay/RelayedFeedTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RelayedFeedTest.java
@@ -83,17 +83,22 @@
     private Duration news = Duration.ofSeconds(3);
     private Optional<Endpoint> known = Optional.of(LEADER);
     private boolean leads;
-    private final RelayedFeed feed =
-            new RelayedFeed(
-                    new RelayedFeed.Parts(
-                            TABLE,
-                            store,
-                            recent,
-                            leader,
-                            new Leadership(() -> known, () -> leads),
-                            () -> new RelayTiming(news),
-                            EventLog.start(OutputStream.nullOutputStream()),
-                            ticker));
+    private final Cooldown storeAside = new Cooldown(ticker);
+    private final RelayedFeed feed = feed(TABLE);
+
+    private RelayedFeed feed(TableName table) {
+        return new RelayedFeed(
+                new RelayedFeed.Parts(
+                        table,
+                        store,
+                        recent,
+                        leader,
+                        storeAside,
+                        new Leadership(() -> known, () -> leads),
+                        () -> new RelayTiming(news),
+                        EventLog.start(OutputStream.nullOutputStream()),
+                        ticker));
+    }
 
     private FeedPage ask() throws IOException, HistoryGoneException {
         return feed.changes(10, LONG_WAIT);
@@ -183,6 +188,17 @@
             assertEquals(5, store.waits.size());
         }
 
+        /** Guards against a call for each table while one has shown that the store is down. */
+        @Test
+        void oneTableAsksForAll() {
+            leader.answers = false;
+            store.answers = false;
+            RelayedFeed other = feed(new TableName("operator"));
+            assertThrows(IOException.class, RelayedFeedTest.this::ask);
+            assertThrows(IOException.class, () -> other.changes(10, LONG_WAIT));
+            assertEquals(1, store.waits.size());
+        }
+
         /** Guards against members that notice the return of the store later than the leader. */
         @Test
         void leaderIsAskedEachTime() throws Exception {
