--- a/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/Fleet.java
@@ -3,7 +3,6 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -16,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.godwithoist.core.net.LoopbackPorts;
 import org.godwithoist.daemon.DaemonMain;
 import org.godwithoist.standins.StandinMain;
 
@@ -46,7 +46,7 @@
 
     /** Starts the stand-ins and the daemons and rolls the bundle. */
     public void start(int engines, int daemons) throws IOException, InterruptedException {
-        int platform = freePort();
+        int platform = LoopbackPorts.next();
         ports.put("platform", platform);
         startStandin("platform", "PLATFORM", platform);
         for (int i = 1; i <= engines; i++) {
@@ -112,14 +112,14 @@
     }
 
     private void startService(String id, String domain) throws IOException {
-        int port = freePort();
+        int port = LoopbackPorts.next();
         ports.put(id, port);
         startStandin(id, "SERVICE", port);
         addTarget(id, "service", "tickets", domain, port);
     }
 
     void startEngine(String id, String domain) throws IOException {
-        int port = freePort();
+        int port = LoopbackPorts.next();
         ports.put(id, port);
         startStandin(id, "ENGINE", port);
         addTarget(id, "engine", "assistants", domain, port);
@@ -185,7 +185,7 @@
 
     private void addDaemon(String host, String domain) throws IOException {
         for (String port : List.of("", "-operators", "-peers")) {
-            ports.put(host + port, freePort());
+            ports.put(host + port, LoopbackPorts.next());
         }
         JsonObject settings =
                 new JsonObject()
@@ -264,10 +264,4 @@
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/membership/src/test/java/org/godwithoist/membership/TestPorts.java
+++ b/core/src/main/java/org/godwithoist/core/net/LoopbackPorts.java
@@ -1,4 +1,4 @@
-package org.godwithoist.membership;
+package org.godwithoist.core.net;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -7,11 +7,12 @@
 import java.util.List;
 
 /**
- * Ports for daemons under test. Test processes run side by side, and a daemon listens some time
- * after its port was chosen. Each process therefore holds the first port of a block while it lives,
- * and takes its ports from that block alone.
+ * Ports of loopback for processes that this one starts: in tests, the demonstration and the
+ * training run. Such processes run side by side, and a daemon listens some time after its port was
+ * chosen. Each process therefore holds the first port of a block while it lives, and takes its
+ * ports from that block alone.
  */
-final class TestPorts {
+public final class LoopbackPorts {
     /**
      * First port of all blocks. The blocks lie below the range from which the system takes ports of
      * outgoing connections.
@@ -27,10 +28,14 @@
     private static int block = (int) (ProcessHandle.current().pid() % BLOCKS);
     private static int used = BLOCK_SIZE;
 
-    private TestPorts() {}
+    private LoopbackPorts() {}
 
-    /** Returns a port of loopback on which nothing listens. */
-    static synchronized int next() {
+    /**
+     * Returns a port of loopback on which nothing listens.
+     *
+     * @throws IllegalStateException if other processes hold all blocks
+     */
+    public static synchronized int next() {
         while (true) {
             if (used == BLOCK_SIZE) {
                 holdNextBlock();
--- /dev/null
+++ b/core/src/main/java/org/godwithoist/core/net/package-info.java
@@ -0,0 +1,2 @@
+/** Addresses on this machine. */
+package org.godwithoist.core.net;
--- a/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoSetup.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/DemoSetup.java
@@ -3,7 +3,6 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,6 +12,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
+import org.godwithoist.core.net.LoopbackPorts;
 import org.godwithoist.loadtool.trace.Deployment;
 import org.godwithoist.standins.engine.EngineOptions;
 import org.kohsuke.args4j.CmdLineException;
@@ -78,7 +78,7 @@
 
     private void write() throws IOException {
         Deployment d = Deployment.valueOf(deployment.toUpperCase(Locale.ROOT));
-        int platform = freePort();
+        int platform = LoopbackPorts.next();
         processes.add("standin platform PLATFORM " + LOOPBACK + platform);
         int engineCount = engines == 0 ? d.engines() : engines;
         for (int i = 1; i <= engineCount; i++) {
@@ -102,7 +102,7 @@
     private void addTarget(
             String id, String kind, String pool, int number, Deployment d, JsonArray map)
             throws IOException {
-        int port = freePort();
+        int port = LoopbackPorts.next();
         processes.add("standin " + id + " " + kind + " " + LOOPBACK + port);
         hosts.add(
                 new JsonObject()
@@ -121,9 +121,9 @@
     }
 
     private void addDaemon(String host, String domain, int platform) throws IOException {
-        String callers = LOOPBACK + freePort();
-        String operators = LOOPBACK + freePort();
-        String peers = LOOPBACK + freePort();
+        String callers = LOOPBACK + LoopbackPorts.next();
+        String operators = LOOPBACK + LoopbackPorts.next();
+        String peers = LOOPBACK + LoopbackPorts.next();
         JsonObject settings =
                 new JsonObject()
                         .put("host", host)
@@ -257,10 +257,4 @@
             throw new IllegalStateException("every JDK has SHA-256", e);
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
 }
--- a/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
+++ b/membership/src/test/java/org/godwithoist/membership/TestDaemon.java
@@ -16,6 +16,7 @@
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.PoolId;
 import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.net.LoopbackPorts;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.membership.wire.GrpcExchange;
@@ -73,7 +74,7 @@
         return new Member(
                 new HostId("h" + n),
                 new FailureDomainId("d" + n % 3),
-                new Endpoint(LOOPBACK, TestPorts.next()),
+                new Endpoint(LOOPBACK, LoopbackPorts.next()),
                 incarnation);
     }
 
--- a/standins/src/main/java/org/godwithoist/standins/edge/TrainingMain.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/TrainingMain.java
@@ -4,7 +4,6 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -13,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.net.LoopbackPorts;
 import org.godwithoist.core.task.Tasks;
 
 /**
@@ -37,7 +37,7 @@
     public static void main(String[] args) throws IOException, InterruptedException {
         Path settings = Path.of(args[0], "training.conf");
         List<String> command = new ArrayList<>(List.of(args).subList(1, args.length));
-        int front = freePort();
+        int front = LoopbackPorts.next();
         try (RowStoreStandin store = new RowStoreStandin();
                 RunnerStandin model = new RunnerStandin("model-1", "models", 5, EVENT_GAP);
                 RunnerStandin other = new RunnerStandin("model-2", "models", 5, EVENT_GAP);
@@ -50,10 +50,10 @@
             }
             store.put("daemons", "another", "127.0.0.1:" + peer.getLocalPort() + " zone-b");
             Tasks.start("peer", () -> returnMessages(peer));
-            int ready = freePort();
+            int ready = LoopbackPorts.next();
             Files.writeString(
                     settings, EdgeSettingsText.of("training", front, ready, store.endpoint()));
-            command.add(Integer.toString(freePort()));
+            command.add(Integer.toString(LoopbackPorts.next()));
             ProcessBuilder builder = new ProcessBuilder(command).inheritIO();
             builder.environment().put("GODWITHOIST_NODE_FILE", settings.toString());
             Process daemon = builder.start();
@@ -146,10 +146,4 @@
             return false;
         }
     }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket probe = new ServerSocket(0)) {
-            return probe.getLocalPort();
-        }
-    }
 }
