Serve members that are behind a leader's first answer

A leader knows no changes before the version from which it first asked, and members that read the table a moment earlier stay behind it while it does not change.

Change: the leader asks the store once from the lowest version of such members, leaves out rows that it has had, and goes on from its own version if the store's history does not reach back. RecentChangesTest.storeIsAskedFromTheVersionOfTheMemberThatIsBehind failed first (no such question).

--- a/relay/src/main/java/org/godwithoist/relay/RecentChanges.java
+++ b/relay/src/main/java/org/godwithoist/relay/RecentChanges.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
@@ -28,6 +29,7 @@
 
     private boolean known;
     private long floor;
+    private OptionalLong wanted = OptionalLong.empty();
     private long version;
     private long knownAt;
     private long bytes;
@@ -54,6 +56,19 @@
         notifyAll();
     }
 
+    /**
+     * Returns the version from which to ask the store next: that of a member which could not be
+     * served because it is behind the first answer, or else that of this daemon. A table that does
+     * not change would otherwise keep such members away for good.
+     *
+     * @param after version up to which this daemon knows the table
+     */
+    synchronized long next(long after) {
+        long from = wanted.isPresent() ? Math.min(wanted.getAsLong(), after) : after;
+        wanted = OptionalLong.empty();
+        return from;
+    }
+
     private void restart(long after) {
         rows.clear();
         bytes = 0;
@@ -95,6 +110,9 @@
      */
     public synchronized Optional<FeedPage> after(long after, Duration wait, Duration fresh)
             throws InterruptedException {
+        if (known && after < floor) {
+            wanted = OptionalLong.of(Math.min(after, wanted.orElse(after)));
+        }
         long deadline = ticker.nanos() + wait.toNanos();
         while (known && after >= floor) {
             long now = ticker.nanos();
--- a/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
+++ b/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.feed.FeedPage;
+import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.HistoryGoneException;
 import org.godwithoist.store.feed.TableFeed;
 
@@ -115,17 +117,30 @@
 
     private FeedPage asLeader(long after, Duration wait) throws IOException, HistoryGoneException {
         source(Source.STORE_AS_LEADER, "this daemon leads");
+        long from = parts.recent().next(after);
         long asked = parts.ticker().nanos();
         try {
-            FeedPage page = parts.store().changes(after, wait);
-            parts.recent().add(after, page, heldAt(page, asked, wait));
-            return page;
-        } catch (IOException | HistoryGoneException e) {
+            FeedPage page = parts.store().changes(from, wait);
+            parts.recent().add(from, page, heldAt(page, asked, wait));
+            return newer(page, after);
+        } catch (HistoryGoneException e) {
+            parts.recent().lost();
+            if (from == after) {
+                throw e;
+            }
+            return new FeedPage(List.of(), after);
+        } catch (IOException e) {
             parts.recent().lost();
             throw e;
         }
     }
 
+    /** Leaves out rows that this daemon has had, which were asked for a member. */
+    private static FeedPage newer(FeedPage page, long after) {
+        List<FeedRow> rows = page.rows().stream().filter(r -> r.version() > after).toList();
+        return new FeedPage(rows, page.version());
+    }
+
     /**
      * Returns the earliest instant at which the store can have answered. An answer may be long on
      * its way; one without changes left the store at the end of the wait.
--- a/relay/src/test/java/org/godwithoist/relay/RecentChangesTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RecentChangesTest.java
@@ -114,6 +114,24 @@
             assertTrue(after(9).isEmpty());
         }
 
+        /**
+         * Guards against a member that is never served, because the table does not change. Seen on
+         * bench-ops-grown: 3 of 69 members followed the operator's table at their leader.
+         */
+        @Test
+        void storeIsAskedFromTheVersionOfTheMemberThatIsBehind() throws InterruptedException {
+            add(10, 12);
+            assertEquals(12, recent.next(12));
+            assertTrue(after(8).isEmpty());
+            assertTrue(after(7).isEmpty());
+            assertTrue(after(9).isEmpty());
+            long from = recent.next(12);
+            assertEquals(7, from);
+            add(from, 12);
+            assertEquals(List.of(), keysAfter(7));
+            assertEquals(12, recent.next(12));
+        }
+
         /** Guards against a gap between two spans in which this daemon led. */
         @Test
         void gapStartsTheListAnew() throws InterruptedException {
--- a/relay/src/test/java/org/godwithoist/relay/RelayedFeedTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RelayedFeedTest.java
@@ -30,6 +30,8 @@
     /** A store whose answers take the time that they are told to take. */
     private final class Store implements TableFeed {
         private final List<Duration> waits = new ArrayList<>();
+        private final List<Long> versions = new ArrayList<>();
+        private boolean historyReachesBack = true;
         private boolean answers = true;
         private Duration answerTakes = Duration.ZERO;
         private List<FeedRow> rows = List.of();
@@ -40,8 +42,13 @@
         }
 
         @Override
-        public FeedPage changes(long after, Duration wait) throws IOException {
+        public FeedPage changes(long after, Duration wait)
+                throws IOException, HistoryGoneException {
             waits.add(wait);
+            versions.add(after);
+            if (after < 10 && !historyReachesBack) {
+                throw new HistoryGoneException("gone");
+            }
             ticker.advance(answerTakes);
             if (!answers) {
                 throw new IOException("the store is down");
@@ -251,6 +258,38 @@
             assertTrue(passedOn().isEmpty());
         }
 
+        /** Guards against rows that the leader takes a second time, as a cold target's entry. */
+        @Test
+        void rowsAskedForAMemberAreNotTakenAgain() throws Exception {
+            leads = true;
+            store.rows = List.of(new FeedRow("a", new byte[0], 9, false));
+            ask();
+            assertTrue(recent.after(8, Duration.ZERO, Duration.ofSeconds(1)).isEmpty());
+            assertEquals(List.of(), ask().rows());
+            assertEquals(List.of(10L, 8L), store.versions);
+            assertEquals(
+                    1,
+                    recent.after(8, Duration.ZERO, Duration.ofSeconds(1))
+                            .orElseThrow()
+                            .rows()
+                            .size());
+        }
+
+        /**
+         * Pattern: the store forgets its history ({@code platform_compact}). Guards against a
+         * leader that reads its table whole because a member is far behind.
+         */
+        @Test
+        void memberFarBehindDoesNotDisturbTheLeader() throws Exception {
+            leads = true;
+            store.historyReachesBack = false;
+            ask();
+            assertTrue(recent.after(3, Duration.ZERO, Duration.ofSeconds(1)).isEmpty());
+            assertEquals(List.of(), ask().rows());
+            assertEquals(12, ask().version());
+            assertEquals(List.of(10L, 3L, 10L), store.versions);
+        }
+
         /** Guards against a daemon that led once and passes on old news. */
         @Test
         void daemonThatNoLongerLeadsPassesNothingOn() throws Exception {
