Read an answer of the store as long as it arrives

After 6 s in which the store was silent for a third of the hosts, the operator's feed held twelve versions of a configuration with 260 routes. The first call after a failure does not wait, so it was given 1 s as a whole; on links of 7 to 20 Mbit/s the answer takes longer, was given up ("no byte in time") and asked for again, until the history was gone 18 s later.

Ruled out: the leader (north-1, on a faster link, had all versions 0.1 s after the store's return), a follower that hangs (the table was read whole once the store answered 410).

Change: the limit holds for the first byte; after it, for the pause between parts. StoreConnectionTest.SlowLink failed first with the same message; SilentStore keeps the bound on silence within an answer.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
@@ -39,6 +40,7 @@
     private Runnable endAction;
     private boolean hasReadLimit;
     private long readUntil;
+    private long pauseNanos;
 
     /** Takes over a connected socket and starts to read from it. */
     public ReadAheadSocket(Socket socket, String name, Ticker ticker) throws IOException {
@@ -66,10 +68,22 @@
 
     /** Has reads fail with a {@link SocketTimeoutException} from an instant on. */
     public void readUntil(long nanos) {
+        readUntil(nanos, Duration.ZERO);
+    }
+
+    /**
+     * Has reads fail with a {@link SocketTimeoutException} if no byte has arrived by an instant,
+     * and after that if none arrives for a while.
+     *
+     * @param nanos instant for the first byte
+     * @param pause longest time between two reads that get bytes; zero to keep the instant for all
+     */
+    public void readUntil(long nanos, Duration pause) {
         lock.lock();
         try {
             hasReadLimit = true;
             readUntil = nanos;
+            pauseNanos = pause.toNanos();
         } finally {
             lock.unlock();
         }
@@ -233,6 +247,9 @@
                 if (position == limit) {
                     changed.signalAll();
                 }
+                if (pauseNanos > 0) {
+                    readUntil = ticker.nanos() + pauseNanos;
+                }
                 return n;
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
