Keep serving members that were behind a leader's first answer

Cause: the store answers with the version asked for while nothing changes.

Change: the list goes on from the version up to which the leader knew the table. RecentChangesTest.memberThatWasBehindStaysServed fails without it.

--- a/relay/src/main/java/org/godwithoist/relay/RecentChanges.java
+++ b/relay/src/main/java/org/godwithoist/relay/RecentChanges.java
@@ -42,15 +42,17 @@
     /**
      * Adds an answer of the store.
      *
-     * @param after version from which the changes were asked for
+     * @param from version from which the changes were asked for
+     * @param upTo version up to which this daemon knew the table before; the answer itself may bear
+     *     a lower one if nothing has changed
      * @param at instant at which the store held no other changes, at the earliest, in nanoseconds
      */
-    synchronized void add(long after, FeedPage page, long at) {
-        if (!known || after != version) {
-            restart(after);
+    synchronized void add(long from, long upTo, FeedPage page, long at) {
+        if (!known || from != version) {
+            restart(from);
         }
         page.rows().forEach(this::put);
-        version = Math.max(after, page.version());
+        version = Math.max(upTo, page.version());
         knownAt = at;
         dropOldest();
         notifyAll();
--- a/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
+++ b/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
@@ -121,7 +121,7 @@
         long asked = parts.ticker().nanos();
         try {
             FeedPage page = parts.store().changes(from, wait);
-            parts.recent().add(from, page, heldAt(page, asked, wait));
+            parts.recent().add(from, after, page, heldAt(page, asked, wait));
             return newer(page, after);
         } catch (HistoryGoneException e) {
             parts.recent().lost();
--- a/relay/src/test/java/org/godwithoist/relay/RecentChangesTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RecentChangesTest.java
@@ -30,7 +30,7 @@
     }
 
     private void add(long after, long version, FeedRow... rows) {
-        recent.add(after, new FeedPage(List.of(rows), version), ticker.nanos());
+        recent.add(after, after, new FeedPage(List.of(rows), version), ticker.nanos());
     }
 
     private Optional<FeedPage> after(long version) throws InterruptedException {
@@ -64,12 +64,12 @@
         @Test
         void changeEndsTheWait() throws Exception {
             RecentChanges live = new RecentChanges(Ticker.SYSTEM);
-            live.add(10, new FeedPage(List.of(), 10), System.nanoTime());
+            live.add(10, 10, new FeedPage(List.of(), 10), System.nanoTime());
             CompletableFuture<Optional<FeedPage>> answer = new CompletableFuture<>();
             Tasks.start("member", () -> answer.complete(waitFor(live)));
             Thread.sleep(50);
             assertFalse(answer.isDone());
-            live.add(10, new FeedPage(List.of(row("a", 11)), 11), System.nanoTime());
+            live.add(10, 10, new FeedPage(List.of(row("a", 11)), 11), System.nanoTime());
             assertEquals(1, answer.get(2, TimeUnit.SECONDS).orElseThrow().rows().size());
         }
 
@@ -132,6 +132,19 @@
             assertEquals(12, recent.next(12));
         }
 
+        /**
+         * Guards against a member that is served once and then refused again: the store answers
+         * with the version asked for while nothing changes. Seen on bench-ops-grown.
+         */
+        @Test
+        void memberThatWasBehindStaysServed() throws InterruptedException {
+            add(12, 12);
+            assertTrue(after(7).isEmpty());
+            recent.add(recent.next(12), 12, new FeedPage(List.of(), 7), ticker.nanos());
+            add(12, 12);
+            assertEquals(List.of(), keysAfter(7));
+        }
+
         /** Guards against a gap between two spans in which this daemon led. */
         @Test
         void gapStartsTheListAnew() throws InterruptedException {
--- a/relay/src/test/java/org/godwithoist/relay/RelayedNews.java
+++ b/relay/src/test/java/org/godwithoist/relay/RelayedNews.java
@@ -16,7 +16,7 @@
 
     /** Adds an answer of the store. */
     public void add(long after, FeedPage page) {
-        recent.add(after, page, Ticker.SYSTEM.nanos());
+        recent.add(after, after, page, Ticker.SYSTEM.nanos());
     }
 
     /** Returns the table that is passed on. */
