--- a/accounting/src/main/java/org/godwithoist/accounting/FlushInterval.java
+++ b/accounting/src/main/java/org/godwithoist/accounting/FlushInterval.java
@@ -1,6 +1,7 @@
 package org.godwithoist.accounting;
 
 import java.time.Duration;
+import org.godwithoist.core.time.Durations;
 
 /** Time between two settlements of a daemon. */
 public final class FlushInterval {
@@ -17,7 +18,6 @@
 
     /** Returns the interval for a fleet with the given number of daemons. */
     public static Duration of(int daemons) {
-        Duration shared = PER_DAEMON.multipliedBy(daemons);
-        return shared.compareTo(SHORTEST) > 0 ? shared : SHORTEST;
+        return Durations.max(PER_DAEMON.multipliedBy(daemons), SHORTEST);
     }
 }
--- a/admission/src/main/java/org/godwithoist/admission/SlotCache.java
+++ b/admission/src/main/java/org/godwithoist/admission/SlotCache.java
@@ -15,6 +15,7 @@
 import org.godwithoist.core.Priority;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.id.WorkspaceId;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 
 /**
@@ -581,7 +582,7 @@
     }
 
     private static HolderReport.Demand sum(HolderReport.Demand a, HolderReport.Demand b) {
-        Duration waited = a.waited().compareTo(b.waited()) > 0 ? a.waited() : b.waited();
+        Duration waited = Durations.max(a.waited(), b.waited());
         return new HolderReport.Demand(
                 a.target(), a.workspace(), a.priority(), a.count() + b.count(), waited);
     }
--- a/core/src/main/java/org/godwithoist/core/time/Deadline.java
+++ b/core/src/main/java/org/godwithoist/core/time/Deadline.java
@@ -26,7 +26,6 @@
 
     /** Returns the smaller of the given time and the time left. */
     public Duration cap(Duration time) {
-        Duration left = left();
-        return left.compareTo(time) < 0 ? left : time;
+        return Durations.min(left(), time);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Call.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Call.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 
 /**
@@ -16,8 +17,7 @@
 public record Call(CallHead head, byte[] body, boolean hasBody, long arrivedAt) {
     /** Returns the instant by which the call must be answered, given its route's time-out. */
     Deadline deadline(Duration timeout, Ticker ticker) {
-        Duration patience = head.patience().orElse(timeout);
-        Duration wait = patience.compareTo(timeout) < 0 ? patience : timeout;
+        Duration wait = Durations.min(head.patience().orElse(timeout), timeout);
         return new Deadline(arrivedAt + wait.toNanos(), ticker);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/SilenceLimit.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/SilenceLimit.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.godwithoist.catalog.Route;
+import org.godwithoist.core.time.Durations;
 
 /**
  * How long a target may say nothing before a call is sent to another one. It is given up well
@@ -17,7 +18,6 @@
     static Duration of(Route route) {
         Duration first = route.targetLatency().multipliedBy(LATENCY_MULTIPLE);
         Duration gap = route.gapTarget().multipliedBy(GAP_MULTIPLE);
-        Duration longer = first.compareTo(gap) > 0 ? first : gap;
-        return longer.compareTo(SHORTEST) > 0 ? longer : SHORTEST;
+        return Durations.max(Durations.max(first, gap), SHORTEST);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/StartGate.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/StartGate.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.godwithoist.core.time.Durations;
 
 /**
  * Holds calls until a daemon that has just started knows its catalog and its targets. After a power
@@ -32,7 +33,7 @@
             return true;
         }
         Duration part = head.patience().orElse(LONGEST_WAIT).dividedBy(PATIENCE_DIVISOR);
-        Duration wait = part.compareTo(LONGEST_WAIT) < 0 ? part : LONGEST_WAIT;
+        Duration wait = Durations.min(part, LONGEST_WAIT);
         try {
             return closed.await(wait.toNanos(), TimeUnit.NANOSECONDS);
         } catch (InterruptedException e) {
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -18,6 +18,7 @@
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.OperatorName;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.HostList;
 
@@ -241,7 +242,7 @@
             return Duration.ZERO;
         }
         Duration most = wait.minus(MIN_WAIT);
-        return most.isNegative() ? Duration.ZERO : most.compareTo(elapsed) < 0 ? most : elapsed;
+        return most.isNegative() ? Duration.ZERO : Durations.min(most, elapsed);
     }
 
     private Duration period(HostId host) {
--- a/membership/src/main/java/org/godwithoist/membership/HostListFollower.java
+++ b/membership/src/main/java/org/godwithoist/membership/HostListFollower.java
@@ -14,6 +14,7 @@
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.membership.HostListMessage.Changed;
 import org.godwithoist.membership.HostListMessage.Page;
@@ -172,8 +173,7 @@
         // Half of the wait is random, so that the daemons that lost the same readers spread out.
         long half = backoff.toNanos() / 2;
         ownReadAt = Optional.of(now + half + random.nextLong(half));
-        Duration doubled = backoff.multipliedBy(2);
-        backoff = doubled.compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : doubled;
+        backoff = Durations.min(backoff.multipliedBy(2), MAX_BACKOFF);
         return true;
     }
 
--- a/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
+++ b/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
@@ -101,7 +102,7 @@
     public FeedPage changes(long after, Duration wait) throws IOException, HistoryGoneException {
         RelayTiming timing = parts.timing().get();
         if (timing.usable() && parts.leadership().leads().getAsBoolean()) {
-            return asLeader(after, shorter(wait, timing.leaderWait()));
+            return asLeader(after, Durations.min(wait, timing.leaderWait()));
         }
         parts.recent().lost();
         Optional<Endpoint> leader =
@@ -165,12 +166,12 @@
             leaderAside.end();
             throw new IOException("neither the leader " + leader + " nor the store has answered");
         }
-        return besideLeader(after, shorter(wait, AT_STORE));
+        return besideLeader(after, Durations.min(wait, AT_STORE));
     }
 
     private Optional<FeedPage> fromLeader(Endpoint leader, long after, Duration wait) {
         RelayTiming timing = parts.timing().get();
-        Duration shortWait = shorter(wait, timing.memberWait());
+        Duration shortWait = Durations.min(wait, timing.memberWait());
         RelayClient.Question question = new RelayClient.Question(parts.table(), after, shortWait);
         try {
             FeedPage page = parts.client().changes(leader, question, timing.answerMargin());
@@ -215,8 +216,4 @@
                 .with("reason", reason)
                 .write();
     }
-
-    private static Duration shorter(Duration a, Duration b) {
-        return a.compareTo(b) < 0 ? a : b;
-    }
 }
--- a/relay/src/main/java/org/godwithoist/relay/wire/RelayServer.java
+++ b/relay/src/main/java/org/godwithoist/relay/wire/RelayServer.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.relay.RecentChanges;
 import org.godwithoist.relay.RelayClient;
@@ -73,9 +74,7 @@
             return Optional.empty();
         }
         RelayTiming times = timing.get();
-        Duration asked = question.longestWait();
-        Duration most = times.memberWait();
-        Duration wait = asked.compareTo(most) < 0 ? asked : most;
+        Duration wait = Durations.min(question.longestWait(), times.memberWait());
         return recent.after(question.after(), wait, times.fresh());
     }
 }
--- a/services/src/main/java/org/godwithoist/services/http/ServiceFront.java
+++ b/services/src/main/java/org/godwithoist/services/http/ServiceFront.java
@@ -29,6 +29,7 @@
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.services.AnswerHead;
 import org.godwithoist.services.CallSink;
@@ -162,7 +163,7 @@
         }
         try {
             Duration time = Duration.ofMillis(Long.parseLong(asked));
-            return Deadline.after(time.compareTo(longest) < 0 ? time : longest, Ticker.SYSTEM);
+            return Deadline.after(Durations.min(time, longest), Ticker.SYSTEM);
         } catch (NumberFormatException e) {
             throw RequestException.notRun(
                             ErrorCode.BAD_REQUEST, "X-Deadline-Ms must be a whole number")
--- a/store/src/main/java/org/godwithoist/store/feed/TableFollower.java
+++ b/store/src/main/java/org/godwithoist/store/feed/TableFollower.java
@@ -6,6 +6,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Durations;
 
 /** Follows one table in a task of its own. */
 public final class TableFollower {
@@ -102,8 +103,7 @@
     private boolean pauseAfterFailure() {
         long half = pause.toMillis() / 2;
         boolean goOn = Tasks.sleep(Duration.ofMillis(half + random.nextLong(half + 1)));
-        Duration doubled = pause.multipliedBy(2);
-        pause = doubled.compareTo(LONGEST_PAUSE) < 0 ? doubled : LONGEST_PAUSE;
+        pause = Durations.min(pause.multipliedBy(2), LONGEST_PAUSE);
         return goOn;
     }
 }
