Share the option for JSON between commands that print an answer

LogCommand repeated the option and the method of DaemonCommand; JsonCommand holds both. keygen keeps its own option, which says something else.

--- a/cli/src/main/java/org/godwithoist/cli/DaemonCommand.java
+++ b/cli/src/main/java/org/godwithoist/cli/DaemonCommand.java
@@ -9,12 +9,9 @@
 import org.kohsuke.args4j.Option;
 
 /** A command that asks a daemon. */
-abstract class DaemonCommand extends Command {
+abstract class DaemonCommand extends JsonCommand {
     private static final String DAEMON_VARIABLE = "GODWITHOIST_DAEMON";
 
-    @Option(name = "--json", usage = "prints the answer as JSON")
-    private boolean json;
-
     @Option(
             name = "--daemon",
             metaVar = "IP:PORT",
@@ -31,11 +28,6 @@
                             + " GODWITHOIST_TOKEN_FILE or GODWITHOIST_TOKEN")
     private String tokenFile;
 
-    @Override
-    boolean isJson() {
-        return json;
-    }
-
     /** Runs the command with a connection. */
     abstract ExitCode run(Console console, DaemonClient client);
 
@@ -74,10 +66,10 @@
     ExitCode show(Console console, Reply reply) {
         ExitCode code = ExitCode.of(reply);
         if (code == ExitCode.OK || code == ExitCode.INCOMPLETE) {
-            console.print(reply.body(), json);
+            console.print(reply.body(), isJson());
             return code;
         }
-        if (json) {
+        if (isJson()) {
             console.print(reply.body(), true);
             return code;
         }
--- /dev/null
+++ b/cli/src/main/java/org/godwithoist/cli/JsonCommand.java
@@ -0,0 +1,14 @@
+package org.godwithoist.cli;
+
+import org.kohsuke.args4j.Option;
+
+/** A command whose answer can be printed as JSON. */
+abstract class JsonCommand extends Command {
+    @Option(name = "--json", usage = "prints the answer as JSON")
+    private boolean json;
+
+    @Override
+    boolean isJson() {
+        return json;
+    }
+}
--- a/cli/src/main/java/org/godwithoist/cli/LogCommands.java
+++ b/cli/src/main/java/org/godwithoist/cli/LogCommands.java
@@ -43,10 +43,7 @@
     }
 
     /** A command with log files. */
-    abstract static class LogCommand extends Command {
-        @Option(name = "--json", usage = "prints the answer as JSON")
-        private boolean json;
-
+    abstract static class LogCommand extends JsonCommand {
         @Option(
                 name = "--log",
                 required = true,
@@ -54,11 +51,6 @@
                 usage = "log of one daemon or of several; may be given more than once")
         private List<String> files = new ArrayList<>();
 
-        @Override
-        boolean isJson() {
-            return json;
-        }
-
         /**
          * Reads the logs.
          *
@@ -69,7 +61,7 @@
         @Override
         ExitCode run(Console console) {
             try {
-                console.print(read(new LogFiles(files.stream().map(Path::of).toList())), json);
+                console.print(read(new LogFiles(files.stream().map(Path::of).toList())), isJson());
                 return ExitCode.OK;
             } catch (IOException e) {
                 throw new CliException(ExitCode.FAILED, e.getMessage(), e);
