--- a/loadtool/src/main/java/org/godwithoist/loadtool/demo/Demo.java
+++ b/loadtool/src/main/java/org/godwithoist/loadtool/demo/Demo.java
@@ -201,15 +201,20 @@
         System.out.printf(
                 Locale.ROOT, "cache reuse: %.1f %% of prompt tokens%n", summary.reuse() * 100);
         for (Priority p : Priority.values()) {
-            System.out.printf(
-                    Locale.ROOT,
-                    "first token, %-11s p50 %4d ms, p95 %4d ms%n",
-                    p.wireName() + ":",
-                    summary.firstToken(MEDIAN, r -> r.priority() == p).toMillis(),
-                    summary.firstToken(P95, r -> r.priority() == p).toMillis());
+            Summary part = summary.only(r -> r.priority() == p && r.outcome().complete());
+            String times = part.turns() == 0 ? "no turns" : firstTokens(part);
+            System.out.printf(Locale.ROOT, "first token, %-12s %s%n", p.wireName() + ":", times);
         }
     }
 
+    private static String firstTokens(Summary turns) {
+        return String.format(
+                Locale.ROOT,
+                "p50 %4d ms, p95 %4d ms",
+                turns.firstToken(MEDIAN, r -> true).toMillis(),
+                turns.firstToken(P95, r -> true).toMillis());
+    }
+
     private void printControlTraffic() {
         for (FleetMap.DaemonAddress d : fleet.daemons()) {
             JsonObject status = operator.read(d.operators(), "/v1/status");
