Leave targets alone that are leaving or ask for a pause

A target may state in any response that it is leaving (Server-Leaving) or, with a 503, that it wants no request for a time (Retry-After). Neither was read: a leaving target got requests until the store listed it as draining, and a pausing one was retried at once.

RequestPause keeps the time of a pause for each target. When all targets of a service pause, a request is refused at once (TARGETS_PAUSED) with the shortest pause left as Retry-After; a rejection with a pause counts as back-pressure (THROTTLED) and not as a failure.

LoadCodecTest's unknown version is now 3, since 2 is a valid version.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
@@ -10,6 +10,11 @@
     FAILURE_ANSWER(Verdict.FAILED, true, true),
     /** The target rejected the request without running it. */
     REJECTED(Verdict.REJECTED, false, true),
+    /**
+     * The target rejected the request without running it and asked for a pause. This is
+     * back-pressure and not a failure of the target.
+     */
+    THROTTLED(Verdict.NEUTRAL, false, true),
     /** Another target has the address now; the request did not run. */
     MOVED(Verdict.UNREACHABLE, false, true),
     /** The connection to the target failed; nothing was sent. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -118,7 +119,11 @@
             }
             responded = attempt(request, admitted, decision.get(), policy, deadline, response);
         }
-        finish(request, route, policy, deadline, response, responded);
+        Optional<Duration> pause =
+                placement.shortestPause(
+                        placementRequest(request, admitted, policy),
+                        directory.targets(admitted.service().id()));
+        finish(request, route, policy, pause, deadline, response, responded);
     }
 
     private boolean mayAttempt(
@@ -134,7 +139,7 @@
 
     /**
      * Chooses a target. Waits for a short time if no target may get the request, for example
-     * because all are cold.
+     * because all are cold. Does not wait if all targets pause for longer than that.
      */
     private Optional<Placement.Decision> chooseTarget(
             Request request,
@@ -145,26 +150,30 @@
         Duration wait = admitted.route().targetLatency().dividedBy(PLACEMENT_WAIT_DIVISOR);
         Deadline waitEnd = Deadline.after(deadline.cap(wait), ticker);
         while (true) {
-            Optional<Placement.Decision> decision = place(request, admitted, policy);
+            PlacementRequest placementRequest = placementRequest(request, admitted, policy);
+            List<Target> targets = directory.targets(admitted.service().id());
+            Optional<Placement.Decision> decision = placement.place(placementRequest, targets);
             if (decision.isPresent() || waitEnd.isExpired() || response.callerDisconnected()) {
                 return decision;
             }
+            Optional<Duration> pause = placement.shortestPause(placementRequest, targets);
+            if (pause.isPresent() && pause.get().compareTo(waitEnd.remaining()) > 0) {
+                return Optional.empty();
+            }
             if (!Tasks.sleep(waitEnd.cap(PLACEMENT_INTERVAL))) {
                 return Optional.empty();
             }
         }
     }
 
-    private Optional<Placement.Decision> place(
+    private PlacementRequest placementRequest(
             Request request, Admission.AdmittedRequest admitted, RetryPolicy policy) {
-        PlacementRequest placementRequest =
-                new PlacementRequest(
-                        admitted.service(),
-                        request.head().prefix(),
-                        policy.tried(),
-                        catalogs.outOfService(),
-                        fleetShare.get());
-        return placement.place(placementRequest, directory.targets(admitted.service().id()));
+        return new PlacementRequest(
+                admitted.service(),
+                request.head().prefix(),
+                policy.tried(),
+                catalogs.outOfService(),
+                fleetShare.get());
     }
 
     private boolean attempt(
@@ -211,6 +220,7 @@
             Request request,
             Route route,
             RetryPolicy policy,
+            Optional<Duration> pause,
             Deadline deadline,
             CallerResponse response,
             boolean responded)
@@ -218,7 +228,7 @@
         RequestOutcome outcome = outcome(policy, response, responded);
         Optional<Refusal> refusal =
                 outcome == RequestOutcome.REFUSED
-                        ? Optional.of(refusal(policy, deadline))
+                        ? Optional.of(refusal(policy, pause, deadline))
                         : Optional.empty();
         // The request is logged first, because the caller may have disconnected when the response
         // is sent.
@@ -228,7 +238,7 @@
             case ANSWERED -> {}
             case LEFT, BROKEN -> response.abort();
             case FAILED -> policy.failure().orElseThrow().sendTo(response);
-            case REFUSED -> response.refuse(refusal.orElseThrow(), retryAfter(route));
+            case REFUSED -> response.refuse(refusal.orElseThrow(), retryAfter(route, pause));
         }
     }
 
@@ -246,10 +256,14 @@
         return policy.failure().isPresent() ? RequestOutcome.FAILED : RequestOutcome.REFUSED;
     }
 
-    private static Refusal refusal(RetryPolicy policy, Deadline deadline) {
+    private static Refusal refusal(
+            RetryPolicy policy, Optional<Duration> pause, Deadline deadline) {
         if (policy.possibleRuns() == 0 && deadline.isExpired()) {
             return Refusal.EXPIRED;
         }
+        if (policy.possibleRuns() == 0 && pause.isPresent()) {
+            return Refusal.TARGETS_PAUSED;
+        }
         return policy.refusal();
     }
 
@@ -264,10 +278,13 @@
     /**
      * Returns a random retry delay, so that callers that were refused at the same time do not all
      * retry at the same time.
+     *
+     * @param pause time until the first target accepts requests again; empty if not all pause
      */
-    private Duration retryAfter(Route route) {
+    private Duration retryAfter(Route route, Optional<Duration> pause) {
         long halfMillis = Math.max(1, route.targetLatency().toMillis() / 2);
-        return Duration.ofMillis(halfMillis + random.nextLong(halfMillis));
+        Duration spread = Duration.ofMillis(random.nextLong(halfMillis));
+        return pause.orElse(Duration.ofMillis(halfMillis)).plus(spread);
     }
 
     private Duration elapsed(Request request) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
@@ -23,6 +23,8 @@
     NO_MEMORY(503, true),
     /** No target may get the request now. */
     NO_TARGET(503, true),
+    /** All targets of the service have asked this daemon to pause. */
+    TARGETS_PAUSED(503, true),
     /** Every target that was tried rejected the request. */
     REJECTED(503, true),
     /** The caller's deadline passed before the request reached a target. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/Dialect.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/Dialect.java
@@ -1,5 +1,6 @@
 package org.godwithoist.dispatch.http;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -20,9 +21,17 @@
      * @param signed whether the response is signed by the target
      * @param notRun whether the target states that it did not run the request
      * @param load load of the target; empty if it is not reported
+     * @param leaving whether the target states that it is leaving
+     * @param retryAfter time for which the target asks for no further requests; empty if it states
+     *     none
      */
     record ResponseMetadata(
-            Optional<RequestId> id, boolean signed, boolean notRun, Optional<LoadReport> load) {}
+            Optional<RequestId> id,
+            boolean signed,
+            boolean notRun,
+            Optional<LoadReport> load,
+            boolean leaving,
+            Optional<Duration> retryAfter) {}
 
     /**
      * Reads the head of a request.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.AttemptOutcome;
@@ -19,11 +20,17 @@
 
     private final Dialect dialect;
     private final Ticker ticker;
+    private final Consumer<Target> onLeaving;
     private final TargetConnections connections;
 
-    /** Creates a gateway with an empty connection pool. */
-    public HttpTargetGateway(Dialect dialect, Ticker ticker) {
+    /**
+     * Creates a gateway with an empty connection pool.
+     *
+     * @param onLeaving receives each target that states in a response that it is leaving
+     */
+    public HttpTargetGateway(Dialect dialect, Consumer<Target> onLeaving, Ticker ticker) {
         this.dialect = dialect;
+        this.onLeaving = onLeaving;
         this.ticker = ticker;
         connections = new TargetConnections(ticker);
     }
@@ -47,7 +54,7 @@
         }
         response.onDisconnect(connection::close);
         TargetExchange exchange =
-                new TargetExchange(attempt, response, connection, dialect, ticker);
+                new TargetExchange(attempt, response, connection, dialect, onLeaving, ticker);
         AttemptResult result = exchange.run();
         response.onDisconnect(null);
         if (exchange.reusable() && connection.isIdle()) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetConnections.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetConnections.java
@@ -37,7 +37,7 @@
 
     /** Returns a connection to the pool for the next request. */
     synchronized void release(Target target, TargetConnection connection, Duration keepAlive) {
-        if (target.isRemoved() || keepAlive.isZero()) {
+        if (target.isRemoved() || target.isLeaving() || keepAlive.isZero()) {
             connection.close();
             return;
         }
@@ -50,10 +50,10 @@
         long now = ticker.nanos();
         for (var entries = idle.entrySet().iterator(); entries.hasNext(); ) {
             var entry = entries.next();
-            boolean removed = entry.getKey().isRemoved();
+            boolean unused = entry.getKey().isRemoved() || entry.getKey().isLeaving();
             for (Iterator<TargetConnection> i = entry.getValue().iterator(); i.hasNext(); ) {
                 TargetConnection c = i.next();
-                if (removed || !c.isUsable(now)) {
+                if (unused || !c.isUsable(now)) {
                     c.close();
                     i.remove();
                 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -19,6 +20,7 @@
 import org.godwithoist.dispatch.EventFramer;
 import org.godwithoist.dispatch.Request;
 import org.godwithoist.dispatch.ResponseHead;
+import org.godwithoist.targets.Target;
 
 /**
  * One request on one connection to a target: sends the request, finds its response and forwards it.
@@ -33,6 +35,7 @@
 
     private static final int READ_BUFFER_BYTES = 8192;
     private static final int MISDIRECTED_REQUEST = 421;
+    private static final int SERVICE_UNAVAILABLE = 503;
     private static final int FIRST_FINAL_STATUS = 200;
 
     /** Maximum number of responses to other requests before the one to this request. */
@@ -54,6 +57,7 @@
     private final CallerResponse callerResponse;
     private final TargetConnection connection;
     private final Dialect dialect;
+    private final Consumer<Target> onLeaving;
     private final Ticker ticker;
     private final EventFramer framer = new EventFramer();
     private final long sentAt;
@@ -62,16 +66,23 @@
     private boolean targetCloses;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
 
+    /**
+     * Creates an exchange.
+     *
+     * @param onLeaving receives the target when it states that it is leaving
+     */
     TargetExchange(
             Attempt attempt,
             CallerResponse callerResponse,
             TargetConnection connection,
             Dialect dialect,
+            Consumer<Target> onLeaving,
             Ticker ticker) {
         this.attempt = attempt;
         this.callerResponse = callerResponse;
         this.connection = connection;
         this.dialect = dialect;
+        this.onLeaving = onLeaving;
         this.ticker = ticker;
         sentAt = ticker.nanos();
     }
@@ -157,12 +168,30 @@
                 drain(body(response));
                 continue;
             }
-            metadata.load().ifPresent(attempt.target()::recordLoad);
+            recordState(response.getCode(), metadata);
             return handleResponse(response, metadata);
         }
         return result(AttemptOutcome.INVALID, "only responses to other requests");
     }
 
+    /**
+     * Records what the target states about itself. A response with status 421 comes from another
+     * target, which has the address now.
+     */
+    private void recordState(int status, Dialect.ResponseMetadata metadata) {
+        if (status == MISDIRECTED_REQUEST) {
+            return;
+        }
+        Target target = attempt.target();
+        metadata.load().ifPresent(target::recordLoad);
+        if (metadata.leaving()) {
+            onLeaving.accept(target);
+        }
+        if (status == SERVICE_UNAVAILABLE) {
+            metadata.retryAfter().ifPresent(target::pauseFor);
+        }
+    }
+
     private boolean belongsToOtherRequest(Dialect.ResponseMetadata metadata) {
         return metadata.id().isPresent()
                 && !metadata.id().get().equals(attempt.request().head().id());
@@ -177,9 +206,7 @@
                         status, HeaderFields.endToEnd(response.getHeaders()), OptionalLong.empty());
         if (metadata.notRun() || status == MISDIRECTED_REQUEST) {
             drain(body(response));
-            return result(
-                    status == MISDIRECTED_REQUEST ? AttemptOutcome.MOVED : AttemptOutcome.REJECTED,
-                    "status " + status);
+            return result(rejection(status, metadata), "status " + status);
         }
         if (!metadata.signed() || metadata.id().isEmpty()) {
             return result(
@@ -204,6 +231,14 @@
         return forwardBody(head, response);
     }
 
+    private static AttemptOutcome rejection(int status, Dialect.ResponseMetadata metadata) {
+        if (status == MISDIRECTED_REQUEST) {
+            return AttemptOutcome.MOVED;
+        }
+        boolean asksForPause = status == SERVICE_UNAVAILABLE && metadata.retryAfter().isPresent();
+        return asksForPause ? AttemptOutcome.THROTTLED : AttemptOutcome.REJECTED;
+    }
+
     private InputStream body(ClassicHttpResponse response) throws HttpException {
         Framing framing =
                 Framing.ofResponse(
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -44,6 +44,7 @@
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.RetryShare;
+import org.godwithoist.targets.Target;
 import org.godwithoist.targets.TargetDirectory;
 
 /** An edge daemon: creates, connects and starts its components. */
@@ -108,7 +109,7 @@
         storeCooldown = new Cooldown(ticker);
         operatorChanges = new RecentChanges(ticker);
         targetChanges = new RecentChanges(ticker);
-        gateway = new HttpTargetGateway(dialect, ticker);
+        gateway = new HttpTargetGateway(dialect, this::recordLeaving, ticker);
     }
 
     /**
@@ -299,6 +300,12 @@
                         random));
     }
 
+    private void recordLeaving(Target target) {
+        if (directory.recordLeaving(target)) {
+            log.event("target_leaving").with("target", target.id().value()).write();
+        }
+    }
+
     private ColdLimit coldLimit() {
         EdgeSettings.Bounds bounds = settingsFile.current().bounds();
         return new ColdLimit(bounds.coldBurstFactor(), bounds.coldSlack());
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -37,6 +37,12 @@
                         .with("first", reason.rankedFirst())
                         .with("peers_told", reason.peersComplete())
                         .with("health", decision.target().health().name());
+        if (reason.paused() > 0) {
+            line.with("paused_targets", reason.paused());
+        }
+        if (reason.leaving() > 0) {
+            line.with("leaving_targets", reason.leaving());
+        }
         if (Double.isFinite(reason.bound())) {
             line.with("bound", Math.round(reason.bound()));
         }
--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -552,4 +552,54 @@
             }
         }
     }
+
+    @Nested
+    final class TargetsThatWantNoRequests {
+        /**
+         * Guards against new requests to a target that states in a response that it is leaving,
+         * while its entry in the store still says that it is ready.
+         */
+        @Test
+        void leavingTargetGetsNoFurtherRequest() throws IOException {
+            RunnerStandin leaving = fleet.desks.get(0);
+            leaving.setFault(RunnerFault.LEAVING);
+            while (leaving.executedRequests().isEmpty()) {
+                assertEquals(200, fleet.send("POST", ConfigText.BOOKING).status());
+            }
+            fleet.register(leaving);
+            for (int i = 0; i < 10; i++) {
+                assertEquals(200, fleet.send("POST", ConfigText.BOOKING).status());
+            }
+            assertEquals(1, leaving.executedRequests().size());
+            assertTrue(fleet.log().contains("\"event\":\"target_leaving\",\"target\":\"desk-0\""));
+        }
+
+        /** Guards against requests to a target within the pause that it has asked for. */
+        @Test
+        void targetThatAsksForAPauseIsLeftAlone() throws IOException {
+            RunnerStandin busy = fleet.desks.get(0);
+            busy.setFault(RunnerFault.SHED_WITH_PAUSE);
+            for (int i = 0; i < 10; i++) {
+                assertEquals(200, fleet.send("POST", ConfigText.BOOKING).status());
+            }
+            assertTrue(busy.rejectedRequests() <= 1, "rejected: " + busy.rejectedRequests());
+        }
+
+        /**
+         * Guards against callers that are held, and a retry budget that is used up, although all
+         * targets have asked for a pause.
+         */
+        @Test
+        void requestIsRefusedAtOnceWhileAllTargetsPause() throws IOException {
+            fleet.desks.forEach(d -> d.setFault(RunnerFault.SHED_WITH_PAUSE));
+            for (int i = 0; i < 10; i++) {
+                ClientStandin.Response response = fleet.send("POST", ConfigText.BOOKING);
+                assertEquals(503, response.status());
+                double seconds = Double.parseDouble(response.field("Retry-After"));
+                assertTrue(seconds > 1 && seconds < 3, "Retry-After: " + seconds);
+            }
+            assertTrue(fleet.desks.stream().allMatch(d -> d.rejectedRequests() <= 1));
+            assertTrue(fleet.log().contains("\"refusal\":\"TARGETS_PAUSED\""));
+        }
+    }
 }
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -213,6 +213,7 @@
         if (isNew) {
             updatePlan();
         }
+        dependencies.directory().recordPeerLeaving(message.report().leaving());
         boolean fromOtherLeader =
                 plan.isLeader() && message.report().scope() == PeerLoads.Scope.FLEET;
         if (!fromOtherLeader) {
--- a/peers/src/main/java/org/godwithoist/peers/wire/LoadCodec.java
+++ b/peers/src/main/java/org/godwithoist/peers/wire/LoadCodec.java
@@ -8,8 +8,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.TargetId;
@@ -18,18 +20,26 @@
 import org.godwithoist.targets.CachedPrefix;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.PrefixKey;
+import org.godwithoist.targets.TargetIncarnation;
 
 /**
  * Encodes and decodes load messages: a version byte, the sender, its failure domain and
- * incarnation, the sequence number, the scope, the completeness flag, the targets with their
- * request counts, and the cached prompt prefixes, each with the index of its target in the list of
- * targets. Hand-written, because a protobuf runtime would add about 1 MB to each daemon.
+ * incarnation, the sequence number, the scope, the completeness flag, the leaving targets with the
+ * times of their starts, the targets with their request counts, and the cached prompt prefixes,
+ * each with the index of its target in the list of targets. Messages without leaving targets have
+ * the first version, which has no field for them, so that daemons of an older build understand them
+ * while a fleet is replaced. Hand-written, because a protobuf runtime would add about 1 MB to each
+ * daemon.
  */
 final class LoadCodec {
     /** Maximum size of a message; fits into one packet on all common links. */
     static final int MAX_BYTES = 1400;
 
-    private static final int VERSION = 1;
+    private static final int VERSION_WITHOUT_LEAVING = 1;
+    private static final int VERSION = 2;
+
+    /** Maximum size of the leaving targets; others follow in the next messages. */
+    private static final int MAX_LEAVING_BYTES = 300;
 
     /** Maximum size of the header and the targets; the rest is reserved for cached prefixes. */
     private static final int MAX_TARGETS_BYTES = 900;
@@ -37,6 +47,9 @@
     /** Maximum size of a target entry: length, id and request count. */
     private static final int MAX_TARGET_ENTRY_BYTES = 2 + TargetId.MAX_LENGTH + 2;
 
+    /** Maximum size of a leaving target: length, id and time of its start. */
+    private static final int MAX_INCARNATION_BYTES = 2 + TargetId.MAX_LENGTH + 8;
+
     /** Size of a cached prefix entry: index of the target and key. */
     private static final int CACHED_PREFIX_ENTRY_BYTES = 2 + 8;
 
@@ -56,13 +69,17 @@
         PeerLoads.Report report = message.report();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
-        out.writeByte(VERSION);
+        boolean hasLeaving = !report.leaving().isEmpty();
+        out.writeByte(hasLeaving ? VERSION : VERSION_WITHOUT_LEAVING);
         out.writeUTF(message.sender().value());
         out.writeUTF(message.domain().value());
         out.writeLong(report.incarnation());
         out.writeLong(report.sequence());
         out.writeByte(SCOPES.indexOf(report.scope()));
         out.writeBoolean(report.complete());
+        if (hasLeaving) {
+            writeLeaving(report.leaving(), out);
+        }
         Map<TargetId, Integer> indexes = writeTargets(report, bytes, out);
         for (int i = report.cachedPrefixes().size() - 1; i >= 0; i--) {
             CachedPrefix prefix = report.cachedPrefixes().get(i);
@@ -75,6 +92,31 @@
         return bytes.toByteArray();
     }
 
+    /** Writes as many incarnations as fit; the order of a set varies between daemons. */
+    private static void writeLeaving(Set<TargetIncarnation> leaving, DataOutputStream out)
+            throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream leavingOut = new DataOutputStream(bytes);
+        int count = 0;
+        for (TargetIncarnation i : leaving) {
+            if (bytes.size() <= MAX_LEAVING_BYTES - MAX_INCARNATION_BYTES) {
+                leavingOut.writeUTF(i.id().value());
+                leavingOut.writeLong(i.startedAt());
+                count++;
+            }
+        }
+        out.writeByte(count);
+        bytes.writeTo(out);
+    }
+
+    private static Set<TargetIncarnation> readLeaving(DataInputStream in) throws IOException {
+        Set<TargetIncarnation> leaving = new HashSet<>();
+        for (int remaining = in.readUnsignedByte(); remaining > 0; remaining--) {
+            leaving.add(new TargetIncarnation(new TargetId(in.readUTF()), in.readLong()));
+        }
+        return leaving;
+    }
+
     private static Map<TargetId, Integer> writeTargets(
             PeerLoads.Report report, ByteArrayOutputStream bytes, DataOutputStream out)
             throws IOException {
@@ -110,7 +152,7 @@
         try {
             DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes, 0, length));
             int version = in.readUnsignedByte();
-            if (version != VERSION) {
+            if (version != VERSION && version != VERSION_WITHOUT_LEAVING) {
                 throw new MalformedMessageException(
                         "load message version " + version + " is not supported");
             }
@@ -120,6 +162,7 @@
             long sequence = in.readLong();
             PeerLoads.Scope scope = SCOPES.get(in.readUnsignedByte());
             boolean complete = in.readBoolean();
+            Set<TargetIncarnation> leaving = version == VERSION ? readLeaving(in) : Set.of();
             List<TargetId> targets = new ArrayList<>();
             Map<TargetId, Integer> requests = new HashMap<>();
             for (int remaining = in.readUnsignedShort(); remaining > 0; remaining--) {
@@ -134,7 +177,13 @@
             }
             PeerLoads.Report report =
                     new PeerLoads.Report(
-                            incarnation, sequence, scope, complete, requests, cachedPrefixes);
+                            incarnation,
+                            sequence,
+                            scope,
+                            complete,
+                            requests,
+                            cachedPrefixes,
+                            leaving);
             return new LoadMessage(sender, domain, report);
         } catch (IOException | IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new MalformedMessageException("malformed load message: " + e.getMessage());
--- a/peers/src/test/java/org/godwithoist/peers/wire/LoadCodecTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/wire/LoadCodecTest.java
@@ -8,9 +8,11 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.TargetId;
@@ -19,6 +21,7 @@
 import org.godwithoist.targets.CachedPrefix;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.PrefixKey;
+import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -64,6 +67,48 @@
             assertEquals(sent, decode(LoadCodec.encode(sent)));
         }
 
+        /** Guards against a leaving target that other daemons still send requests to. */
+        @Test
+        void leavingTargetsAreDecoded() throws IOException, MalformedMessageException {
+            LoadMessage sent = leavingMessage(3);
+            assertEquals(sent, decode(LoadCodec.encode(sent)));
+        }
+
+        /** Guards against messages that exceed a packet while a whole service is replaced. */
+        @Test
+        void manyLeavingTargetsFitBesideTheOtherFields()
+                throws IOException, MalformedMessageException {
+            byte[] bytes = LoadCodec.encode(leavingMessage(200));
+            assertTrue(bytes.length <= LoadCodec.MAX_BYTES, "bytes: " + bytes.length);
+            int decoded = decode(bytes).report().leaving().size();
+            assertTrue(decoded >= 10, "leaving targets: " + decoded);
+        }
+
+        /** Guards against messages that daemons of an older build reject without need. */
+        @Test
+        void messageWithoutLeavingTargetsHasTheFirstVersion() throws IOException {
+            assertEquals(1, LoadCodec.encode(message(Map.of()))[0]);
+        }
+
+        private static LoadMessage leavingMessage(int count) {
+            Set<TargetIncarnation> leaving = new HashSet<>();
+            for (int i = 0; i < count; i++) {
+                leaving.add(new TargetIncarnation(new TargetId("i-" + i), 1000 + i));
+            }
+            LoadMessage plain = message(Map.of(new TargetId("i-1"), 3));
+            PeerLoads.Report r = plain.report();
+            PeerLoads.Report report =
+                    new PeerLoads.Report(
+                            r.incarnation(),
+                            r.sequence(),
+                            r.scope(),
+                            r.complete(),
+                            r.requests(),
+                            r.cachedPrefixes(),
+                            leaving);
+            return new LoadMessage(plain.sender(), plain.domain(), report);
+        }
+
         /** Guards against messages larger than a packet and against omitting the highest loads. */
         @Test
         void oversizedMessageKeepsTheTargetsWithMostRequests()
@@ -121,7 +166,7 @@
                 byte[] bytes = new byte[random.nextInt(80)];
                 random.nextBytes(bytes);
                 if (bytes.length > 0 && random.nextBoolean()) {
-                    bytes[0] = 1;
+                    bytes[0] = (byte) (1 + random.nextInt(2));
                 }
                 try {
                     decode(bytes);
@@ -143,7 +188,7 @@
         @Test
         void unknownVersionIsRejected() throws IOException {
             byte[] bytes = LoadCodec.encode(message(Map.of()));
-            bytes[0] = 2;
+            bytes[0] = 3;
             assertThrows(MalformedMessageException.class, () -> decode(bytes));
         }
     }
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
@@ -6,6 +6,10 @@
     NONE,
     /** Rejects the request with status 503 without running it. */
     SHED,
+    /** Rejects the request without running it and asks for a pause of two seconds. */
+    SHED_WITH_PAUSE,
+    /** Runs the request and states in the response that the runner is leaving. */
+    LEAVING,
     /** Runs the request and responds with status 500. */
     FAIL,
     /** Runs the request and closes the connection without a response. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -37,6 +37,7 @@
     private final MessageServer server;
     private final List<ExecutedRequest> executedRequests = new CopyOnWriteArrayList<>();
     private final AtomicInteger cancelledRequests = new AtomicInteger();
+    private final AtomicInteger rejectedRequests = new AtomicInteger();
     private volatile RunnerFault fault = RunnerFault.NONE;
 
     /**
@@ -69,6 +70,11 @@
         return cancelledRequests.get();
     }
 
+    /** Returns the number of requests that were rejected with a pause. */
+    public int rejectedRequests() {
+        return rejectedRequests.get();
+    }
+
     /** Returns the runner id. */
     public String id() {
         return id;
@@ -103,6 +109,10 @@
         if (currentFault == RunnerFault.SHED) {
             return writeEmptyResponse(writer, 503, "X-Godwithoist-Not-Executed", "1");
         }
+        if (currentFault == RunnerFault.SHED_WITH_PAUSE) {
+            rejectedRequests.incrementAndGet();
+            return writePause(writer);
+        }
         String text = new String(body, StandardCharsets.UTF_8);
         executedRequests.add(new ExecutedRequest(attempt, request.getRequestUri(), fields, text));
         Tasks.sleep(eventDelay);
@@ -187,6 +197,19 @@
         writer.field("X-Godwithoist-Runner-Signature", "signed-by-" + id);
         writer.field("X-Godwithoist-Runner-Load", "1,0,8");
         writer.field("Keep-Alive", "timeout=5");
+        if (fault == RunnerFault.LEAVING) {
+            writer.field("Server-Leaving", "1");
+        }
+    }
+
+    private static boolean writePause(MessageWriter writer) throws IOException {
+        writer.startLine("HTTP/1.1 503 Status");
+        writer.field("X-Godwithoist-Not-Executed", "1");
+        writer.field("Retry-After", "2");
+        writer.field("Content-Length", "0");
+        writer.endHead();
+        writer.flush();
+        return true;
     }
 
     private static boolean writeEmptyResponse(
--- a/targets/src/main/java/org/godwithoist/targets/PeerLoads.java
+++ b/targets/src/main/java/org/godwithoist/targets/PeerLoads.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.time.Ticker;
@@ -50,6 +51,7 @@
      * @param requests requests in flight at each target
      * @param cachedPrefixes prefixes that engines have cached for these daemons in about the last
      *     second
+     * @param leaving targets that have recently announced that they are leaving
      */
     public record Report(
             long incarnation,
@@ -57,11 +59,24 @@
             Scope scope,
             boolean complete,
             Map<TargetId, Integer> requests,
-            List<CachedPrefix> cachedPrefixes) {
+            List<CachedPrefix> cachedPrefixes,
+            Set<TargetIncarnation> leaving) {
         /** Copies the collections. */
         public Report {
             requests = Map.copyOf(requests);
             cachedPrefixes = List.copyOf(cachedPrefixes);
+            leaving = Set.copyOf(leaving);
+        }
+
+        /** Creates a report without leaving targets. */
+        public Report(
+                long incarnation,
+                long sequence,
+                Scope scope,
+                boolean complete,
+                Map<TargetId, Integer> requests,
+                List<CachedPrefix> cachedPrefixes) {
+            this(incarnation, sequence, scope, complete, requests, cachedPrefixes, Set.of());
         }
 
         /**
@@ -72,7 +87,13 @@
          */
         public Report withSum(Scope summedScope, View sum, List<CachedPrefix> prefixes) {
             return new Report(
-                    incarnation, sequence, summedScope, sum.complete(), sum.requests(), prefixes);
+                    incarnation,
+                    sequence,
+                    summedScope,
+                    sum.complete(),
+                    sum.requests(),
+                    prefixes,
+                    leaving);
         }
     }
 
--- a/targets/src/main/java/org/godwithoist/targets/Placement.java
+++ b/targets/src/main/java/org/godwithoist/targets/Placement.java
@@ -1,6 +1,8 @@
 package org.godwithoist.targets;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -78,8 +80,16 @@
      * @param rankedFirst whether the target ranked first, by its hash weight or its expected
      *     response time
      * @param peersComplete whether the reports of all other daemons were available
+     * @param paused targets left out because they have asked this daemon to pause
+     * @param leaving targets left out because they have announced that they are leaving
      */
-    public record Reason(double load, double bound, boolean rankedFirst, boolean peersComplete) {}
+    public record Reason(
+            double load,
+            double bound,
+            boolean rankedFirst,
+            boolean peersComplete,
+            int paused,
+            int leaving) {}
 
     /**
      * Chooses a target and counts the request there. The caller must end the request with {@link
@@ -103,12 +113,24 @@
                         new Decision(
                                 c.target(),
                                 cachingEngine(request, c.target(), targets),
-                                reason(c, order, peerView)));
+                                reason(c, order, targets, peerView)));
     }
 
-    private static Reason reason(Candidate chosen, List<Candidate> order, PeerLoads.View peerView) {
+    private static Reason reason(
+            Candidate chosen,
+            List<Candidate> order,
+            List<Target> targets,
+            PeerLoads.View peerView) {
         boolean rankedFirst = order.stream().allMatch(c -> c.rank() <= chosen.rank());
-        return new Reason(chosen.load(), chosen.bound(), rankedFirst, peerView.complete());
+        long paused = targets.stream().filter(Target::isPaused).count();
+        long leaving = targets.stream().filter(Target::isLeaving).count();
+        return new Reason(
+                chosen.load(),
+                chosen.bound(),
+                rankedFirst,
+                peerView.complete(),
+                (int) paused,
+                (int) leaving);
     }
 
     /**
@@ -169,14 +191,33 @@
     private static List<Target> eligible(PlacementRequest request, List<Target> targets) {
         List<Target> eligible = new ArrayList<>(targets.size());
         for (Target t : targets) {
-            boolean outOfService = request.outOfService().contains(t.entry().domain());
-            if (!outOfService && !t.entry().draining() && !request.tried().contains(t.id())) {
+            if (inService(request, t) && !t.isPaused() && !request.tried().contains(t.id())) {
                 eligible.add(t);
             }
         }
         return eligible;
     }
 
+    private static boolean inService(PlacementRequest request, Target target) {
+        return !target.isGoingAway() && !request.outOfService().contains(target.entry().domain());
+    }
+
+    /**
+     * Returns the time until the first target of the service accepts requests of this daemon again,
+     * if all of them have asked it to pause. Sending the request to a target that pauses would only
+     * use up the retry budget, and waiting for one would hold the caller in vain.
+     *
+     * @param targets targets of the service
+     * @return empty if the service has no target, or one that does not pause
+     */
+    public Optional<Duration> shortestPause(PlacementRequest request, List<Target> targets) {
+        return targets.stream()
+                .filter(t -> inService(request, t))
+                .map(Target::remainingPause)
+                .min(Comparator.naturalOrder())
+                .filter(pause -> !pause.isZero());
+    }
+
     private Optional<Candidate> tryCandidates(
             PlacementRequest request, List<Candidate> order, boolean allowEjected) {
         for (Candidate c : order) {
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -58,6 +58,8 @@
     private final Set<PendingResponse> pendingResponses = new LinkedHashSet<>();
     private double latencyMs;
     private long latencyUpdatedAt;
+    private volatile boolean leaving;
+    private final RequestPause pause = new RequestPause();
 
     /**
      * Creates a target; the time in the list counts from now.
@@ -92,6 +94,42 @@
         removed = value;
     }
 
+    /**
+     * Returns whether the target has announced in a response that it is leaving. An incarnation
+     * that leaves never returns, whatever its entry in the store says.
+     */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    /**
+     * Records that the target is leaving, so that it gets no new requests. To be announced to the
+     * directory with {@link TargetDirectory#recordLeaving}, which also informs the other daemons.
+     */
+    void setLeaving() {
+        leaving = true;
+    }
+
+    /** Records that the target accepts no requests of this daemon for a time. */
+    public synchronized void pauseFor(Duration time) {
+        pause.extend(time, ticker.nanos());
+    }
+
+    /** Returns the time for which the target still accepts no requests of this daemon, or zero. */
+    public synchronized Duration remainingPause() {
+        return pause.remaining(ticker.nanos());
+    }
+
+    /** Returns whether the target currently accepts no requests of this daemon. */
+    synchronized boolean isPaused() {
+        return pause.isActive(ticker.nanos());
+    }
+
+    /** Returns whether the target is going away, so that it never gets a new request. */
+    boolean isGoingAway() {
+        return removed || leaving || entry.draining();
+    }
+
     synchronized void update(TargetEntry next) {
         entry = next;
         coldLimiter.setColdFor(next.remainingColdTime(), ticker.nanos());
@@ -118,7 +156,7 @@
     }
 
     private boolean permits(int coldPerSecond, boolean allowEjected, long now) {
-        if (removed || entry.draining() || !coldLimiter.permits(coldPerSecond, now)) {
+        if (isGoingAway() || pause.isActive(now) || !coldLimiter.permits(coldPerSecond, now)) {
             return false;
         }
         return allowEjected || health.permits(now);
--- a/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
@@ -36,10 +36,12 @@
     private boolean storeDown;
     private boolean awaitingRelist;
     private long storeAvailableAt;
+    private final LeavingTargets leavingTargets;
 
     /** Creates a directory without targets, before the first list of the store. */
     public TargetDirectory(Ticker ticker) {
         this.ticker = ticker;
+        leavingTargets = new LeavingTargets(ticker);
     }
 
     /** Returns the targets of a service, in no particular order; empty if it has none. */
@@ -66,7 +68,44 @@
             }
         }
         return new PeerLoads.Report(
-                incarnation, sequence, PeerLoads.Scope.OWN, true, requests, cachedPrefixes);
+                incarnation,
+                sequence,
+                PeerLoads.Scope.OWN,
+                true,
+                requests,
+                cachedPrefixes,
+                recentlyLeaving());
+    }
+
+    private synchronized Set<TargetIncarnation> recentlyLeaving() {
+        return leavingTargets.recent();
+    }
+
+    /**
+     * Records that a target has announced in a response that it is leaving. It gets no new requests
+     * of this daemon from now on, whatever the store lists, until another incarnation is listed.
+     *
+     * @return whether this daemon did not know it before
+     */
+    public synchronized boolean recordLeaving(Target target) {
+        boolean isNews = !target.isLeaving();
+        target.setLeaving();
+        TargetIncarnation incarnation = target.entry().incarnation();
+        if (incarnation.isKnown()) {
+            leavingTargets.add(incarnation);
+        }
+        return isNews;
+    }
+
+    /** Records targets that have announced to other daemons that they are leaving. */
+    public synchronized void recordPeerLeaving(Set<TargetIncarnation> incarnations) {
+        for (TargetIncarnation i : incarnations) {
+            if (i.isKnown() && leavingTargets.add(i)) {
+                find(i.id())
+                        .filter(t -> t.entry().incarnation().equals(i))
+                        .ifPresent(Target::setLeaving);
+            }
+        }
     }
 
     /**
@@ -151,7 +190,11 @@
         if (known != null) {
             known.setRemoved(true);
         }
-        byId.put(entry.id(), new Target(entry, !initialListRead, ticker));
+        Target target = new Target(entry, !initialListRead, ticker);
+        if (leavingTargets.contains(entry.incarnation())) {
+            target.setLeaving();
+        }
+        byId.put(entry.id(), target);
     }
 
     private void removeOrAwaitRelist(TargetId id) {
--- a/targets/src/main/java/org/godwithoist/targets/TargetEntry.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetEntry.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Returns the start of the target that the entry describes. */
+    public TargetIncarnation incarnation() {
+        return new TargetIncarnation(id, startedAt);
+    }
+
     /** Returns whether the other entry describes the same incarnation of the same target. */
     public boolean sameIncarnation(TargetEntry other) {
         return id.equals(other.id)
--- a/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
@@ -340,4 +340,81 @@
             }
         }
     }
+
+    /** Scenario: targets announce that they leave, or ask for a pause with a rejection. */
+    @Nested
+    final class TargetsThatWantNoRequests {
+        private Optional<Duration> shortestPause() {
+            PlacementRequest request =
+                    new PlacementRequest(
+                            Samples.models(),
+                            Optional.of(HOT_PREFIX),
+                            Set.of(),
+                            Set.of(),
+                            Samples.ALONE);
+            return placement.shortestPause(request, directory.targets(Samples.MODELS));
+        }
+
+        private void pauseAll(Duration time) {
+            directory.targets(Samples.MODELS).forEach(t -> t.pauseFor(time));
+        }
+
+        /** Guards against new requests to a leaving target that its prefix still maps to. */
+        @Test
+        void leavingTargetGetsNothing() {
+            Target left = placeAndEnd(HOT_PREFIX);
+            directory.recordLeaving(left);
+            for (int i = 0; i < 50; i++) {
+                assertNotEquals(left, placeAndEnd(HOT_PREFIX));
+            }
+        }
+
+        /** Guards against requests within the pause, and against a pause that does not end. */
+        @Test
+        void pausedTargetGetsNothingUntilThePauseEnds() {
+            Target paused = placeAndEnd(HOT_PREFIX);
+            paused.pauseFor(Duration.ofSeconds(3));
+            ticker.advance(Duration.ofMillis(2999));
+            assertNotEquals(paused, placeAndEnd(HOT_PREFIX));
+            assertEquals(1, place(HOT_PREFIX, Set.of()).orElseThrow().reason().paused());
+            ticker.advance(Duration.ofMillis(1));
+            assertEquals(paused, placeAndEnd(HOT_PREFIX));
+        }
+
+        /** Guards against a shorter pause that ends a longer one early. */
+        @Test
+        void longestPauseCounts() {
+            Target paused = placeAndEnd(HOT_PREFIX);
+            paused.pauseFor(Duration.ofSeconds(3));
+            paused.pauseFor(Duration.ofSeconds(1));
+            assertEquals(Duration.ofSeconds(3), paused.remainingPause());
+        }
+
+        /** Guards against an absurd value that takes a target out of service for years. */
+        @Test
+        void pauseIsLimited() {
+            Target paused = placeAndEnd(HOT_PREFIX);
+            paused.pauseFor(Duration.ofDays(100_000));
+            assertEquals(RequestPause.MAX_PAUSE, paused.remainingPause());
+        }
+
+        /** Guards against requests to paused targets because every other one is ejected. */
+        @Test
+        void pausedTargetsAreNotAFallback() {
+            pauseAll(Duration.ofSeconds(1));
+            assertTrue(place(HOT_PREFIX, Set.of()).isEmpty());
+        }
+
+        /** Guards against a caller that waits for targets that will not accept its request. */
+        @Test
+        void shortestPauseIsKnownOnlyIfAllTargetsPause() {
+            assertTrue(shortestPause().isEmpty());
+            pauseAll(Duration.ofSeconds(5));
+            assertEquals(Optional.of(Duration.ofSeconds(5)), shortestPause());
+            directory.recordLeaving(directory.targets(Samples.MODELS).get(0));
+            assertEquals(Optional.of(Duration.ofSeconds(5)), shortestPause());
+            ticker.advance(Duration.ofSeconds(5));
+            assertTrue(shortestPause().isEmpty());
+        }
+    }
 }
--- a/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
@@ -104,4 +104,70 @@
                     .orElseThrow();
         }
     }
+
+    /** Scenario: a target announces in a response that it is leaving, before the store lists it. */
+    @Nested
+    final class Leaving {
+        private Target target(int number) {
+            return directory.targets(Samples.MODELS).stream()
+                    .filter(t -> t.id().equals(Samples.entry(number).id()))
+                    .findFirst()
+                    .orElseThrow();
+        }
+
+        /** Guards against an outdated entry of the store that brings a leaving target back. */
+        @Test
+        void entryOfTheSameIncarnationDoesNotBringItBack() {
+            assertTrue(directory.recordLeaving(target(1)));
+            assertFalse(directory.recordLeaving(target(1)));
+            directory.put(Samples.entry(1));
+            directory.replaceAll(List.of(Samples.entry(1), Samples.entry(2)));
+            assertTrue(target(1).isLeaving());
+            assertFalse(target(2).isLeaving());
+        }
+
+        /**
+         * Guards against new requests to a leaving target whose entry expired in an outage of the
+         * store and is listed again while the target drains.
+         */
+        @Test
+        void relistedEntryOfTheSameIncarnationIsStillLeaving() {
+            directory.recordLeaving(target(1));
+            directory.remove(Samples.entry(1).id());
+            directory.put(Samples.entry(1));
+            assertTrue(target(1).isLeaving());
+        }
+
+        /** Guards against a target that stays out of service after it has started again. */
+        @Test
+        void nextIncarnationIsNotLeaving() {
+            directory.recordLeaving(target(1));
+            directory.put(Samples.restarted(1));
+            assertFalse(target(1).isLeaving());
+        }
+
+        /** Guards against requests of a daemon that has not received a response of the target. */
+        @Test
+        void announcementToAnotherDaemonCounts() {
+            TargetDirectory other = new TargetDirectory(ticker);
+            other.replaceAll(List.of(Samples.entry(1), Samples.restarted(2)));
+            directory.recordLeaving(target(1));
+            directory.recordLeaving(target(2));
+            other.recordPeerLeaving(directory.report(1, 1).leaving());
+            List<Boolean> leaving =
+                    other.targets(Samples.MODELS).stream()
+                            .sorted((a, b) -> a.id().value().compareTo(b.id().value()))
+                            .map(Target::isLeaving)
+                            .toList();
+            assertEquals(List.of(true, false), leaving);
+        }
+
+        /** Guards against reports that grow with every target that has ever left. */
+        @Test
+        void announcementsEnd() {
+            directory.recordLeaving(target(1));
+            ticker.advance(LeavingTargets.ANNOUNCEMENT_PERIOD);
+            assertTrue(directory.report(1, 1).leaving().isEmpty());
+        }
+    }
 }
