Keep odd entries, endless bytes and unexpected errors to one request or one entry

ReadAheadSocket has an end of input; events are limited to 64 KB, heads to twice the longest line, chunk headers and trailers to 20 KB. A byte now and then is no progress of a stream; a complete event, or 1 KB of one, is. - Chunked request bodies were counted after they had been read. - An exception or error ended followers, housekeeping, exchange and listeners without a word: Supervisor logs, counts and starts them again; a daemon whose task fails three times in a row is not ready. - An invalid request id in a response threw out of the exchange and left its connection open. - A head that is too large was refused with 400 in place of 431.

--- a/core/src/main/java/org/godwithoist/core/id/Endpoint.java
+++ b/core/src/main/java/org/godwithoist/core/id/Endpoint.java
@@ -10,7 +10,11 @@
  */
 public record Endpoint(String ip, int port) {
     private static final int MAX_PORT = 65_535;
-    private static final Pattern IP = Pattern.compile("[0-9.]+|[0-9a-fA-F:]+");
+    private static final int MAX_OCTET = 255;
+    private static final int OCTETS = 4;
+    private static final int MAX_IP_LENGTH = 45;
+    private static final Pattern IPV4 = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}");
+    private static final Pattern IPV6 = Pattern.compile("[0-9a-fA-F]*:[0-9a-fA-F:]*");
 
     /**
      * Validates address and port.
@@ -18,9 +22,9 @@
      * @throws IllegalArgumentException if the address is not numeric or the port is out of range
      */
     public Endpoint {
-        if (!IP.matcher(ip).matches()) {
+        if (!isNumericAddress(ip)) {
             throw new IllegalArgumentException(
-                    "'" + ip + "' is not a numeric IPv4 or IPv6 address");
+                    quote(ip) + " is not a numeric IPv4 or IPv6 address");
         }
         if (port < 0 || port > MAX_PORT) {
             throw new IllegalArgumentException("port must be from 0 to 65535, not " + port);
@@ -35,7 +39,7 @@
     public static Endpoint parse(String text) {
         int colon = text.lastIndexOf(':');
         if (colon < 1) {
-            throw new IllegalArgumentException("'" + text + "' must have the form ip:port");
+            throw new IllegalArgumentException(quote(text) + " must have the form ip:port");
         }
         String ip = text.substring(0, colon);
         if (ip.startsWith("[") && ip.endsWith("]")) {
@@ -44,10 +48,35 @@
         try {
             return new Endpoint(ip, Integer.parseInt(text.substring(colon + 1)));
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("the port of '" + text + "' is not an integer", e);
+            throw new IllegalArgumentException(
+                    "the port of " + quote(text) + " is not an integer", e);
         }
     }
 
+    private static boolean isNumericAddress(String ip) {
+        if (ip.length() > MAX_IP_LENGTH) {
+            return false;
+        }
+        return IPV6.matcher(ip).matches() || (IPV4.matcher(ip).matches() && hasValidOctets(ip));
+    }
+
+    private static boolean hasValidOctets(String ip) {
+        for (String octet : ip.split("\\.", OCTETS)) {
+            if (Integer.parseInt(octet) > MAX_OCTET) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Quotes a text from outside; one that is too long for any address is shortened. */
+    private static String quote(String text) {
+        int maxLength = 2 * MAX_IP_LENGTH;
+        return "'"
+                + (text.length() > maxLength ? text.substring(0, maxLength) + "..." : text)
+                + "'";
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof Endpoint o && ip.equals(o.ip) && port == o.port;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
@@ -18,6 +18,12 @@
         void events(byte[] bytes, int from, int length) throws IOException;
     }
 
+    /**
+     * Maximum size of an event in bytes. Many streams share the memory of a daemon, and a target in
+     * trouble may send an event without an end.
+     */
+    static final int MAX_EVENT_BYTES = 65_536;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private final ByteArrayOutputStream incompleteBytes = new ByteArrayOutputStream();
@@ -34,12 +40,17 @@
         return incompleteBytes.toByteArray();
     }
 
-    /** Reads bytes of the stream and forwards the complete events. */
-    public void feed(byte[] bytes, int from, int length, Sink sink) throws IOException {
+    /**
+     * Reads bytes of the stream and forwards the complete events.
+     *
+     * @return whether an event was completed
+     * @throws EventTooLargeException if an event exceeds the limit
+     */
+    public boolean feed(byte[] bytes, int from, int length, Sink sink) throws IOException {
         int end = lastEventEnd(bytes, from, length);
         if (end < 0) {
-            incompleteBytes.write(bytes, from, length);
-            return;
+            keep(bytes, from, length);
+            return false;
         }
         if (incompleteBytes.size() > 0) {
             incompleteBytes.write(bytes, from, end - from);
@@ -49,7 +60,15 @@
         } else {
             forward(bytes, from, end - from, sink);
         }
-        incompleteBytes.write(bytes, end, from + length - end);
+        keep(bytes, end, from + length - end);
+        return true;
+    }
+
+    private void keep(byte[] bytes, int from, int length) throws EventTooLargeException {
+        if (incompleteBytes.size() + length > MAX_EVENT_BYTES) {
+            throw new EventTooLargeException(MAX_EVENT_BYTES);
+        }
+        incompleteBytes.write(bytes, from, length);
     }
 
     private void forward(byte[] bytes, int from, int length, Sink sink) throws IOException {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -1,5 +1,6 @@
 package org.godwithoist.dispatch.http;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -9,6 +10,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.godwithoist.catalog.RequestLimits;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.Dispatcher;
@@ -29,6 +31,7 @@
     /** Timeout for the body of a request. */
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
 
+    private static final int READ_BUFFER_BYTES = 8192;
     private static final long CLOSE_WAIT_MS = 500;
     private static final Duration NO_RETRY_DELAY = Duration.ZERO;
 
@@ -92,7 +95,7 @@
                 return false;
             }
             return serveRequest(httpRequest, limits, response);
-        } catch (MessageConstraintException e) {
+        } catch (MessageConstraintException | RequestHeaderFieldsTooLargeException e) {
             return refuseAndClose(response, Refusal.HEADERS_TOO_LARGE);
         } catch (HttpException e) {
             return refuseAndClose(response, Refusal.BAD_REQUEST);
@@ -153,13 +156,26 @@
             }
             return bytes;
         }
-        byte[] bytes = body.readNBytes(limits.maxBodyBytes() + 1);
-        if (bytes.length > limits.maxBodyBytes()) {
-            throw new RefusedException(
-                    Refusal.BODY_TOO_LARGE, "chunked request body exceeds maxBodyBytes");
+        return readChunked(body, limits.maxBodyBytes(), reservation);
+    }
+
+    /** Reserves memory for each piece as it is read, because the length is not known before. */
+    private static byte[] readChunked(
+            InputStream body, int maxBytes, BodyMemory.Reservation reservation)
+            throws IOException, RefusedException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        byte[] piece = new byte[READ_BUFFER_BYTES];
+        int n = body.read(piece, 0, piece.length);
+        while (n >= 0) {
+            if (bytes.size() + n > maxBytes) {
+                throw new RefusedException(
+                        Refusal.BODY_TOO_LARGE, "chunked request body exceeds maxBodyBytes");
+            }
+            reservation.grow(n);
+            bytes.write(piece, 0, n);
+            n = body.read(piece, 0, piece.length);
         }
-        reservation.grow(bytes.length);
-        return bytes;
+        return bytes.toByteArray();
     }
 
     private void setReadTimeout(Duration timeout) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.function.Consumer;
 import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 
 /** Accepts TCP connections at an address and starts a task for each. */
@@ -34,16 +35,18 @@
      *
      * @param address address to bind; port 0 lets the system choose a port
      * @param name name of the tasks
+     * @param supervisor owner of the accepting task
      * @param onConnection handles a connection in its own task and closes it
      * @throws IOException if the address cannot be bound
      */
     public static ConnectionListener open(
-            Endpoint address, String name, Consumer<Socket> onConnection) throws IOException {
+            Endpoint address, String name, Supervisor supervisor, Consumer<Socket> onConnection)
+            throws IOException {
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(address.ip(), address.port()), BACKLOG);
         ConnectionListener listener = new ConnectionListener(server, name, onConnection);
-        Tasks.start(name + "-accept", listener::acceptAll);
+        supervisor.start(name + "-accept", listener::acceptAll);
         return listener;
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -52,17 +52,22 @@
                     OptionalLong.empty(),
                     "connection failed: " + e.getMessage());
         }
+        boolean reused = false;
         response.onDisconnect(connection::close);
         TargetExchange exchange =
                 new TargetExchange(attempt, response, connection, dialect, onLeaving, ticker);
-        AttemptResult result = exchange.run();
-        response.onDisconnect(null);
-        if (exchange.reusable() && connection.isIdle()) {
-            connections.release(target, connection, exchange.keepAlive());
-        } else {
-            connection.close();
+        try {
+            AttemptResult result = exchange.run();
+            reused = exchange.reusable() && connection.isIdle();
+            return result;
+        } finally {
+            response.onDisconnect(null);
+            if (reused) {
+                connections.release(target, connection, exchange.keepAlive());
+            } else {
+                connection.close();
+            }
         }
-        return result;
     }
 
     private TargetConnection acquireOrOpen(Attempt attempt) throws IOException {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
@@ -1,11 +1,13 @@
 package org.godwithoist.dispatch.http;
 
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
@@ -21,7 +23,15 @@
     private static final char DELETE = 0x7f;
     private static final int MAX_HEADERS = 200;
 
-    private final InputStream input;
+    /** Maximum size of a message head as a multiple of its longest line. */
+    private static final int HEAD_LINES_FACTOR = 2;
+
+    /** Limits of the chunk headers and trailers of a body, which are short or absent. */
+    private static final Http1Config CHUNK_CONFIG =
+            Http1Config.custom().setMaxLineLength(1024).setMaxHeaderCount(20).build();
+
+    private final HeadLimit input;
+    private final int maxHeadBytes;
     private final SessionInputBufferImpl buffer;
     private final Http1Config config;
 
@@ -31,7 +41,8 @@
      * @param maxLineBytes maximum length of a line in the message head, in bytes
      */
     public MessageReader(InputStream input, int maxLineBytes) {
-        this.input = input;
+        this.input = new HeadLimit(input);
+        maxHeadBytes = HEAD_LINES_FACTOR * maxLineBytes + BUFFER_BYTES;
         config =
                 Http1Config.custom()
                         .setMaxLineLength(maxLineBytes)
@@ -53,7 +64,9 @@
 
     /** Reads the head of a request; returns null if the connection has ended. */
     public ClassicHttpRequest readRequest() throws IOException, HttpException {
+        input.startHead(maxHeadBytes);
         ClassicHttpRequest request = new DefaultHttpRequestParser(config).parse(buffer, input);
+        input.endHead();
         if (request != null) {
             checkNoControlCharacters(request.getMethod() + request.getRequestUri());
             checkHeaders(request.getHeaders());
@@ -76,7 +89,9 @@
      * @throws IOException if the connection ended before a response
      */
     public ClassicHttpResponse readResponse() throws IOException, HttpException {
+        input.startHead(maxHeadBytes);
         ClassicHttpResponse response = new DefaultHttpResponseParser(config).parse(buffer, input);
+        input.endHead();
         if (response == null) {
             throw new IOException("the connection ended before a response");
         }
@@ -89,7 +104,7 @@
         return switch (framing.kind()) {
             case NONE -> InputStream.nullInputStream();
             case LENGTH -> new ContentLengthInputStream(buffer, input, framing.length());
-            case CHUNKED -> new ChunkedInputStream(buffer, input, config);
+            case CHUNKED -> new ChunkedInputStream(buffer, input, CHUNK_CONFIG);
             case UNTIL_CLOSE -> new UntilCloseInputStream();
         };
     }
@@ -131,6 +146,47 @@
         }
     }
 
+    /**
+     * Limits the bytes that are read for a message head. The parser limits each line and the number
+     * of lines only, so that a head could use up the memory of a daemon.
+     */
+    private static final class HeadLimit extends FilterInputStream {
+        private boolean inHead;
+        private int remaining;
+
+        HeadLimit(InputStream input) {
+            super(input);
+        }
+
+        void startHead(int maxBytes) {
+            inHead = true;
+            remaining = maxBytes;
+        }
+
+        void endHead() {
+            inHead = false;
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] single = new byte[1];
+            return read(single, 0, 1) < 0 ? -1 : single[0] & 0xff;
+        }
+
+        @Override
+        public int read(byte[] destination, int from, int length) throws IOException {
+            if (!inHead) {
+                return super.read(destination, from, length);
+            }
+            if (remaining == 0) {
+                throw new MessageConstraintException("the message head is too large");
+            }
+            int n = super.read(destination, from, Math.min(length, remaining));
+            remaining -= Math.max(0, n);
+            return n;
+        }
+    }
+
     /** The remaining bytes of the connection, as a body. */
     private final class UntilCloseInputStream extends InputStream {
         @Override
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -18,6 +18,7 @@
 import org.godwithoist.dispatch.BufferedResponse;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.EventFramer;
+import org.godwithoist.dispatch.EventTooLargeException;
 import org.godwithoist.dispatch.Request;
 import org.godwithoist.dispatch.ResponseHead;
 import org.godwithoist.targets.Target;
@@ -38,6 +39,18 @@
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /**
+     * Part of an event, in bytes, that counts as progress of a stream like a complete event. A
+     * target that sends a byte now and then has stalled; one behind a slow link has not.
+     */
+    private static final int PROGRESS_BYTES = 1024;
+
+    /**
+     * Time after the deadline of a request at which the exchange ends even if the target still
+     * sends. A response that is complete by then reaches a caller that still waits.
+     */
+    private static final Duration INPUT_MARGIN = Duration.ofMillis(250);
+
     /** Maximum number of responses to other requests before the one to this request. */
     private static final int MAX_STRAY_RESPONSES = 3;
 
@@ -105,6 +118,8 @@
             return result(AttemptOutcome.CALLER_LEFT, e.getMessage());
         } catch (SocketTimeoutException e) {
             return timedOut();
+        } catch (EventTooLargeException e) {
+            return result(brokenIfStarted(AttemptOutcome.INVALID), e.getMessage());
         } catch (HttpException e) {
             return result(
                     brokenIfStarted(AttemptOutcome.INVALID), "invalid response: " + e.getMessage());
@@ -254,14 +269,20 @@
     private AttemptResult forwardEvents(ResponseHead head, InputStream body) throws IOException {
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         setReadDeadline();
+        int bytesWithoutEvent = 0;
         int n = body.read(buffer, 0, buffer.length);
         while (n >= 0) {
-            framer.feed(
-                    buffer,
-                    0,
-                    n,
-                    (bytes, from, length) -> writeToCaller(head, bytes, from, length));
-            setReadDeadline();
+            boolean hasEvent =
+                    framer.feed(
+                            buffer,
+                            0,
+                            n,
+                            (bytes, from, length) -> writeToCaller(head, bytes, from, length));
+            bytesWithoutEvent = hasEvent ? 0 : bytesWithoutEvent + n;
+            if (hasEvent || bytesWithoutEvent >= PROGRESS_BYTES) {
+                setReadDeadline();
+                bytesWithoutEvent = 0;
+            }
             n = body.read(buffer, 0, buffer.length);
         }
         responseComplete = true;
@@ -327,6 +348,7 @@
         Duration timeout = attempt.responseTimeout().orElse(attempt.deadline().remaining());
         Duration wait = attempt.deadline().cap(timeout);
         connection.socket().setReadDeadline(ticker.nanos() + wait.toNanos());
+        connection.socket().setInputEnd(attempt.deadline().atNanos() + INPUT_MARGIN.toNanos());
     }
 
     // ---- response to the caller
--- a/dispatch/src/test/java/org/godwithoist/dispatch/EventFramerTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/EventFramerTest.java
@@ -1,6 +1,7 @@
 package org.godwithoist.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -70,4 +71,29 @@
             assertEquals(OptionalLong.empty(), framer.lastId());
         }
     }
+
+    /** Scenario: a target in trouble sends an event without an end. */
+    @Nested
+    final class EndlessEvent {
+        /** Guards against an event that uses up the memory of the daemon. */
+        @Test
+        void eventBeyondTheLimitIsRejected() throws IOException {
+            feed("id: 1\ndata: a\n\n");
+            String piece = "x".repeat(1000);
+            int pieces = EventFramer.MAX_EVENT_BYTES / piece.length();
+            for (int i = 0; i < pieces; i++) {
+                feed(piece);
+            }
+            assertThrows(EventTooLargeException.class, () -> feed(piece));
+            assertEquals("id: 1\ndata: a\n\n", forwarded.toString());
+        }
+
+        /** Guards against a stream that is cut because many events arrive at once. */
+        @Test
+        void manyEventsInOnePieceAreForwarded() throws IOException {
+            String events = "id: 1\ndata: a\n\n".repeat(EventFramer.MAX_EVENT_BYTES / 10);
+            feed(events);
+            assertEquals(events, forwarded.toString());
+        }
+    }
 }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/FramingTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/FramingTest.java
@@ -5,11 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayInputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -24,6 +27,35 @@
         return headers;
     }
 
+    /** Scenario: a peer sends a head without an end, in lines that are short enough. */
+    @Nested
+    final class LargeHeads {
+        private static final int MAX_LINE_BYTES = 1024;
+
+        private static MessageReader reader(String startLine, int fields) {
+            String text = startLine + "\r\n" + ("X-A: " + "x".repeat(90) + "\r\n").repeat(fields);
+            byte[] bytes = (text + "\r\n").getBytes(StandardCharsets.US_ASCII);
+            return new MessageReader(new ByteArrayInputStream(bytes), MAX_LINE_BYTES);
+        }
+
+        /** Guards against a head that uses up the memory of the daemon. */
+        @Test
+        void headBeyondTheLimitIsRejected() {
+            assertThrows(
+                    RequestHeaderFieldsTooLargeException.class,
+                    () -> reader("GET / HTTP/1.1", 100).readRequest());
+            assertThrows(
+                    MessageConstraintException.class,
+                    () -> reader("HTTP/1.1 200 OK", 100).readResponse());
+        }
+
+        /** Guards against a head within the limits that is rejected. */
+        @Test
+        void headOfTheLongestLineIsRead() throws IOException, HttpException {
+            assertEquals(10, reader("GET / HTTP/1.1", 10).readRequest().getHeaders().length);
+        }
+    }
+
     @Nested
     final class Requests {
         /** Guards against request smuggling: two readers must not see different ends of a body. */
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -10,6 +10,7 @@
 import org.godwithoist.catalog.RequestLimits;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.Dispatcher;
@@ -84,6 +85,7 @@
     private final RecentChanges operatorChanges;
     private final RecentChanges targetChanges;
     private final HttpTargetGateway gateway;
+    private final Supervisor supervisor;
     private final Dialect dialect = new HttpDialect();
     private ConnectionListener callerListener;
     private ConnectionListener readinessListener;
@@ -109,6 +111,7 @@
         storeCooldown = new Cooldown(ticker);
         operatorChanges = new RecentChanges(ticker);
         targetChanges = new RecentChanges(ticker);
+        supervisor = new Supervisor(this::logTaskFailure, ticker);
         gateway = new HttpTargetGateway(dialect, this::recordLeaving, ticker);
     }
 
@@ -132,6 +135,7 @@
                 ConnectionListener.open(
                         settings.frontend(),
                         "caller",
+                        supervisor,
                         s -> CallerConnection.serve(s, callerDependencies));
         followStore();
         StatusServer statusServer =
@@ -140,10 +144,12 @@
                         log,
                         ticker);
         readinessListener =
-                ConnectionListener.open(settings.readiness(), "ready", statusServer::serve);
-        metricsListener = ConnectionListener.open(metricsAddress, "metrics", statusServer::serve);
-        fleet.start();
-        Tasks.start("housekeeping", this::runHousekeeping);
+                ConnectionListener.open(
+                        settings.readiness(), "ready", supervisor, statusServer::serve);
+        metricsListener =
+                ConnectionListener.open(metricsAddress, "metrics", supervisor, statusServer::serve);
+        fleet.start(supervisor);
+        supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
     }
 
@@ -194,7 +200,8 @@
                         ticker);
         // Members connect to the TCP port with the same number as the UDP port. If the system
         // chooses the ports, the two numbers differ and members cannot use this daemon's relay.
-        relayListener = ConnectionListener.open(settings.peers(), "relay", relay::serve);
+        relayListener =
+                ConnectionListener.open(settings.peers(), "relay", supervisor, relay::serve);
         Member self = new Member(settings.host(), settings.failureDomain(), address);
         exchange =
                 new LoadExchange(
@@ -204,6 +211,7 @@
                                 transport,
                                 directory,
                                 peerLoads,
+                                supervisor,
                                 log,
                                 ticker));
         exchange.start();
@@ -234,8 +242,8 @@
                         new OperatorRows(this::applyCatalog, catalogs::outOfService, operatorFeed),
                         new TableFollower.Timing(OPERATOR_MAX_WAIT, operatorRows::pollDelay),
                         random);
-        operatorFollower.start("follow-operator");
-        targetFollower.start("follow-targets");
+        operatorFollower.start("follow-operator", supervisor);
+        targetFollower.start("follow-targets", supervisor);
     }
 
     private RelayedFeed relayedFeed(TableName table, StoreTable store, RecentChanges recent) {
@@ -300,6 +308,16 @@
                         random));
     }
 
+    private void logTaskFailure(String name, Throwable cause, Duration backoff) {
+        metrics.recordTaskFailure();
+        log.event("task_failed")
+                .with("task", name)
+                .with("reason", String.valueOf(cause))
+                .with("at", StackLocation.of(cause))
+                .with("backoff_ms", backoff.toMillis())
+                .write();
+    }
+
     private void recordLeaving(Target target) {
         if (directory.recordLeaving(target)) {
             log.event("target_leaving").with("target", target.id().value()).write();
@@ -322,7 +340,10 @@
     }
 
     private StatusServer.Response readiness() {
-        boolean isReady = isReadyToServe() && serving.state() == ServingState.SERVING;
+        boolean isReady =
+                isReadyToServe()
+                        && serving.state() == ServingState.SERVING
+                        && !supervisor.isFailing();
         return isReady
                 ? StatusServer.Response.of(HTTP_OK, "ready\n")
                 : StatusServer.Response.of(HTTP_UNAVAILABLE, "not ready\n");
--- a/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
@@ -30,6 +30,7 @@
     private final Map<AttemptOutcome, LongAdder> attempts = new EnumMap<>(AttemptOutcome.class);
     private final Map<RequestOutcome, LatencyHistogram> requests =
             new EnumMap<>(RequestOutcome.class);
+    private final LongAdder taskFailures = new LongAdder();
 
     /** Latency histogram of the requests with the same outcome. */
     private static final class LatencyHistogram {
@@ -74,6 +75,22 @@
         requests.get(outcome).add(duration);
     }
 
+    /** Counts an unexpected failure of a task. */
+    void recordTaskFailure() {
+        taskFailures.increment();
+    }
+
+    private CounterSnapshot taskFailuresSnapshot() {
+        return CounterSnapshot.builder()
+                .name("godwithoist_task_failures")
+                .help("Unexpected failures of tasks")
+                .dataPoint(
+                        CounterSnapshot.CounterDataPointSnapshot.builder()
+                                .value((double) taskFailures.sum())
+                                .build())
+                .build();
+    }
+
     /** Returns all metrics in the Prometheus text format, in UTF-8. */
     byte[] toPrometheusText() throws IOException {
         CounterSnapshot.Builder counters =
@@ -97,7 +114,10 @@
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrometheusTextFormatWriter.builder()
                 .build()
-                .write(out, MetricSnapshots.of(counters.build(), latencies.build()));
+                .write(
+                        out,
+                        MetricSnapshots.of(
+                                counters.build(), latencies.build(), taskFailuresSnapshot()));
         return out.toByteArray();
     }
 }
--- a/edge/src/main/java/org/godwithoist/edge/FleetList.java
+++ b/edge/src/main/java/org/godwithoist/edge/FleetList.java
@@ -15,6 +15,7 @@
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.peers.Member;
@@ -85,8 +86,8 @@
         return until.isPresent() && ticker.nanos() - until.getAsLong() < 0;
     }
 
-    void start() {
-        Tasks.start("fleet-list", this::run);
+    void start(Supervisor supervisor) {
+        supervisor.start("fleet-list", this::run);
     }
 
     private void run() {
--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -5,11 +5,14 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.standins.edge.ClientStandin;
@@ -172,6 +175,17 @@
             assertEquals(0, fleet.runCount(fleet.desks));
         }
 
+        /** Guards against a head that is too large and reported as malformed. */
+        @Test
+        void tooLargeHeadIsRejectedAsSuch() throws IOException {
+            Map<String, String> fields = fleet.validFields();
+            fields.put("X-Filler", "x".repeat(20_000));
+            try (ClientStandin client = fleet.client()) {
+                client.send("POST", ConfigText.BOOKING + "x", fields, "text");
+                assertEquals(431, client.receive().status());
+            }
+        }
+
         /** Guards against request smuggling with two conflicting body lengths. */
         @Test
         void requestWithTwoBodyLengthsIsRejectedAndTheConnectionClosed() throws IOException {
@@ -602,4 +616,75 @@
             assertTrue(fleet.log().contains("\"refusal\":\"TARGETS_PAUSED\""));
         }
     }
+
+    /** Scenario: a target in trouble sends bytes without end, until its connection is closed. */
+    @Nested
+    final class EndlessResponses {
+        private static final Duration TEST_TIMEOUT = Duration.ofSeconds(8);
+
+        /** Guards against a task and memory that are held for as long as the target sends. */
+        @Test
+        void endlessHeadIsAbandonedAndTheRequestRetried() throws IOException {
+            fleet.desks.get(0).setFault(RunnerFault.ENDLESS_HEAD);
+            for (int i = 0; i < 3; i++) {
+                assertEquals("answer of desk-1", fleet.send("GET", ConfigText.STATUS).body());
+            }
+        }
+
+        /** Guards against an event that uses up the memory of the daemon. */
+        @Test
+        void endlessEventIsAbandonedAndTheStreamResumed() throws IOException {
+            fleet.send("POST", ConfigText.RESUMABLE);
+            engineThatExecutedARequest().setFault(RunnerFault.ENDLESS_EVENT);
+            assertEquals(COMPLETE_STREAM, fleet.send("POST", ConfigText.RESUMABLE).body());
+        }
+
+        /** Guards against a response that is forwarded without end, or taken for complete. */
+        @Test
+        void endlessBodyEndsAtTheDeadline() {
+            fleet.desks.forEach(d -> d.setFault(RunnerFault.ENDLESS_BODY));
+            Map<String, String> fields = fleet.validFields();
+            fields.put("X-Godwithoist-Deadline-Ms", "500");
+            assertTimeoutPreemptively(
+                    TEST_TIMEOUT,
+                    () -> {
+                        try (ClientStandin client = fleet.client()) {
+                            client.send("GET", ConfigText.STATUS + "x", fields, "");
+                            assertThrows(IOException.class, client::receive);
+                        }
+                    });
+        }
+    }
+
+    /** Scenario: many callers send bodies without a length at the same time. */
+    @Nested
+    final class ManyChunkedBodies {
+        private static final int CALLERS = 140;
+        private static final int CHUNK_BYTES = 95_000;
+
+        /** Guards against bodies that exceed the memory of the daemon before they are complete. */
+        @Test
+        void bodiesBeyondTheMemoryLimitAreRefusedWhileTheyArrive() throws IOException {
+            List<ClientStandin> clients = new ArrayList<>();
+            try {
+                for (int i = 0; i < CALLERS; i++) {
+                    ClientStandin client = fleet.client();
+                    clients.add(client);
+                    client.sendRaw(startOfChunkedRequest());
+                }
+                assertEquals(503, clients.get(CALLERS - 1).receive().status());
+                assertEquals(200, fleet.send("POST", ConfigText.BOOKING).status());
+            } finally {
+                clients.forEach(ClientStandin::close);
+            }
+        }
+
+        private String startOfChunkedRequest() {
+            StringBuilder text = new StringBuilder("POST " + ConfigText.BOOKING + "x HTTP/1.1\r\n");
+            fleet.validFields().forEach((k, v) -> text.append(k + ": " + v + "\r\n"));
+            text.append("Transfer-Encoding: chunked\r\n\r\n");
+            text.append(Integer.toHexString(CHUNK_BYTES)).append("\r\n");
+            return text.append("x".repeat(CHUNK_BYTES)).append("\r\n").toString();
+        }
+    }
 }
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -13,6 +13,7 @@
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.targets.PeerLoads;
@@ -40,6 +41,7 @@
             PeerTransport transport,
             TargetDirectory directory,
             PeerLoads loads,
+            Supervisor supervisor,
             EventLog log,
             Ticker ticker) {}
 
@@ -61,8 +63,8 @@
 
     /** Starts the receiving task and the task that starts the sending tasks. */
     public void start() {
-        Tasks.start("peers-receive", this::receiveMessages);
-        Tasks.start("peers-plan", this::refreshPlan);
+        dependencies.supervisor().start("peers-receive", this::receiveMessages);
+        dependencies.supervisor().start("peers-plan", this::refreshPlan);
     }
 
     /**
@@ -129,7 +131,7 @@
         plan = next;
         for (HostId host : next.receivers().keySet()) {
             if (activeSenders.add(host)) {
-                Tasks.start("peer-" + host, () -> sendReports(host));
+                dependencies.supervisor().start("peer-" + host, () -> sendReports(host));
             }
         }
     }
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -24,6 +24,7 @@
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.targets.ColdLimit;
@@ -138,7 +139,14 @@
         LoadExchange exchange =
                 new LoadExchange(
                         new LoadExchange.Dependencies(
-                                member, number, transport, directory, loads, log, Ticker.SYSTEM));
+                                member,
+                                number,
+                                transport,
+                                directory,
+                                loads,
+                                new Supervisor((name, cause, backoff) -> {}, Ticker.SYSTEM),
+                                log,
+                                Ticker.SYSTEM));
         exchange.start();
         Daemon daemon = new Daemon(member, target, loads, exchange, transport);
         daemons.put(host, daemon);
--- a/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpException;
 import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.http.ConnectionListener;
 import org.godwithoist.dispatch.http.MessageReader;
@@ -52,7 +53,11 @@
     MessageServer(String name, Handler handler) throws IOException {
         this.handler = handler;
         listener =
-                ConnectionListener.open(new Endpoint("127.0.0.1", 0), name, this::serveConnection);
+                ConnectionListener.open(
+                        new Endpoint("127.0.0.1", 0),
+                        name,
+                        new Supervisor((task, cause, backoff) -> {}, Ticker.SYSTEM),
+                        this::serveConnection);
     }
 
     Endpoint endpoint() {
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
@@ -24,6 +24,12 @@
     UNSIGNED,
     /** Sends a second response to the same request after the complete response. */
     SECOND_ANSWER,
+    /** Runs the request and sends header fields until the connection is closed. */
+    ENDLESS_HEAD,
+    /** Runs the request and sends a body without a length until the connection is closed. */
+    ENDLESS_BODY,
+    /** Runs the request and sends one event that does not end until the connection is closed. */
+    ENDLESS_EVENT,
     /** Sends bytes that are not an HTTP response after the complete response. */
     EXTRA_BYTES
 }
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -121,6 +121,8 @@
         }
         return switch (currentFault) {
             case HANG -> awaitClose(connection);
+            case ENDLESS_HEAD, ENDLESS_BODY, ENDLESS_EVENT ->
+                    writeWithoutEnd(writer, attempt, currentFault);
             case LOSE_ANSWER -> false;
             case FAIL -> writeTextResponse(writer, 500, attempt, "failed");
             case UNSIGNED -> writeEmptyResponse(writer, 200, "Content-Type", "text/plain");
@@ -139,6 +141,22 @@
         return false;
     }
 
+    /** Writes until the daemon closes the connection. */
+    private boolean writeWithoutEnd(MessageWriter writer, String attempt, RunnerFault currentFault)
+            throws IOException {
+        writeHead(writer, 200, attempt);
+        if (currentFault == RunnerFault.ENDLESS_HEAD) {
+            while (true) {
+                writer.field("X-Filler", "x".repeat(100));
+            }
+        }
+        writer.endHead();
+        byte[] filler = "data: filler ".repeat(100).getBytes(StandardCharsets.US_ASCII);
+        while (true) {
+            writer.bytes(filler, 0, filler.length);
+        }
+    }
+
     private boolean respond(MessageWriter writer, String attempt, RunnerFault currentFault)
             throws IOException {
         writeTextResponse(writer, 200, attempt, "answer of " + id);
--- a/store/src/main/java/org/godwithoist/store/feed/TableFollower.java
+++ b/store/src/main/java/org/godwithoist/store/feed/TableFollower.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Durations;
 
@@ -52,8 +53,8 @@
     }
 
     /** Starts the task; interrupt the returned thread to stop it. */
-    public Thread start(String name) {
-        return Tasks.start(name, this::run);
+    public Thread start(String name, Supervisor supervisor) {
+        return supervisor.start(name, this::run);
     }
 
     private void run() {
