--- a/targets/src/main/java/org/godwithoist/targets/LoadEstimate.java
+++ b/targets/src/main/java/org/godwithoist/targets/LoadEstimate.java
@@ -1,6 +1,7 @@
 package org.godwithoist.targets;
 
 import java.util.Collection;
+import java.util.List;
 
 /**
  * Estimates the requests in flight at each target: those of this daemon, which it counts, and those
@@ -19,6 +20,10 @@
     }
 
     static LoadEstimate of(Collection<Target> targets, PeerLoads.View peerView) {
+        if (peerView.complete()) {
+            // The loads that targets report are not used then.
+            return new LoadEstimate(peerView, 0);
+        }
         double requests = 0;
         double weight = 0;
         for (Target t : targets) {
@@ -29,9 +34,22 @@
         return new LoadEstimate(peerView, weight == 0 ? 0 : requests / weight);
     }
 
-    /** Returns the mean load of the targets; 0 for an empty collection. */
-    double mean(Collection<Target> targets) {
-        return targets.stream().mapToDouble(this::load).average().orElse(0);
+    /** Returns the estimated requests of all daemons at each target, in the order of the list. */
+    double[] loads(List<Target> targets) {
+        double[] loads = new double[targets.size()];
+        for (int i = 0; i < loads.length; i++) {
+            loads[i] = load(targets.get(i));
+        }
+        return loads;
+    }
+
+    /** Returns the mean; 0 if there are no loads. */
+    static double mean(double[] loads) {
+        double sum = 0;
+        for (double load : loads) {
+            sum += load;
+        }
+        return loads.length == 0 ? 0 : sum / loads.length;
     }
 
     /** Returns the estimated requests of all daemons at a target. */
--- a/targets/src/main/java/org/godwithoist/targets/Placement.java
+++ b/targets/src/main/java/org/godwithoist/targets/Placement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -99,38 +100,43 @@
      * @return the target; empty if no target may get the request now
      */
     public Optional<Decision> place(PlacementRequest request, List<Target> targets) {
-        List<Target> eligible = eligible(request, targets);
+        Eligibility eligibility = Eligibility.of(request, targets);
         PeerLoads.View peerView = peers.view();
-        List<Candidate> order =
+        List<Candidate> candidates =
                 request.prefix().isPresent()
-                        ? rankByPrefix(request.prefix().get().key(), eligible, targets, peerView)
-                        : rankByLatency(eligible, peerView);
-        Optional<Candidate> healthy = tryCandidates(request, order, false);
+                        ? rankByPrefix(
+                                request.prefix().get().key(),
+                                eligibility.targets(),
+                                targets,
+                                peerView)
+                        : rankByLatency(eligibility.targets(), peerView);
+        Optional<Candidate> healthy = tryCandidates(request, candidates, false);
         Optional<Candidate> chosen =
-                healthy.isPresent() ? healthy : tryCandidates(request, order, true);
+                healthy.isPresent() ? healthy : tryCandidates(request, candidates, true);
         return chosen.map(
                 c ->
                         new Decision(
                                 c.target(),
                                 cachingEngine(request, c.target(), targets),
-                                reason(c, order, targets, peerView)));
+                                reason(c, candidates, eligibility, peerView)));
     }
 
     private static Reason reason(
             Candidate chosen,
-            List<Candidate> order,
-            List<Target> targets,
+            List<Candidate> candidates,
+            Eligibility eligibility,
             PeerLoads.View peerView) {
-        boolean rankedFirst = order.stream().allMatch(c -> c.rank() <= chosen.rank());
-        long paused = targets.stream().filter(Target::isPaused).count();
-        long leaving = targets.stream().filter(Target::isLeaving).count();
+        boolean rankedFirst = true;
+        for (Candidate c : candidates) {
+            rankedFirst &= c.rank() <= chosen.rank();
+        }
         return new Reason(
                 chosen.load(),
                 chosen.bound(),
                 rankedFirst,
                 peerView.complete(),
-                (int) paused,
-                (int) leaving);
+                eligibility.paused(),
+                eligibility.leaving());
     }
 
     /**
@@ -188,20 +194,6 @@
         return key.weight(target.id().value().hashCode() * 0x9e3779b97f4a7c15L);
     }
 
-    private static List<Target> eligible(PlacementRequest request, List<Target> targets) {
-        List<Target> eligible = new ArrayList<>(targets.size());
-        for (Target t : targets) {
-            if (inService(request, t) && !t.isPaused() && !request.tried().contains(t.id())) {
-                eligible.add(t);
-            }
-        }
-        return eligible;
-    }
-
-    private static boolean inService(PlacementRequest request, Target target) {
-        return !target.isGoingAway() && !request.outOfService().contains(target.entry().domain());
-    }
-
     /**
      * Returns the time until the first target of the service accepts requests of this daemon again,
      * if all of them have asked it to pause. Sending the request to a target that pauses would only
@@ -212,15 +204,17 @@
      */
     public Optional<Duration> shortestPause(PlacementRequest request, List<Target> targets) {
         return targets.stream()
-                .filter(t -> inService(request, t))
+                .filter(request::permits)
                 .map(Target::remainingPause)
                 .min(Comparator.naturalOrder())
                 .filter(pause -> !pause.isZero());
     }
 
     private Optional<Candidate> tryCandidates(
-            PlacementRequest request, List<Candidate> order, boolean allowEjected) {
-        for (Candidate c : order) {
+            PlacementRequest request, List<Candidate> candidates, boolean allowEjected) {
+        CandidateOrder order = new CandidateOrder(candidates);
+        while (!order.isEmpty()) {
+            Candidate c = order.next();
             int perSecond = coldLimit.get().share(request.service(), c.target(), request.share());
             if (c.target().tryBegin(perSecond, allowEjected)) {
                 return Optional.of(c);
@@ -229,53 +223,38 @@
         return Optional.empty();
     }
 
-    /**
-     * A target and the values that decide its position, read once so that they agree.
-     *
-     * @param rank candidates with a higher rank come first
-     */
-    private record Candidate(Target target, double load, double bound, boolean slow, double rank) {
-        boolean passedOver() {
-            return slow || load >= bound;
-        }
-    }
-
     private static List<Candidate> rankByPrefix(
             PrefixKey key, List<Target> eligible, List<Target> listed, PeerLoads.View peerView) {
         LoadEstimate estimate = LoadEstimate.of(eligible, peerView);
-        double slowWaitMs = slowWaitMs(eligible);
-        double bound =
-                SkewBound.of(peerView).loadBound(estimate.mean(eligible), estimate.mean(listed));
+        double[] loads = estimate.loads(eligible);
+        double[] waits = recentWaits(eligible);
+        double slowWaitMs = slowWaitMs(waits);
+        double mean = LoadEstimate.mean(loads);
+        double listedMean =
+                eligible.size() == listed.size() ? mean : LoadEstimate.mean(estimate.loads(listed));
+        double bound = SkewBound.of(peerView).loadBound(mean, listedMean);
         List<Candidate> candidates = new ArrayList<>(eligible.size());
-        for (Target t : eligible) {
-            boolean slow = t.recentWaitMs() > slowWaitMs;
-            candidates.add(
-                    new Candidate(t, estimate.load(t), bound, slow, rendezvousWeight(key, t)));
+        for (int i = 0; i < loads.length; i++) {
+            Target t = eligible.get(i);
+            boolean slow = waits[i] > slowWaitMs;
+            candidates.add(new Candidate(t, loads[i], bound, slow, rendezvousWeight(key, t)));
         }
-        candidates.sort((a, b) -> Double.compare(b.rank(), a.rank()));
-        return orderCandidates(candidates);
+        return candidates;
     }
 
-    /**
-     * Orders candidates: first those that are not passed over, by descending rank, then the others,
-     * by ascending load.
-     *
-     * @param ranked candidates by descending rank
-     */
-    private static List<Candidate> orderCandidates(List<Candidate> ranked) {
-        List<Candidate> order = new ArrayList<>(ranked.size());
-        ranked.stream().filter(c -> !c.passedOver()).forEach(order::add);
-        ranked.stream()
-                .filter(Candidate::passedOver)
-                .sorted((a, b) -> Double.compare(a.load(), b.load()))
-                .forEach(order::add);
-        return order;
+    private static double[] recentWaits(List<Target> targets) {
+        double[] waits = new double[targets.size()];
+        for (int i = 0; i < waits.length; i++) {
+            waits[i] = targets.get(i).recentWaitMs();
+        }
+        return waits;
     }
 
     /** Returns the wait in milliseconds beyond which a target is slow compared with its service. */
-    private static double slowWaitMs(List<Target> targets) {
-        double[] waits = targets.stream().mapToDouble(Target::recentWaitMs).sorted().toArray();
-        double median = waits.length == 0 ? 0 : waits[waits.length / 2];
+    private static double slowWaitMs(double[] waits) {
+        double[] sorted = waits.clone();
+        Arrays.sort(sorted);
+        double median = sorted.length == 0 ? 0 : sorted[sorted.length / 2];
         return SLOW_WAIT_FACTOR * median + SLOW_WAIT_MARGIN_MS;
     }
 
@@ -287,7 +266,6 @@
             double rank = -expectedMs(t, load);
             candidates.add(new Candidate(t, load, Double.POSITIVE_INFINITY, false, rank));
         }
-        candidates.sort((a, b) -> Double.compare(b.rank(), a.rank()));
         return candidates;
     }
 
--- a/targets/src/main/java/org/godwithoist/targets/PlacementRequest.java
+++ b/targets/src/main/java/org/godwithoist/targets/PlacementRequest.java
@@ -20,4 +20,9 @@
         Optional<PromptPrefix> prefix,
         Set<TargetId> tried,
         Set<FailureDomainId> outOfService,
-        FleetShare share) {}
+        FleetShare share) {
+    /** Returns whether the operators and the target itself permit new requests to a target. */
+    boolean permits(Target target) {
+        return !target.isGoingAway() && !outOfService.contains(target.entry().domain());
+    }
+}
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -207,6 +207,9 @@
 
     /** Returns the prefixes that the target has recently cached for this daemon. */
     synchronized List<CachedPrefix> recentPrefixes() {
+        if (recentPrefixes.isEmpty()) {
+            return List.of();
+        }
         removeOldPrefixes(ticker.nanos());
         return recentPrefixes.stream().map(r -> new CachedPrefix(id(), r.key())).toList();
     }
