Bound what the store, a leader and a stalled stream can make a daemon do

A slow stream with complete events is not cut (EdgeTest.SlowStreams). - A malformed row is logged once for each reason.

--- a/edge/src/main/java/org/godwithoist/edge/FeedLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/FeedLog.java
@@ -1,5 +1,7 @@
 package org.godwithoist.edge;
 
+import java.util.LinkedHashMap;
+import java.util.SequencedMap;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.platform.FeedStatus;
 
@@ -8,11 +10,15 @@
  * the task of the feed; {@link #isLoaded()} may be called by any task.
  */
 final class FeedLog implements FeedStatus {
+    /** Maximum number of malformed rows whose last reason is remembered. */
+    private static final int MAX_REPORTED_ROWS = 256;
+
     private final EventLog log;
     private final String table;
     private final Runnable onTableRead;
     private final Runnable onRecovered;
     private volatile boolean loaded;
+    private final SequencedMap<String, String> reportedRows = new LinkedHashMap<>();
     private volatile boolean unavailable;
 
     /**
@@ -57,8 +63,18 @@
         }
     }
 
+    /**
+     * Logs a malformed row once for each reason, because its writer may write it again several
+     * times a second.
+     */
     @Override
     public void malformedRow(String key, String reason) {
+        if (reason.equals(reportedRows.put(key, reason))) {
+            return;
+        }
+        if (reportedRows.size() > MAX_REPORTED_ROWS) {
+            reportedRows.pollFirstEntry();
+        }
         log.event("row_left_out")
                 .with("table", table)
                 .with("key", key)
--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -617,6 +617,27 @@
         }
     }
 
+    /** Scenario: targets are slow, or stall in the middle of a response. */
+    @Nested
+    final class SlowStreams {
+        /** Guards against a stalled stream that goes on because of a byte now and then. */
+        @Test
+        void streamWithoutCompleteEventsIsResumedElsewhere() throws IOException {
+            fleet.send("POST", ConfigText.RESUMABLE);
+            engineThatExecutedARequest().setFault(RunnerFault.DRIBBLE);
+            assertEquals(COMPLETE_STREAM, fleet.send("POST", ConfigText.RESUMABLE).body());
+        }
+
+        /** Guards against a slow but sound stream that is cut or started elsewhere. */
+        @Test
+        void slowStreamIsNotCut() throws IOException {
+            fleet.engines.forEach(e -> e.setFault(RunnerFault.SLOW_EVENTS));
+            assertEquals(COMPLETE_STREAM, fleet.send("POST", ConfigText.RESUMABLE).body());
+            assertEquals(COMPLETE_STREAM, fleet.send("POST", ConfigText.NON_RESUMABLE).body());
+            assertEquals(2, fleet.runCount(fleet.engines));
+        }
+    }
+
     /** Scenario: a target in trouble sends bytes without end, until its connection is closed. */
     @Nested
     final class EndlessResponses {
--- a/relay/src/main/java/org/godwithoist/relay/wire/RelayCodec.java
+++ b/relay/src/main/java/org/godwithoist/relay/wire/RelayCodec.java
@@ -31,8 +31,14 @@
     /** Maximum size of a response. */
     static final int MAX_RESPONSE_BYTES = 4 << 20;
 
-    /** Maximum size of the value of a row, uncompressed. */
-    private static final int MAX_ROW_BYTES = 4 << 20;
+    /**
+     * Maximum size of all rows of a response, uncompressed. A leader keeps fewer bytes; compressed
+     * bytes that decode to much more would use up the memory of a member.
+     */
+    static final int MAX_ROWS_BYTES = 4 << 20;
+
+    /** Size that a row adds to its key and value, in bytes. */
+    private static final int ROW_OVERHEAD_BYTES = 64;
 
     private static final int VERSION = 1;
 
@@ -114,18 +120,21 @@
         int count = in.readInt();
         List<FeedRow> rows = new ArrayList<>();
         DataInputStream rowsIn = new DataInputStream(new InflaterInputStream(in));
+        int remainingBytes = MAX_ROWS_BYTES;
         for (int i = 0; i < count; i++) {
-            rows.add(decodeRow(rowsIn));
+            FeedRow row = decodeRow(rowsIn, remainingBytes);
+            remainingBytes -= ROW_OVERHEAD_BYTES + row.key().length() + row.value().length;
+            rows.add(row);
         }
         return Optional.of(new FeedPage(rows, version));
     }
 
-    private static FeedRow decodeRow(DataInputStream in) throws IOException {
+    private static FeedRow decodeRow(DataInputStream in, int maxBytes) throws IOException {
         String key = in.readUTF();
         long version = in.readLong();
         boolean deleted = in.readBoolean();
         int length = in.readInt();
-        if (length < 0 || length > MAX_ROW_BYTES) {
+        if (length < 0 || length > maxBytes) {
             throw new IOException(
                     "row '" + key + "' has an invalid length of " + length + " bytes");
         }
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
@@ -24,6 +24,10 @@
     UNSIGNED,
     /** Sends a second response to the same request after the complete response. */
     SECOND_ANSWER,
+    /** Runs the request, sends an event and then single bytes of the next one, without its end. */
+    DRIBBLE,
+    /** Runs the request and sends its events with long pauses. */
+    SLOW_EVENTS,
     /** Runs the request and sends header fields until the connection is closed. */
     ENDLESS_HEAD,
     /** Runs the request and sends a body without a length until the connection is closed. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -18,6 +18,8 @@
 
 /** Stand-in for a runner of the platform. Thread-safe. */
 public final class RunnerStandin implements Closeable {
+    private static final Duration DRIBBLE_INTERVAL = Duration.ofMillis(50);
+    private static final Duration SLOW_EVENT_DELAY = Duration.ofMillis(500);
     private static final Duration HANG_TIMEOUT = Duration.ofSeconds(20);
 
     /**
@@ -121,6 +123,7 @@
         }
         return switch (currentFault) {
             case HANG -> awaitClose(connection);
+            case DRIBBLE -> writeDribble(writer, attempt);
             case ENDLESS_HEAD, ENDLESS_BODY, ENDLESS_EVENT ->
                     writeWithoutEnd(writer, attempt, currentFault);
             case LOSE_ANSWER -> false;
@@ -141,6 +144,21 @@
         return false;
     }
 
+    /** Sends one byte after the other, but no complete event, until the daemon closes. */
+    private boolean writeDribble(MessageWriter writer, String attempt) throws IOException {
+        writeHead(writer, 200, attempt);
+        writer.field("Content-Type", "text/event-stream");
+        writer.field("Transfer-Encoding", "chunked");
+        writer.endHead();
+        byte[] event = "id: 1\ndata: piece 1\n\n".getBytes(StandardCharsets.US_ASCII);
+        writer.chunk(event, 0, event.length);
+        while (true) {
+            writer.chunk(event, 0, 1);
+            writer.flush();
+            Tasks.sleep(DRIBBLE_INTERVAL);
+        }
+    }
+
     /** Writes until the daemon closes the connection. */
     private boolean writeWithoutEnd(MessageWriter writer, String attempt, RunnerFault currentFault)
             throws IOException {
@@ -202,7 +220,7 @@
             if (breaks) {
                 return false;
             }
-            Tasks.sleep(eventDelay);
+            Tasks.sleep(currentFault == RunnerFault.SLOW_EVENTS ? SLOW_EVENT_DELAY : eventDelay);
         }
         writer.lastChunk();
         writer.flush();
