--- a/core/src/main/java/org/godwithoist/core/id/Endpoint.java
+++ b/core/src/main/java/org/godwithoist/core/id/Endpoint.java
@@ -1,7 +1,5 @@
 package org.godwithoist.core.id;
 
-import java.util.regex.Pattern;
-
 /**
  * An IP address and port.
  *
@@ -11,10 +9,10 @@
 public record Endpoint(String ip, int port) {
     private static final int MAX_PORT = 65_535;
     private static final int MAX_OCTET = 255;
+    private static final int MAX_OCTET_DIGITS = 3;
     private static final int OCTETS = 4;
     private static final int MAX_IP_LENGTH = 45;
-    private static final Pattern IPV4 = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}");
-    private static final Pattern IPV6 = Pattern.compile("[0-9a-fA-F]*:[0-9a-fA-F:]*");
+    private static final int HEX_RADIX = 16;
 
     /**
      * Validates address and port.
@@ -57,18 +55,44 @@
         if (ip.length() > MAX_IP_LENGTH) {
             return false;
         }
-        return IPV6.matcher(ip).matches() || (IPV4.matcher(ip).matches() && hasValidOctets(ip));
+        return ip.indexOf(':') >= 0 ? isHexAndColons(ip) : isIpv4(ip);
     }
 
-    private static boolean hasValidOctets(String ip) {
-        for (String octet : ip.split("\\.", OCTETS)) {
-            if (Integer.parseInt(octet) > MAX_OCTET) {
+    private static boolean isHexAndColons(String ip) {
+        for (int i = 0; i < ip.length(); i++) {
+            char c = ip.charAt(i);
+            boolean isHexDigit = c < 0x80 && Character.digit(c, HEX_RADIX) >= 0;
+            if (c != ':' && !isHexDigit) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Reads the octets by hand, because a daemon checks many addresses while it starts. */
+    private static boolean isIpv4(String ip) {
+        int octets = 1;
+        int digits = 0;
+        int value = 0;
+        for (int i = 0; i < ip.length(); i++) {
+            char c = ip.charAt(i);
+            if (c == '.' && digits > 0) {
+                octets++;
+                digits = 0;
+                value = 0;
+            } else if (c >= '0' && c <= '9') {
+                digits++;
+                value = 10 * value + (c - '0');
+            } else {
+                return false;
+            }
+            if (value > MAX_OCTET || digits > MAX_OCTET_DIGITS) {
+                return false;
+            }
+        }
+        return octets == OCTETS && digits > 0;
+    }
+
     /** Quotes a text from outside; one that is too long for any address is shortened. */
     private static String quote(String text) {
         int maxLength = 2 * MAX_IP_LENGTH;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/Framing.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/Framing.java
@@ -12,6 +12,9 @@
  * @param length length of the body in bytes if the kind is {@link Kind#LENGTH}, otherwise 0
  */
 record Framing(Kind kind, long length) {
+    /** Maximum number of digits of a Content-Length; more would exceed any limit of a body. */
+    private static final int MAX_LENGTH_DIGITS = 15;
+
     enum Kind {
         /** There is no body. */
         NONE,
@@ -71,7 +74,7 @@
     }
 
     private static long length(String text) throws ProtocolException {
-        if (!text.matches("[0-9]{1,15}")) {
+        if (!HeaderFields.isDigits(text, MAX_LENGTH_DIGITS)) {
             throw new ProtocolException(
                     "Content-Length '" + text + "' is invalid; expected 1 to 15 digits");
         }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HeaderFields.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HeaderFields.java
@@ -64,6 +64,19 @@
         return null;
     }
 
+    /** Returns whether a text consists of 1 to {@code maxLength} decimal digits. */
+    public static boolean isDigits(String text, int maxLength) {
+        if (text.isEmpty() || text.length() > maxLength) {
+            return false;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns how often a field occurs. */
     public static int count(Header[] headers, String name) {
         int count = 0;
--- a/targets/src/main/java/org/godwithoist/targets/LeavingTargets.java
+++ b/targets/src/main/java/org/godwithoist/targets/LeavingTargets.java
@@ -1,11 +1,11 @@
 package org.godwithoist.targets;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.SequencedMap;
 import java.util.Set;
-import java.util.stream.Collectors;
 import org.godwithoist.core.time.Ticker;
 
 /**
@@ -47,10 +47,17 @@
 
     /** Returns the incarnations to announce to the other daemons. */
     Set<TargetIncarnation> recent() {
+        if (learnedAt.isEmpty()) {
+            return Set.of();
+        }
         long now = ticker.nanos();
-        return learnedAt.reversed().entrySet().stream()
-                .takeWhile(e -> now - e.getValue() < ANNOUNCEMENT_PERIOD.toNanos())
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toUnmodifiableSet());
+        Set<TargetIncarnation> recent = new HashSet<>();
+        for (Map.Entry<TargetIncarnation, Long> e : learnedAt.reversed().entrySet()) {
+            if (now - e.getValue() >= ANNOUNCEMENT_PERIOD.toNanos()) {
+                return recent;
+            }
+            recent.add(e.getKey());
+        }
+        return recent;
     }
 }
