Count a task that has recovered as healthy again

After three failures in a row a task counted as failing until it failed or ended again, so a daemon whose task had recovered would never have reported itself ready (SupervisorTest.RecoveredTask, seen to fail). The time of the last failure decides now. The pause of a service is looked up only for requests that are not answered, and the overall deadline of a socket is named so.

--- a/core/src/main/java/org/godwithoist/core/task/Supervisor.java
+++ b/core/src/main/java/org/godwithoist/core/task/Supervisor.java
@@ -1,7 +1,7 @@
 package org.godwithoist.core.task;
 
 import java.time.Duration;
-import java.util.Set;
+import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import org.godwithoist.core.time.Durations;
@@ -17,7 +17,7 @@
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(5);
 
     /** A task that has run for this long is considered healthy again. */
-    private static final Duration HEALTHY_RUN = Duration.ofSeconds(10);
+    static final Duration HEALTHY_RUN = Duration.ofSeconds(10);
 
     /** Number of failures in a row from which a task counts as failing. */
     private static final int FAILURES_TO_REPORT = 3;
@@ -37,7 +37,9 @@
     private final FailureListener listener;
     private final Ticker ticker;
     private final LongAdder failures = new LongAdder();
-    private final Set<String> failingTasks = ConcurrentHashMap.newKeySet();
+
+    /** Time of the last failure of each task that has failed several times in a row. */
+    private final Map<String, Long> failingTasks = new ConcurrentHashMap<>();
 
     /** Creates a supervisor without tasks. */
     public Supervisor(FailureListener listener, Ticker ticker) {
@@ -62,7 +64,8 @@
 
     /** Returns whether a task fails again and again, so that its duty is not done. */
     public boolean isFailing() {
-        return !failingTasks.isEmpty();
+        long now = ticker.nanos();
+        return failingTasks.values().stream().anyMatch(at -> now - at < HEALTHY_RUN.toNanos());
     }
 
     private void run(String name, Runnable body) {
@@ -97,7 +100,7 @@
     private boolean handleFailure(String name, Throwable failure, int failuresInARow) {
         failures.increment();
         if (failuresInARow >= FAILURES_TO_REPORT) {
-            failingTasks.add(name);
+            failingTasks.put(name, ticker.nanos());
         } else {
             failingTasks.remove(name);
         }
--- a/core/src/test/java/org/godwithoist/core/task/SupervisorTest.java
+++ b/core/src/test/java/org/godwithoist/core/task/SupervisorTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.core.time.VirtualTicker;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -67,6 +68,35 @@
         }
     }
 
+    /** Scenario: a task fails several times, for example because of one odd row, and then runs. */
+    @Nested
+    final class RecoveredTask {
+        private final VirtualTicker ticker = new VirtualTicker();
+        private final Supervisor virtual = new Supervisor((name, cause, backoff) -> {}, ticker);
+
+        /** Guards against a daemon that stays out of service after its task has recovered. */
+        @Test
+        void noLongerCountsAsFailing() throws InterruptedException {
+            AtomicInteger runs = new AtomicInteger();
+            CountDownLatch running = new CountDownLatch(1);
+            Thread task =
+                    virtual.start(
+                            "follow",
+                            () -> {
+                                if (runs.incrementAndGet() <= 3) {
+                                    throw new IllegalStateException("odd row");
+                                }
+                                running.countDown();
+                                Tasks.sleep(Duration.ofSeconds(TIMEOUT_S));
+                            });
+            assertTrue(running.await(TIMEOUT_S, TimeUnit.SECONDS));
+            assertTrue(virtual.isFailing());
+            ticker.advance(Supervisor.HEALTHY_RUN);
+            assertFalse(virtual.isFailing());
+            task.interrupt();
+        }
+    }
+
     @Nested
     final class EndingTask {
         /** Guards against a task that cannot be stopped. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -120,9 +120,11 @@
             responded = attempt(request, admitted, decision.get(), policy, deadline, response);
         }
         Optional<Duration> pause =
-                placement.shortestPause(
-                        placementRequest(request, admitted, policy),
-                        directory.targets(admitted.service().id()));
+                responded
+                        ? Optional.empty()
+                        : placement.shortestPause(
+                                placementRequest(request, admitted, policy),
+                                directory.targets(admitted.service().id()));
         finish(request, route, policy, pause, deadline, response, responded);
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -41,8 +41,8 @@
     private boolean hasReadDeadline;
     private long readDeadline;
     private long maxGapNanos;
-    private boolean hasInputEnd;
-    private long inputEnd;
+    private boolean hasOverallDeadline;
+    private long overallDeadline;
 
     /**
      * Takes ownership of a connected socket and starts to read from it.
@@ -87,7 +87,7 @@
     /**
      * Sets the deadline of the first byte and the longest gap between later reads. Reads that
      * exceed a limit fail with a {@link SocketTimeoutException}. Removes the limit of {@link
-     * #setInputEnd}.
+     * #setOverallDeadline}.
      *
      * @param deadlineNanos deadline on the ticker, in nanoseconds
      * @param maxGap longest gap between two reads that return bytes; zero if the deadline applies
@@ -99,23 +99,23 @@
             hasReadDeadline = true;
             readDeadline = deadlineNanos;
             maxGapNanos = maxGap.toNanos();
-            hasInputEnd = false;
+            hasOverallDeadline = false;
         } finally {
             lock.unlock();
         }
     }
 
     /**
-     * Sets the time from which all reads fail with a {@link SocketTimeoutException}, also those for
-     * which bytes have arrived. It bounds the input of a peer that never pauses.
+     * Sets the deadline from which all reads fail with a {@link SocketTimeoutException}, also those
+     * for which bytes have arrived. It bounds the input of a peer that never pauses.
      *
-     * @param endNanos time on the ticker, in nanoseconds
+     * @param deadlineNanos deadline on the ticker, in nanoseconds
      */
-    public void setInputEnd(long endNanos) {
+    public void setOverallDeadline(long deadlineNanos) {
         lock.lock();
         try {
-            hasInputEnd = true;
-            inputEnd = endNanos;
+            hasOverallDeadline = true;
+            overallDeadline = deadlineNanos;
         } finally {
             lock.unlock();
         }
@@ -277,7 +277,7 @@
                     }
                     stateChanged.awaitNanos(nanosUntilReadDeadline());
                 }
-                checkInputEnd();
+                checkOverallDeadline();
                 int n = Math.min(length, limit - position);
                 System.arraycopy(buffer, position, destination, from, n);
                 position += n;
@@ -296,9 +296,9 @@
             }
         }
 
-        private void checkInputEnd() throws SocketTimeoutException {
-            if (hasInputEnd && inputEnd - ticker.nanos() <= 0) {
-                throw new SocketTimeoutException("the peer still sends at the end of the input");
+        private void checkOverallDeadline() throws SocketTimeoutException {
+            if (hasOverallDeadline && overallDeadline - ticker.nanos() <= 0) {
+                throw new SocketTimeoutException("the peer still sends at the overall deadline");
             }
         }
 
@@ -331,7 +331,7 @@
             socket.shutdownOutput();
             byte[] discarded = new byte[1024];
             setReadDeadline(until);
-            setInputEnd(until);
+            setOverallDeadline(until);
             int n = input.read(discarded, 0, discarded.length);
             while (n >= 0) {
                 n = input.read(discarded, 0, discarded.length);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -49,7 +49,7 @@
      * Time after the deadline of a request at which the exchange ends even if the target still
      * sends. A response that is complete by then reaches a caller that still waits.
      */
-    private static final Duration INPUT_MARGIN = Duration.ofMillis(250);
+    private static final Duration OVERALL_DEADLINE_MARGIN = Duration.ofMillis(250);
 
     /** Maximum number of responses to other requests before the one to this request. */
     private static final int MAX_STRAY_RESPONSES = 3;
@@ -348,7 +348,10 @@
         Duration timeout = attempt.responseTimeout().orElse(attempt.deadline().remaining());
         Duration wait = attempt.deadline().cap(timeout);
         connection.socket().setReadDeadline(ticker.nanos() + wait.toNanos());
-        connection.socket().setInputEnd(attempt.deadline().atNanos() + INPUT_MARGIN.toNanos());
+        connection
+                .socket()
+                .setOverallDeadline(
+                        attempt.deadline().atNanos() + OVERALL_DEADLINE_MARGIN.toNanos());
     }
 
     // ---- response to the caller
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/ReadAheadSocketTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/ReadAheadSocketTest.java
@@ -74,9 +74,9 @@
 
         /** Guards against a task that reads for as long as the peer sends. */
         @Test
-        void readsEndAtTheEndOfInput() {
+        void readsEndAtTheOverallDeadline() {
             socket.setReadDeadline(after(TEST_TIMEOUT.multipliedBy(2)));
-            socket.setInputEnd(after(READ_TIMEOUT));
+            socket.setOverallDeadline(after(READ_TIMEOUT));
             assertTimeoutPreemptively(
                     TEST_TIMEOUT,
                     () -> assertThrows(SocketTimeoutException.class, this::readUntilFailure));
