Log the prompt parts and the progress of failed attempts

An attempt line had one hash of all shared parts of a prompt, so it could not say which part the requests have in common at whose beginning an engine ended, nor whether an answer had begun. Failed attempts now carry 'parts' and 'progress'.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
@@ -11,6 +11,7 @@
  * @param failure response of a target that failed the request; empty for other outcomes
  * @param lastEvent id of the last event that was sent to the caller; empty if there was none
  * @param timeToFirstByte time to the head of a successful response; empty if there was none
+ * @param progress how far the target got with its response
  * @param detail description for the log
  */
 public record AttemptResult(
@@ -18,15 +19,23 @@
         Optional<BufferedResponse> failure,
         OptionalLong lastEvent,
         Optional<Duration> timeToFirstByte,
+        ResponseProgress progress,
         String detail) {
     /** Creates a result without a failure response. */
     public static AttemptResult of(AttemptOutcome outcome, OptionalLong lastEvent, String detail) {
-        return new AttemptResult(outcome, Optional.empty(), lastEvent, Optional.empty(), detail);
+        return new AttemptResult(
+                outcome,
+                Optional.empty(),
+                lastEvent,
+                Optional.empty(),
+                ResponseProgress.NONE,
+                detail);
     }
 
-    /** Returns this result with the time to the head of a successful response. */
-    public AttemptResult withTimeToFirstByte(Optional<Duration> time) {
-        return new AttemptResult(outcome, failure, lastEvent, time, detail);
+    /** Returns this result with the progress of a response whose head arrived after a time. */
+    public AttemptResult withProgress(Duration headAfter, ResponseProgress reached) {
+        return new AttemptResult(
+                outcome, failure, lastEvent, Optional.of(headAfter), reached, detail);
     }
 
     /** Creates a result with outcome {@link AttemptOutcome#FAILURE_ANSWER}. */
@@ -37,6 +46,7 @@
                 Optional.of(response),
                 OptionalLong.empty(),
                 Optional.empty(),
+                ResponseProgress.NONE,
                 detail);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -21,6 +21,7 @@
 import org.godwithoist.dispatch.EventTooLargeException;
 import org.godwithoist.dispatch.Request;
 import org.godwithoist.dispatch.ResponseHead;
+import org.godwithoist.dispatch.ResponseProgress;
 import org.godwithoist.targets.Target;
 
 /**
@@ -51,6 +52,12 @@
      */
     private static final Duration OVERALL_DEADLINE_MARGIN = Duration.ofMillis(250);
 
+    /**
+     * Time after its head at which a response that still goes on counts as established. Engines
+     * that fail at the beginning of a response do so within a fraction of it.
+     */
+    private static final Duration ESTABLISHED_AFTER = Duration.ofMillis(500);
+
     /** Maximum number of responses to other requests before the one to this request. */
     private static final int MAX_STRAY_RESPONSES = 3;
 
@@ -75,6 +82,7 @@
     private final EventFramer framer = new EventFramer();
     private final long sentAt;
     private Optional<Duration> timeToFirstByte = Optional.empty();
+    private ResponseProgress progress = ResponseProgress.NONE;
     private boolean responseComplete;
     private boolean targetCloses;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
@@ -148,8 +156,8 @@
     }
 
     private AttemptResult result(AttemptOutcome outcome, String detail) {
-        return AttemptResult.of(outcome, framer.lastId(), detail)
-                .withTimeToFirstByte(timeToFirstByte);
+        AttemptResult result = AttemptResult.of(outcome, framer.lastId(), detail);
+        return timeToFirstByte.map(t -> result.withProgress(t, progress)).orElse(result);
     }
 
     // ---- request to the target
@@ -235,6 +243,7 @@
         }
         Duration elapsed = Duration.ofNanos(ticker.nanos() - sentAt);
         timeToFirstByte = Optional.of(elapsed);
+        progress = ResponseProgress.BEGUN;
         attempt.target().responseStarted(attempt.pendingResponse());
         attempt.request()
                 .head()
@@ -246,6 +255,16 @@
         return forwardBody(head, response);
     }
 
+    /** Records that a part of the response was forwarded. */
+    private void recordProgress() {
+        Duration sinceSent = Duration.ofNanos(ticker.nanos() - sentAt);
+        Duration sinceHead = sinceSent.minus(timeToFirstByte.orElse(sinceSent));
+        progress =
+                sinceHead.compareTo(ESTABLISHED_AFTER) < 0
+                        ? ResponseProgress.PARTIAL
+                        : ResponseProgress.ESTABLISHED;
+    }
+
     private static AttemptOutcome rejection(int status, Dialect.ResponseMetadata metadata) {
         if (status == MISDIRECTED_REQUEST) {
             return AttemptOutcome.MOVED;
@@ -279,6 +298,9 @@
                             n,
                             (bytes, from, length) -> writeToCaller(head, bytes, from, length));
             bytesWithoutEvent = hasEvent ? 0 : bytesWithoutEvent + n;
+            if (hasEvent) {
+                recordProgress();
+            }
             if (hasEvent || bytesWithoutEvent >= PROGRESS_BYTES) {
                 setReadDeadline();
                 bytesWithoutEvent = 0;
@@ -288,8 +310,7 @@
         responseComplete = true;
         byte[] incompleteEvent = framer.incompleteEvent();
         writeToCaller(head, incompleteEvent, 0, incompleteEvent.length);
-        finishCallerResponse();
-        return result(AttemptOutcome.ANSWERED, "status " + head.status());
+        return answered(head);
     }
 
     /**
@@ -307,8 +328,7 @@
                     firstBytes,
                     0,
                     firstBytes.length);
-            finishCallerResponse();
-            return result(AttemptOutcome.ANSWERED, "status " + head.status());
+            return answered(head);
         }
         writeToCaller(head, firstBytes, 0, firstBytes.length);
         byte[] buffer = new byte[READ_BUFFER_BYTES];
@@ -318,8 +338,7 @@
             n = body.read(buffer, 0, buffer.length);
         }
         responseComplete = true;
-        finishCallerResponse();
-        return result(AttemptOutcome.ANSWERED, "status " + head.status());
+        return answered(head);
     }
 
     private static byte[] readBuffered(InputStream body) throws IOException {
@@ -368,6 +387,13 @@
         }
     }
 
+    /** Ends the caller's response, of which everything has been written. */
+    private AttemptResult answered(ResponseHead head) throws IOException {
+        progress = ResponseProgress.ESTABLISHED;
+        finishCallerResponse();
+        return result(AttemptOutcome.ANSWERED, "status " + head.status());
+    }
+
     private void finishCallerResponse() throws IOException {
         try {
             callerResponse.finish();
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -1,7 +1,9 @@
 package org.godwithoist.edge;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.godwithoist.catalog.Route;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.log.LogLine;
@@ -11,9 +13,12 @@
 import org.godwithoist.dispatch.RequestObserver;
 import org.godwithoist.dispatch.RequestOutcome;
 import org.godwithoist.targets.Placement;
+import org.godwithoist.targets.PromptPartId;
 
 /** Writes log events and metrics for each attempt and each request. Thread-safe. */
 final class RequestLog implements RequestObserver {
+    private static final int MAX_LOGGED_PARTS = 16;
+
     private final EventLog log;
     private final EdgeMetrics metrics;
 
@@ -54,9 +59,21 @@
                                         .with("shared_tokens", p.tokens()));
         decision.cachingEngine().ifPresent(t -> line.with("holder", t.id().value()));
         result.timeToFirstByte().ifPresent(t -> line.with("first_ms", t.toMillis()));
+        if (result.outcome().verdict().isTargetFailure()) {
+            line.with("progress", result.progress().name());
+            request.head().prefix().ifPresent(p -> line.with("parts", joined(p.parts())));
+        }
         line.with("ms", duration.toMillis()).write();
     }
 
+    /** Returns the ids in the order of the prompt; a request may have more than a line can show. */
+    private static String joined(List<PromptPartId> parts) {
+        return parts.stream()
+                .limit(MAX_LOGGED_PARTS)
+                .map(PromptPartId::value)
+                .collect(Collectors.joining(","));
+    }
+
     @Override
     public void ended(
             Request request,
--- a/targets/src/main/java/org/godwithoist/targets/PromptPrefix.java
+++ b/targets/src/main/java/org/godwithoist/targets/PromptPrefix.java
@@ -1,9 +1,18 @@
 package org.godwithoist.targets;
 
+import java.util.List;
+
 /**
  * The prefix that a prompt shares with other prompts.
  *
  * @param key hash of the prefix
  * @param tokens length of the prefix, in tokens
+ * @param parts parts of the prefix in their order, without the last part of the prompt, which
+ *     belongs to the request or its session
  */
-public record PromptPrefix(PrefixKey key, int tokens) {}
+public record PromptPrefix(PrefixKey key, int tokens, List<PromptPartId> parts) {
+    /** Copies the list. */
+    public PromptPrefix {
+        parts = List.copyOf(parts);
+    }
+}
--- a/targets/src/test/java/org/godwithoist/targets/PlacementFleetTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementFleetTest.java
@@ -128,7 +128,10 @@
         for (int i = 0; i < burst; i++) {
             Daemon d = daemons.get(random.nextInt(DAEMONS));
             int prefixNumber = random.nextBoolean() ? random.nextInt(4) : random.nextInt(100);
-            place(d, new PromptPrefix(PrefixKey.of("thing-" + prefixNumber), 1000), outOfService);
+            place(
+                    d,
+                    new PromptPrefix(PrefixKey.of("thing-" + prefixNumber), 1000, List.of()),
+                    outOfService);
         }
     }
 
--- a/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
@@ -41,7 +41,7 @@
     }
 
     private static PromptPrefix prefix(String text) {
-        return new PromptPrefix(PrefixKey.of(text), 1000);
+        return new PromptPrefix(PrefixKey.of(text), 1000, List.of());
     }
 
     private Optional<Placement.Decision> place(
