Reproduce engines that end one after the other under one prompt part

A stand-in engine ends like a killed process when it begins the response to a request with a given prompt part.

--- /dev/null
+++ b/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
@@ -0,0 +1,106 @@
+package org.godwithoist.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.Map;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.standins.edge.ClientStandin;
+import org.godwithoist.standins.edge.ConfigText;
+import org.godwithoist.standins.edge.RunnerStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Scenario: one part of a prompt ends each engine that begins a response to it. Sound requests
+ * share their first part with such requests.
+ */
+final class PoisonPromptTest {
+    private static final String POISON = "dead";
+    private static final int ENGINES = 10;
+    private static final int POISON_REQUESTS = 12;
+
+    /** Engines that may end before requests with the part must no longer reach any. */
+    private static final int MAX_ENDED_ENGINES = 5;
+
+    private EdgeFixture fleet;
+    private int requests;
+
+    @BeforeEach
+    void start() throws IOException {
+        fleet = new EdgeFixture(ENGINES, 1);
+        fleet.engines.forEach(e -> e.setPoisonPart(POISON));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fleet.close();
+    }
+
+    private ClientStandin.Response send(Endpoint daemon, String prompt) throws IOException {
+        Map<String, String> fields = fleet.validFields();
+        fields.put("X-Godwithoist-Prompt-Prefix", prompt + ",own" + requests++ + ":30");
+        try (ClientStandin client = new ClientStandin(daemon)) {
+            client.send("POST", ConfigText.RESUMABLE + "x", fields, "text");
+            return client.receive();
+        }
+    }
+
+    private ClientStandin.Response sendPoison(Endpoint daemon) throws IOException {
+        return send(daemon, "a1:500,b2:1000," + POISON + ":200");
+    }
+
+    private ClientStandin.Response sendSound(Endpoint daemon) throws IOException {
+        return send(daemon, "a1:500,b2:1000");
+    }
+
+    private long endedEngines() {
+        return fleet.engines.stream().filter(RunnerStandin::hasEnded).count();
+    }
+
+    @Nested
+    final class OneDaemon {
+        /** Guards against requests with one part that end one engine after the other. */
+        @Test
+        void partThatEndsEnginesIsRefused() throws IOException {
+            for (int i = 0; i < POISON_REQUESTS; i++) {
+                sendPoison(fleet.edge.callerAddress());
+            }
+            assertTrue(endedEngines() <= MAX_ENDED_ENGINES, "ended: " + endedEngines());
+            ClientStandin.Response refused = sendPoison(fleet.edge.callerAddress());
+            assertEquals(503, refused.status());
+            assertFalse(refused.field("Retry-After").isEmpty());
+        }
+
+        /** Guards against sound requests that are refused because they share other parts. */
+        @Test
+        void requestsWithTheOtherPartsAreServed() throws IOException {
+            for (int i = 0; i < POISON_REQUESTS; i++) {
+                sendPoison(fleet.edge.callerAddress());
+                assertEquals(200, sendSound(fleet.edge.callerAddress()).status());
+            }
+        }
+    }
+
+    @Nested
+    final class SeveralDaemons {
+        /** Guards against daemons that each let a part end engines until they have seen enough. */
+        @Test
+        void daemonsShareWhatTheyHaveSeen() throws IOException {
+            try (Edge other = fleet.startAnother()) {
+                EdgeFixture.await(
+                        "the other daemon",
+                        () -> fleet.log().contains("\"event\":\"peer\",\"host\":\"edge-2\""));
+                for (int i = 0; i < POISON_REQUESTS; i++) {
+                    sendPoison(fleet.edge.callerAddress());
+                    sendPoison(other.callerAddress());
+                }
+                assertTrue(endedEngines() <= MAX_ENDED_ENGINES, "ended: " + endedEngines());
+            }
+        }
+    }
+}
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
 import org.godwithoist.core.id.Endpoint;
@@ -41,6 +43,8 @@
     private final AtomicInteger cancelledRequests = new AtomicInteger();
     private final AtomicInteger rejectedRequests = new AtomicInteger();
     private volatile RunnerFault fault = RunnerFault.NONE;
+    private volatile Optional<String> poisonPart = Optional.empty();
+    private volatile boolean ended;
 
     /**
      * Starts a runner on a free port.
@@ -62,6 +66,21 @@
         fault = newFault;
     }
 
+    /**
+     * Makes the runner end like a killed process when it begins the response to a request whose
+     * prompt contains a part.
+     *
+     * @param partId id of the part, as requests name it
+     */
+    public void setPoisonPart(String partId) {
+        poisonPart = Optional.of(partId);
+    }
+
+    /** Returns whether a request has ended the runner. */
+    public boolean hasEnded() {
+        return ended;
+    }
+
     /** Returns a live view of the requests that this runner executed, in order of execution. */
     public List<ExecutedRequest> executedRequests() {
         return executedRequests;
@@ -118,6 +137,9 @@
         String text = new String(body, StandardCharsets.UTF_8);
         executedRequests.add(new ExecutedRequest(attempt, request.getRequestUri(), fields, text));
         Tasks.sleep(eventDelay);
+        if (poisonPart.isPresent() && promptContains(fields, poisonPart.get())) {
+            return endWhileResponding(writer, attempt);
+        }
         if (currentFault == RunnerFault.STRAY_ANSWER) {
             writeTextResponse(writer, 200, "another-request", "other");
         }
@@ -136,6 +158,24 @@
         };
     }
 
+    private static boolean promptContains(Map<String, String> fields, String partId) {
+        return Stream.of(fields.getOrDefault("x-godwithoist-prompt-prefix", "").split(","))
+                .anyMatch(block -> block.startsWith(partId + ":"));
+    }
+
+    /** Sends the head of a response and ends with all connections. */
+    private boolean endWhileResponding(MessageWriter writer, String attempt) throws IOException {
+        writeHead(writer, 200, attempt);
+        writer.field("Content-Type", "text/event-stream");
+        writer.field("Transfer-Encoding", "chunked");
+        writer.endHead();
+        writer.flush();
+        Tasks.sleep(eventDelay);
+        ended = true;
+        close();
+        return false;
+    }
+
     /** Sends nothing until the daemon closes the connection or the timeout expires. */
     private boolean awaitClose(MessageServer.Connection connection) {
         if (connection.awaitClose(HANG_TIMEOUT)) {
