Keep prompts under which targets crash away from targets

Cause: a lost answer counted against the target only, never against the request, so the same cause was sent to the next target without a limit. The class of fault is a poison message: a retry policy that assumes that failures belong to targets.

The new slice 'quarantine' counts a crash against all shared parts of the prompt that was being answered. A crash is an answer that ends after its head and before its first event while the target no longer accepts connections, so that a single lost connection is not mistaken for one. Three crashes quarantine a part without a known response, five any other; a request with it is refused as not run, with the time left as Retry-After.

QuarantineTest plays the decisions in virtual time.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
@@ -52,6 +52,11 @@
         return mayHaveRun;
     }
 
+    /** Returns whether the connection may have ended before the complete response. */
+    public boolean isConnectionLoss() {
+        return this == LOST || this == BROKEN;
+    }
+
     /** Returns whether the request can be sent to another target if the route permits it. */
     public boolean isRetryable() {
         return retryable;
--- /dev/null
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/CrashDetector.java
@@ -0,0 +1,58 @@
+package org.godwithoist.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.quarantine.Quarantine;
+import org.godwithoist.targets.PromptPartId;
+import org.godwithoist.targets.Target;
+
+/**
+ * Finds targets that crash when they begin to respond to a request, and reports these crashes and
+ * the responses that targets survive to the quarantine. Thread-safe.
+ */
+final class CrashDetector {
+    /**
+     * Delay of the second check of a target that still accepts connections, because a process may
+     * close its connections some time before its listener.
+     */
+    private static final Duration SECOND_CHECK_DELAY = Duration.ofMillis(150);
+
+    private final Quarantine quarantine;
+    private final TargetGateway gateway;
+
+    CrashDetector(Quarantine quarantine, TargetGateway gateway) {
+        this.quarantine = quarantine;
+        this.gateway = gateway;
+    }
+
+    /**
+     * Examines an attempt that has ended.
+     *
+     * @param startedAt start of the attempt, in nanoseconds of the ticker
+     */
+    void attemptEnded(Request request, Target target, AttemptResult result, long startedAt) {
+        List<PromptPartId> prompt = request.head().promptParts();
+        if (prompt.isEmpty()) {
+            return;
+        }
+        if (result.progress() == ResponseProgress.ESTABLISHED) {
+            long respondedAt = startedAt + result.timeToFirstByte().orElseThrow().toNanos();
+            quarantine.recordResponse(prompt, respondedAt);
+        }
+        if (result.progress() == ResponseProgress.BEGUN && result.outcome().isConnectionLoss()) {
+            Tasks.start("crash-check-" + target, () -> checkForCrash(target, prompt));
+        }
+    }
+
+    /** Distinguishes a crash, which closes the listener too, from a single lost connection. */
+    private void checkForCrash(Target target, List<PromptPartId> prompt) {
+        if (gateway.acceptsConnections(target)) {
+            Tasks.sleep(SECOND_CHECK_DELAY);
+            if (gateway.acceptsConnections(target)) {
+                return;
+            }
+        }
+        quarantine.recordCrash(target.entry().incarnation(), prompt);
+    }
+}
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -11,6 +11,7 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.targets.FleetShare;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PlacementRequest;
@@ -38,7 +39,9 @@
     private final CatalogState catalogs;
     private final TargetDirectory directory;
     private final Placement placement;
+    private final Quarantine quarantine;
     private final TargetGateway gateway;
+    private final CrashDetector crashDetector;
     private final Supplier<FleetShare> fleetShare;
     private final RetryShares retryShares;
     private final ServingStatus status;
@@ -52,6 +55,7 @@
             CatalogState catalogs,
             TargetDirectory directory,
             Placement placement,
+            Quarantine quarantine,
             TargetGateway gateway,
             Supplier<FleetShare> fleetShare,
             RetryShares retryShares,
@@ -67,7 +71,9 @@
         admission = new Admission(catalogs, dependencies.status());
         directory = dependencies.directory();
         placement = dependencies.placement();
+        quarantine = dependencies.quarantine();
         gateway = dependencies.gateway();
+        crashDetector = new CrashDetector(quarantine, gateway);
         fleetShare = dependencies.fleetShare();
         retryShares = dependencies.retryShares();
         status = dependencies.status();
@@ -106,12 +112,17 @@
     private void run(Request request, Admission.AdmittedRequest admitted, CallerResponse response)
             throws IOException {
         Route route = admitted.route();
+        Optional<Duration> quarantined = quarantine.remaining(request.head().promptParts());
+        if (quarantined.isPresent()) {
+            refuse(request, route, Refusal.QUARANTINED, 0, quarantined.get(), response);
+            return;
+        }
         RetryShare retryShare = retryShares.of(admitted.service().id());
         retryShare.recordRequest();
         RetryPolicy policy = new RetryPolicy(route, request.head().resumeAfter());
         Deadline deadline = request.deadline(route.timeout(), ticker);
         boolean responded = false;
-        while (!responded && mayAttempt(policy, retryShare, deadline, response)) {
+        while (!responded && mayAttempt(request, policy, retryShare, deadline, response)) {
             Optional<Placement.Decision> decision =
                     chooseTarget(request, admitted, policy, deadline, response);
             if (decision.isEmpty()) {
@@ -129,14 +140,20 @@
     }
 
     private boolean mayAttempt(
-            RetryPolicy policy, RetryShare retryShare, Deadline deadline, CallerResponse response) {
+            Request request,
+            RetryPolicy policy,
+            RetryShare retryShare,
+            Deadline deadline,
+            CallerResponse response) {
         if (deadline.isExpired() || response.callerDisconnected()) {
             return false;
         }
         if (!policy.nextIsRetry()) {
             return true;
         }
-        return policy.permitsAttempt() && retryShare.tryRetry(fleetShare.get());
+        return policy.permitsAttempt()
+                && quarantine.remaining(request.head().promptParts()).isEmpty()
+                && retryShare.tryRetry(fleetShare.get());
     }
 
     /**
@@ -209,6 +226,7 @@
             AttemptResult result = gateway.attempt(attempt, response);
             verdict = result.outcome().verdict();
             policy.recordAttempt(target, result);
+            crashDetector.attemptEnded(request, target, result, startedAt);
             Duration took = Duration.ofNanos(ticker.nanos() - startedAt);
             observer.attempted(request, decision, result, took);
             return result.outcome() == AttemptOutcome.ANSWERED;
@@ -228,22 +246,46 @@
             boolean responded)
             throws IOException {
         RequestOutcome outcome = outcome(policy, response, responded);
-        Optional<Refusal> refusal =
-                outcome == RequestOutcome.REFUSED
-                        ? Optional.of(refusal(policy, pause, deadline))
-                        : Optional.empty();
+        if (outcome == RequestOutcome.REFUSED) {
+            Refusal refusal = refusal(policy, pause, deadline);
+            Duration delay = retryAfter(route, pause);
+            refuse(request, route, refusal, policy.attempts(), delay, response);
+            return;
+        }
         // The request is logged first, because the caller may have disconnected when the response
         // is sent.
         observer.ended(
-                request, Optional.of(route), refusal, outcome, policy.attempts(), elapsed(request));
+                request,
+                Optional.of(route),
+                Optional.empty(),
+                outcome,
+                policy.attempts(),
+                elapsed(request));
         switch (outcome) {
-            case ANSWERED -> {}
+            case ANSWERED, REFUSED -> {}
             case LEFT, BROKEN -> response.abort();
             case FAILED -> policy.failure().orElseThrow().sendTo(response);
-            case REFUSED -> response.refuse(refusal.orElseThrow(), retryAfter(route, pause));
         }
     }
 
+    private void refuse(
+            Request request,
+            Route route,
+            Refusal refusal,
+            int attempts,
+            Duration retryAfter,
+            CallerResponse response)
+            throws IOException {
+        observer.ended(
+                request,
+                Optional.of(route),
+                Optional.of(refusal),
+                RequestOutcome.REFUSED,
+                attempts,
+                elapsed(request));
+        response.refuse(refusal, retryAfter);
+    }
+
     private static RequestOutcome outcome(
             RetryPolicy policy, CallerResponse response, boolean responded) {
         if (responded) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
@@ -25,6 +25,8 @@
     NO_TARGET(503, true),
     /** All targets of the service have asked this daemon to pause. */
     TARGETS_PAUSED(503, true),
+    /** Targets crash when they respond to a part of the request's prompt. */
+    QUARANTINED(503, true),
     /** Every target that was tried rejected the request. */
     REJECTED(503, true),
     /** The caller's deadline passed before the request reached a target. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestHead.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestHead.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import org.godwithoist.catalog.ApiKey;
 import org.godwithoist.core.id.RequestId;
+import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.PromptPrefix;
 
 /**
@@ -32,6 +33,13 @@
         Optional<PromptPrefix> prefix,
         OptionalLong resumeAfter,
         List<HeaderField> fields) {
+    /**
+     * Returns the parts that the prompt shares with others; empty for requests without a prompt.
+     */
+    public List<PromptPartId> promptParts() {
+        return prefix.map(PromptPrefix::parts).orElse(List.of());
+    }
+
     /** Returns the path without the query. */
     public String path() {
         int query = uri.indexOf('?');
--- a/dispatch/src/main/java/org/godwithoist/dispatch/TargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/TargetGateway.java
@@ -1,5 +1,7 @@
 package org.godwithoist.dispatch;
 
+import org.godwithoist.targets.Target;
+
 /** Sends requests to targets and forwards their responses to callers. */
 public interface TargetGateway {
     /**
@@ -9,4 +11,7 @@
      * @param response receives the response
      */
     AttemptResult attempt(Attempt attempt, CallerResponse response);
+
+    /** Returns whether a target accepts connections; one whose process has ended does not. */
+    boolean acceptsConnections(Target target);
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -70,6 +70,17 @@
         }
     }
 
+    @Override
+    public boolean acceptsConnections(Target target) {
+        try {
+            TargetConnection.open(target.entry().endpoint(), CONNECT_TIMEOUT, ticker).close();
+            return true;
+        } catch (IOException e) {
+            // The result is all that the caller asks for; attempts log why a connection failed.
+            return false;
+        }
+    }
+
     private TargetConnection acquireOrOpen(Attempt attempt) throws IOException {
         Optional<TargetConnection> pooled = connections.acquire(attempt.target());
         if (pooled.isPresent()) {
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -31,6 +31,7 @@
 import org.godwithoist.platform.OperatorRows;
 import org.godwithoist.platform.RunnerRows;
 import org.godwithoist.platform.StoreTable;
+import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.relay.Cooldown;
 import org.godwithoist.relay.Leadership;
 import org.godwithoist.relay.RecentChanges;
@@ -79,6 +80,7 @@
     private final EdgeMetrics metrics = new EdgeMetrics();
     private final TargetDirectory directory;
     private final PeerLoads peerLoads;
+    private final Quarantine quarantine;
     private final FeedLog operatorFeed;
     private final FeedLog targetFeed;
     private final Cooldown storeCooldown;
@@ -106,6 +108,7 @@
         this.random = random;
         directory = new TargetDirectory(ticker);
         peerLoads = new PeerLoads(ticker);
+        quarantine = new Quarantine(log, ticker);
         operatorFeed = new FeedLog(log, "operator", this::openGateIfReady, this::refreshTargets);
         targetFeed = new FeedLog(log, "targets", this::openGateIfReady, () -> {});
         storeCooldown = new Cooldown(ticker);
@@ -299,6 +302,7 @@
                         catalogs,
                         directory,
                         new Placement(settings.failureDomain(), this::coldLimit, peerLoads, random),
+                        quarantine,
                         gateway,
                         fleet::share,
                         new RetryShares(ticker, this::retryBudget),
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -61,17 +61,22 @@
         result.timeToFirstByte().ifPresent(t -> line.with("first_ms", t.toMillis()));
         if (result.outcome().verdict().isTargetFailure()) {
             line.with("progress", result.progress().name());
-            request.head().prefix().ifPresent(p -> line.with("parts", joined(p.parts())));
+            addPromptParts(request, line);
         }
         line.with("ms", duration.toMillis()).write();
     }
 
-    /** Returns the ids in the order of the prompt; a request may have more than a line can show. */
-    private static String joined(List<PromptPartId> parts) {
-        return parts.stream()
-                .limit(MAX_LOGGED_PARTS)
-                .map(PromptPartId::value)
-                .collect(Collectors.joining(","));
+    /** Adds the ids in the order of the prompt; a request may have more than a line can show. */
+    private static void addPromptParts(Request request, LogLine line) {
+        List<PromptPartId> parts = request.head().promptParts();
+        if (!parts.isEmpty()) {
+            String ids =
+                    parts.stream()
+                            .limit(MAX_LOGGED_PARTS)
+                            .map(PromptPartId::value)
+                            .collect(Collectors.joining(","));
+            line.with("parts", ids);
+        }
     }
 
     @Override
@@ -89,6 +94,9 @@
                         .with("route", route.map(r -> r.id().value()).orElse(""))
                         .with("end", outcome.name());
         refusal.ifPresent(r -> line.with("refusal", r.name()));
+        if (refusal.equals(Optional.of(Refusal.QUARANTINED))) {
+            addPromptParts(request, line);
+        }
         line.with("attempts", attempts).with("ms", duration.toMillis()).write();
     }
 }
--- /dev/null
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Blame.java
@@ -0,0 +1,61 @@
+package org.godwithoist.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.godwithoist.targets.PromptPartId;
+
+/**
+ * Prompt parts that are blamed for crashes. Parts that only ever occurred together cannot be told
+ * apart, so they are blamed together, and a prompt is affected only if it contains all of them.
+ *
+ * @param parts the parts
+ * @param crashes number of crashes that are explained by them
+ * @param lastCrashAt time of the latest of these crashes
+ */
+record Blame(Set<PromptPartId> parts, int crashes, long lastCrashAt) {
+    /**
+     * Parts without a known response come first, because a part that is shared with sound requests
+     * occurs in the same crashes as the one that causes them.
+     */
+    private static final Comparator<Suspect> MOST_SUSPICIOUS_FIRST =
+            Comparator.comparing(Suspect::reputation)
+                    .thenComparingInt(s -> -s.crashIds().size())
+                    .thenComparing(Suspect::part);
+
+    /**
+     * Decides which parts are to blame. A crash is explained by one blame; a part whose other
+     * crashes are too few is not blamed.
+     */
+    static List<Blame> assign(Collection<Suspect> suspects) {
+        List<Suspect> ordered = suspects.stream().sorted(MOST_SUSPICIOUS_FIRST).toList();
+        List<Blame> blames = new ArrayList<>();
+        Set<CrashId> explained = new HashSet<>();
+        for (Suspect s : ordered) {
+            Set<CrashId> unexplained = new HashSet<>(s.crashIds());
+            unexplained.removeAll(explained);
+            if (unexplained.size() >= s.reputation().crashesToQuarantine()) {
+                blames.add(
+                        new Blame(
+                                indistinguishable(s, ordered),
+                                s.crashIds().size(),
+                                s.lastCrashAt()));
+                explained.addAll(unexplained);
+            }
+        }
+        return blames;
+    }
+
+    /** Returns the parts with the same reputation and the same crashes. */
+    private static Set<PromptPartId> indistinguishable(Suspect suspect, List<Suspect> all) {
+        return all.stream()
+                .filter(s -> s.reputation() == suspect.reputation())
+                .filter(s -> s.crashIds().equals(suspect.crashIds()))
+                .map(Suspect::part)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+}
--- /dev/null
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -0,0 +1,274 @@
+package org.godwithoist.quarantine;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SequencedMap;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.Durations;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.targets.PromptPartId;
+import org.godwithoist.targets.TargetIncarnation;
+
+/**
+ * Prompts that must not reach a target, because targets crash when they begin to respond to them.
+ * Each crash counts against all shared parts of the prompt; a response that goes on clears them. A
+ * part that is left with too many crashes is quarantined. Thread-safe.
+ */
+public final class Quarantine {
+    private static final Duration MIN_QUARANTINE = Duration.ofMinutes(10);
+    private static final Duration MAX_QUARANTINE = Duration.ofHours(1);
+
+    /**
+     * Time for which a crash counts. It is longer than a quarantine, so that the first crash after
+     * one quarantines the part again.
+     */
+    private static final Duration CRASH_RETENTION = Duration.ofHours(2);
+
+    /** Time for which the clearing of crashes is announced to the other daemons. */
+    private static final Duration CLEARED_ANNOUNCEMENT = Duration.ofSeconds(5);
+
+    /**
+     * Time for which cleared crashes are remembered, in case that a daemon which was paused
+     * announces them again.
+     */
+    private static final Duration CLEARED_RETENTION = Duration.ofMinutes(1);
+
+    private static final Duration RECENT_CHANGE = Duration.ofSeconds(2);
+    private static final int MAX_SUSPECTS = 256;
+    private static final int MAX_ANSWERED_PARTS = 2000;
+
+    private record QuarantinedParts(Blame blame, long endsAt) {
+        boolean contains(Collection<PromptPartId> prompt, long now) {
+            return endsAt - now > 0 && prompt.containsAll(blame.parts());
+        }
+    }
+
+    private final EventLog log;
+    private final Ticker ticker;
+    private final Map<PromptPartId, Suspect> suspects = new HashMap<>();
+
+    /** Parts that targets have responded to, the least recently used one first. */
+    private final SequencedMap<PromptPartId, Boolean> answeredParts = new LinkedHashMap<>();
+
+    private volatile List<QuarantinedParts> quarantined = List.of();
+    private Optional<Long> changedAt = Optional.empty();
+
+    /** Creates an instance without suspects. */
+    public Quarantine(EventLog log, Ticker ticker) {
+        this.log = log;
+        this.ticker = ticker;
+    }
+
+    /**
+     * Returns the time for which requests with a prompt must not be sent to a target.
+     *
+     * @param prompt shared parts of the prompt
+     * @return empty if the request may be sent
+     */
+    public Optional<Duration> remaining(Collection<PromptPartId> prompt) {
+        List<QuarantinedParts> current = quarantined;
+        if (current.isEmpty()) {
+            return Optional.empty();
+        }
+        long now = ticker.nanos();
+        return current.stream()
+                .filter(q -> q.contains(prompt, now))
+                .map(q -> Duration.ofNanos(q.endsAt() - now))
+                .max(Comparator.naturalOrder());
+    }
+
+    /** Returns the number of sets of parts that are quarantined. */
+    public int size() {
+        long now = ticker.nanos();
+        return (int) quarantined.stream().filter(q -> q.endsAt() - now > 0).count();
+    }
+
+    // ---- observations of this daemon
+
+    /**
+     * Records that a target crashed when it began to respond to a request.
+     *
+     * @param prompt shared parts of the request's prompt
+     */
+    public synchronized void recordCrash(TargetIncarnation target, List<PromptPartId> prompt) {
+        log.event("target_crashed")
+                .with("target", target.id().value())
+                .with("parts", joined(prompt))
+                .write();
+        long now = ticker.nanos();
+        CrashId crash = CrashId.of(target);
+        boolean changed = false;
+        for (PromptPartId part : prompt) {
+            changed |= suspect(part, now).addCrash(crash, now, now);
+        }
+        update(changed, now);
+    }
+
+    /**
+     * Records that a target survived the beginning of its response to a request.
+     *
+     * @param prompt shared parts of the request's prompt
+     * @param respondedAt time of the head of the response, in nanoseconds of the ticker
+     */
+    public synchronized void recordResponse(List<PromptPartId> prompt, long respondedAt) {
+        long now = ticker.nanos();
+        boolean changed = false;
+        for (PromptPartId part : prompt) {
+            addAnswered(part);
+            Suspect suspect = suspects.get(part);
+            if (suspect != null) {
+                changed |= suspect.setAnswered(now);
+                changed |= suspect.clearKnownAt(respondedAt, now);
+            }
+        }
+        update(changed, now);
+    }
+
+    private void addAnswered(PromptPartId part) {
+        answeredParts.remove(part);
+        answeredParts.put(part, true);
+        if (answeredParts.size() > MAX_ANSWERED_PARTS) {
+            answeredParts.pollFirstEntry();
+        }
+    }
+
+    // ---- exchange with the other daemons
+
+    /** Returns what the other daemons need to know; empty unless a part is suspected. */
+    public synchronized List<PartEvidence> evidence() {
+        if (suspects.isEmpty()) {
+            return List.of();
+        }
+        long now = ticker.nanos();
+        removeExpired(now);
+        return suspects.values().stream()
+                .filter(s -> s.hasCrashes() || isYoungerThan(CLEARED_ANNOUNCEMENT, s, now))
+                .map(s -> s.evidence(now))
+                .toList();
+    }
+
+    /** Returns whether the evidence has changed so recently that others may not know it. */
+    public synchronized boolean isRecentlyChanged() {
+        long now = ticker.nanos();
+        return changedAt.isPresent() && now - changedAt.get() < RECENT_CHANGE.toNanos();
+    }
+
+    /** Adds what another daemon knows. */
+    public synchronized void merge(Collection<PartEvidence> evidence) {
+        long now = ticker.nanos();
+        boolean changed = false;
+        for (PartEvidence e : evidence) {
+            changed |= merge(e, now);
+        }
+        update(changed, now);
+    }
+
+    private boolean merge(PartEvidence evidence, long now) {
+        Suspect suspect = suspect(evidence.part(), now);
+        boolean changed = evidence.answered() && suspect.setAnswered(now);
+        changed |= suspect.clear(evidence.cleared(), now);
+        for (Map.Entry<CrashId, Duration> crash : evidence.crashes().entrySet()) {
+            Duration age = crash.getValue();
+            if (age.compareTo(CRASH_RETENTION) < 0) {
+                changed |= suspect.addCrash(crash.getKey(), now - age.toNanos(), now);
+            }
+        }
+        return changed;
+    }
+
+    // ---- suspects
+
+    private Suspect suspect(PromptPartId part, long now) {
+        Suspect known = suspects.get(part);
+        if (known != null) {
+            return known;
+        }
+        if (suspects.size() >= MAX_SUSPECTS) {
+            removeLeastSuspicious();
+        }
+        Suspect suspect = new Suspect(part, now);
+        if (answeredParts.containsKey(part)) {
+            suspect.setAnswered(now);
+        }
+        suspects.put(part, suspect);
+        return suspect;
+    }
+
+    private void removeLeastSuspicious() {
+        Comparator<Suspect> byCrashes = Comparator.comparingInt(s -> s.crashIds().size());
+        suspects.values().stream()
+                .min(byCrashes.thenComparingLong(Suspect::changedAt))
+                .ifPresent(s -> suspects.remove(s.part()));
+    }
+
+    private void removeExpired(long now) {
+        boolean changed = false;
+        for (Suspect s : suspects.values()) {
+            changed |= s.removeOlderThan(CRASH_RETENTION, now);
+        }
+        suspects.values()
+                .removeIf(s -> !s.hasCrashes() && !isYoungerThan(CLEARED_RETENTION, s, now));
+        update(changed, now);
+    }
+
+    private static boolean isYoungerThan(Duration age, Suspect suspect, long now) {
+        return now - suspect.changedAt() < age.toNanos();
+    }
+
+    private void update(boolean changed, long now) {
+        if (!changed) {
+            return;
+        }
+        changedAt = Optional.of(now);
+        List<QuarantinedParts> before = quarantined;
+        quarantined =
+                Blame.assign(suspects.values()).stream()
+                        .map(b -> new QuarantinedParts(b, b.lastCrashAt() + duration(b).toNanos()))
+                        .toList();
+        logChanges(before, now);
+    }
+
+    /**
+     * Returns the duration of a quarantine, which doubles with each crash beyond the first ones.
+     */
+    private static Duration duration(Blame blame) {
+        int doublings = blame.crashes() - Reputation.UNANSWERED.crashesToQuarantine();
+        return Durations.min(MIN_QUARANTINE.multipliedBy(1L << doublings), MAX_QUARANTINE);
+    }
+
+    private void logChanges(List<QuarantinedParts> before, long now) {
+        Set<Set<PromptPartId>> partsBefore = parts(before);
+        Set<Set<PromptPartId>> partsNow = parts(quarantined);
+        for (QuarantinedParts q : quarantined) {
+            if (!partsBefore.contains(q.blame().parts())) {
+                log.event("prompt_quarantined")
+                        .with("parts", joined(new TreeSet<>(q.blame().parts())))
+                        .with("crashes", q.blame().crashes())
+                        .with("for_s", Duration.ofNanos(q.endsAt() - now).toSeconds())
+                        .write();
+            }
+        }
+        for (Set<PromptPartId> parts : partsBefore) {
+            if (!partsNow.contains(parts)) {
+                log.event("prompt_released").with("parts", joined(new TreeSet<>(parts))).write();
+            }
+        }
+    }
+
+    private static Set<Set<PromptPartId>> parts(List<QuarantinedParts> quarantined) {
+        return quarantined.stream().map(q -> q.blame().parts()).collect(Collectors.toSet());
+    }
+
+    private static String joined(Collection<PromptPartId> parts) {
+        return parts.stream().map(PromptPartId::value).collect(Collectors.joining(","));
+    }
+}
--- /dev/null
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Suspect.java
@@ -0,0 +1,145 @@
+package org.godwithoist.quarantine;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.SequencedSet;
+import java.util.Set;
+import org.godwithoist.targets.PromptPartId;
+
+/**
+ * A prompt part that was in the prompt of a request at whose beginning a target crashed. Instants
+ * are in nanoseconds of the ticker. Not thread-safe.
+ */
+final class Suspect {
+    /** Maximum number of crashes that are kept, the latest ones. */
+    static final int MAX_CRASHES = 8;
+
+    /** Maximum number of cleared crashes that are kept, the last ones. */
+    private static final int MAX_CLEARED = 16;
+
+    /**
+     * A crash that counts against the part.
+     *
+     * @param occurredAt time of the crash
+     * @param learnedAt time at which this daemon learned of it
+     */
+    private record Crash(long occurredAt, long learnedAt) {}
+
+    private final PromptPartId part;
+    private final Map<CrashId, Crash> crashes = new HashMap<>();
+    private final SequencedSet<CrashId> cleared = new LinkedHashSet<>();
+    private boolean answered;
+    private long changedAt;
+
+    Suspect(PromptPartId part, long now) {
+        this.part = part;
+        changedAt = now;
+    }
+
+    PromptPartId part() {
+        return part;
+    }
+
+    Reputation reputation() {
+        return answered ? Reputation.ANSWERED : Reputation.UNANSWERED;
+    }
+
+    /** Returns the crashes that count against the part. */
+    Set<CrashId> crashIds() {
+        return crashes.keySet();
+    }
+
+    boolean hasCrashes() {
+        return !crashes.isEmpty();
+    }
+
+    /** Returns the time of the latest crash; must not be called without crashes. */
+    long lastCrashAt() {
+        return crashes.values().stream().mapToLong(Crash::occurredAt).max().orElseThrow();
+    }
+
+    /** Returns when the evidence last changed. */
+    long changedAt() {
+        return changedAt;
+    }
+
+    /** Adds a crash; returns whether it counts and was unknown. */
+    boolean addCrash(CrashId id, long occurredAt, long now) {
+        if (cleared.contains(id) || crashes.containsKey(id)) {
+            return false;
+        }
+        crashes.put(id, new Crash(occurredAt, now));
+        if (crashes.size() > MAX_CRASHES) {
+            CrashId oldest = oldestCrash();
+            crashes.remove(oldest);
+            if (oldest.equals(id)) {
+                return false;
+            }
+        }
+        changedAt = now;
+        return true;
+    }
+
+    private CrashId oldestCrash() {
+        return crashes.entrySet().stream()
+                .min(Comparator.comparingLong(e -> e.getValue().occurredAt()))
+                .map(Map.Entry::getKey)
+                .orElseThrow();
+    }
+
+    /** Records that targets have responded to the part; returns whether it was unknown. */
+    boolean setAnswered(long now) {
+        if (answered) {
+            return false;
+        }
+        answered = true;
+        changedAt = now;
+        return true;
+    }
+
+    /**
+     * Clears the crashes that this daemon knew of when a target began to respond. Only these are
+     * certain to have come before the response, because the clocks of two daemons differ.
+     *
+     * @return whether a crash was cleared
+     */
+    boolean clearKnownAt(long respondedAt, long now) {
+        Set<CrashId> known = new HashSet<>();
+        crashes.forEach(
+                (id, crash) -> {
+                    if (crash.learnedAt() - respondedAt < 0) {
+                        known.add(id);
+                    }
+                });
+        return clear(known, now);
+    }
+
+    /** Clears crashes; returns whether one of them was not cleared yet. */
+    boolean clear(Set<CrashId> ids, long now) {
+        if (cleared.containsAll(ids)) {
+            return false;
+        }
+        cleared.addAll(ids);
+        crashes.keySet().removeAll(ids);
+        while (cleared.size() > MAX_CLEARED) {
+            cleared.removeFirst();
+        }
+        changedAt = now;
+        return true;
+    }
+
+    /** Removes crashes that are too old to count; returns whether there was one. */
+    boolean removeOlderThan(Duration age, long now) {
+        return crashes.values().removeIf(c -> now - c.occurredAt() >= age.toNanos());
+    }
+
+    PartEvidence evidence(long now) {
+        Map<CrashId, Duration> ages = new HashMap<>();
+        crashes.forEach((id, c) -> ages.put(id, Duration.ofNanos(now - c.occurredAt())));
+        return new PartEvidence(part, answered, ages, cleared);
+    }
+}
--- /dev/null
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
@@ -0,0 +1,190 @@
+package org.godwithoist.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.targets.PromptPartId;
+import org.godwithoist.targets.TargetIncarnation;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests {@link Quarantine} in virtual time. */
+final class QuarantineTest {
+    private static final Duration STEP = Duration.ofMillis(100);
+    private static final List<PromptPartId> SOUND = prompt("a1", "b2");
+    private static final List<PromptPartId> POISON = prompt("a1", "b2", "dead");
+
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final Quarantine quarantine = newQuarantine();
+    private int crashes;
+
+    private static List<PromptPartId> prompt(String... parts) {
+        return Stream.of(parts).map(PromptPartId::new).toList();
+    }
+
+    private Quarantine newQuarantine() {
+        return new Quarantine(EventLog.start(OutputStream.nullOutputStream()), ticker);
+    }
+
+    private void crash(Quarantine at, List<PromptPartId> prompt) {
+        ticker.advance(STEP);
+        at.recordCrash(new TargetIncarnation(new TargetId("i-" + crashes++), 1), prompt);
+    }
+
+    private void crash(List<PromptPartId> prompt) {
+        crash(quarantine, prompt);
+    }
+
+    private void respond(Quarantine at, List<PromptPartId> prompt) {
+        ticker.advance(STEP);
+        at.recordResponse(prompt, ticker.nanos());
+    }
+
+    private boolean blocks(List<PromptPartId> prompt) {
+        return quarantine.remaining(prompt).isPresent();
+    }
+
+    @Nested
+    final class PoisonPart {
+        /** Guards against a part that crashes more targets than it takes to be certain of it. */
+        @Test
+        void threeCrashesQuarantineAnUnansweredPart() {
+            crash(POISON);
+            crash(POISON);
+            assertFalse(blocks(POISON));
+            crash(POISON);
+            assertTrue(blocks(POISON));
+        }
+
+        /** Guards against a part that is never blamed because targets responded to it before. */
+        @Test
+        void fiveCrashesQuarantineAPartThatWasAnswered() {
+            respond(quarantine, POISON);
+            for (int i = 0; i < 4; i++) {
+                crash(POISON);
+                assertFalse(blocks(POISON));
+            }
+            crash(POISON);
+            assertTrue(blocks(POISON));
+        }
+
+        /** Guards against a part that is found only at one place of a prompt. */
+        @Test
+        void partIsFoundAtAnyPlace() {
+            for (List<PromptPartId> poison :
+                    List.of(prompt("dead", "a1", "b2"), prompt("a1", "dead", "b2"))) {
+                respond(quarantine, SOUND);
+                for (int i = 0; i < 3; i++) {
+                    crash(poison);
+                }
+                assertTrue(blocks(poison));
+                assertFalse(blocks(SOUND));
+            }
+        }
+
+        /** Guards against one crash that counts once for each request that it broke off. */
+        @Test
+        void oneCrashCountsOnce() {
+            TargetIncarnation target = new TargetIncarnation(new TargetId("i"), 1);
+            for (int i = 0; i < 10; i++) {
+                quarantine.recordCrash(target, POISON);
+            }
+            assertFalse(blocks(POISON));
+        }
+    }
+
+    @Nested
+    final class SoundParts {
+        /** Guards against sound requests that are refused because they share other parts. */
+        @Test
+        void partsOfSoundRequestsAreNotBlamed() {
+            for (int i = 0; i < 8; i++) {
+                respond(quarantine, SOUND);
+                crash(POISON);
+                assertFalse(blocks(SOUND));
+            }
+        }
+
+        /** Guards against parts that are refused although nothing tells them from the poison. */
+        @Test
+        void partsThatOnlyOccurTogetherAreBlockedTogether() {
+            for (int i = 0; i < 3; i++) {
+                crash(POISON);
+            }
+            assertFalse(blocks(SOUND));
+            assertFalse(blocks(prompt("dead")));
+            assertTrue(blocks(POISON));
+        }
+
+        /** Guards against a shared part that is blamed for the crashes of two poison parts. */
+        @Test
+        void twoPoisonPartsAreFoundBesideASharedOne() {
+            respond(quarantine, prompt("a1"));
+            for (int i = 0; i < 3; i++) {
+                crash(prompt("a1", "dead"));
+                crash(prompt("a1", "gone"));
+            }
+            assertTrue(blocks(prompt("a1", "dead")));
+            assertTrue(blocks(prompt("a1", "gone")));
+            assertFalse(blocks(prompt("a1", "b2")));
+        }
+
+        /** Guards against a part that stays quarantined although a target responds to it. */
+        @Test
+        void responseReleasesAPart() {
+            for (int i = 0; i < 5; i++) {
+                crash(POISON);
+            }
+            respond(quarantine, POISON);
+            assertFalse(blocks(POISON));
+        }
+
+        /** Guards against a response that clears a crash although it began before it. */
+        @Test
+        void responseThatBeganEarlierClearsNothing() {
+            long respondedAt = ticker.nanos();
+            for (int i = 0; i < 5; i++) {
+                crash(POISON);
+            }
+            quarantine.recordResponse(POISON, respondedAt);
+            assertTrue(blocks(POISON));
+        }
+    }
+
+    @Nested
+    final class Ends {
+        /** Guards against a part that is never tried again. */
+        @Test
+        void quarantineEndsAndOneMoreCrashProlongsIt() {
+            for (int i = 0; i < 3; i++) {
+                crash(POISON);
+            }
+            Duration first = quarantine.remaining(POISON).orElseThrow();
+            ticker.advance(first);
+            assertFalse(blocks(POISON));
+            crash(POISON);
+            assertEquals(first.multipliedBy(2), quarantine.remaining(POISON).orElseThrow());
+        }
+
+        /** Guards against evidence that uses up the memory of a daemon. */
+        @Test
+        void numberOfSuspectsIsLimited() {
+            for (int i = 0; i < 3; i++) {
+                crash(POISON);
+            }
+            for (int i = 0; i < 2000; i++) {
+                crash(prompt("odd-" + i));
+            }
+            assertTrue(quarantine.evidence().size() <= 256);
+            assertTrue(blocks(POISON));
+        }
+    }
+}
