Share the evidence against prompt parts between daemons

Daemons now send each other the crashes that they have seen, by datagrams to the receivers of their load reports: at once after an observation, and each second while a part is suspected, for daemons that have restarted. Crashes are named by the incarnation of the target, so several observers count one crash once; evidence is merged by union, and cleared crashes travel by name and not by time, because clocks differ. Leaders forward news at once.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -214,6 +214,7 @@
                                 transport,
                                 directory,
                                 peerLoads,
+                                quarantine,
                                 supervisor,
                                 log,
                                 ticker));
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -16,13 +16,15 @@
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.TargetDirectory;
 
 /**
- * Reports this daemon's requests in progress, and the prompt prefixes that engines have cached for
- * it, to other daemons, and applies the reports they send. Uses one sending task for each receiving
- * daemon, one receiving task, and one task that refreshes the plan. Thread-safe.
+ * Reports this daemon's requests in progress, the prompt prefixes that engines have cached for it
+ * and the evidence against prompt parts to other daemons, and applies what they send. Uses one
+ * sending task for each receiving daemon, one for evidence, one receiving task, and one task that
+ * refreshes the plan. Thread-safe.
  */
 public final class LoadExchange implements Closeable {
     private static final Duration PLAN_REFRESH_INTERVAL = Duration.ofSeconds(1);
@@ -41,12 +43,14 @@
             PeerTransport transport,
             TargetDirectory directory,
             PeerLoads loads,
+            Quarantine quarantine,
             Supervisor supervisor,
             EventLog log,
             Ticker ticker) {}
 
     private final Dependencies dependencies;
     private final LoadReportBuilder reportBuilder;
+    private final EvidenceSender evidenceSender;
     private final AtomicLong sequence = new AtomicLong();
     private final Map<HostId, Peer> peers = new ConcurrentHashMap<>();
     private final Set<HostId> activeSenders = ConcurrentHashMap.newKeySet();
@@ -59,12 +63,20 @@
         reportBuilder =
                 new LoadReportBuilder(
                         dependencies.directory(), dependencies.loads(), dependencies.ticker());
+        evidenceSender =
+                new EvidenceSender(
+                        dependencies.self(),
+                        dependencies.quarantine(),
+                        this::receiverAddresses,
+                        dependencies.transport(),
+                        dependencies.log());
     }
 
-    /** Starts the receiving task and the task that starts the sending tasks. */
+    /** Starts the tasks. */
     public void start() {
         dependencies.supervisor().start("peers-receive", this::receiveMessages);
         dependencies.supervisor().start("peers-plan", this::refreshPlan);
+        dependencies.supervisor().start("peers-evidence", evidenceSender::run);
     }
 
     /**
@@ -147,6 +159,12 @@
         activeSenders.remove(host);
     }
 
+    private List<Endpoint> receiverAddresses() {
+        return plan.receivers().keySet().stream()
+                .map(host -> peers.get(host).member().address())
+                .toList();
+    }
+
     private Duration sendInterval(Peer peer) {
         return plan.role().interval(peer.isUnresponsive(dependencies.ticker().nanos()));
     }
@@ -205,7 +223,7 @@
     }
 
     private void handle(PeerTransport.Received received) {
-        LoadMessage message = received.message();
+        PeerMessage message = received.message();
         if (message.sender().equals(dependencies.self().host())) {
             return;
         }
@@ -215,6 +233,21 @@
         if (isNew) {
             updatePlan();
         }
+        switch (message) {
+            case LoadMessage load -> applyReport(load);
+            case EvidenceMessage evidence -> applyEvidence(evidence);
+        }
+    }
+
+    /** Adds evidence of another daemon; a leader forwards what is new at once. */
+    private void applyEvidence(EvidenceMessage message) {
+        boolean isNews = dependencies.quarantine().merge(message.evidence());
+        if (isNews && plan.isLeader()) {
+            evidenceSender.send();
+        }
+    }
+
+    private void applyReport(LoadMessage message) {
         dependencies.directory().recordPeerLeaving(message.report().leaving());
         boolean fromOtherLeader =
                 plan.isLeader() && message.report().scope() == PeerLoads.Scope.FLEET;
--- a/peers/src/main/java/org/godwithoist/peers/LoadMessage.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadMessage.java
@@ -11,4 +11,5 @@
  * @param domain failure domain of the sender
  * @param report requests in progress in the sender's view
  */
-public record LoadMessage(HostId sender, FailureDomainId domain, PeerLoads.Report report) {}
+public record LoadMessage(HostId sender, FailureDomainId domain, PeerLoads.Report report)
+        implements PeerMessage {}
--- a/peers/src/main/java/org/godwithoist/peers/PeerTransport.java
+++ b/peers/src/main/java/org/godwithoist/peers/PeerTransport.java
@@ -14,14 +14,14 @@
      *
      * @param from address from which the message was sent, at which the sender receives messages
      */
-    record Received(LoadMessage message, Endpoint from) {}
+    record Received(PeerMessage message, Endpoint from) {}
 
     /**
      * Sends a message without waiting for its delivery.
      *
      * @throws IOException if the message cannot be handed to the network
      */
-    void send(LoadMessage message, Endpoint to) throws IOException;
+    void send(PeerMessage message, Endpoint to) throws IOException;
 
     /**
      * Waits for the next message.
--- a/peers/src/main/java/org/godwithoist/peers/wire/LoadCodec.java
+++ b/peers/src/main/java/org/godwithoist/peers/wire/LoadCodec.java
@@ -32,8 +32,8 @@
  * daemon.
  */
 final class LoadCodec {
-    /** Maximum size of a message; fits into one packet on all common links. */
-    static final int MAX_BYTES = 1400;
+    /** Maximum size of a message. */
+    static final int MAX_BYTES = PeerCodec.MAX_BYTES;
 
     private static final int VERSION_WITHOUT_LEAVING = 1;
     private static final int VERSION = 2;
--- /dev/null
+++ b/peers/src/main/java/org/godwithoist/peers/wire/PeerCodec.java
@@ -0,0 +1,77 @@
+package org.godwithoist.peers.wire;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.peers.EvidenceMessage;
+import org.godwithoist.peers.LoadMessage;
+import org.godwithoist.peers.MalformedMessageException;
+import org.godwithoist.peers.PeerMessage;
+import org.godwithoist.quarantine.PartEvidence;
+import org.godwithoist.quarantine.wire.EvidenceCodec;
+
+/**
+ * Encodes and decodes messages between daemons. The first byte tells the type; that of load
+ * messages is their version. An older daemon rejects types that it does not know.
+ */
+final class PeerCodec {
+    /** Maximum size of a message; fits into one packet on all common links. */
+    static final int MAX_BYTES = 1400;
+
+    private static final int EVIDENCE = 3;
+
+    private PeerCodec() {}
+
+    static byte[] encode(PeerMessage message) throws IOException {
+        return switch (message) {
+            case LoadMessage load -> LoadCodec.encode(load);
+            case EvidenceMessage evidence -> encodeEvidence(evidence);
+        };
+    }
+
+    private static byte[] encodeEvidence(EvidenceMessage message) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeByte(EVIDENCE);
+        out.writeUTF(message.sender().value());
+        out.writeUTF(message.domain().value());
+        out.writeByte(message.evidence().size());
+        for (PartEvidence e : message.evidence()) {
+            EvidenceCodec.write(e, out);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Decodes a message.
+     *
+     * @throws MalformedMessageException if the bytes are not a valid message of a known type
+     */
+    static PeerMessage decode(byte[] bytes, int length) throws MalformedMessageException {
+        boolean isEvidence = length > 0 && bytes[0] == EVIDENCE;
+        return isEvidence ? decodeEvidence(bytes, length) : LoadCodec.decode(bytes, length);
+    }
+
+    private static EvidenceMessage decodeEvidence(byte[] bytes, int length)
+            throws MalformedMessageException {
+        try {
+            DataInputStream in =
+                    new DataInputStream(new ByteArrayInputStream(bytes, 1, length - 1));
+            HostId sender = new HostId(in.readUTF());
+            FailureDomainId domain = new FailureDomainId(in.readUTF());
+            List<PartEvidence> evidence = new ArrayList<>();
+            for (int remaining = in.readUnsignedByte(); remaining > 0; remaining--) {
+                evidence.add(EvidenceCodec.read(in));
+            }
+            return new EvidenceMessage(sender, domain, evidence);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new MalformedMessageException("malformed evidence message: " + e.getMessage());
+        }
+    }
+}
--- a/peers/src/main/java/org/godwithoist/peers/wire/UdpTransport.java
+++ b/peers/src/main/java/org/godwithoist/peers/wire/UdpTransport.java
@@ -5,8 +5,8 @@
 import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import org.godwithoist.core.id.Endpoint;
-import org.godwithoist.peers.LoadMessage;
 import org.godwithoist.peers.MalformedMessageException;
+import org.godwithoist.peers.PeerMessage;
 import org.godwithoist.peers.PeerTransport;
 
 /** Sends each message as one UDP datagram. */
@@ -14,7 +14,7 @@
     private final DatagramSocket socket;
 
     /** Used only by the receiving task. */
-    private final byte[] buffer = new byte[LoadCodec.MAX_BYTES];
+    private final byte[] buffer = new byte[PeerCodec.MAX_BYTES];
 
     private UdpTransport(DatagramSocket socket) {
         this.socket = socket;
@@ -36,8 +36,8 @@
     }
 
     @Override
-    public void send(LoadMessage message, Endpoint to) throws IOException {
-        byte[] bytes = LoadCodec.encode(message);
+    public void send(PeerMessage message, Endpoint to) throws IOException {
+        byte[] bytes = PeerCodec.encode(message);
         InetSocketAddress address = new InetSocketAddress(to.ip(), to.port());
         socket.send(new DatagramPacket(bytes, bytes.length, address));
     }
@@ -48,7 +48,7 @@
         socket.receive(packet);
         Endpoint from = new Endpoint(packet.getAddress().getHostAddress(), packet.getPort());
         try {
-            return new Received(LoadCodec.decode(buffer, packet.getLength()), from);
+            return new Received(PeerCodec.decode(buffer, packet.getLength()), from);
         } catch (MalformedMessageException e) {
             throw new MalformedMessageException(from + ": " + e.getMessage());
         }
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -27,15 +27,18 @@
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.FleetShare;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PlacementRequest;
 import org.godwithoist.targets.PrefixKey;
+import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.Target;
 import org.godwithoist.targets.TargetDirectory;
 import org.godwithoist.targets.TargetEntry;
+import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -81,7 +84,7 @@
         }
 
         @Override
-        public void send(LoadMessage message, Endpoint to) {
+        public void send(PeerMessage message, Endpoint to) {
             if (!network.disconnected.contains(address) && !network.disconnected.contains(to)) {
                 network.transport(to).received.add(new Received(message, address));
             }
@@ -112,6 +115,7 @@
             Member member,
             Target target,
             PeerLoads loads,
+            Quarantine quarantine,
             LoadExchange exchange,
             InMemoryTransport transport) {}
 
@@ -135,6 +139,7 @@
         for (int i = 0; i < requests; i++) {
             startRequest(directory, loads);
         }
+        Quarantine quarantine = new Quarantine(log, Ticker.SYSTEM);
         InMemoryTransport transport = network.transport(address);
         LoadExchange exchange =
                 new LoadExchange(
@@ -144,11 +149,12 @@
                                 transport,
                                 directory,
                                 loads,
+                                quarantine,
                                 new Supervisor((name, cause, backoff) -> {}, Ticker.SYSTEM),
                                 log,
                                 Ticker.SYSTEM));
         exchange.start();
-        Daemon daemon = new Daemon(member, target, loads, exchange, transport);
+        Daemon daemon = new Daemon(member, target, loads, quarantine, exchange, transport);
         daemons.put(host, daemon);
         return daemon;
     }
@@ -216,6 +222,60 @@
         }
     }
 
+    @Nested
+    final class PromptEvidence {
+        private static final List<PromptPartId> POISON =
+                List.of(new PromptPartId("a1"), new PromptPartId("dead"));
+
+        private static void crash(Daemon observer, int number) {
+            observer.quarantine()
+                    .recordCrash(
+                            new TargetIncarnation(new TargetId("crashed-" + number), 1), POISON);
+        }
+
+        private static boolean blocks(Daemon d) {
+            return d.quarantine().remaining(POISON).isPresent();
+        }
+
+        /** Guards against daemons that each count only the crashes they have seen. */
+        @Test
+        void crashesSeenBySeveralDaemonsAddUp() {
+            List<Daemon> all = List.of(startDaemon(1, 0), startDaemon(2, 0), startDaemon(3, 0));
+            distributeMemberList();
+            for (int i = 0; i < all.size(); i++) {
+                crash(all.get(i), i);
+            }
+            await(() -> all.stream().allMatch(PromptEvidence::blocks));
+        }
+
+        /** Guards against a restarted daemon that lets the same part crash targets again. */
+        @Test
+        void daemonThatStartsLaterLearnsOfThem() {
+            Daemon first = startDaemon(1, 0);
+            for (int i = 0; i < 3; i++) {
+                crash(first, i);
+            }
+            Tasks.sleep(Duration.ofMillis(100));
+            Daemon later = startDaemon(2, 0);
+            distributeMemberList();
+            await(() -> blocks(later));
+        }
+
+        /** Guards against a released part that stays blocked at other daemons. */
+        @Test
+        void responseSeenByOneDaemonReleasesThePartEverywhere() {
+            Daemon a = startDaemon(1, 0);
+            Daemon b = startDaemon(2, 0);
+            distributeMemberList();
+            for (int i = 0; i < 5; i++) {
+                crash(a, i);
+            }
+            await(() -> blocks(b));
+            b.quarantine().recordResponse(POISON, Ticker.SYSTEM.nanos());
+            await(() -> !blocks(a));
+        }
+    }
+
     @Nested
     final class LargeFleet {
         private static final int DAEMONS = 20;
@@ -239,6 +299,16 @@
             await(() -> all.stream().allMatch(d -> reportedRequests(d) == DAEMONS - 1));
         }
 
+        /** Guards against evidence that does not cross the leaders of the domains. */
+        @Test
+        void evidenceReachesAllDomains() {
+            startAll();
+            for (int i = 0; i < 3; i++) {
+                PromptEvidence.crash(all.get(DAEMONS - 1 - i), i);
+            }
+            await(() -> all.stream().allMatch(PromptEvidence::blocks));
+        }
+
         /** Guards against a domain without load reports after its leader has failed. */
         @Test
         void nextDaemonLeadsWhenTheLeaderIsUnresponsive() throws IOException {
--- /dev/null
+++ b/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecTest.java
@@ -0,0 +1,104 @@
+package org.godwithoist.peers.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.HostId;
+import org.godwithoist.peers.EvidenceMessage;
+import org.godwithoist.peers.MalformedMessageException;
+import org.godwithoist.quarantine.CrashId;
+import org.godwithoist.quarantine.PartEvidence;
+import org.godwithoist.targets.PromptPartId;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests {@link PeerCodec}; load messages have tests of their own. */
+final class PeerCodecTest {
+    private static EvidenceMessage message(PartEvidence evidence) {
+        return new EvidenceMessage(
+                new HostId("h".repeat(HostId.MAX_LENGTH)),
+                new FailureDomainId("d".repeat(FailureDomainId.MAX_LENGTH)),
+                Collections.nCopies(EvidenceMessage.MAX_PARTS, evidence));
+    }
+
+    private static PartEvidence largestEvidence() {
+        Map<CrashId, Duration> crashes = new HashMap<>();
+        Set<CrashId> cleared = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            crashes.put(new CrashId(i), Duration.ofMinutes(i));
+            cleared.add(new CrashId(-i));
+        }
+        PromptPartId part = new PromptPartId("p".repeat(PromptPartId.MAX_LENGTH));
+        return new PartEvidence(part, true, crashes, cleared);
+    }
+
+    @Nested
+    final class ValidMessages {
+        /** Guards against fields that are written and read in a different order. */
+        @Test
+        void evidenceIsDecodedAsItWasEncoded() throws Exception {
+            EvidenceMessage sent =
+                    message(
+                            new PartEvidence(
+                                    new PromptPartId("dead"),
+                                    false,
+                                    Map.of(new CrashId(5), Duration.ofMillis(1234)),
+                                    Set.of(new CrashId(-7))));
+            byte[] bytes = PeerCodec.encode(sent);
+            assertEquals(sent, PeerCodec.decode(bytes, bytes.length));
+        }
+
+        /** Guards against a message that does not fit into one packet. */
+        @Test
+        void largestMessageFits() throws Exception {
+            byte[] bytes = PeerCodec.encode(message(largestEvidence()));
+            assertTrue(bytes.length <= PeerCodec.MAX_BYTES, bytes.length + " bytes");
+            PeerCodec.decode(bytes, bytes.length);
+        }
+    }
+
+    @Nested
+    final class MalformedMessages {
+        /** Guards against a truncated message that fails with another exception. */
+        @Test
+        void truncatedMessagesAreRejected() throws IOException {
+            byte[] bytes = PeerCodec.encode(message(largestEvidence()));
+            for (int i = 0; i < bytes.length; i++) {
+                int length = i;
+                assertThrows(
+                        MalformedMessageException.class, () -> PeerCodec.decode(bytes, length));
+            }
+        }
+
+        /** Guards against bytes that end the receiving task or take much memory. */
+        @Test
+        void alteredMessagesAreDecodedOrRejected() throws IOException {
+            byte[] valid = PeerCodec.encode(message(largestEvidence()));
+            Random random = new Random(3);
+            int rejected = 0;
+            for (int i = 0; i < 20_000; i++) {
+                byte[] bytes = Arrays.copyOf(valid, valid.length);
+                for (int n = random.nextInt(4); n >= 0; n--) {
+                    bytes[1 + random.nextInt(bytes.length - 1)] = (byte) random.nextInt();
+                }
+                try {
+                    PeerCodec.decode(bytes, bytes.length);
+                } catch (MalformedMessageException e) {
+                    rejected++;
+                }
+            }
+            assertTrue(rejected > 0, "rejected: " + rejected);
+        }
+    }
+}
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -11,6 +11,8 @@
 import java.util.SequencedMap;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.time.Durations;
@@ -42,10 +44,15 @@
      */
     private static final Duration CLEARED_RETENTION = Duration.ofMinutes(1);
 
-    private static final Duration RECENT_CHANGE = Duration.ofSeconds(2);
     private static final int MAX_SUSPECTS = 256;
     private static final int MAX_ANSWERED_PARTS = 2000;
 
+    /** Among suspects with equally many crashes, the one that changed last comes first. */
+    private static final Comparator<Suspect> MOST_CRASHES_FIRST =
+            Comparator.<Suspect>comparingInt(s -> s.crashIds().size())
+                    .thenComparingLong(Suspect::changedAt)
+                    .reversed();
+
     private record QuarantinedParts(Blame blame, long endsAt) {
         boolean contains(Collection<PromptPartId> prompt, long now) {
             return endsAt - now > 0 && prompt.containsAll(blame.parts());
@@ -60,7 +67,9 @@
     private final SequencedMap<PromptPartId, Boolean> answeredParts = new LinkedHashMap<>();
 
     private volatile List<QuarantinedParts> quarantined = List.of();
-    private Optional<Long> changedAt = Optional.empty();
+
+    /** Has a permit if this daemon has observed something since the last one was taken. */
+    private final Semaphore observations = new Semaphore(0);
 
     /** Creates an instance without suspects. */
     public Quarantine(EventLog log, Ticker ticker) {
@@ -111,6 +120,7 @@
             changed |= suspect(part, now).addCrash(crash, now, now);
         }
         update(changed, now);
+        announce(changed);
     }
 
     /**
@@ -131,6 +141,13 @@
             }
         }
         update(changed, now);
+        announce(changed);
+    }
+
+    private void announce(boolean changed) {
+        if (changed) {
+            observations.release();
+        }
     }
 
     private void addAnswered(PromptPartId part) {
@@ -143,7 +160,10 @@
 
     // ---- exchange with the other daemons
 
-    /** Returns what the other daemons need to know; empty unless a part is suspected. */
+    /**
+     * Returns what the other daemons need to know, the strongest evidence first; empty unless a
+     * part is suspected.
+     */
     public synchronized List<PartEvidence> evidence() {
         if (suspects.isEmpty()) {
             return List.of();
@@ -152,24 +172,37 @@
         removeExpired(now);
         return suspects.values().stream()
                 .filter(s -> s.hasCrashes() || isYoungerThan(CLEARED_ANNOUNCEMENT, s, now))
+                .sorted(MOST_CRASHES_FIRST)
                 .map(s -> s.evidence(now))
                 .toList();
     }
 
-    /** Returns whether the evidence has changed so recently that others may not know it. */
-    public synchronized boolean isRecentlyChanged() {
-        long now = ticker.nanos();
-        return changedAt.isPresent() && now - changedAt.get() < RECENT_CHANGE.toNanos();
+    /**
+     * Waits until this daemon has observed something that the others need to know, or for a time.
+     *
+     * @return false if the task was interrupted and should end; its interrupt status is set
+     */
+    public boolean awaitObservation(Duration timeout) {
+        try {
+            if (observations.tryAcquire(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
+                observations.drainPermits();
+            }
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
     }
 
-    /** Adds what another daemon knows. */
-    public synchronized void merge(Collection<PartEvidence> evidence) {
+    /** Adds what another daemon knows; returns whether something was new. */
+    public synchronized boolean merge(Collection<PartEvidence> evidence) {
         long now = ticker.nanos();
         boolean changed = false;
         for (PartEvidence e : evidence) {
             changed |= merge(e, now);
         }
         update(changed, now);
+        return changed;
     }
 
     private boolean merge(PartEvidence evidence, long now) {
@@ -204,9 +237,8 @@
     }
 
     private void removeLeastSuspicious() {
-        Comparator<Suspect> byCrashes = Comparator.comparingInt(s -> s.crashIds().size());
         suspects.values().stream()
-                .min(byCrashes.thenComparingLong(Suspect::changedAt))
+                .max(MOST_CRASHES_FIRST)
                 .ifPresent(s -> suspects.remove(s.part()));
     }
 
@@ -228,7 +260,6 @@
         if (!changed) {
             return;
         }
-        changedAt = Optional.of(now);
         List<QuarantinedParts> before = quarantined;
         quarantined =
                 Blame.assign(suspects.values()).stream()
--- /dev/null
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/wire/EvidenceCodec.java
@@ -0,0 +1,85 @@
+package org.godwithoist.quarantine.wire;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.godwithoist.quarantine.CrashId;
+import org.godwithoist.quarantine.PartEvidence;
+import org.godwithoist.targets.PromptPartId;
+
+/**
+ * Encodes the evidence against one prompt part: the id, whether the part was answered, the crashes
+ * with their ages in milliseconds, and the cleared crashes.
+ */
+public final class EvidenceCodec {
+    /** Maximum number of crashes, and of cleared crashes, of one part. */
+    private static final int MAX_CRASHES = 16;
+
+    /** Maximum size of the evidence against one part, in bytes. */
+    public static final int MAX_PART_BYTES =
+            2 + PromptPartId.MAX_LENGTH + 1 + 1 + MAX_CRASHES * (8 + 4) + 1 + MAX_CRASHES * 8;
+
+    private EvidenceCodec() {}
+
+    /** Writes the evidence against one part; crashes beyond the maximum number are left out. */
+    public static void write(PartEvidence evidence, DataOutputStream out) throws IOException {
+        out.writeUTF(evidence.part().value());
+        out.writeBoolean(evidence.answered());
+        out.writeByte(Math.min(MAX_CRASHES, evidence.crashes().size()));
+        int crashes = 0;
+        for (Map.Entry<CrashId, Duration> c : evidence.crashes().entrySet()) {
+            if (crashes++ < MAX_CRASHES) {
+                out.writeLong(c.getKey().hash());
+                out.writeInt(Math.clamp(c.getValue().toMillis(), 0, Integer.MAX_VALUE));
+            }
+        }
+        out.writeByte(Math.min(MAX_CRASHES, evidence.cleared().size()));
+        int cleared = 0;
+        for (CrashId id : evidence.cleared()) {
+            if (cleared++ < MAX_CRASHES) {
+                out.writeLong(id.hash());
+            }
+        }
+    }
+
+    /**
+     * Reads the evidence against one part.
+     *
+     * @throws IOException if the bytes end early or a value is out of its range
+     */
+    public static PartEvidence read(DataInputStream in) throws IOException {
+        PromptPartId part = PromptPartId.of(in.readUTF());
+        boolean answered = in.readBoolean();
+        Map<CrashId, Duration> crashes = new HashMap<>();
+        for (int remaining = readCount(in); remaining > 0; remaining--) {
+            CrashId id = new CrashId(in.readLong());
+            int ageMs = in.readInt();
+            if (ageMs < 0) {
+                throw new IOException("the age of a crash is negative: " + ageMs + " ms");
+            }
+            crashes.put(id, Duration.ofMillis(ageMs));
+        }
+        Set<CrashId> cleared = new HashSet<>();
+        for (int remaining = readCount(in); remaining > 0; remaining--) {
+            cleared.add(new CrashId(in.readLong()));
+        }
+        return new PartEvidence(part, answered, crashes, cleared);
+    }
+
+    private static int readCount(DataInputStream in) throws IOException {
+        int count = in.readUnsignedByte();
+        if (count > MAX_CRASHES) {
+            throw new IOException(
+                    "expected at most "
+                            + MAX_CRASHES
+                            + " crashes of a prompt part, found "
+                            + count);
+        }
+        return count;
+    }
+}
