Keep the evidence against quarantined prompt parts in the store

After a restart of all daemons a quarantined prompt reached targets again, because the evidence was in their memory only (PoisonPromptTest.RestartedFleet, which failed before).

Ages are kept, so that a restart neither ends nor prolongs a quarantine. StoreTable can remove rows.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.godwithoist.catalog.Catalog;
@@ -32,6 +33,7 @@
 import org.godwithoist.platform.RunnerRows;
 import org.godwithoist.platform.StoreTable;
 import org.godwithoist.quarantine.Quarantine;
+import org.godwithoist.quarantine.QuarantineTable;
 import org.godwithoist.relay.Cooldown;
 import org.godwithoist.relay.Leadership;
 import org.godwithoist.relay.RecentChanges;
@@ -152,6 +154,12 @@
         metricsListener =
                 ConnectionListener.open(metricsAddress, "metrics", supervisor, statusServer::serve);
         fleet.start(supervisor);
+        new QuarantineTable(
+                        quarantine,
+                        StoreTable.quarantine(settings.store(), ticker),
+                        log,
+                        InstantSource.system())
+                .start(supervisor);
         supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
     }
--- a/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
@@ -56,6 +56,11 @@
             }
         }
 
+        @Override
+        public void remove(String key) {
+            rows.remove(key);
+        }
+
         @Override
         public FeedPage changes(long after, Duration wait) throws IOException {
             return readAll();
--- a/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
@@ -5,8 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Map;
 import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.standins.edge.ClientStandin;
 import org.godwithoist.standins.edge.ConfigText;
 import org.godwithoist.standins.edge.RunnerStandin;
@@ -27,6 +29,9 @@
     /** Engines that may end before requests with the part must no longer reach any. */
     private static final int MAX_ENDED_ENGINES = 5;
 
+    /** Time after its start from which a daemon must know what the store knows. */
+    private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
+
     private EdgeFixture fleet;
     private int requests;
 
@@ -86,6 +91,31 @@
         }
     }
 
+    @Nested
+    final class RestartedFleet {
+        /** Guards against a quarantine that is lost when all daemons restart. */
+        @Test
+        void quarantineOutlivesTheDaemons() throws IOException {
+            for (int i = 0; i < POISON_REQUESTS; i++) {
+                sendPoison(fleet.edge.callerAddress());
+            }
+            EdgeFixture.await("stored row", () -> fleet.store.rowCount("quarantine") > 0);
+            long endedBefore = endedEngines();
+            fleet.edge.close();
+            try (Edge restarted = fleet.startAnother()) {
+                EdgeFixture.await(
+                        "readiness",
+                        () -> fleet.status(restarted.readinessAddress(), "/readiness") == 200);
+                Tasks.sleep(CONTACT_TIME);
+                for (int i = 0; i < POISON_REQUESTS; i++) {
+                    assertEquals(503, sendPoison(restarted.callerAddress()).status());
+                    assertEquals(200, sendSound(restarted.callerAddress()).status());
+                }
+            }
+            assertEquals(endedBefore, endedEngines());
+        }
+    }
+
     @Nested
     final class SeveralDaemons {
         /** Guards against daemons that each let a part end engines until they have seen enough. */
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +69,9 @@
 
     private volatile List<QuarantinedParts> quarantined = List.of();
 
+    /** Parts that an observation of this daemon has quarantined or released. */
+    private final Set<PromptPartId> unsaved = new HashSet<>();
+
     /** Has a permit if this daemon has observed something since the last one was taken. */
     private final Semaphore observations = new Semaphore(0);
 
@@ -119,8 +123,7 @@
         for (PromptPartId part : prompt) {
             changed |= suspect(part, now).addCrash(crash, now, now);
         }
-        update(changed, now);
-        announce(changed);
+        applyObservation(changed, now);
     }
 
     /**
@@ -140,14 +143,27 @@
                 changed |= suspect.clearKnownAt(respondedAt, now);
             }
         }
-        update(changed, now);
-        announce(changed);
+        applyObservation(changed, now);
     }
 
-    private void announce(boolean changed) {
-        if (changed) {
-            observations.release();
+    private void applyObservation(boolean changed, long now) {
+        if (!changed) {
+            return;
         }
+        Set<PromptPartId> before = quarantinedParts();
+        update(true, now);
+        Set<PromptPartId> after = quarantinedParts();
+        before.removeAll(after);
+        unsaved.addAll(before);
+        unsaved.addAll(after);
+        notifyAll();
+        observations.release();
+    }
+
+    private Set<PromptPartId> quarantinedParts() {
+        Set<PromptPartId> parts = new HashSet<>();
+        quarantined.forEach(q -> parts.addAll(q.blame().parts()));
+        return parts;
     }
 
     private void addAnswered(PromptPartId part) {
@@ -218,6 +234,45 @@
         return changed;
     }
 
+    // ---- store
+
+    /**
+     * Waits until there are parts whose stored evidence this daemon must write or remove.
+     *
+     * @return false if the task was interrupted and should end; its interrupt status is set
+     */
+    synchronized boolean awaitUnsaved() {
+        try {
+            while (unsaved.isEmpty()) {
+                wait();
+            }
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** Returns the parts whose stored evidence this daemon must write or remove, once. */
+    synchronized Set<PromptPartId> takeUnsaved() {
+        Set<PromptPartId> taken = Set.copyOf(unsaved);
+        unsaved.clear();
+        return taken;
+    }
+
+    /** Returns the evidence against a part; empty unless it is quarantined. */
+    synchronized Optional<PartEvidence> quarantinedEvidence(PromptPartId part) {
+        return quarantinedParts().contains(part)
+                ? Optional.of(suspects.get(part).evidence(ticker.nanos()))
+                : Optional.empty();
+    }
+
+    /** Returns whether crashes count against a part. */
+    synchronized boolean isSuspected(PromptPartId part) {
+        Suspect suspect = suspects.get(part);
+        return suspect != null && suspect.hasCrashes();
+    }
+
     // ---- suspects
 
     private Suspect suspect(PromptPartId part, long now) {
--- a/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
@@ -202,6 +202,9 @@
                     write.path("value").asText(),
                     false);
         }
+        for (JsonNode row : request.path("remove")) {
+            applyChange(row.path("table").asText(), row.path("key").asText(), "", true);
+        }
         response.put("rowVersion", version).put("nowMs", 0);
         return OK;
     }
--- a/store/src/main/java/org/godwithoist/store/feed/WritableTable.java
+++ b/store/src/main/java/org/godwithoist/store/feed/WritableTable.java
@@ -10,4 +10,12 @@
      * @throws IOException if the store did not confirm the write, which may still have taken effect
      */
     void write(String key, byte[] value) throws IOException;
+
+    /**
+     * Removes a row if it exists.
+     *
+     * @throws IOException if the store did not confirm the removal, which may still have taken
+     *     effect
+     */
+    void remove(String key) throws IOException;
 }
