Check for a crash before the request is sent to another target

The first check, a connection that is refused within a round trip, now comes before the retry. Only observations of a prompt's own parts rewrite their rows.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/CrashDetector.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/CrashDetector.java
@@ -27,7 +27,9 @@
     }
 
     /**
-     * Examines an attempt that has ended.
+     * Examines an attempt that has ended. A crash is reported before the method returns, if the
+     * target no longer accepts connections by then, so that a retry of the request takes it into
+     * account.
      *
      * @param startedAt start of the attempt, in nanoseconds of the ticker
      */
@@ -41,18 +43,28 @@
             quarantine.recordResponse(prompt, respondedAt);
         }
         if (result.progress() == ResponseProgress.BEGUN && result.outcome().isConnectionLoss()) {
-            Tasks.start("crash-check-" + target, () -> checkForCrash(target, prompt));
+            boolean crashed = checkForCrash(target, prompt);
+            if (!crashed) {
+                Tasks.start("crash-check-" + target, () -> checkAgain(target, prompt));
+            }
         }
     }
 
-    /** Distinguishes a crash, which closes the listener too, from a single lost connection. */
-    private void checkForCrash(Target target, List<PromptPartId> prompt) {
-        if (gateway.acceptsConnections(target)) {
-            Tasks.sleep(SECOND_CHECK_DELAY);
-            if (gateway.acceptsConnections(target)) {
-                return;
-            }
+    private void checkAgain(Target target, List<PromptPartId> prompt) {
+        if (Tasks.sleep(SECOND_CHECK_DELAY)) {
+            checkForCrash(target, prompt);
+        }
+    }
+
+    /**
+     * Distinguishes a crash, which closes the listener too, from a single lost connection. Returns
+     * whether it was one.
+     */
+    private boolean checkForCrash(Target target, List<PromptPartId> prompt) {
+        boolean crashed = !gateway.acceptsConnections(target);
+        if (crashed) {
+            quarantine.recordCrash(target.entry().incarnation(), prompt);
         }
-        quarantine.recordCrash(target.entry().incarnation(), prompt);
+        return crashed;
     }
 }
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -123,7 +123,7 @@
         for (PromptPartId part : prompt) {
             changed |= suspect(part, now).addCrash(crash, now, now);
         }
-        applyObservation(changed, now);
+        applyObservation(changed, prompt, now);
     }
 
     /**
@@ -143,10 +143,10 @@
                 changed |= suspect.clearKnownAt(respondedAt, now);
             }
         }
-        applyObservation(changed, now);
+        applyObservation(changed, prompt, now);
     }
 
-    private void applyObservation(boolean changed, long now) {
+    private void applyObservation(boolean changed, List<PromptPartId> prompt, long now) {
         if (!changed) {
             return;
         }
@@ -154,6 +154,7 @@
         update(true, now);
         Set<PromptPartId> after = quarantinedParts();
         before.removeAll(after);
+        after.retainAll(prompt);
         unsaved.addAll(before);
         unsaved.addAll(after);
         notifyAll();
