Reject message heads that end with the connection

A target that stopped after a line of its head and closed gave the caller a 200 with an empty body, framed as complete: without its length, the body was taken to end with the connection. The HTTP parser takes the end of the input for the end of a head. A caller's head that is cut in the same way was taken for a request without a body.

The input of a head now fails at its end unless nothing of the head has arrived. BrokenResponsesTest.TruncatedHeads failed before (200 in place of 502, an empty body in place of the other target's answer), and FramingTest.TruncatedHeads cuts requests, pipelined requests and responses at each byte. BrokenResponsesTest also plays responses that end with the connection, and a stream whose second target fails: both passed before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.MessageConstraintException;
@@ -30,7 +31,7 @@
     private static final Http1Config CHUNK_CONFIG =
             Http1Config.custom().setMaxLineLength(1024).setMaxHeaderCount(20).build();
 
-    private final HeadLimit input;
+    private final HeadInput input;
     private final int maxHeadBytes;
     private final SessionInputBufferImpl buffer;
     private final Http1Config config;
@@ -41,7 +42,7 @@
      * @param maxLineBytes maximum length of a line in the message head, in bytes
      */
     public MessageReader(InputStream input, int maxLineBytes) {
-        this.input = new HeadLimit(input);
+        this.input = new HeadInput(input);
         maxHeadBytes = HEAD_LINES_FACTOR * maxLineBytes + BUFFER_BYTES;
         config =
                 Http1Config.custom()
@@ -62,9 +63,13 @@
         return buffer.hasBufferedData();
     }
 
-    /** Reads the head of a request; returns null if the connection has ended. */
+    /**
+     * Reads the head of a request; returns null if the connection has ended.
+     *
+     * @throws IOException if the connection ended within the head
+     */
     public ClassicHttpRequest readRequest() throws IOException, HttpException {
-        input.startHead(maxHeadBytes);
+        input.startHead(maxHeadBytes, hasUnreadBytes());
         ClassicHttpRequest request = new DefaultHttpRequestParser(config).parse(buffer, input);
         input.endHead();
         if (request != null) {
@@ -86,10 +91,10 @@
     /**
      * Reads the head of a response.
      *
-     * @throws IOException if the connection ended before a response
+     * @throws IOException if the connection ended before a response or within its head
      */
     public ClassicHttpResponse readResponse() throws IOException, HttpException {
-        input.startHead(maxHeadBytes);
+        input.startHead(maxHeadBytes, hasUnreadBytes());
         ClassicHttpResponse response = new DefaultHttpResponseParser(config).parse(buffer, input);
         input.endHead();
         if (response == null) {
@@ -147,19 +152,28 @@
     }
 
     /**
-     * Limits the bytes that are read for a message head. The parser limits each line and the number
-     * of lines only, so that a head could use up the memory of a daemon.
+     * Limits the bytes that are read for a message head, and fails if the input ends within it. The
+     * parser limits each line and the number of lines only, so that a head could use up the memory
+     * of a daemon, and it takes the end of the input for the end of the head, so that a message
+     * would lose the fields that say where its body ends.
      */
-    private static final class HeadLimit extends FilterInputStream {
+    private static final class HeadInput extends FilterInputStream {
         private boolean inHead;
+        private boolean headBegun;
         private int remaining;
 
-        HeadLimit(InputStream input) {
+        HeadInput(InputStream input) {
             super(input);
         }
 
-        void startHead(int maxBytes) {
+        /**
+         * Starts a head.
+         *
+         * @param begun whether the first bytes of the head have been read already
+         */
+        void startHead(int maxBytes, boolean begun) {
             inHead = true;
+            headBegun = begun;
             remaining = maxBytes;
         }
 
@@ -182,6 +196,10 @@
                 throw new MessageConstraintException("the message head is too large");
             }
             int n = super.read(destination, from, Math.min(length, remaining));
+            if (n < 0 && headBegun) {
+                throw new ConnectionClosedException("the connection ended within a message head");
+            }
+            headBegun = true;
             remaining -= Math.max(0, n);
             return n;
         }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/FramingTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/FramingTest.java
@@ -1,6 +1,7 @@
 package org.godwithoist.dispatch.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -56,6 +57,52 @@
         }
     }
 
+    /** Scenario: a peer ends the connection before its head is complete. */
+    @Nested
+    final class TruncatedHeads {
+        private static final String REQUEST =
+                "POST /a HTTP/1.1\r\nHost: b\r\nContent-Length: 12\r\nX-C: d\r\n\r\n";
+        private static final String RESPONSE =
+                "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-C: d\r\n\r\n";
+
+        private static MessageReader reader(String text) {
+            byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
+            return new MessageReader(new ByteArrayInputStream(bytes), 1024);
+        }
+
+        /** Guards against a request that runs with some of its fields, and without its body. */
+        @Test
+        void requestCutAnywhereIsRejected() throws IOException, HttpException {
+            assertNull(reader("").readRequest());
+            for (int i = 1; i < REQUEST.length(); i++) {
+                MessageReader reader = reader(REQUEST.substring(0, i));
+                assertThrows(IOException.class, reader::readRequest, "cut at " + i);
+            }
+            assertEquals(3, reader(REQUEST).readRequest().getHeaders().length);
+        }
+
+        /** Guards against a second request that is cut while the first one was complete. */
+        @Test
+        void pipelinedRequestCutAnywhereIsRejected() throws IOException, HttpException {
+            String first = "GET /a HTTP/1.1\r\nHost: b\r\n\r\n";
+            for (int i = 1; i < REQUEST.length(); i++) {
+                MessageReader reader = reader(first + REQUEST.substring(0, i));
+                reader.readRequest();
+                assertThrows(IOException.class, reader::readRequest, "cut at " + i);
+            }
+        }
+
+        /** Guards against a success without its length that counts as complete and empty. */
+        @Test
+        void responseCutAnywhereIsRejected() throws IOException, HttpException {
+            for (int i = 0; i < RESPONSE.length(); i++) {
+                MessageReader reader = reader(RESPONSE.substring(0, i));
+                assertThrows(IOException.class, reader::readResponse, "cut at " + i);
+            }
+            assertEquals(200, reader(RESPONSE).readResponse().getCode());
+        }
+    }
+
     @Nested
     final class Requests {
         /** Guards against request smuggling: two readers must not see different ends of a body. */
--- /dev/null
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -0,0 +1,112 @@
+package org.godwithoist.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.stream.IntStream;
+import org.godwithoist.standins.edge.ClientStandin;
+import org.godwithoist.standins.edge.ConfigText;
+import org.godwithoist.standins.edge.RunnerFault;
+import org.godwithoist.standins.edge.RunnerStandin;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Scenario: targets in trouble end or repeat their responses at any point. */
+final class BrokenResponsesTest {
+    private static final int EVENTS = 6;
+
+    private EdgeFixture fleet;
+
+    @BeforeEach
+    void start() throws IOException {
+        fleet = new EdgeFixture(2, 2);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fleet.close();
+    }
+
+    private static String events(int count) {
+        StringBuilder text = new StringBuilder();
+        IntStream.rangeClosed(1, count)
+                .forEach(i -> text.append("id: " + i + "\ndata: piece " + i + "\n\n"));
+        return text.toString();
+    }
+
+    /** Sets the fault of the engine that the prompt of the fixture maps to. */
+    private void setFaultOfFirstEngine(RunnerFault fault) throws IOException {
+        fleet.send("POST", ConfigText.RESUMABLE);
+        fleet.engines.stream()
+                .filter(e -> !e.executedRequests().isEmpty())
+                .forEach(e -> e.setFault(fault));
+    }
+
+    private void setFault(RunnerFault fault) {
+        fleet.engines.forEach(e -> e.setFault(fault));
+        fleet.desks.forEach(d -> d.setFault(fault));
+    }
+
+    @Nested
+    final class WithoutLengthOrChunks {
+        /** Guards against a response that is lost because only the connection ends it. */
+        @Test
+        void responsesThatEndWithTheConnectionAreComplete() throws IOException {
+            setFault(RunnerFault.UNFRAMED);
+            assertEquals(events(EVENTS), fleet.send("POST", ConfigText.RESUMABLE).body());
+            assertEquals(events(EVENTS), fleet.send("POST", ConfigText.NON_RESUMABLE).body());
+            String body = fleet.send("POST", ConfigText.BOOKING).body();
+            assertTrue(body.startsWith("answer of desk-"), body);
+        }
+    }
+
+    @Nested
+    final class TruncatedHeads {
+        /** Guards against a success with an empty body, framed as complete. */
+        @Test
+        void bookingWithATruncatedHeadFails() throws IOException {
+            setFault(RunnerFault.TRUNCATED_HEAD);
+            assertEquals(502, fleet.send("POST", ConfigText.BOOKING).status());
+            assertEquals(1, fleet.runCount(fleet.desks));
+        }
+
+        /** Guards against a request that is not retried although its route permits it. */
+        @Test
+        void requestsThatMayBeRepeatedAreRetried() throws IOException {
+            fleet.desks.get(0).setFault(RunnerFault.TRUNCATED_HEAD);
+            for (int i = 0; i < 3; i++) {
+                assertEquals("answer of desk-1", fleet.send("GET", ConfigText.STATUS).body());
+            }
+            setFaultOfFirstEngine(RunnerFault.TRUNCATED_HEAD);
+            assertEquals(events(EVENTS), fleet.send("POST", ConfigText.RESUMABLE).body());
+        }
+    }
+
+    @Nested
+    final class FailuresAfterTheStart {
+        /** Guards against a failure's text in the middle of a stream, or a stream cut short. */
+        @Test
+        void failureOfTheSecondTargetAbortsTheStream() throws IOException {
+            setFaultOfFirstEngine(RunnerFault.BREAK_MIDWAY);
+            RunnerStandin second =
+                    fleet.engines.stream()
+                            .filter(e -> e.executedRequests().isEmpty())
+                            .findFirst()
+                            .orElseThrow();
+            second.setFault(RunnerFault.FAIL);
+            try (ClientStandin client = fleet.client()) {
+                client.send("POST", ConfigText.RESUMABLE + "x", fleet.validFields(), "text");
+                String received = client.receiveUntilClose();
+                assertTrue(received.contains(events(1)), received);
+                assertFalse(received.contains("failed"), received);
+                assertFalse(received.endsWith("0\r\n\r\n"), received);
+                assertEquals(1, received.split("HTTP/1.1", -1).length - 1, received);
+            }
+            assertEquals(1, second.executedRequests().size());
+        }
+    }
+}
--- a/standins/src/main/java/org/godwithoist/standins/edge/ClientStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ClientStandin.java
@@ -93,6 +93,12 @@
         }
     }
 
+    /** Waits until the daemon closes the connection and returns all bytes it has sent, as text. */
+    public String receiveUntilClose() throws IOException {
+        socket.setReadDeadline(Ticker.SYSTEM.nanos() + RESPONSE_TIMEOUT.toNanos());
+        return new String(socket.input().readAllBytes(), StandardCharsets.UTF_8);
+    }
+
     @Override
     public void close() {
         socket.close();
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
@@ -35,5 +35,17 @@
     /** Runs the request and sends one event that does not end until the connection is closed. */
     ENDLESS_EVENT,
     /** Sends bytes that are not an HTTP response after the complete response. */
-    EXTRA_BYTES
+    EXTRA_BYTES,
+    /** Sends a response with neither a length nor chunks, which ends with the connection. */
+    UNFRAMED,
+    /** Like {@link #UNFRAMED}, but a stream ends in the middle of the second event. */
+    UNFRAMED_BROKEN,
+    /** Ends a chunked stream properly, but in the middle of the second event. */
+    INCOMPLETE_EVENT,
+    /** Runs the request and closes the connection in the middle of the head of the response. */
+    TRUNCATED_HEAD,
+    /** Runs the request, but first sends the rejection of an earlier request once more. */
+    REPEATED_REJECTION,
+    /** Runs the request, but states without the id of the request that it did not. */
+    REJECTION_WITHOUT_ID
 }
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -125,14 +125,14 @@
         MessageWriter writer = connection.writer();
         String attempt = fields.getOrDefault("x-godwithoist-attempt-id", "");
         if (!id.equals(fields.get("x-godwithoist-expect-runner"))) {
-            return writeEmptyResponse(writer, 421, "X-Godwithoist-Runner-Id", id);
+            return writeMisdirected(writer, attempt);
         }
         if (currentFault == RunnerFault.SHED) {
-            return writeEmptyResponse(writer, 503, "X-Godwithoist-Not-Executed", "1");
+            return writeRejection(writer, attempt, "");
         }
         if (currentFault == RunnerFault.SHED_WITH_PAUSE) {
             rejectedRequests.incrementAndGet();
-            return writePause(writer);
+            return writeRejection(writer, attempt, "2");
         }
         String text = new String(body, StandardCharsets.UTF_8);
         executedRequests.add(new ExecutedRequest(attempt, request.getRequestUri(), fields, text));
@@ -143,12 +143,19 @@
         if (currentFault == RunnerFault.STRAY_ANSWER) {
             writeTextResponse(writer, 200, "another-request", "other");
         }
+        if (currentFault == RunnerFault.REPEATED_REJECTION) {
+            writeRejection(writer, "another-request", "");
+        }
         return switch (currentFault) {
             case HANG -> awaitClose(connection);
             case DRIBBLE -> writeDribble(writer, attempt);
             case ENDLESS_HEAD, ENDLESS_BODY, ENDLESS_EVENT ->
                     writeWithoutEnd(writer, attempt, currentFault);
             case LOSE_ANSWER -> false;
+            case TRUNCATED_HEAD -> writeTruncatedHead(writer, attempt);
+            case REJECTION_WITHOUT_ID ->
+                    writeEmptyResponse(writer, 503, "X-Godwithoist-Not-Executed", "1");
+            case UNFRAMED, UNFRAMED_BROKEN -> writeUnframed(writer, attempt, currentFault);
             case FAIL -> writeTextResponse(writer, 500, attempt, "failed");
             case UNSIGNED -> writeEmptyResponse(writer, 200, "Content-Type", "text/plain");
             default ->
@@ -215,6 +222,30 @@
         }
     }
 
+    /** Closes the connection after a line of the head, before the length of the body is stated. */
+    private boolean writeTruncatedHead(MessageWriter writer, String attempt) throws IOException {
+        writeHead(writer, 200, attempt);
+        writer.flush();
+        return false;
+    }
+
+    /** Writes a response that ends with the connection. */
+    private boolean writeUnframed(MessageWriter writer, String attempt, RunnerFault currentFault)
+            throws IOException {
+        writeHead(writer, 200, attempt);
+        writer.endHead();
+        StringBuilder text = new StringBuilder(eventCount == 0 ? "answer of " + id : "");
+        for (int i = 1; i <= eventCount; i++) {
+            text.append("id: " + i + "\ndata: piece " + i + "\n\n");
+        }
+        byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
+        int secondEvent = bytes.length / Math.max(1, eventCount);
+        boolean breaks = currentFault == RunnerFault.UNFRAMED_BROKEN;
+        writer.bytes(bytes, 0, breaks ? secondEvent + secondEvent / 2 : bytes.length);
+        writer.flush();
+        return false;
+    }
+
     private boolean respond(MessageWriter writer, String attempt, RunnerFault currentFault)
             throws IOException {
         writeTextResponse(writer, 200, attempt, "answer of " + id);
@@ -254,14 +285,22 @@
         for (int i = first; i <= eventCount; i++) {
             byte[] event =
                     ("id: " + i + "\ndata: piece " + i + "\n\n").getBytes(StandardCharsets.UTF_8);
-            boolean breaks = currentFault == RunnerFault.BREAK_MIDWAY && i == first + 1;
+            boolean breaks = breaksEvent(currentFault) && i == first + 1;
             writer.chunk(event, 0, breaks ? event.length / 2 : event.length);
             writer.flush();
             if (breaks) {
-                return false;
+                return currentFault == RunnerFault.INCOMPLETE_EVENT && writeLastChunk(writer);
             }
             Tasks.sleep(currentFault == RunnerFault.SLOW_EVENTS ? SLOW_EVENT_DELAY : eventDelay);
         }
+        return writeLastChunk(writer);
+    }
+
+    private static boolean breaksEvent(RunnerFault fault) {
+        return fault == RunnerFault.BREAK_MIDWAY || fault == RunnerFault.INCOMPLETE_EVENT;
+    }
+
+    private static boolean writeLastChunk(MessageWriter writer) throws IOException {
         writer.lastChunk();
         writer.flush();
         return true;
@@ -278,10 +317,30 @@
         }
     }
 
-    private static boolean writePause(MessageWriter writer) throws IOException {
+    /**
+     * Writes a rejection.
+     *
+     * @param pauseSeconds time for which the runner asks for a pause; empty for none
+     */
+    private static boolean writeRejection(MessageWriter writer, String attempt, String pauseSeconds)
+            throws IOException {
         writer.startLine("HTTP/1.1 503 Status");
+        writer.field("X-Godwithoist-Attempt-Id", attempt);
+        writer.field("X-Godwithoist-Not-Executed", "1");
+        if (!pauseSeconds.isEmpty()) {
+            writer.field("Retry-After", pauseSeconds);
+        }
+        writer.field("Content-Length", "0");
+        writer.endHead();
+        writer.flush();
+        return true;
+    }
+
+    private boolean writeMisdirected(MessageWriter writer, String attempt) throws IOException {
+        writer.startLine("HTTP/1.1 421 Status");
+        writer.field("X-Godwithoist-Attempt-Id", attempt);
         writer.field("X-Godwithoist-Not-Executed", "1");
-        writer.field("Retry-After", "2");
+        writer.field("X-Godwithoist-Runner-Id", id);
         writer.field("Content-Length", "0");
         writer.endHead();
         writer.flush();
