Treat streams that end inside an event as broken off

A stream that came without a length or chunks and ended with its connection in the middle of an event was passed on as complete, with the half event; so was a chunked stream whose last event had no end, and an empty stream of a target that had ended after its head. The end of the body was taken for the end of the stream.

Such a stream now counts as lost: it is resumed where the route permits it and aborted otherwise.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
@@ -35,9 +35,9 @@
         return lastId;
     }
 
-    /** Returns the bytes of an incomplete event at the end of the stream. */
-    public byte[] incompleteEvent() {
-        return incompleteBytes.toByteArray();
+    /** Returns whether an event has begun that is not complete. */
+    public boolean hasIncompleteEvent() {
+        return incompleteBytes.size() > 0;
     }
 
     /**
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -85,6 +85,7 @@
     private ResponseProgress progress = ResponseProgress.NONE;
     private boolean responseComplete;
     private boolean targetCloses;
+    private boolean endsWithConnection;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
 
     /**
@@ -280,6 +281,7 @@
                         attempt.request().head().method(),
                         response.getHeaders());
         if (framing.kind() == Framing.Kind.UNTIL_CLOSE) {
+            endsWithConnection = true;
             targetCloses = true;
         }
         return connection.reader().body(framing);
@@ -307,12 +309,28 @@
             }
             n = body.read(buffer, 0, buffer.length);
         }
+        Optional<String> defect = defectAtEnd();
+        if (defect.isPresent()) {
+            return result(brokenIfStarted(AttemptOutcome.LOST), defect.get());
+        }
         responseComplete = true;
-        byte[] incompleteEvent = framer.incompleteEvent();
-        writeToCaller(head, incompleteEvent, 0, incompleteEvent.length);
+        writeToCaller(head, new byte[0], 0, 0);
         return answered(head);
     }
 
+    /**
+     * Returns why a stream that has ended is not complete. Without a last chunk, nothing tells an
+     * empty stream from one whose target has ended before its first event.
+     */
+    private Optional<String> defectAtEnd() {
+        if (framer.hasIncompleteEvent()) {
+            return Optional.of("the stream ended inside an event");
+        }
+        return endsWithConnection && framer.lastId().isEmpty()
+                ? Optional.of("the connection ended before the first event")
+                : Optional.empty();
+    }
+
     /**
      * Buffers a short response completely before it is forwarded: if it breaks off, another target
      * can still be tried. A longer response is forwarded while it is read.
--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -62,6 +63,38 @@
             String body = fleet.send("POST", ConfigText.BOOKING).body();
             assertTrue(body.startsWith("answer of desk-"), body);
         }
+
+        /** Guards against a stream that ends inside an event and is passed on as complete. */
+        @Test
+        void streamThatEndsInsideAnEventIsResumed() throws IOException {
+            setFaultOfFirstEngine(RunnerFault.UNFRAMED_BROKEN);
+            assertEquals(events(EVENTS), fleet.send("POST", ConfigText.RESUMABLE).body());
+        }
+
+        /** Guards against an empty stream, passed on as complete, of a target that has ended. */
+        @Test
+        void streamThatEndsBeforeItsFirstEventIsRetried() throws IOException {
+            setFaultOfFirstEngine(RunnerFault.UNFRAMED_EMPTY);
+            assertEquals(events(EVENTS), fleet.send("POST", ConfigText.RESUMABLE).body());
+        }
+
+        /** Guards against a truncated stream that the caller takes for complete. */
+        @Test
+        void streamThatEndsInsideAnEventAndCannotBeResumedIsAborted() {
+            setFault(RunnerFault.UNFRAMED_BROKEN);
+            assertThrows(IOException.class, () -> fleet.send("POST", ConfigText.NON_RESUMABLE));
+            assertEquals(1, fleet.runCount(fleet.engines));
+        }
+    }
+
+    @Nested
+    final class IncompleteEvents {
+        /** Guards against a stream with a proper last chunk, but without its last events. */
+        @Test
+        void streamThatEndsInsideAnEventIsResumed() throws IOException {
+            setFaultOfFirstEngine(RunnerFault.INCOMPLETE_EVENT);
+            assertEquals(events(EVENTS), fleet.send("POST", ConfigText.RESUMABLE).body());
+        }
     }
 
     @Nested
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
@@ -40,6 +40,8 @@
     UNFRAMED,
     /** Like {@link #UNFRAMED}, but a stream ends in the middle of the second event. */
     UNFRAMED_BROKEN,
+    /** Like {@link #UNFRAMED}, but the connection ends after the head. */
+    UNFRAMED_EMPTY,
     /** Ends a chunked stream properly, but in the middle of the second event. */
     INCOMPLETE_EVENT,
     /** Runs the request and closes the connection in the middle of the head of the response. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -155,7 +155,8 @@
             case TRUNCATED_HEAD -> writeTruncatedHead(writer, attempt);
             case REJECTION_WITHOUT_ID ->
                     writeEmptyResponse(writer, 503, "X-Godwithoist-Not-Executed", "1");
-            case UNFRAMED, UNFRAMED_BROKEN -> writeUnframed(writer, attempt, currentFault);
+            case UNFRAMED, UNFRAMED_BROKEN, UNFRAMED_EMPTY ->
+                    writeUnframed(writer, attempt, currentFault);
             case FAIL -> writeTextResponse(writer, 500, attempt, "failed");
             case UNSIGNED -> writeEmptyResponse(writer, 200, "Content-Type", "text/plain");
             default ->
@@ -240,8 +241,13 @@
         }
         byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
         int secondEvent = bytes.length / Math.max(1, eventCount);
-        boolean breaks = currentFault == RunnerFault.UNFRAMED_BROKEN;
-        writer.bytes(bytes, 0, breaks ? secondEvent + secondEvent / 2 : bytes.length);
+        int length =
+                switch (currentFault) {
+                    case UNFRAMED_EMPTY -> 0;
+                    case UNFRAMED_BROKEN -> secondEvent + secondEvent / 2;
+                    default -> bytes.length;
+                };
+        writer.bytes(bytes, 0, length);
         writer.flush();
         return false;
     }
