Believe a rejection only if it names the request

A rejection without a request id was taken for the response to the request in progress. On a kept connection it may be one that the target wrote for an earlier request and writes once more, and the caller was told 'not run' for a request that the target was running.

It now counts as an invalid response, which promises nothing. BrokenResponsesTest.Rejections.rejectionWithoutIdPromisesNothing failed before (503 in place of 502); a repeated rejection with the id of the earlier request was skipped before as well.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -228,14 +228,16 @@
         ResponseHead head =
                 new ResponseHead(
                         status, HeaderFields.endToEnd(response.getHeaders()), OptionalLong.empty());
+        if (metadata.id().isEmpty()) {
+            // Without an id, even a rejection may belong to an earlier request.
+            return result(AttemptOutcome.INVALID, "status " + status + " without a request id");
+        }
         if (metadata.notRun() || status == MISDIRECTED_REQUEST) {
             drain(body(response));
             return result(rejection(status, metadata), "status " + status);
         }
-        if (!metadata.signed() || metadata.id().isEmpty()) {
-            return result(
-                    AttemptOutcome.INVALID,
-                    "status " + status + " without a signature or request id");
+        if (!metadata.signed()) {
+            return result(AttemptOutcome.INVALID, "status " + status + " without a signature");
         }
         if (!head.isSuccess()) {
             byte[] body = readBuffered(body(response));
--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -119,6 +119,30 @@
         }
     }
 
+    @Nested
+    final class Rejections {
+        /** Guards against "not run" for a request that a target runs. */
+        @Test
+        void rejectionOfAnEarlierRequestIsNotTakenForAnother() throws IOException {
+            setFault(RunnerFault.REPEATED_REJECTION);
+            try (ClientStandin client = fleet.client()) {
+                for (int i = 1; i <= 4; i++) {
+                    String body = fleet.send(client, "POST", ConfigText.BOOKING).body();
+                    assertTrue(body.startsWith("answer of desk-"), body);
+                    assertEquals(i, fleet.runCount(fleet.desks));
+                }
+            }
+        }
+
+        /** Guards against a rejection that may belong to another request and is believed. */
+        @Test
+        void rejectionWithoutIdPromisesNothing() throws IOException {
+            setFault(RunnerFault.REJECTION_WITHOUT_ID);
+            assertEquals(502, fleet.send("POST", ConfigText.BOOKING).status());
+            assertEquals(1, fleet.runCount(fleet.desks));
+        }
+    }
+
     @Nested
     final class FailuresAfterTheStart {
         /** Guards against a failure's text in the middle of a stream, or a stream cut short. */
