--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -79,7 +79,7 @@
     private final StartupGate gate = new StartupGate();
     private final ServingStatus serving = new ServingStatus();
     private final IdleConnections idleConnections = new IdleConnections();
-    private final EdgeMetrics metrics = new EdgeMetrics();
+    private final EdgeMetrics metrics;
     private final TargetDirectory directory;
     private final PeerLoads peerLoads;
     private final Quarantine quarantine;
@@ -111,6 +111,7 @@
         directory = new TargetDirectory(ticker);
         peerLoads = new PeerLoads(ticker);
         quarantine = new Quarantine(log, ticker);
+        metrics = new EdgeMetrics(quarantine);
         operatorFeed = new FeedLog(log, "operator", this::openGateIfReady, this::refreshTargets);
         targetFeed = new FeedLog(log, "targets", this::openGateIfReady, () -> {});
         storeCooldown = new Cooldown(ticker);
--- a/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.snapshots.ClassicHistogramBuckets;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import io.prometheus.metrics.model.snapshots.Labels;
 import io.prometheus.metrics.model.snapshots.MetricSnapshots;
@@ -16,6 +17,7 @@
 import java.util.concurrent.atomic.LongAdder;
 import org.godwithoist.dispatch.AttemptOutcome;
 import org.godwithoist.dispatch.RequestOutcome;
+import org.godwithoist.quarantine.Quarantine;
 
 /**
  * Counters and latencies of this daemon. They are kept as plain numbers, and the metrics library is
@@ -31,6 +33,7 @@
     private final Map<RequestOutcome, LatencyHistogram> requests =
             new EnumMap<>(RequestOutcome.class);
     private final LongAdder taskFailures = new LongAdder();
+    private final Quarantine quarantine;
 
     /** Latency histogram of the requests with the same outcome. */
     private static final class LatencyHistogram {
@@ -58,7 +61,8 @@
         }
     }
 
-    EdgeMetrics() {
+    EdgeMetrics(Quarantine quarantine) {
+        this.quarantine = quarantine;
         for (AttemptOutcome o : AttemptOutcome.values()) {
             attempts.put(o, new LongAdder());
         }
@@ -80,13 +84,24 @@
         taskFailures.increment();
     }
 
-    private CounterSnapshot taskFailuresSnapshot() {
+    private static CounterSnapshot counter(String name, String help, long value) {
         return CounterSnapshot.builder()
-                .name("godwithoist_task_failures")
-                .help("Unexpected failures of tasks")
+                .name(name)
+                .help(help)
                 .dataPoint(
                         CounterSnapshot.CounterDataPointSnapshot.builder()
-                                .value((double) taskFailures.sum())
+                                .value((double) value)
+                                .build())
+                .build();
+    }
+
+    private GaugeSnapshot quarantinedPrompts() {
+        return GaugeSnapshot.builder()
+                .name("godwithoist_quarantined_prompts")
+                .help("Sets of prompt parts that are kept away from targets")
+                .dataPoint(
+                        GaugeSnapshot.GaugeDataPointSnapshot.builder()
+                                .value(quarantine.size())
                                 .build())
                 .build();
     }
@@ -117,7 +132,17 @@
                 .write(
                         out,
                         MetricSnapshots.of(
-                                counters.build(), latencies.build(), taskFailuresSnapshot()));
+                                counters.build(),
+                                latencies.build(),
+                                counter(
+                                        "godwithoist_task_failures",
+                                        "Unexpected failures of tasks",
+                                        taskFailures.sum()),
+                                counter(
+                                        "godwithoist_target_crashes",
+                                        "Requests at whose beginning a target crashed",
+                                        quarantine.observedCrashes()),
+                                quarantinedPrompts()));
         return out.toByteArray();
     }
 }
--- a/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
@@ -79,6 +79,18 @@
             ClientStandin.Response refused = sendPoison(fleet.edge.callerAddress());
             assertEquals(503, refused.status());
             assertFalse(refused.field("Retry-After").isEmpty());
+            EdgeFixture.await(
+                    "the refusal in the log",
+                    () -> fleet.log().contains("\"refusal\":\"QUARANTINED\",\"parts\":"));
+            assertTrue(metrics().contains("godwithoist_quarantined_prompts 1.0"), metrics());
+            assertTrue(metrics().contains("godwithoist_target_crashes_total 3.0"), metrics());
+        }
+
+        private String metrics() throws IOException {
+            try (ClientStandin client = new ClientStandin(fleet.edge.metricsAddress())) {
+                client.send("GET", "/metrics", Map.of("Host", "daemon"), "");
+                return client.receive().body();
+            }
         }
 
         /** Guards against sound requests that are refused because they share other parts. */
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -14,6 +14,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.Collectors;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.time.Durations;
@@ -67,6 +68,7 @@
     /** Parts that targets have responded to, the least recently used one first. */
     private final SequencedMap<PromptPartId, Boolean> answeredParts = new LinkedHashMap<>();
 
+    private final LongAdder observedCrashes = new LongAdder();
     private volatile List<QuarantinedParts> quarantined = List.of();
 
     /** Parts that an observation of this daemon has quarantined or released. */
@@ -99,6 +101,11 @@
                 .max(Comparator.naturalOrder());
     }
 
+    /** Returns the number of crashes that this daemon has observed; each request counts once. */
+    public long observedCrashes() {
+        return observedCrashes.sum();
+    }
+
     /** Returns the number of sets of parts that are quarantined. */
     public int size() {
         long now = ticker.nanos();
@@ -117,6 +124,7 @@
                 .with("target", target.id().value())
                 .with("parts", joined(prompt))
                 .write();
+        observedCrashes.increment();
         long now = ticker.nanos();
         CrashId crash = CrashId.of(target);
         boolean changed = false;
