Split the forwarding of responses from the exchange with a target

ResponseForwarder forwards a response and knows how far it got; the exchange sends the request and finds its response.

--- /dev/null
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -0,0 +1,200 @@
+package org.godwithoist.dispatch.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.dispatch.CallerResponse;
+import org.godwithoist.dispatch.EventFramer;
+import org.godwithoist.dispatch.ResponseHead;
+import org.godwithoist.dispatch.ResponseProgress;
+
+/**
+ * Forwards the successful response of one attempt to the caller. Of a stream, only complete events
+ * are forwarded, so that another target can resume it. Used by one task.
+ */
+final class ResponseForwarder {
+    /** Maximum size of a response that is buffered completely before it is forwarded, in bytes. */
+    static final int MAX_BUFFERED_BYTES = 65_536;
+
+    private static final int READ_BUFFER_BYTES = 8192;
+
+    /**
+     * Part of an event, in bytes, that counts as progress of a stream like a complete event. A
+     * target that sends a byte now and then has stalled; one behind a slow link has not.
+     */
+    private static final int PROGRESS_BYTES = 1024;
+
+    /**
+     * Time after its head at which a response that still goes on counts as established. Engines
+     * that fail at the beginning of a response do so within a fraction of it.
+     */
+    private static final Duration ESTABLISHED_AFTER = Duration.ofMillis(500);
+
+    private final CallerResponse callerResponse;
+    private final Runnable extendReadDeadline;
+    private final Ticker ticker;
+    private final EventFramer framer = new EventFramer();
+    private ResponseProgress progress = ResponseProgress.NONE;
+    private long begunAt;
+    private boolean complete;
+
+    /**
+     * Creates a forwarder.
+     *
+     * @param extendReadDeadline extends the time for which the target may send nothing
+     */
+    ResponseForwarder(CallerResponse callerResponse, Runnable extendReadDeadline, Ticker ticker) {
+        this.callerResponse = callerResponse;
+        this.extendReadDeadline = extendReadDeadline;
+        this.ticker = ticker;
+    }
+
+    /** Returns how far the target got with its response. */
+    ResponseProgress progress() {
+        return progress;
+    }
+
+    /** Returns the id of the last event that was forwarded; empty if there was none. */
+    OptionalLong lastEvent() {
+        return framer.lastId();
+    }
+
+    /** Returns whether the response of the target was read completely. */
+    boolean isComplete() {
+        return complete;
+    }
+
+    /** Records the arrival of the head of a successful response. */
+    void begin() {
+        begunAt = ticker.nanos();
+        progress = ResponseProgress.BEGUN;
+    }
+
+    /**
+     * Forwards a stream of events.
+     *
+     * @param endsWithConnection whether only the end of the connection ends the body
+     * @throws TruncatedStreamException if the stream ends before it is complete
+     * @throws CallerDisconnectedException if the caller's connection fails
+     * @throws IOException if the target's connection fails
+     */
+    void forwardEvents(ResponseHead head, InputStream body, boolean endsWithConnection)
+            throws IOException {
+        byte[] buffer = new byte[READ_BUFFER_BYTES];
+        extendReadDeadline.run();
+        int bytesWithoutEvent = 0;
+        int n = body.read(buffer, 0, buffer.length);
+        while (n >= 0) {
+            boolean hasEvent =
+                    framer.feed(
+                            buffer,
+                            0,
+                            n,
+                            (bytes, from, length) -> writeToCaller(head, bytes, from, length));
+            bytesWithoutEvent = hasEvent ? 0 : bytesWithoutEvent + n;
+            if (hasEvent) {
+                recordProgress();
+            }
+            if (hasEvent || bytesWithoutEvent >= PROGRESS_BYTES) {
+                extendReadDeadline.run();
+                bytesWithoutEvent = 0;
+            }
+            n = body.read(buffer, 0, buffer.length);
+        }
+        Optional<String> defect = defectAtEnd(endsWithConnection);
+        if (defect.isPresent()) {
+            throw new TruncatedStreamException(defect.get());
+        }
+        finish(head, new byte[0]);
+    }
+
+    /**
+     * Returns why a stream that has ended is not complete. Without a last chunk, nothing tells an
+     * empty stream from one whose target has ended before its first event.
+     */
+    private Optional<String> defectAtEnd(boolean endsWithConnection) {
+        if (framer.hasIncompleteEvent()) {
+            return Optional.of("the stream ended inside an event");
+        }
+        return endsWithConnection && framer.lastId().isEmpty()
+                ? Optional.of("the connection ended before the first event")
+                : Optional.empty();
+    }
+
+    /** Records that a part of the response was forwarded. */
+    private void recordProgress() {
+        Duration sinceHead = Duration.ofNanos(ticker.nanos() - begunAt);
+        progress =
+                sinceHead.compareTo(ESTABLISHED_AFTER) < 0
+                        ? ResponseProgress.PARTIAL
+                        : ResponseProgress.ESTABLISHED;
+    }
+
+    /**
+     * Forwards a response that is not a stream. A short one is buffered completely first: if it
+     * breaks off, another target can still be tried. A longer one is forwarded while it is read.
+     *
+     * @throws CallerDisconnectedException if the caller's connection fails
+     * @throws IOException if the target's connection fails
+     */
+    void forwardBody(ResponseHead head, InputStream body) throws IOException {
+        byte[] firstBytes = body.readNBytes(MAX_BUFFERED_BYTES);
+        if (firstBytes.length < MAX_BUFFERED_BYTES) {
+            finish(head.withLength(OptionalLong.of(firstBytes.length)), firstBytes);
+            return;
+        }
+        writeToCaller(head, firstBytes, 0, firstBytes.length);
+        byte[] buffer = new byte[READ_BUFFER_BYTES];
+        int n = body.read(buffer, 0, buffer.length);
+        while (n >= 0) {
+            writeToCaller(head, buffer, 0, n);
+            n = body.read(buffer, 0, buffer.length);
+        }
+        finish(head, new byte[0]);
+    }
+
+    /** Sends the last bytes, after the response of the target was read completely. */
+    private void finish(ResponseHead head, byte[] lastBytes) throws CallerDisconnectedException {
+        complete = true;
+        progress = ResponseProgress.ESTABLISHED;
+        writeToCaller(head, lastBytes, 0, lastBytes.length);
+        try {
+            callerResponse.finish();
+        } catch (IOException e) {
+            throw new CallerDisconnectedException(e);
+        }
+    }
+
+    private void writeToCaller(ResponseHead head, byte[] bytes, int from, int length)
+            throws CallerDisconnectedException {
+        try {
+            if (!callerResponse.started()) {
+                callerResponse.start(head);
+            }
+            callerResponse.write(bytes, from, length);
+        } catch (IOException e) {
+            throw new CallerDisconnectedException(e);
+        }
+    }
+
+    /** The target ended a stream before it was complete. */
+    static final class TruncatedStreamException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        TruncatedStreamException(String defect) {
+            super(defect);
+        }
+    }
+
+    /** The caller's connection failed; the target is not at fault. */
+    static final class CallerDisconnectedException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        CallerDisconnectedException(IOException cause) {
+            super("the caller's connection failed: " + cause.getMessage(), cause);
+        }
+    }
+}
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -17,11 +17,9 @@
 import org.godwithoist.dispatch.AttemptResult;
 import org.godwithoist.dispatch.BufferedResponse;
 import org.godwithoist.dispatch.CallerResponse;
-import org.godwithoist.dispatch.EventFramer;
 import org.godwithoist.dispatch.EventTooLargeException;
 import org.godwithoist.dispatch.Request;
 import org.godwithoist.dispatch.ResponseHead;
-import org.godwithoist.dispatch.ResponseProgress;
 import org.godwithoist.targets.Target;
 
 /**
@@ -29,35 +27,19 @@
  * Used by one task.
  */
 final class TargetExchange {
-    /**
-     * Maximum size of a failure or non-streaming response that is fully buffered before it is
-     * forwarded, in bytes.
-     */
-    private static final int MAX_BUFFERED_BYTES = 65_536;
+    /** Maximum size of a failure response, which is buffered completely, in bytes. */
+    private static final int MAX_FAILURE_BYTES = ResponseForwarder.MAX_BUFFERED_BYTES;
 
-    private static final int READ_BUFFER_BYTES = 8192;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int FIRST_FINAL_STATUS = 200;
 
-    /**
-     * Part of an event, in bytes, that counts as progress of a stream like a complete event. A
-     * target that sends a byte now and then has stalled; one behind a slow link has not.
-     */
-    private static final int PROGRESS_BYTES = 1024;
-
     /**
      * Time after the deadline of a request at which the exchange ends even if the target still
      * sends. A response that is complete by then reaches a caller that still waits.
      */
     private static final Duration OVERALL_DEADLINE_MARGIN = Duration.ofMillis(250);
 
-    /**
-     * Time after its head at which a response that still goes on counts as established. Engines
-     * that fail at the beginning of a response do so within a fraction of it.
-     */
-    private static final Duration ESTABLISHED_AFTER = Duration.ofMillis(500);
-
     /** Maximum number of responses to other requests before the one to this request. */
     private static final int MAX_STRAY_RESPONSES = 3;
 
@@ -79,10 +61,9 @@
     private final Dialect dialect;
     private final Consumer<Target> onLeaving;
     private final Ticker ticker;
-    private final EventFramer framer = new EventFramer();
+    private final ResponseForwarder forwarder;
     private final long sentAt;
     private Optional<Duration> timeToFirstByte = Optional.empty();
-    private ResponseProgress progress = ResponseProgress.NONE;
     private boolean responseComplete;
     private boolean targetCloses;
     private boolean endsWithConnection;
@@ -106,12 +87,13 @@
         this.dialect = dialect;
         this.onLeaving = onLeaving;
         this.ticker = ticker;
+        forwarder = new ResponseForwarder(callerResponse, this::setReadDeadline, ticker);
         sentAt = ticker.nanos();
     }
 
     /** Returns whether the connection can carry another request. */
     boolean reusable() {
-        return responseComplete && !targetCloses;
+        return (responseComplete || forwarder.isComplete()) && !targetCloses;
     }
 
     /** Returns the time for which the connection may be kept idle. */
@@ -123,7 +105,7 @@
         try {
             send();
             return receive();
-        } catch (CallerDisconnectedException e) {
+        } catch (ResponseForwarder.CallerDisconnectedException e) {
             return result(AttemptOutcome.CALLER_LEFT, e.getMessage());
         } catch (SocketTimeoutException e) {
             return timedOut();
@@ -157,8 +139,10 @@
     }
 
     private AttemptResult result(AttemptOutcome outcome, String detail) {
-        AttemptResult result = AttemptResult.of(outcome, framer.lastId(), detail);
-        return timeToFirstByte.map(t -> result.withProgress(t, progress)).orElse(result);
+        AttemptResult result = AttemptResult.of(outcome, forwarder.lastEvent(), detail);
+        return timeToFirstByte
+                .map(t -> result.withProgress(t, forwarder.progress()))
+                .orElse(result);
     }
 
     // ---- request to the target
@@ -246,26 +230,19 @@
         }
         Duration elapsed = Duration.ofNanos(ticker.nanos() - sentAt);
         timeToFirstByte = Optional.of(elapsed);
-        progress = ResponseProgress.BEGUN;
+        forwarder.begin();
         attempt.target().responseStarted(attempt.pendingResponse());
         attempt.request()
                 .head()
                 .prefix()
                 .ifPresent(p -> attempt.target().recordCachedPrefix(p.key()));
+        InputStream body = body(response);
         if (attempt.route().kind().isEventStream()) {
-            return forwardEvents(head, body(response));
+            forwarder.forwardEvents(head, body, endsWithConnection);
+        } else {
+            forwarder.forwardBody(head, body);
         }
-        return forwardBody(head, response);
-    }
-
-    /** Records that a part of the response was forwarded. */
-    private void recordProgress() {
-        Duration sinceSent = Duration.ofNanos(ticker.nanos() - sentAt);
-        Duration sinceHead = sinceSent.minus(timeToFirstByte.orElse(sinceSent));
-        progress =
-                sinceHead.compareTo(ESTABLISHED_AFTER) < 0
-                        ? ResponseProgress.PARTIAL
-                        : ResponseProgress.ESTABLISHED;
+        return result(AttemptOutcome.ANSWERED, "status " + status);
     }
 
     private static AttemptOutcome rejection(int status, Dialect.ResponseMetadata metadata) {
@@ -289,82 +266,10 @@
         return connection.reader().body(framing);
     }
 
-    private AttemptResult forwardEvents(ResponseHead head, InputStream body) throws IOException {
-        byte[] buffer = new byte[READ_BUFFER_BYTES];
-        setReadDeadline();
-        int bytesWithoutEvent = 0;
-        int n = body.read(buffer, 0, buffer.length);
-        while (n >= 0) {
-            boolean hasEvent =
-                    framer.feed(
-                            buffer,
-                            0,
-                            n,
-                            (bytes, from, length) -> writeToCaller(head, bytes, from, length));
-            bytesWithoutEvent = hasEvent ? 0 : bytesWithoutEvent + n;
-            if (hasEvent) {
-                recordProgress();
-            }
-            if (hasEvent || bytesWithoutEvent >= PROGRESS_BYTES) {
-                setReadDeadline();
-                bytesWithoutEvent = 0;
-            }
-            n = body.read(buffer, 0, buffer.length);
-        }
-        Optional<String> defect = defectAtEnd();
-        if (defect.isPresent()) {
-            return result(brokenIfStarted(AttemptOutcome.LOST), defect.get());
-        }
-        responseComplete = true;
-        writeToCaller(head, new byte[0], 0, 0);
-        return answered(head);
-    }
-
-    /**
-     * Returns why a stream that has ended is not complete. Without a last chunk, nothing tells an
-     * empty stream from one whose target has ended before its first event.
-     */
-    private Optional<String> defectAtEnd() {
-        if (framer.hasIncompleteEvent()) {
-            return Optional.of("the stream ended inside an event");
-        }
-        return endsWithConnection && framer.lastId().isEmpty()
-                ? Optional.of("the connection ended before the first event")
-                : Optional.empty();
-    }
-
-    /**
-     * Buffers a short response completely before it is forwarded: if it breaks off, another target
-     * can still be tried. A longer response is forwarded while it is read.
-     */
-    private AttemptResult forwardBody(ResponseHead head, ClassicHttpResponse response)
-            throws IOException, HttpException {
-        InputStream body = body(response);
-        byte[] firstBytes = body.readNBytes(MAX_BUFFERED_BYTES);
-        if (firstBytes.length < MAX_BUFFERED_BYTES) {
-            responseComplete = true;
-            writeToCaller(
-                    head.withLength(OptionalLong.of(firstBytes.length)),
-                    firstBytes,
-                    0,
-                    firstBytes.length);
-            return answered(head);
-        }
-        writeToCaller(head, firstBytes, 0, firstBytes.length);
-        byte[] buffer = new byte[READ_BUFFER_BYTES];
-        int n = body.read(buffer, 0, buffer.length);
-        while (n >= 0) {
-            writeToCaller(head, buffer, 0, n);
-            n = body.read(buffer, 0, buffer.length);
-        }
-        responseComplete = true;
-        return answered(head);
-    }
-
     private static byte[] readBuffered(InputStream body) throws IOException {
-        byte[] bytes = body.readNBytes(MAX_BUFFERED_BYTES);
-        if (bytes.length == MAX_BUFFERED_BYTES) {
-            throw new IOException("failure response of more than " + MAX_BUFFERED_BYTES + " bytes");
+        byte[] bytes = body.readNBytes(MAX_FAILURE_BYTES);
+        if (bytes.length == MAX_FAILURE_BYTES) {
+            throw new IOException("failure response of more than " + MAX_FAILURE_BYTES + " bytes");
         }
         return bytes;
     }
@@ -392,42 +297,4 @@
                 .setOverallDeadline(
                         attempt.deadline().atNanos() + OVERALL_DEADLINE_MARGIN.toNanos());
     }
-
-    // ---- response to the caller
-
-    private void writeToCaller(ResponseHead head, byte[] bytes, int from, int length)
-            throws IOException {
-        try {
-            if (!callerResponse.started()) {
-                callerResponse.start(head);
-            }
-            callerResponse.write(bytes, from, length);
-        } catch (IOException e) {
-            throw new CallerDisconnectedException(e);
-        }
-    }
-
-    /** Ends the caller's response, of which everything has been written. */
-    private AttemptResult answered(ResponseHead head) throws IOException {
-        progress = ResponseProgress.ESTABLISHED;
-        finishCallerResponse();
-        return result(AttemptOutcome.ANSWERED, "status " + head.status());
-    }
-
-    private void finishCallerResponse() throws IOException {
-        try {
-            callerResponse.finish();
-        } catch (IOException e) {
-            throw new CallerDisconnectedException(e);
-        }
-    }
-
-    /** The caller's connection failed; the target is not at fault. */
-    private static final class CallerDisconnectedException extends IOException {
-        private static final long serialVersionUID = 1L;
-
-        CallerDisconnectedException(IOException cause) {
-            super("the caller's connection failed: " + cause.getMessage(), cause);
-        }
-    }
 }
