Withdraw waiting requests of a quarantined prompt

A request is now taken back, by closing its connection, when its prompt is quarantined before its response has begun. It may have run, so the caller gets a 502; the target's health is not affected (outcome WITHDRAWN). Once the response has begun, or the exchange has ended and the connection may serve another request, nothing is closed.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
@@ -11,6 +12,8 @@
 import org.godwithoist.dispatch.AttemptResult;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.TargetGateway;
+import org.godwithoist.quarantine.WaitingRequests;
+import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.Target;
 
 /** Sends requests to targets over HTTP/1.1 and pools the connections. Thread-safe. */
@@ -21,16 +24,23 @@
     private final Dialect dialect;
     private final Ticker ticker;
     private final Consumer<Target> onLeaving;
+    private final WaitingRequests waitingRequests;
     private final TargetConnections connections;
 
     /**
      * Creates a gateway with an empty connection pool.
      *
      * @param onLeaving receives each target that states in a response that it is leaving
+     * @param waitingRequests receives each request until its response begins
      */
-    public HttpTargetGateway(Dialect dialect, Consumer<Target> onLeaving, Ticker ticker) {
+    public HttpTargetGateway(
+            Dialect dialect,
+            Consumer<Target> onLeaving,
+            WaitingRequests waitingRequests,
+            Ticker ticker) {
         this.dialect = dialect;
         this.onLeaving = onLeaving;
+        this.waitingRequests = waitingRequests;
         this.ticker = ticker;
         connections = new TargetConnections(ticker);
     }
@@ -56,11 +66,14 @@
         response.onDisconnect(connection::close);
         TargetExchange exchange =
                 new TargetExchange(attempt, response, connection, dialect, onLeaving, ticker);
+        List<PromptPartId> prompt = attempt.request().head().promptParts();
+        WaitingRequests.Entry waiting = waitingRequests.add(prompt, exchange::withdraw);
         try {
             AttemptResult result = exchange.run();
             reused = exchange.reusable() && connection.isIdle();
             return result;
         } finally {
+            waiting.close();
             response.onDisconnect(null);
             if (reused) {
                 connections.release(target, connection, exchange.keepAlive());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -67,6 +67,8 @@
     private boolean responseComplete;
     private boolean targetCloses;
     private boolean endsWithConnection;
+    private boolean waiting = true;
+    private boolean withdrawn;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
 
     /**
@@ -101,7 +103,35 @@
         return keepAlive;
     }
 
+    /**
+     * Takes the request back from the target. Has no effect after the response has begun or the
+     * exchange has ended, because the connection may serve another request by then. May be called
+     * by any task.
+     */
+    synchronized void withdraw() {
+        if (waiting) {
+            withdrawn = true;
+            connection.close();
+        }
+    }
+
+    private synchronized void endWait() {
+        waiting = false;
+    }
+
+    private synchronized boolean isWithdrawn() {
+        return withdrawn;
+    }
+
     AttemptResult run() {
+        try {
+            return exchange();
+        } finally {
+            endWait();
+        }
+    }
+
+    private AttemptResult exchange() {
         try {
             send();
             return receive();
@@ -131,6 +161,9 @@
         if (callerResponse.callerDisconnected()) {
             return result(AttemptOutcome.CALLER_LEFT, "the caller disconnected");
         }
+        if (isWithdrawn()) {
+            return result(AttemptOutcome.WITHDRAWN, "the prompt is quarantined");
+        }
         return result(brokenIfStarted(AttemptOutcome.LOST), cause.getMessage());
     }
 
@@ -231,6 +264,7 @@
         Duration elapsed = Duration.ofNanos(ticker.nanos() - sentAt);
         timeToFirstByte = Optional.of(elapsed);
         forwarder.begin();
+        endWait();
         attempt.target().responseStarted(attempt.pendingResponse());
         attempt.request()
                 .head()
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -118,7 +118,9 @@
         operatorChanges = new RecentChanges(ticker);
         targetChanges = new RecentChanges(ticker);
         supervisor = new Supervisor(this::logTaskFailure, ticker);
-        gateway = new HttpTargetGateway(dialect, this::recordLeaving, ticker);
+        gateway =
+                new HttpTargetGateway(
+                        dialect, this::recordLeaving, quarantine.waitingRequests(), ticker);
     }
 
     /**
--- a/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
@@ -5,12 +5,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.standins.edge.ClientStandin;
 import org.godwithoist.standins.edge.ConfigText;
+import org.godwithoist.standins.edge.RunnerFault;
 import org.godwithoist.standins.edge.RunnerStandin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +27,8 @@
  */
 final class PoisonPromptTest {
     private static final String POISON = "dead";
+    private static final String SOUND_PROMPT = "a1:500,b2:1000";
+    private static final String POISON_PROMPT = SOUND_PROMPT + "," + POISON + ":200";
     private static final int ENGINES = 10;
     private static final int POISON_REQUESTS = 12;
 
@@ -46,21 +52,22 @@
         fleet.close();
     }
 
-    private ClientStandin.Response send(Endpoint daemon, String prompt) throws IOException {
+    private ClientStandin.Response send(Endpoint daemon, String route, String prompt)
+            throws IOException {
         Map<String, String> fields = fleet.validFields();
         fields.put("X-Godwithoist-Prompt-Prefix", prompt + ",own" + requests++ + ":30");
         try (ClientStandin client = new ClientStandin(daemon)) {
-            client.send("POST", ConfigText.RESUMABLE + "x", fields, "text");
+            client.send("POST", route + "x", fields, "text");
             return client.receive();
         }
     }
 
     private ClientStandin.Response sendPoison(Endpoint daemon) throws IOException {
-        return send(daemon, "a1:500,b2:1000," + POISON + ":200");
+        return send(daemon, ConfigText.RESUMABLE, POISON_PROMPT);
     }
 
     private ClientStandin.Response sendSound(Endpoint daemon) throws IOException {
-        return send(daemon, "a1:500,b2:1000");
+        return send(daemon, ConfigText.RESUMABLE, SOUND_PROMPT);
     }
 
     private long endedEngines() {
@@ -86,6 +93,32 @@
             assertTrue(metrics().contains("godwithoist_target_crashes_total 2.0"), metrics());
         }
 
+        /** Guards against requests that wait at a target and crash it after the quarantine. */
+        @Test
+        void waitingRequestIsWithdrawn() throws Exception {
+            fleet.engines.forEach(e -> e.setFault(RunnerFault.HANG));
+            CompletableFuture<Integer> status =
+                    CompletableFuture.supplyAsync(() -> statusOfPoison(ConfigText.NON_RESUMABLE));
+            EdgeFixture.await("a waiting request", () -> fleet.runCount(fleet.engines) == 1);
+            fleet.engines.stream()
+                    .filter(e -> e.executedRequests().isEmpty())
+                    .forEach(e -> e.setFault(RunnerFault.NONE));
+            for (int i = 0; i < 2; i++) {
+                sendPoison(fleet.edge.callerAddress());
+            }
+            assertEquals(502, status.get(2, TimeUnit.SECONDS));
+            EdgeFixture.await(
+                    "a withdrawn attempt", () -> fleet.log().contains("\"outcome\":\"WITHDRAWN\""));
+        }
+
+        private int statusOfPoison(String route) {
+            try {
+                return send(fleet.edge.callerAddress(), route, POISON_PROMPT).status();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
         private String metrics() throws IOException {
             try (ClientStandin client = new ClientStandin(fleet.edge.metricsAddress())) {
                 client.send("GET", "/metrics", Map.of("Host", "daemon"), "");
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -78,6 +78,9 @@
     /** Has a permit if this daemon has observed something since the last one was taken. */
     private final Semaphore observations = new Semaphore(0);
 
+    private final WaitingRequests waitingRequests =
+            new WaitingRequests(prompt -> remaining(prompt).isPresent());
+
     /** Creates an instance without suspects. */
     public Quarantine(EventLog log, Ticker ticker) {
         this.log = log;
@@ -102,6 +105,11 @@
                 .max(Comparator.naturalOrder());
     }
 
+    /** Returns the requests to withdraw when their prompt is quarantined. */
+    public WaitingRequests waitingRequests() {
+        return waitingRequests;
+    }
+
     /** Returns the number of crashes that this daemon has observed; each request counts once. */
     public long observedCrashes() {
         return observedCrashes.sum();
@@ -333,6 +341,7 @@
                         .map(b -> new QuarantinedParts(b, b.lastCrashAt() + duration(b).toNanos()))
                         .toList();
         logChanges(before, now);
+        waitingRequests.withdrawQuarantined();
     }
 
     /**
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
@@ -7,9 +7,11 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.VirtualTicker;
 import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
@@ -177,6 +179,42 @@
         }
     }
 
+    @Nested
+    final class Waiting {
+        private final AtomicInteger withdrawn = new AtomicInteger();
+
+        private WaitingRequests.Entry add(List<PromptPartId> prompt) {
+            return quarantine.waitingRequests().add(prompt, withdrawn::incrementAndGet);
+        }
+
+        private void awaitWithdrawn(int expected) {
+            for (int i = 0; i < 200 && withdrawn.get() < expected; i++) {
+                Tasks.sleep(Duration.ofMillis(10));
+            }
+            assertEquals(expected, withdrawn.get());
+        }
+
+        /** Guards against waiting requests that crash targets after their prompt is known. */
+        @Test
+        void requestsOfAQuarantinedPromptAreWithdrawn() {
+            add(POISON);
+            add(SOUND);
+            add(POISON).close();
+            crash(POISON);
+            crash(POISON);
+            awaitWithdrawn(1);
+        }
+
+        /** Guards against a request that is sent while its prompt is being quarantined. */
+        @Test
+        void requestThatComesLateIsWithdrawnAtOnce() {
+            crash(POISON);
+            crash(POISON);
+            add(POISON);
+            assertEquals(1, withdrawn.get());
+        }
+    }
+
     @Nested
     final class Ends {
         /** Guards against a part that is never tried again. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -137,7 +137,8 @@
         String text = new String(body, StandardCharsets.UTF_8);
         executedRequests.add(new ExecutedRequest(attempt, request.getRequestUri(), fields, text));
         Tasks.sleep(eventDelay);
-        if (poisonPart.isPresent() && promptContains(fields, poisonPart.get())) {
+        boolean hangs = currentFault == RunnerFault.HANG;
+        if (!hangs && poisonPart.isPresent() && promptContains(fields, poisonPart.get())) {
             return endWhileResponding(writer, attempt);
         }
         if (currentFault == RunnerFault.STRAY_ANSWER) {
