Let a test wait until the requests are there that it loses

The test made the store unresponsive for an instant before the first requests for changes had arrived. What it checks is unchanged.

--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -411,6 +411,8 @@
          */
         @Test
         void lostRequestsAreNoticedSoonAfterTheStoreRecovers() {
+            // A request that arrives after the store has recovered would not be lost.
+            EdgeFixture.await("requests for changes", () -> fleet.store.waitingFeeds() == 2);
             fleet.store.setUnresponsive(true);
             fleet.store.put("op", "config", ConfigText.of(9, 5000));
             fleet.store.delete("servers", fleet.engines.get(0).id());
--- a/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
@@ -37,6 +37,7 @@
     private boolean down;
     private volatile boolean unresponsive;
     private volatile int unresponsiveCount;
+    private int waitingFeeds;
 
     /** Starts the store on a free port. */
     public RowStoreStandin() throws IOException {
@@ -89,6 +90,11 @@
         notifyAll();
     }
 
+    /** Returns the number of requests that wait for changes. */
+    public synchronized int waitingFeeds() {
+        return waitingFeeds;
+    }
+
     /** Returns the number of rows in a table; 0 if the table does not exist. */
     public synchronized int rowCount(String table) {
         return tables.getOrDefault(table, new TreeMap<>()).size();
@@ -187,10 +193,13 @@
     }
 
     private void awaitChange(long nanos) {
+        waitingFeeds++;
         try {
             TimeUnit.NANOSECONDS.timedWait(this, nanos);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
+            waitingFeeds--;
         }
     }
 
