--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -29,7 +29,7 @@
  */
 public final class QuarantineTable {
     /** Delay of the first read, because other startup steps need the CPU and the store first. */
-    private static final Duration STARTUP_DELAY = Duration.ofMillis(900);
+    private static final Duration STARTUP_DELAY = Duration.ofMillis(400);
 
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
