--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -28,8 +28,8 @@
  * daemon whose observation quarantined or released the part. Used by one task.
  */
 public final class QuarantineTable {
-    /** Delay of the first read, because other startup steps need the CPU and the store first. */
-    private static final Duration STARTUP_DELAY = Duration.ofMillis(400);
+    /** Delay of the first read, because the daemon needs the other tables first. */
+    private static final Duration STARTUP_DELAY = Duration.ofMillis(100);
 
     private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
 
