Split the suspects from the quarantine

Suspects keeps the parts within their limits; a part that is evicted while it is quarantined is no longer looked up in vain when its row is saved.

--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -3,13 +3,10 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SequencedMap;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Semaphore;
@@ -32,30 +29,6 @@
     private static final Duration MIN_QUARANTINE = Duration.ofMinutes(10);
     private static final Duration MAX_QUARANTINE = Duration.ofHours(1);
 
-    /**
-     * Time for which a crash counts. It is longer than a quarantine, so that the first crash after
-     * one quarantines the part again.
-     */
-    private static final Duration CRASH_RETENTION = Duration.ofHours(2);
-
-    /** Time for which the clearing of crashes is announced to the other daemons. */
-    private static final Duration CLEARED_ANNOUNCEMENT = Duration.ofSeconds(5);
-
-    /**
-     * Time for which cleared crashes are remembered, in case that a daemon which was paused
-     * announces them again.
-     */
-    private static final Duration CLEARED_RETENTION = Duration.ofMinutes(1);
-
-    private static final int MAX_SUSPECTS = 256;
-    private static final int MAX_ANSWERED_PARTS = 2000;
-
-    /** Among suspects with equally many crashes, the one that changed last comes first. */
-    private static final Comparator<Suspect> MOST_CRASHES_FIRST =
-            Comparator.<Suspect>comparingInt(s -> s.crashIds().size())
-                    .thenComparingLong(Suspect::changedAt)
-                    .reversed();
-
     private record QuarantinedParts(Blame blame, long endsAt) {
         boolean contains(Collection<PromptPartId> prompt, long now) {
             return endsAt - now > 0 && prompt.containsAll(blame.parts());
@@ -64,11 +37,7 @@
 
     private final EventLog log;
     private final Ticker ticker;
-    private final Map<PromptPartId, Suspect> suspects = new HashMap<>();
-
-    /** Parts that targets have responded to, the least recently used one first. */
-    private final SequencedMap<PromptPartId, Boolean> answeredParts = new LinkedHashMap<>();
-
+    private final Suspects suspects = new Suspects();
     private final LongAdder observedCrashes = new LongAdder();
     private volatile List<QuarantinedParts> quarantined = List.of();
 
@@ -139,7 +108,7 @@
         PrefixKey promptKey = PrefixKey.of(joined(prompt));
         boolean changed = false;
         for (PromptPartId part : prompt) {
-            changed |= suspect(part, now).addCrash(crash, promptKey, now, now);
+            changed |= suspects.findOrAdd(part, now).addCrash(crash, promptKey, now, now);
         }
         applyObservation(changed, prompt, now);
     }
@@ -154,11 +123,11 @@
         long now = ticker.nanos();
         boolean changed = false;
         for (PromptPartId part : prompt) {
-            addAnswered(part);
-            Suspect suspect = suspects.get(part);
-            if (suspect != null) {
-                changed |= suspect.setAnswered(now);
-                changed |= suspect.clearKnownAt(respondedAt, now);
+            suspects.addAnswered(part);
+            Optional<Suspect> suspect = suspects.find(part);
+            if (suspect.isPresent()) {
+                changed |= suspect.get().setAnswered(now);
+                changed |= suspect.get().clearKnownAt(respondedAt, now);
             }
         }
         applyObservation(changed, prompt, now);
@@ -185,14 +154,6 @@
         return parts;
     }
 
-    private void addAnswered(PromptPartId part) {
-        answeredParts.remove(part);
-        answeredParts.put(part, true);
-        if (answeredParts.size() > MAX_ANSWERED_PARTS) {
-            answeredParts.pollFirstEntry();
-        }
-    }
-
     // ---- exchange with the other daemons
 
     /**
@@ -200,16 +161,9 @@
      * part is suspected.
      */
     public synchronized List<PartEvidence> evidence() {
-        if (suspects.isEmpty()) {
-            return List.of();
-        }
         long now = ticker.nanos();
-        removeExpired(now);
-        return suspects.values().stream()
-                .filter(s -> s.hasCrashes() || isYoungerThan(CLEARED_ANNOUNCEMENT, s, now))
-                .sorted(MOST_CRASHES_FIRST)
-                .map(s -> s.evidence(now))
-                .toList();
+        update(suspects.removeExpired(now), now);
+        return suspects.evidence(now);
     }
 
     /**
@@ -241,12 +195,12 @@
     }
 
     private boolean merge(PartEvidence evidence, long now) {
-        Suspect suspect = suspect(evidence.part(), now);
+        Suspect suspect = suspects.findOrAdd(evidence.part(), now);
         boolean changed = evidence.answered() && suspect.setAnswered(now);
         changed |= suspect.clear(evidence.cleared(), now);
         for (Map.Entry<CrashId, CrashReport> e : evidence.crashes().entrySet()) {
             CrashReport crash = e.getValue();
-            if (crash.age().compareTo(CRASH_RETENTION) < 0) {
+            if (crash.age().compareTo(Suspects.CRASH_RETENTION) < 0) {
                 long occurredAt = now - crash.age().toNanos();
                 changed |= suspect.addCrash(e.getKey(), crash.prompt(), occurredAt, now);
             }
@@ -282,54 +236,17 @@
 
     /** Returns the evidence against a part; empty unless it is quarantined. */
     synchronized Optional<PartEvidence> quarantinedEvidence(PromptPartId part) {
-        return quarantinedParts().contains(part)
-                ? Optional.of(suspects.get(part).evidence(ticker.nanos()))
-                : Optional.empty();
+        return suspects.find(part)
+                .filter(s -> quarantinedParts().contains(part))
+                .map(s -> s.evidence(ticker.nanos()));
     }
 
     /** Returns whether crashes count against a part. */
     synchronized boolean isSuspected(PromptPartId part) {
-        Suspect suspect = suspects.get(part);
-        return suspect != null && suspect.hasCrashes();
+        return suspects.find(part).filter(Suspect::hasCrashes).isPresent();
     }
 
-    // ---- suspects
-
-    private Suspect suspect(PromptPartId part, long now) {
-        Suspect known = suspects.get(part);
-        if (known != null) {
-            return known;
-        }
-        if (suspects.size() >= MAX_SUSPECTS) {
-            removeLeastSuspicious();
-        }
-        Suspect suspect = new Suspect(part, now);
-        if (answeredParts.containsKey(part)) {
-            suspect.setAnswered(now);
-        }
-        suspects.put(part, suspect);
-        return suspect;
-    }
-
-    private void removeLeastSuspicious() {
-        suspects.values().stream()
-                .max(MOST_CRASHES_FIRST)
-                .ifPresent(s -> suspects.remove(s.part()));
-    }
-
-    private void removeExpired(long now) {
-        boolean changed = false;
-        for (Suspect s : suspects.values()) {
-            changed |= s.removeOlderThan(CRASH_RETENTION, now);
-        }
-        suspects.values()
-                .removeIf(s -> !s.hasCrashes() && !isYoungerThan(CLEARED_RETENTION, s, now));
-        update(changed, now);
-    }
-
-    private static boolean isYoungerThan(Duration age, Suspect suspect, long now) {
-        return now - suspect.changedAt() < age.toNanos();
-    }
+    // ---- decisions
 
     private void update(boolean changed, long now) {
         if (!changed) {
@@ -337,7 +254,7 @@
         }
         List<QuarantinedParts> before = quarantined;
         quarantined =
-                Blame.assign(suspects.values()).stream()
+                Blame.assign(suspects.all()).stream()
                         .map(b -> new QuarantinedParts(b, b.lastCrashAt() + duration(b).toNanos()))
                         .toList();
         logChanges(before, now);
