--- a/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PoisonPromptTest.java
@@ -93,6 +93,26 @@
             assertTrue(metrics().contains("godwithoist_target_crashes_total 2.0"), metrics());
         }
 
+        /** Guards against a retry that is sent before the crash of its target is known. */
+        @Test
+        void retryTakesTheCrashOfItsTargetIntoAccount() throws IOException {
+            Endpoint daemon = fleet.edge.callerAddress();
+            assertEquals(502, send(daemon, ConfigText.NON_RESUMABLE, POISON_PROMPT).status());
+            assertEquals(502, send(daemon, ConfigText.RESUMABLE, POISON_PROMPT).status());
+            assertEquals(2, endedEngines());
+        }
+
+        /** Guards against a prompt that is blamed for connections that break off. */
+        @Test
+        void lostConnectionsAreNoCrashes() throws IOException {
+            fleet.engines.forEach(e -> e.setFault(RunnerFault.UNFRAMED_EMPTY));
+            for (int i = 0; i < POISON_REQUESTS; i++) {
+                assertEquals(502, sendSound(fleet.edge.callerAddress()).status());
+            }
+            fleet.engines.forEach(e -> e.setFault(RunnerFault.NONE));
+            assertEquals(200, sendSound(fleet.edge.callerAddress()).status());
+        }
+
         /** Guards against requests that wait at a target and crash it after the quarantine. */
         @Test
         void waitingRequestIsWithdrawn() throws Exception {
