--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
@@ -226,6 +226,8 @@
             Duration first = quarantine.remaining(POISON).orElseThrow();
             ticker.advance(first);
             assertFalse(blocks(POISON));
+            // Expired crashes are removed when the evidence is sent.
+            assertFalse(quarantine.evidence().isEmpty());
             crash(POISON);
             assertEquals(first.multipliedBy(2), quarantine.remaining(POISON).orElseThrow());
         }
