Split the end of requests from the dispatcher

RequestEnd decides how a request ended, reports it and sends the daemon's own responses. No behaviour changes; EdgeTest, PoisonPromptTest, BrokenResponsesTest and RetryPolicyTest pass as before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -25,12 +25,6 @@
     /** Interval between placement attempts while no target may get a request. */
     private static final Duration PLACEMENT_INTERVAL = Duration.ofMillis(20);
 
-    /**
-     * Retry delay of a request that is refused before its route is known, for example while the
-     * daemon starts; after it, the daemon or the store is likely to respond.
-     */
-    private static final Duration STARTUP_RETRY_DELAY = Duration.ofMillis(500);
-
     /** A request waits for a target for at most this fraction of its target latency. */
     private static final int PLACEMENT_WAIT_DIVISOR = 8;
 
@@ -46,8 +40,8 @@
     private final RetryShares retryShares;
     private final ServingStatus status;
     private final RequestObserver observer;
+    private final RequestEnd requestEnd;
     private final Ticker ticker;
-    private final RandomGenerator random;
 
     /** Collaborators of a dispatcher. */
     public record Dependencies(
@@ -79,7 +73,7 @@
         status = dependencies.status();
         observer = dependencies.observer();
         ticker = dependencies.ticker();
-        random = dependencies.random();
+        requestEnd = new RequestEnd(observer, ticker, dependencies.random());
     }
 
     /**
@@ -96,14 +90,7 @@
             Admission.AdmittedRequest admitted = admission.admit(request.head());
             run(request, admitted, response);
         } catch (RefusedException e) {
-            observer.ended(
-                    request,
-                    Optional.empty(),
-                    Optional.of(e.refusal()),
-                    RequestOutcome.REFUSED,
-                    0,
-                    elapsed(request));
-            response.refuse(e.refusal(), retryAfter(e.refusal()));
+            requestEnd.refuse(request, e.refusal(), response);
         } finally {
             status.requestEnded();
         }
@@ -114,7 +101,7 @@
         Route route = admitted.route();
         Optional<Duration> quarantined = quarantine.remaining(request.head().promptParts());
         if (quarantined.isPresent()) {
-            refuse(request, route, Refusal.QUARANTINED, 0, quarantined.get(), response);
+            requestEnd.refuse(request, route, Refusal.QUARANTINED, quarantined.get(), response);
             return;
         }
         RetryShare retryShare = retryShares.of(admitted.service().id());
@@ -136,7 +123,7 @@
                         : placement.shortestPause(
                                 placementRequest(request, admitted, policy),
                                 directory.targets(admitted.service().id()));
-        finish(request, route, policy, pause, deadline, response, responded);
+        requestEnd.finish(request, route, policy, pause, deadline, response, responded);
     }
 
     private boolean mayAttempt(
@@ -235,103 +222,4 @@
             target.end(verdict);
         }
     }
-
-    private void finish(
-            Request request,
-            Route route,
-            RetryPolicy policy,
-            Optional<Duration> pause,
-            Deadline deadline,
-            CallerResponse response,
-            boolean responded)
-            throws IOException {
-        RequestOutcome outcome = outcome(policy, response, responded);
-        if (outcome == RequestOutcome.REFUSED) {
-            Refusal refusal = refusal(policy, pause, deadline);
-            Duration delay = retryAfter(route, pause);
-            refuse(request, route, refusal, policy.attempts(), delay, response);
-            return;
-        }
-        // The request is logged first, because the caller may have disconnected when the response
-        // is sent.
-        observer.ended(
-                request,
-                Optional.of(route),
-                Optional.empty(),
-                outcome,
-                policy.attempts(),
-                elapsed(request));
-        switch (outcome) {
-            case ANSWERED, REFUSED -> {}
-            case LEFT, BROKEN -> response.abort();
-            case FAILED -> policy.failure().orElseThrow().sendTo(response);
-        }
-    }
-
-    private void refuse(
-            Request request,
-            Route route,
-            Refusal refusal,
-            int attempts,
-            Duration retryAfter,
-            CallerResponse response)
-            throws IOException {
-        observer.ended(
-                request,
-                Optional.of(route),
-                Optional.of(refusal),
-                RequestOutcome.REFUSED,
-                attempts,
-                elapsed(request));
-        response.refuse(refusal, retryAfter);
-    }
-
-    private static RequestOutcome outcome(
-            RetryPolicy policy, CallerResponse response, boolean responded) {
-        if (responded) {
-            return RequestOutcome.ANSWERED;
-        }
-        if (response.callerDisconnected()) {
-            return RequestOutcome.LEFT;
-        }
-        if (response.started()) {
-            return RequestOutcome.BROKEN;
-        }
-        return policy.failure().isPresent() ? RequestOutcome.FAILED : RequestOutcome.REFUSED;
-    }
-
-    private static Refusal refusal(
-            RetryPolicy policy, Optional<Duration> pause, Deadline deadline) {
-        if (policy.possibleRuns() == 0 && deadline.isExpired()) {
-            return Refusal.EXPIRED;
-        }
-        if (policy.possibleRuns() == 0 && pause.isPresent()) {
-            return Refusal.TARGETS_PAUSED;
-        }
-        return policy.refusal();
-    }
-
-    /**
-     * Returns the retry delay of a request that is refused before it is sent to a target. If the
-     * daemon is stopping, the caller may retry immediately, because another daemon serves it.
-     */
-    private static Duration retryAfter(Refusal refusal) {
-        return refusal == Refusal.STOPPING ? Duration.ZERO : STARTUP_RETRY_DELAY;
-    }
-
-    /**
-     * Returns a random retry delay, so that callers that were refused at the same time do not all
-     * retry at the same time.
-     *
-     * @param pause time until the first target accepts requests again; empty if not all pause
-     */
-    private Duration retryAfter(Route route, Optional<Duration> pause) {
-        long halfMillis = Math.max(1, route.targetLatency().toMillis() / 2);
-        Duration spread = Duration.ofMillis(random.nextLong(halfMillis));
-        return pause.orElse(Duration.ofMillis(halfMillis)).plus(spread);
-    }
-
-    private Duration elapsed(Request request) {
-        return Duration.ofNanos(ticker.nanos() - request.arrivedAt());
-    }
 }
--- /dev/null
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
@@ -0,0 +1,144 @@
+package org.godwithoist.dispatch;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.godwithoist.catalog.Route;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+
+/**
+ * Ends requests: decides how a request has ended, reports it to the observer and sends the
+ * responses of the daemon itself. Thread-safe.
+ */
+final class RequestEnd {
+    /**
+     * Retry delay of a request that is refused before its route is known, for example while the
+     * daemon starts; after it, the daemon or the store is likely to respond.
+     */
+    private static final Duration STARTUP_RETRY_DELAY = Duration.ofMillis(500);
+
+    private final RequestObserver observer;
+    private final Ticker ticker;
+    private final RandomGenerator random;
+
+    RequestEnd(RequestObserver observer, Ticker ticker, RandomGenerator random) {
+        this.observer = observer;
+        this.ticker = ticker;
+        this.random = random;
+    }
+
+    /** Refuses a request before its route is known. */
+    void refuse(Request request, Refusal refusal, CallerResponse response) throws IOException {
+        // If the daemon is stopping, another daemon serves the caller immediately.
+        Duration retryAfter = refusal == Refusal.STOPPING ? Duration.ZERO : STARTUP_RETRY_DELAY;
+        refuse(request, Optional.empty(), refusal, 0, retryAfter, response);
+    }
+
+    /** Refuses a request for whose route no target may be asked. */
+    void refuse(
+            Request request,
+            Route route,
+            Refusal refusal,
+            Duration retryAfter,
+            CallerResponse response)
+            throws IOException {
+        refuse(request, Optional.of(route), refusal, 0, retryAfter, response);
+    }
+
+    private void refuse(
+            Request request,
+            Optional<Route> route,
+            Refusal refusal,
+            int attempts,
+            Duration retryAfter,
+            CallerResponse response)
+            throws IOException {
+        // The request is logged first, because the caller may have disconnected when the response
+        // is sent.
+        observer.ended(
+                request,
+                route,
+                Optional.of(refusal),
+                RequestOutcome.REFUSED,
+                attempts,
+                elapsed(request));
+        response.refuse(refusal, retryAfter);
+    }
+
+    /**
+     * Ends a request after its last attempt.
+     *
+     * @param pause time until the first target accepts requests again; empty if not all pause
+     * @param responded whether a target's complete response was sent
+     */
+    void finish(
+            Request request,
+            Route route,
+            RetryPolicy policy,
+            Optional<Duration> pause,
+            Deadline deadline,
+            CallerResponse response,
+            boolean responded)
+            throws IOException {
+        RequestOutcome outcome = outcome(policy, response, responded);
+        if (outcome == RequestOutcome.REFUSED) {
+            Refusal refusal = refusal(policy, pause, deadline);
+            Duration retryAfter = retryAfter(route, pause);
+            refuse(request, Optional.of(route), refusal, policy.attempts(), retryAfter, response);
+            return;
+        }
+        observer.ended(
+                request,
+                Optional.of(route),
+                Optional.empty(),
+                outcome,
+                policy.attempts(),
+                elapsed(request));
+        if (outcome == RequestOutcome.FAILED) {
+            policy.failure().orElseThrow().sendTo(response);
+        } else if (outcome != RequestOutcome.ANSWERED) {
+            response.abort();
+        }
+    }
+
+    private static RequestOutcome outcome(
+            RetryPolicy policy, CallerResponse response, boolean responded) {
+        if (responded) {
+            return RequestOutcome.ANSWERED;
+        }
+        if (response.callerDisconnected()) {
+            return RequestOutcome.LEFT;
+        }
+        if (response.started()) {
+            return RequestOutcome.BROKEN;
+        }
+        return policy.failure().isPresent() ? RequestOutcome.FAILED : RequestOutcome.REFUSED;
+    }
+
+    private static Refusal refusal(
+            RetryPolicy policy, Optional<Duration> pause, Deadline deadline) {
+        if (policy.possibleRuns() == 0 && deadline.isExpired()) {
+            return Refusal.EXPIRED;
+        }
+        if (policy.possibleRuns() == 0 && pause.isPresent()) {
+            return Refusal.TARGETS_PAUSED;
+        }
+        return policy.refusal();
+    }
+
+    /**
+     * Returns a random retry delay, so that callers that were refused at the same time do not all
+     * retry at the same time.
+     */
+    private Duration retryAfter(Route route, Optional<Duration> pause) {
+        long halfMillis = Math.max(1, route.targetLatency().toMillis() / 2);
+        Duration spread = Duration.ofMillis(random.nextLong(halfMillis));
+        return pause.orElse(Duration.ofMillis(halfMillis)).plus(spread);
+    }
+
+    private Duration elapsed(Request request) {
+        return Duration.ofNanos(ticker.nanos() - request.arrivedAt());
+    }
+}
