Split the followers of the store's tables from the edge daemon

StoreFollowers owns the feeds, their logs and the relay's changes. No behaviour changes; EdgeTest, EdgeProcessTest, FleetListTest and PoisonPromptTest pass as before.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -29,21 +29,11 @@
 import org.godwithoist.peers.Member;
 import org.godwithoist.peers.wire.UdpTransport;
 import org.godwithoist.platform.HttpDialect;
-import org.godwithoist.platform.OperatorRows;
-import org.godwithoist.platform.RunnerRows;
 import org.godwithoist.platform.StoreTable;
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.quarantine.QuarantineTable;
-import org.godwithoist.relay.Cooldown;
-import org.godwithoist.relay.Leadership;
-import org.godwithoist.relay.RecentChanges;
-import org.godwithoist.relay.RelayTiming;
-import org.godwithoist.relay.RelayedFeed;
-import org.godwithoist.relay.TableName;
-import org.godwithoist.relay.wire.RelayConnection;
 import org.godwithoist.relay.wire.RelayServer;
 import org.godwithoist.settings.EdgeSettings;
-import org.godwithoist.store.feed.TableFollower;
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.Placement;
@@ -55,17 +45,6 @@
 final class Edge implements Closeable {
     private static final long MAX_BODY_MEMORY_BYTES = 12L << 20;
 
-    /**
-     * Maximum wait for changes of the operator's table. The recovery of an unresponsive store is
-     * noticed within this time plus one second.
-     */
-    private static final Duration OPERATOR_MAX_WAIT = Duration.ofMillis(1500);
-
-    private static final Duration TARGETS_MAX_WAIT = Duration.ofSeconds(10);
-
-    private static final TableName OPERATOR = new TableName("operator");
-    private static final TableName TARGETS = new TableName("targets");
-
     private static final Duration HOUSEKEEPING_INTERVAL = Duration.ofMillis(250);
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
@@ -83,11 +62,7 @@
     private final TargetDirectory directory;
     private final PeerLoads peerLoads;
     private final Quarantine quarantine;
-    private final FeedLog operatorFeed;
-    private final FeedLog targetFeed;
-    private final Cooldown storeCooldown;
-    private final RecentChanges operatorChanges;
-    private final RecentChanges targetChanges;
+    private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
     private final Supervisor supervisor;
     private final Dialect dialect = new HttpDialect();
@@ -96,7 +71,6 @@
     private ConnectionListener metricsListener;
     private ConnectionListener relayListener;
     private LoadExchange exchange;
-    private TableFollower targetFollower;
 
     /**
      * Creates a daemon that has not been started.
@@ -112,11 +86,17 @@
         peerLoads = new PeerLoads(ticker);
         quarantine = new Quarantine(log, ticker);
         metrics = new EdgeMetrics(quarantine);
-        operatorFeed = new FeedLog(log, "operator", this::openGateIfReady, this::refreshTargets);
-        targetFeed = new FeedLog(log, "targets", this::openGateIfReady, () -> {});
-        storeCooldown = new Cooldown(ticker);
-        operatorChanges = new RecentChanges(ticker);
-        targetChanges = new RecentChanges(ticker);
+        followers =
+                new StoreFollowers(
+                        new StoreFollowers.Dependencies(
+                                settingsFile,
+                                catalogs,
+                                directory,
+                                this::applyCatalog,
+                                this::openGateIfReady,
+                                log,
+                                ticker,
+                                random));
         supervisor = new Supervisor(this::logTaskFailure, ticker);
         gateway =
                 new HttpTargetGateway(
@@ -145,7 +125,7 @@
                         "caller",
                         supervisor,
                         s -> CallerConnection.serve(s, callerDependencies));
-        followStore();
+        followers.start(exchange, supervisor);
         StatusServer statusServer =
                 new StatusServer(
                         Map.of("/readiness", this::readiness, "/metrics", this::metricsResponse),
@@ -206,12 +186,7 @@
     private FleetList startExchange() throws IOException {
         UdpTransport transport = UdpTransport.open(settings.peers());
         Endpoint address = new Endpoint(settings.peers().ip(), transport.port());
-        RelayServer relay =
-                new RelayServer(
-                        Map.of(OPERATOR, operatorChanges, TARGETS, targetChanges),
-                        this::relayTiming,
-                        log,
-                        ticker);
+        RelayServer relay = followers.relayServer();
         // Members connect to the TCP port with the same number as the UDP port. If the system
         // chooses the ports, the two numbers differ and members cannot use this daemon's relay.
         relayListener =
@@ -239,54 +214,6 @@
                 ticker);
     }
 
-    private void followStore() {
-        RelayedFeed targetRows =
-                relayedFeed(TARGETS, StoreTable.runners(settings.store(), ticker), targetChanges);
-        RelayedFeed operatorRows =
-                relayedFeed(
-                        OPERATOR, StoreTable.operator(settings.store(), ticker), operatorChanges);
-        targetFollower =
-                new TableFollower(
-                        targetRows,
-                        new RunnerRows(directory, targetFeed),
-                        new TableFollower.Timing(TARGETS_MAX_WAIT, targetRows::pollDelay),
-                        random);
-        TableFollower operatorFollower =
-                new TableFollower(
-                        operatorRows,
-                        new OperatorRows(this::applyCatalog, catalogs::outOfService, operatorFeed),
-                        new TableFollower.Timing(OPERATOR_MAX_WAIT, operatorRows::pollDelay),
-                        random);
-        operatorFollower.start("follow-operator", supervisor);
-        targetFollower.start("follow-targets", supervisor);
-    }
-
-    private RelayedFeed relayedFeed(TableName table, StoreTable store, RecentChanges recent) {
-        return new RelayedFeed(
-                new RelayedFeed.Dependencies(
-                        table,
-                        store,
-                        recent,
-                        new RelayConnection(ticker),
-                        storeCooldown,
-                        new Leadership(exchange::leaderAddress, exchange::isLeader),
-                        this::relayTiming,
-                        log,
-                        ticker));
-    }
-
-    private RelayTiming relayTiming() {
-        return new RelayTiming(settingsFile.current().bounds().maxPropagationDelay());
-    }
-
-    /**
-     * Restarts the request for the targets. Called when the operator's table is available again,
-     * because the same outage may have lost the request for the targets without an error.
-     */
-    private void refreshTargets() {
-        targetFollower.restartRequest();
-    }
-
     private void applyCatalog(Catalog next) {
         boolean adopted = catalogs.updateIfNewer(next);
         openGateIfReady();
@@ -304,7 +231,7 @@
     }
 
     private boolean isReadyToServe() {
-        return catalogs.current().isPresent() && targetFeed.isLoaded();
+        return catalogs.current().isPresent() && followers.hasTargets();
     }
 
     private Dispatcher dispatcher(FleetList fleet) {
--- /dev/null
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -0,0 +1,150 @@
+package org.godwithoist.edge;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.godwithoist.catalog.Catalog;
+import org.godwithoist.catalog.CatalogState;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Supervisor;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.peers.LoadExchange;
+import org.godwithoist.platform.OperatorRows;
+import org.godwithoist.platform.RunnerRows;
+import org.godwithoist.platform.StoreTable;
+import org.godwithoist.relay.Cooldown;
+import org.godwithoist.relay.Leadership;
+import org.godwithoist.relay.RecentChanges;
+import org.godwithoist.relay.RelayTiming;
+import org.godwithoist.relay.RelayedFeed;
+import org.godwithoist.relay.TableName;
+import org.godwithoist.relay.wire.RelayConnection;
+import org.godwithoist.relay.wire.RelayServer;
+import org.godwithoist.store.feed.TableFollower;
+import org.godwithoist.targets.TargetDirectory;
+
+/**
+ * Follows the operator's table and the table of targets, at the store or at a leader, and relays
+ * their changes to the members that this daemon leads. Thread-safe.
+ */
+final class StoreFollowers {
+    /**
+     * Maximum wait for changes of the operator's table. The recovery of an unresponsive store is
+     * noticed within this time plus one second.
+     */
+    private static final Duration OPERATOR_MAX_WAIT = Duration.ofMillis(1500);
+
+    private static final Duration TARGETS_MAX_WAIT = Duration.ofSeconds(10);
+
+    private static final TableName OPERATOR = new TableName("operator");
+    private static final TableName TARGETS = new TableName("targets");
+
+    /**
+     * Dependencies of the followers.
+     *
+     * @param applyCatalog receives each catalog that was read
+     * @param onTableRead called after a complete table was read
+     */
+    record Dependencies(
+            SettingsFile settingsFile,
+            CatalogState catalogs,
+            TargetDirectory directory,
+            Consumer<Catalog> applyCatalog,
+            Runnable onTableRead,
+            EventLog log,
+            Ticker ticker,
+            RandomGenerator random) {}
+
+    private final Dependencies dependencies;
+    private final FeedLog operatorFeed;
+    private final FeedLog targetFeed;
+    private final Cooldown storeCooldown;
+    private final RecentChanges operatorChanges;
+    private final RecentChanges targetChanges;
+    private volatile TableFollower targetFollower;
+
+    /** Creates followers that have not been started. */
+    StoreFollowers(Dependencies dependencies) {
+        this.dependencies = dependencies;
+        EventLog log = dependencies.log();
+        operatorFeed =
+                new FeedLog(log, "operator", dependencies.onTableRead(), this::refreshTargets);
+        targetFeed = new FeedLog(log, "targets", dependencies.onTableRead(), () -> {});
+        storeCooldown = new Cooldown(dependencies.ticker());
+        operatorChanges = new RecentChanges(dependencies.ticker());
+        targetChanges = new RecentChanges(dependencies.ticker());
+    }
+
+    /** Returns whether the targets were read at least once. */
+    boolean hasTargets() {
+        return targetFeed.isLoaded();
+    }
+
+    /** Returns a server of the changes for the members that this daemon leads. */
+    RelayServer relayServer() {
+        return new RelayServer(
+                Map.of(OPERATOR, operatorChanges, TARGETS, targetChanges),
+                this::relayTiming,
+                dependencies.log(),
+                dependencies.ticker());
+    }
+
+    /** Starts a task for each table. */
+    void start(LoadExchange exchange, Supervisor supervisor) {
+        Leadership leadership = new Leadership(exchange::leaderAddress, exchange::isLeader);
+        Endpoint store = dependencies.settingsFile().current().store();
+        Ticker ticker = dependencies.ticker();
+        RelayedFeed targetRows =
+                relayedFeed(TARGETS, StoreTable.runners(store, ticker), targetChanges, leadership);
+        RelayedFeed operatorRows =
+                relayedFeed(
+                        OPERATOR, StoreTable.operator(store, ticker), operatorChanges, leadership);
+        targetFollower =
+                new TableFollower(
+                        targetRows,
+                        new RunnerRows(dependencies.directory(), targetFeed),
+                        new TableFollower.Timing(TARGETS_MAX_WAIT, targetRows::pollDelay),
+                        dependencies.random());
+        TableFollower operatorFollower =
+                new TableFollower(
+                        operatorRows,
+                        new OperatorRows(
+                                dependencies.applyCatalog(),
+                                dependencies.catalogs()::outOfService,
+                                operatorFeed),
+                        new TableFollower.Timing(OPERATOR_MAX_WAIT, operatorRows::pollDelay),
+                        dependencies.random());
+        operatorFollower.start("follow-operator", supervisor);
+        targetFollower.start("follow-targets", supervisor);
+    }
+
+    private RelayedFeed relayedFeed(
+            TableName table, StoreTable store, RecentChanges recent, Leadership leadership) {
+        return new RelayedFeed(
+                new RelayedFeed.Dependencies(
+                        table,
+                        store,
+                        recent,
+                        new RelayConnection(dependencies.ticker()),
+                        storeCooldown,
+                        leadership,
+                        this::relayTiming,
+                        dependencies.log(),
+                        dependencies.ticker()));
+    }
+
+    private RelayTiming relayTiming() {
+        return new RelayTiming(
+                dependencies.settingsFile().current().bounds().maxPropagationDelay());
+    }
+
+    /**
+     * Restarts the request for the targets. Called when the operator's table is available again,
+     * because the same outage may have lost the request for the targets without an error.
+     */
+    private void refreshTargets() {
+        targetFollower.restartRequest();
+    }
+}
