Require an API key after the last one was revoked

Cause: the catalog derived "requests need a key" from a map of the keys that are left, so an empty map read as a deployment without workspaces. CatalogCodec kept a workspace only below its keys.

The other lookups of catalog, dispatch, targets and platform that test for emptiness were read; none of them opens access.

--- a/catalog/src/main/java/org/godwithoist/catalog/Catalog.java
+++ b/catalog/src/main/java/org/godwithoist/catalog/Catalog.java
@@ -15,7 +15,7 @@
     private final long version;
     private final Map<String, Map<String, Route>> routesByHost;
     private final Map<ServiceId, ServiceSpec> services;
-    private final Map<ApiKey, Workspace> workspacesByKey;
+    private final ApiKeys apiKeys;
     private final RequestLimits limits;
 
     /**
@@ -23,17 +23,17 @@
      *
      * @param version increases with each change, not necessarily by 1
      * @param routes routes; the last of several with the same host and prefix is used
-     * @param workspaces workspace of each API key; empty if the deployment has no workspaces
+     * @param apiKeys API keys of the workspaces
      */
     public Catalog(
             long version,
             List<Route> routes,
             List<ServiceSpec> services,
-            Map<ApiKey, Workspace> workspaces,
+            ApiKeys apiKeys,
             RequestLimits limits) {
         this.version = version;
         this.limits = limits;
-        workspacesByKey = Map.copyOf(workspaces);
+        this.apiKeys = apiKeys;
         Map<String, Map<String, Route>> byHost = new HashMap<>();
         for (Route r : routes) {
             byHost.computeIfAbsent(hostKey(r.host()), h -> new HashMap<>()).put(r.prefix(), r);
@@ -92,13 +92,13 @@
     }
 
     /** Returns whether requests need an API key, except on routes with public access. */
-    public boolean hasWorkspaces() {
-        return !workspacesByKey.isEmpty();
+    public boolean requiresApiKey() {
+        return apiKeys.required();
     }
 
     /** Returns the workspace of a key; empty if the key is unknown. */
     public Optional<Workspace> workspace(ApiKey key) {
-        return Optional.ofNullable(workspacesByKey.get(key));
+        return apiKeys.workspace(key);
     }
 
     private static String hostKey(String host) {
--- a/catalog/src/test/java/org/godwithoist/catalog/CatalogTest.java
+++ b/catalog/src/test/java/org/godwithoist/catalog/CatalogTest.java
@@ -7,7 +7,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -36,7 +35,7 @@
     }
 
     private static Catalog catalog(long version, Route... routes) {
-        return new Catalog(version, List.of(routes), List.of(), Map.of(), RequestLimits.DEFAULT);
+        return new Catalog(version, List.of(routes), List.of(), ApiKeys.NOT_REQUIRED, RequestLimits.DEFAULT);
     }
 
     private static Optional<String> findRoute(Catalog catalog, String host, String path) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Admission.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Admission.java
@@ -78,7 +78,7 @@
 
     private static Optional<Workspace> workspace(Catalog catalog, Route route, RequestHead head)
             throws RefusedException {
-        if (route.publicAccess() || !catalog.hasWorkspaces()) {
+        if (route.publicAccess() || !catalog.requiresApiKey()) {
             return Optional.empty();
         }
         ApiKey key =
--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -9,6 +9,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -175,6 +176,31 @@
             assertEquals(0, fleet.runCount(fleet.desks));
         }
 
+        /** Guards against a deployment that serves every request once its last key is revoked. */
+        @Test
+        void revokingTheLastKeyLeavesEveryKeyUnknown() throws IOException {
+            String keys = "[\"" + ConfigText.API_KEY + "\"]";
+            fleet.store.put("op", "config", ConfigText.of(2, 5000).replace(keys, "[]"));
+            EdgeFixture.await(
+                    "a refusal of the revoked key",
+                    () -> bookWith(fleet.validFields()) == 401);
+            Map<String, String> withoutKey = fleet.validFields();
+            withoutKey.remove("X-Api-Key");
+            Map<String, String> unknownKey = fleet.validFields();
+            unknownKey.put("X-Api-Key", "no-such-key");
+            assertEquals(401, bookWith(withoutKey));
+            assertEquals(401, bookWith(unknownKey));
+        }
+
+        private int bookWith(Map<String, String> fields) {
+            try (ClientStandin client = fleet.client()) {
+                client.send("POST", ConfigText.BOOKING + "x", fields, "text");
+                return client.receive().status();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
         /** Guards against a head that is too large and reported as malformed. */
         @Test
         void tooLargeHeadIsRejectedAsSuch() throws IOException {
