State the end of a response only if its target has stated it

Cause: a target may send a response, a stream too, with neither a length nor chunks, so that only its connection ends it. The daemon read to the end of the connection and passed it on in chunks with a last chunk, or with a Content-Length. A target that crashes between two events, or within a plain body, ends its connection in the same way, and the daemon told the caller that the response was complete. Only a break inside an event was detected.

Change: BodyEnd says how the end of a body is stated, and a response without a stated end is passed on without one: no length, no chunks, Connection: close. A stream that another target has begun with chunks is aborted if its last part has no stated end. Buffered failure responses take the same way.

The cause is inferred from the report and the code.

--- /dev/null
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/BodyEnd.java
@@ -0,0 +1,15 @@
+package org.godwithoist.dispatch;
+
+/** How the end of a response's body is stated. */
+public enum BodyEnd {
+    /** The length of the body is stated before it. */
+    LENGTH,
+    /** A mark after the last byte states the end. */
+    MARK,
+    /**
+     * The body ends with its connection, and nothing else states its end. A target that crashes
+     * between two events ends its connection in the same way, so the caller must not be told that
+     * such a body is complete.
+     */
+    CONNECTION
+}
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.EventFramer;
 import org.godwithoist.dispatch.ResponseHead;
@@ -76,13 +77,11 @@
     /**
      * Forwards a stream of events.
      *
-     * @param endsWithConnection whether only the end of the connection ends the body
      * @throws TruncatedStreamException if the stream ends before it is complete
      * @throws CallerDisconnectedException if the caller's connection fails
      * @throws IOException if the target's connection fails
      */
-    void forwardEvents(ResponseHead head, InputStream body, boolean endsWithConnection)
-            throws IOException {
+    void forwardEvents(ResponseHead head, InputStream body) throws IOException {
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         extendReadDeadline.run();
         int bytesWithoutEvent = 0;
@@ -104,7 +103,7 @@
             }
             n = body.read(buffer, 0, buffer.length);
         }
-        Optional<String> defect = defectAtEnd(endsWithConnection);
+        Optional<String> defect = defectAtEnd(head.end());
         if (defect.isPresent()) {
             throw new TruncatedStreamException(defect.get());
         }
@@ -112,15 +111,22 @@
     }
 
     /**
-     * Returns why a stream that has ended is not complete. Without a last chunk, nothing tells an
-     * empty stream from one whose target has ended before its first event.
+     * Returns why a stream that has ended cannot be passed on as ended. If the target has not
+     * stated the end, nothing tells an empty stream from one whose target has ended before its
+     * first event, and a response that another target has begun with a stated end cannot end.
      */
-    private Optional<String> defectAtEnd(boolean endsWithConnection) {
+    private Optional<String> defectAtEnd(BodyEnd end) {
         if (framer.hasIncompleteEvent()) {
             return Optional.of("the stream ended inside an event");
         }
-        return endsWithConnection && framer.lastId().isEmpty()
-                ? Optional.of("the connection ended before the first event")
+        if (end != BodyEnd.CONNECTION) {
+            return Optional.empty();
+        }
+        if (framer.lastId().isEmpty()) {
+            return Optional.of("the connection ended before the first event");
+        }
+        return callerResponse.statesEnd()
+                ? Optional.of("the connection ended, and the stream has no stated end")
                 : Optional.empty();
     }
 
@@ -143,7 +149,7 @@
     void forwardBody(ResponseHead head, InputStream body) throws IOException {
         byte[] firstBytes = body.readNBytes(MAX_BUFFERED_BYTES);
         if (firstBytes.length < MAX_BUFFERED_BYTES) {
-            finish(head.withLength(OptionalLong.of(firstBytes.length)), firstBytes);
+            finish(head.forBufferedBody(firstBytes.length), firstBytes);
             return;
         }
         writeToCaller(head, firstBytes, 0, firstBytes.length);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -15,6 +14,7 @@
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.AttemptOutcome;
 import org.godwithoist.dispatch.AttemptResult;
+import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.BufferedResponse;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.EventTooLargeException;
@@ -66,7 +66,7 @@
     private Optional<Duration> timeToFirstByte = Optional.empty();
     private boolean responseComplete;
     private boolean targetCloses;
-    private boolean endsWithConnection;
+    private boolean targetStatesEnd = true;
     private boolean waiting = true;
     private boolean withdrawn;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
@@ -242,9 +242,6 @@
             ClassicHttpResponse response, Dialect.ResponseMetadata metadata)
             throws IOException, HttpException {
         int status = response.getCode();
-        ResponseHead head =
-                new ResponseHead(
-                        status, HeaderFields.endToEnd(response.getHeaders()), OptionalLong.empty());
         if (metadata.id().isEmpty()) {
             // Without an id, even a rejection may belong to an earlier request.
             return result(AttemptOutcome.INVALID, "status " + status + " without a request id");
@@ -256,10 +253,14 @@
         if (!metadata.signed()) {
             return result(AttemptOutcome.INVALID, "status " + status + " without a signature");
         }
+        InputStream body = body(response);
+        BodyEnd end = targetStatesEnd ? BodyEnd.MARK : BodyEnd.CONNECTION;
+        ResponseHead head =
+                new ResponseHead(status, HeaderFields.endToEnd(response.getHeaders()), end, 0);
         if (!head.isSuccess()) {
-            byte[] body = readBuffered(body(response));
+            byte[] bytes = readBuffered(body);
             responseComplete = true;
-            return AttemptResult.failure(new BufferedResponse(head, body));
+            return AttemptResult.failure(new BufferedResponse(head, bytes));
         }
         Duration elapsed = Duration.ofNanos(ticker.nanos() - sentAt);
         timeToFirstByte = Optional.of(elapsed);
@@ -270,9 +271,8 @@
                 .head()
                 .prefix()
                 .ifPresent(p -> attempt.target().recordCachedPrefix(p.key()));
-        InputStream body = body(response);
         if (attempt.route().kind().isEventStream()) {
-            forwarder.forwardEvents(head, body, endsWithConnection);
+            forwarder.forwardEvents(head, body);
         } else {
             forwarder.forwardBody(head, body);
         }
@@ -294,7 +294,7 @@
                         attempt.request().head().method(),
                         response.getHeaders());
         if (framing.kind() == Framing.Kind.UNTIL_CLOSE) {
-            endsWithConnection = true;
+            targetStatesEnd = false;
             targetCloses = true;
         }
         return connection.reader().body(framing);
--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.stream.IntStream;
 import org.godwithoist.standins.edge.ClientStandin;
 import org.godwithoist.standins.edge.ConfigText;
@@ -78,6 +79,31 @@
             assertEquals(events(EVENTS), fleet.send("POST", ConfigText.RESUMABLE).body());
         }
 
+        /**
+         * Guards against a stream that breaks off between two events and reaches the caller with a
+         * last chunk: without length and chunks, nothing tells its end from a crash.
+         */
+        @Test
+        void endThatTheTargetHasNotStatedIsNotStatedToTheCaller() throws IOException {
+            setFault(RunnerFault.UNFRAMED);
+            for (String prefix : List.of(ConfigText.NON_RESUMABLE, ConfigText.BOOKING)) {
+                ClientStandin.Response response = fleet.send("POST", prefix);
+                assertEquals("", response.field("Transfer-Encoding"), prefix);
+                assertEquals("", response.field("Content-Length"), prefix);
+                assertEquals("close", response.field("Connection"), prefix);
+            }
+        }
+
+        /** Guards against a resumed stream with a last chunk that its target has not stated. */
+        @Test
+        void resumedStreamWithoutAStatedEndIsAborted() throws IOException {
+            setFaultOfFirstEngine(RunnerFault.BREAK_MIDWAY);
+            fleet.engines.stream()
+                    .filter(e -> e.executedRequests().isEmpty())
+                    .forEach(e -> e.setFault(RunnerFault.UNFRAMED));
+            assertThrows(IOException.class, () -> fleet.send("POST", ConfigText.RESUMABLE));
+        }
+
         /** Guards against a truncated stream that the caller takes for complete. */
         @Test
         void streamThatEndsInsideAnEventAndCannotBeResumedIsAborted() {
