Close a connection whose own response is still due

Cause: TargetExchange took the end of a response to another request for the end of the exchange. If the request's own response then stopped, the connection counted as free and went back to the pool in place of being closed, so the target went on.

Change: only a response to the request itself, or the rejection of it, completes the exchange. The other assignments of responseComplete and ResponseForwarder.complete were read; each follows the request's own response.

EdgeTest$FailingTargets.responseToAnotherRequestDoesNotEndTheExchange failed before ("expected: <1> but was: <0>" cancelled requests) and passes now.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -206,7 +206,8 @@
             Dialect.ResponseMetadata metadata = dialect.readResponse(headers);
             readConnectionFields(headers);
             if (belongsToOtherRequest(metadata)) {
-                drain(body(response));
+                // The response to this request is still due.
+                readBuffered(body(response));
                 continue;
             }
             recordState(response.getCode(), metadata);
@@ -247,7 +248,8 @@
             return result(AttemptOutcome.INVALID, "status " + status + " without a request id");
         }
         if (metadata.notRun() || status == MISDIRECTED_REQUEST) {
-            drain(body(response));
+            readBuffered(body(response));
+            responseComplete = true;
             return result(rejection(status, metadata), "status " + status);
         }
         if (!metadata.signed()) {
@@ -308,11 +310,6 @@
         return bytes;
     }
 
-    private void drain(InputStream body) throws IOException {
-        readBuffered(body);
-        responseComplete = true;
-    }
-
     private void readConnectionFields(Header[] headers) {
         targetCloses = HeaderFields.connectionOptions(headers).contains("close");
         OptionalInt seconds = dialect.keepAliveSeconds(headers);
--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -340,6 +340,25 @@
             }
         }
 
+        /**
+         * Guards against a connection that is reused, in place of closed, while its target still
+         * works on a request: a response to another request was taken for the end of the exchange.
+         */
+        @Test
+        void responseToAnotherRequestDoesNotEndTheExchange() throws IOException {
+            fleet.desks.forEach(d -> d.setFault(RunnerFault.STRAY_ANSWER_ONLY));
+            Map<String, String> fields = fleet.validFields();
+            fields.put("X-Godwithoist-Deadline-Ms", "300");
+            try (ClientStandin client = fleet.client()) {
+                client.send("POST", ConfigText.BOOKING + "x", fields, "text");
+                assertEquals(504, client.receive().status());
+            }
+            // Shorter than the time for which an idle connection is kept.
+            Tasks.sleep(Duration.ofMillis(250));
+            int cancelled = fleet.desks.stream().mapToInt(RunnerStandin::cancelledRequests).sum();
+            assertEquals(1, cancelled);
+        }
+
         /** Guards against forwarding a success without a target's signature. */
         @Test
         void unsignedResponseIsNotForwarded() throws IOException {
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
@@ -20,6 +20,8 @@
     HANG,
     /** Sends the response to another request first. */
     STRAY_ANSWER,
+    /** Sends the response to another request and then nothing; the connection stays open. */
+    STRAY_ANSWER_ONLY,
     /** Responds without a signature. */
     UNSIGNED,
     /** Sends a second response to the same request after the complete response. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -141,14 +141,15 @@
         if (!hangs && poisonPart.isPresent() && promptContains(fields, poisonPart.get())) {
             return endWhileResponding(writer, attempt);
         }
-        if (currentFault == RunnerFault.STRAY_ANSWER) {
+        if (currentFault == RunnerFault.STRAY_ANSWER
+                || currentFault == RunnerFault.STRAY_ANSWER_ONLY) {
             writeTextResponse(writer, 200, "another-request", "other");
         }
         if (currentFault == RunnerFault.REPEATED_REJECTION) {
             writeRejection(writer, "another-request", "");
         }
         return switch (currentFault) {
-            case HANG -> awaitClose(connection);
+            case HANG, STRAY_ANSWER_ONLY -> awaitClose(connection);
             case DRIBBLE -> writeDribble(writer, attempt);
             case ENDLESS_HEAD, ENDLESS_BODY, ENDLESS_EVENT ->
                     writeWithoutEnd(writer, attempt, currentFault);
