Close the port of a stand-in before its connections

PoisonPromptTest$OneDaemon.partThatEndsEnginesIsRefused failed once beside other builds (target crashes 3.0 in place of 2.0). The daemon checks after a lost connection whether the target still accepts others. MessageServer closed its listener and at once its connections, but the system closes a listening port only once the accepting task has noticed; in between the check found the port open, and the crash was recorded 150 ms later, after the next request. A killed process refuses connections first, so the stand-in now waits for that.

--- a/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
@@ -2,6 +2,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.Set;
@@ -10,6 +11,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Supervisor;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.http.ConnectionListener;
 import org.godwithoist.dispatch.http.MessageReader;
@@ -19,6 +21,8 @@
 /** HTTP/1.1 server on a loopback port that lets its handler send arbitrary bytes. */
 final class MessageServer implements Closeable {
     private static final int MAX_LINE_BYTES = 16_384;
+    private static final int MAX_REFUSAL_CHECKS = 500;
+    private static final Duration REFUSAL_CHECK_INTERVAL = Duration.ofMillis(2);
 
     /** A client connection. */
     record Connection(ReadAheadSocket socket, MessageWriter writer) {
@@ -87,7 +91,26 @@
     /** Closes the port and all open connections, as if the process had been killed. */
     @Override
     public void close() throws IOException {
+        Endpoint endpoint = endpoint();
         listener.close();
+        awaitRefusal(endpoint);
         openSockets.forEach(ReadAheadSocket::close);
     }
+
+    /**
+     * Waits until the port refuses connections. The system closes it once the accepting task has
+     * noticed, and a daemon that finds the port open takes the end of its connection for another
+     * fault than a crash.
+     */
+    private static void awaitRefusal(Endpoint endpoint) {
+        for (int i = 0; i < MAX_REFUSAL_CHECKS; i++) {
+            try (Socket probe = new Socket()) {
+                probe.connect(new InetSocketAddress(endpoint.ip(), endpoint.port()));
+            } catch (IOException e) {
+                // Refused, as of a process that has ended.
+                return;
+            }
+            Tasks.sleep(REFUSAL_CHECK_INTERVAL);
+        }
+    }
 }
