Treat a withdrawn request as lost while its response begins

If a request was withdrawn after the head of its response was read and before the exchange had noted its start, the daemon closed the connection itself, and a body that ends with its connection looked complete to the reader. The exchange now checks for the withdrawal after it has noted the start. Found by reading; the window is too small for a test that does not change the code.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -268,6 +268,10 @@
         timeToFirstByte = Optional.of(elapsed);
         forwarder.begin();
         endWait();
+        if (isWithdrawn()) {
+            // The connection was closed on this side, which would look like the end of a body.
+            throw new IOException("withdrawn while its response began");
+        }
         attempt.target().responseStarted(attempt.pendingResponse());
         attempt.request()
                 .head()
