Test that endless bytes of targets do not end a daemon

The test starts a daemon as a process with the heap limit of the deployment (40 MB), lets at least 100 requests run at four targets that send without end, and expects 20 requests of others to be served and the daemon to live.

--- a/edge/src/test/java/org/godwithoist/edge/EdgeProcessTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeProcessTest.java
@@ -6,15 +6,27 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.net.LoopbackPorts;
+import org.godwithoist.standins.edge.ClientStandin;
 import org.godwithoist.standins.edge.ConfigText;
 import org.godwithoist.standins.edge.EdgeSettingsText;
 import org.godwithoist.standins.edge.RowStoreStandin;
+import org.godwithoist.standins.edge.RunnerFault;
+import org.godwithoist.standins.edge.RunnerStandin;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests the handling of signals and the exit status of a daemon that runs as a separate process.
@@ -40,16 +52,21 @@
     }
 
     private void startDaemon(String settings) throws IOException {
+        startDaemon(settings, "-Xmx64m");
+    }
+
+    private void startDaemon(String settings, String... options) throws IOException {
         Path file = Files.writeString(dir.resolve("boot.conf"), settings);
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder =
-                new ProcessBuilder(
-                        java,
-                        "-Xmx64m",
+        List<String> command = new ArrayList<>(List.of(java));
+        command.addAll(List.of(options));
+        command.addAll(
+                List.of(
                         "-cp",
                         System.getProperty("java.class.path"),
                         "org.godwithoist.edge.EdgeMain",
-                        "0");
+                        "0"));
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().put("GODWITHOIST_NODE_FILE", file.toString());
         builder.redirectErrorStream(true).redirectOutput(logFile().toFile());
         daemon = builder.start();
@@ -91,6 +108,82 @@
         }
     }
 
+    @Nested
+    final class EndlessBytes {
+        private static final int FAULTY_TARGETS = 4;
+        private static final int CALLERS = 120;
+        private static final int MIN_RUNS = 100;
+        private static final int OTHER_REQUESTS = 20;
+
+        private final int port = LoopbackPorts.next();
+        private final int readyPort = LoopbackPorts.next();
+        private final List<RunnerStandin> runners = new ArrayList<>();
+        private final List<ClientStandin> clients = new ArrayList<>();
+
+        @AfterEach
+        void close() throws IOException {
+            clients.forEach(ClientStandin::close);
+            for (RunnerStandin r : runners) {
+                r.close();
+            }
+        }
+
+        /**
+         * Guards against a daemon that keeps what faulty targets send, runs out of memory and ends
+         * with the requests of all other callers.
+         */
+        @ParameterizedTest
+        @EnumSource(names = {"ENDLESS_HEAD", "ENDLESS_BODY"})
+        void faultyTargetsCostOnlyTheirOwnRequests(RunnerFault fault) throws Exception {
+            addRunner("engine", "models", RunnerFault.NONE);
+            for (int i = 0; i < FAULTY_TARGETS; i++) {
+                addRunner("desk-" + i, "desk", fault);
+            }
+            startDaemon(
+                    EdgeSettingsText.of("edge-1", port, readyPort, store.endpoint()),
+                    "-Xmx40m",
+                    "-Xss256k",
+                    "-XX:+UseSerialGC",
+                    "-XX:+ExitOnOutOfMemoryError");
+            EdgeFixture.await("start", () -> logContains("\"event\":\"start\""));
+            for (int i = 0; i < CALLERS; i++) {
+                send(ConfigText.BOOKING, "booking-" + i);
+            }
+            EdgeFixture.await("requests at the faulty targets", () -> runsAt("desk") >= MIN_RUNS);
+            for (int i = 0; i < OTHER_REQUESTS; i++) {
+                ClientStandin client = send(ConfigText.NON_RESUMABLE, "stream-" + i);
+                assertEquals(200, client.receive().status());
+            }
+            assertTrue(daemon.isAlive(), "the daemon has ended");
+        }
+
+        private int runsAt(String idPrefix) {
+            return runners.stream()
+                    .filter(r -> r.id().startsWith(idPrefix))
+                    .mapToInt(r -> r.executedRequests().size())
+                    .sum();
+        }
+
+        private void addRunner(String id, String service, RunnerFault fault) throws IOException {
+            RunnerStandin runner = new RunnerStandin(id, service, 6, Duration.ofMillis(5));
+            runner.setFault(fault);
+            runners.add(runner);
+            store.put("servers", id, runner.entry("zone-a", "ready"));
+        }
+
+        private ClientStandin send(String prefix, String id) throws IOException {
+            ClientStandin client = new ClientStandin(new Endpoint("127.0.0.1", port));
+            clients.add(client);
+            Map<String, String> fields = new TreeMap<>();
+            fields.put("Host", ConfigText.HOST);
+            fields.put("X-Godwithoist-Attempt-Id", id);
+            fields.put("X-Api-Key", ConfigText.API_KEY);
+            fields.put("X-Godwithoist-Deadline-Ms", "4000");
+            client.send("POST", prefix + "x", fields, "text");
+            return client;
+        }
+    }
+
     @Nested
     final class InvalidSettings {
         /** Guards against a daemon that starts with incomplete settings. */
