Refuse streams a moment before three seconds after the signal

The three seconds were counted from the start of the handler, which is later than the signal. They are 2.8 s now.

--- a/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
+++ b/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
@@ -18,8 +18,11 @@
     /** Time after which the load balancer has seen two failed checks and selects other daemons. */
     private static final Duration LOAD_BALANCER_DELAY = Duration.ofMillis(2300);
 
-    /** Time after which requests that could not end before the process are refused. */
-    private static final Duration FULL_SERVICE_PERIOD = Duration.ofSeconds(3);
+    /**
+     * Time after which requests that could not end before the process are refused. Callers may
+     * count on three seconds after the signal, and its handler starts a moment later.
+     */
+    private static final Duration FULL_SERVICE_PERIOD = Duration.ofMillis(2800);
 
     /**
      * Time after the start of the shutdown for which an idle daemon still runs: callers come to it
@@ -30,7 +33,7 @@
     /** Part of the grace period reserved for the exit, so that the process is not killed. */
     private static final Duration EXIT_MARGIN = Duration.ofMillis(400);
 
-    /** Part of the exit margin in which the last callers get their answers. */
+    /** Time before the exit in which the callers of unresponsive targets get their answers. */
     private static final Duration ANSWER_PERIOD = Duration.ofMillis(200);
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
@@ -65,7 +68,8 @@
 
     /** Runs the shutdown; returns when the process can exit. */
     void run() {
-        Deadline end = Deadline.after(gracePeriod.minus(EXIT_MARGIN), ticker);
+        Deadline exit = Deadline.after(gracePeriod.minus(EXIT_MARGIN), ticker);
+        Deadline end = Deadline.after(exit.remaining().minus(ANSWER_PERIOD), ticker);
         Deadline earliestEnd = Deadline.after(end.cap(MIN_DURATION), ticker);
         serving.startDraining(end);
         log.event("stop").with("in_progress", serving.requestsInProgress()).write();
@@ -79,7 +83,7 @@
         // A request may have been admitted after the last check and before the change of state.
         awaitIdle(end);
         withdrawRequests.run();
-        awaitIdle(Deadline.after(ANSWER_PERIOD, ticker));
+        awaitIdle(exit);
         log.event("stopped").with("in_progress", serving.requestsInProgress()).write();
         log.flush();
     }
