End the write of a request at its deadline

A task now closes the connection at the deadline while a body of more than 2 KB is written, and the caller gets 504.

EdgeTest$TargetsThatDoNotRead.requestIsAnsweredAtItsDeadline failed before ("SocketTimeout no data before the read deadline", 15 s after a deadline of 0.7 s) and passes now.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.AttemptOutcome;
@@ -30,6 +31,9 @@
     /** Maximum size of a failure response, which is buffered completely, in bytes. */
     private static final int MAX_FAILURE_BYTES = ResponseForwarder.MAX_BUFFERED_BYTES;
 
+    /** Size of a request body that any send buffer holds, in bytes. */
+    private static final int MAX_UNGUARDED_BODY_BYTES = 2048;
+
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int FIRST_FINAL_STATUS = 200;
@@ -69,6 +73,7 @@
     private boolean targetStatesEnd = true;
     private boolean waiting = true;
     private boolean withdrawn;
+    private volatile boolean sendTimedOut;
     private Duration keepAlive = DEFAULT_KEEP_ALIVE;
 
     /**
@@ -145,7 +150,7 @@
             return result(
                     brokenIfStarted(AttemptOutcome.INVALID), "invalid response: " + e.getMessage());
         } catch (IOException e) {
-            return lost(e);
+            return sendTimedOut ? timedOut() : lost(e);
         }
     }
 
@@ -180,7 +185,31 @@
 
     // ---- request to the target
 
+    /**
+     * Sends the request. A target that does not read blocks the writer without a limit, so a task
+     * closes the connection at the deadline, unless the body is short enough to be buffered.
+     */
     private void send() throws IOException {
+        if (attempt.request().body().length <= MAX_UNGUARDED_BODY_BYTES) {
+            write();
+            return;
+        }
+        Thread guard = Tasks.start("send-deadline", this::closeAtDeadline);
+        try {
+            write();
+        } finally {
+            guard.interrupt();
+        }
+    }
+
+    private void closeAtDeadline() {
+        if (Tasks.sleep(attempt.deadline().remaining())) {
+            sendTimedOut = true;
+            connection.close();
+        }
+    }
+
+    private void write() throws IOException {
         Request request = attempt.request();
         MessageWriter writer = connection.writer();
         writer.startLine(request.head().method() + " " + request.head().uri() + " HTTP/1.1");
