Log how a target states the end of its response

The log could not tell a response with a stated end from one that only its connection ends: 'the stream ended inside an event' is written for both.

attempt lines have body_end (LENGTH, MARK or CONNECTION) and last_event, the id of the last event that was sent to the caller. Test: BrokenResponsesTest$WithoutLengthOrChunks.logTellsHowTheEndIsStated.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
@@ -12,6 +12,8 @@
  * @param lastEvent id of the last event that was sent to the caller; empty if there was none
  * @param timeToFirstByte time to the head of a successful response; empty if there was none
  * @param progress how far the target got with its response
+ * @param bodyEnd how the target announced that it would state the end of the body; empty if no
+ *     response to this request was read
  * @param detail description for the log
  */
 public record AttemptResult(
@@ -20,6 +22,7 @@
         OptionalLong lastEvent,
         Optional<Duration> timeToFirstByte,
         ResponseProgress progress,
+        Optional<BodyEnd> bodyEnd,
         String detail) {
     /** Creates a result without a failure response. */
     public static AttemptResult of(AttemptOutcome outcome, OptionalLong lastEvent, String detail) {
@@ -29,13 +32,20 @@
                 lastEvent,
                 Optional.empty(),
                 ResponseProgress.NONE,
+                Optional.empty(),
                 detail);
     }
 
     /** Returns this result with the progress of a response whose head arrived after a time. */
     public AttemptResult withProgress(Duration headAfter, ResponseProgress reached) {
         return new AttemptResult(
-                outcome, failure, lastEvent, Optional.of(headAfter), reached, detail);
+                outcome, failure, lastEvent, Optional.of(headAfter), reached, bodyEnd, detail);
+    }
+
+    /** Returns this result with the way in which the target announced to state the end. */
+    public AttemptResult withBodyEnd(BodyEnd end) {
+        return new AttemptResult(
+                outcome, failure, lastEvent, timeToFirstByte, progress, Optional.of(end), detail);
     }
 
     /** Creates a result with outcome {@link AttemptOutcome#FAILURE_ANSWER}. */
@@ -47,6 +57,7 @@
                 OptionalLong.empty(),
                 Optional.empty(),
                 ResponseProgress.NONE,
+                Optional.empty(),
                 detail);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/BodyEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/BodyEnd.java
@@ -11,5 +11,13 @@
      * between two events ends its connection in the same way, so the caller must not be told that
      * such a body is complete.
      */
-    CONNECTION
+    CONNECTION;
+
+    /**
+     * Returns how the end is stated to the caller while the body is still being read. Another
+     * target may have to continue it, so its length cannot be stated.
+     */
+    public BodyEnd whenForwarded() {
+        return this == LENGTH ? MARK : this;
+    }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/Framing.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/Framing.java
@@ -2,6 +2,7 @@
 
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.ProtocolException;
+import org.godwithoist.dispatch.BodyEnd;
 
 /**
  * How the end of a message body is determined. A message that announces two ways, or an unknown
@@ -17,13 +18,24 @@
 
     enum Kind {
         /** There is no body. */
-        NONE,
+        NONE(BodyEnd.LENGTH),
         /** The body ends after the announced number of bytes. */
-        LENGTH,
+        LENGTH(BodyEnd.LENGTH),
         /** The body ends after the last chunk. */
-        CHUNKED,
+        CHUNKED(BodyEnd.MARK),
         /** The body ends when the connection is closed. */
-        UNTIL_CLOSE
+        UNTIL_CLOSE(BodyEnd.CONNECTION);
+
+        private final BodyEnd bodyEnd;
+
+        Kind(BodyEnd bodyEnd) {
+            this.bodyEnd = bodyEnd;
+        }
+
+        /** Returns how the sender states the end of the body. */
+        BodyEnd bodyEnd() {
+            return bodyEnd;
+        }
     }
 
     private static final int NO_CONTENT = 204;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -70,7 +70,7 @@
     private Optional<Duration> timeToFirstByte = Optional.empty();
     private boolean responseComplete;
     private boolean targetCloses;
-    private boolean targetStatesEnd = true;
+    private Optional<BodyEnd> bodyEnd = Optional.empty();
     private boolean waiting = true;
     private boolean withdrawn;
     private volatile boolean sendTimedOut;
@@ -130,12 +130,16 @@
 
     AttemptResult run() {
         try {
-            return exchange();
+            return withBodyEnd(exchange());
         } finally {
             endWait();
         }
     }
 
+    private AttemptResult withBodyEnd(AttemptResult result) {
+        return bodyEnd.map(result::withBodyEnd).orElse(result);
+    }
+
     private AttemptResult exchange() {
         try {
             send();
@@ -237,6 +241,7 @@
             if (belongsToOtherRequest(metadata)) {
                 // The response to this request is still due.
                 readBuffered(body(response));
+                bodyEnd = Optional.empty();
                 continue;
             }
             recordState(response.getCode(), metadata);
@@ -285,9 +290,12 @@
             return result(AttemptOutcome.INVALID, "status " + status + " without a signature");
         }
         InputStream body = body(response);
-        BodyEnd end = targetStatesEnd ? BodyEnd.MARK : BodyEnd.CONNECTION;
         ResponseHead head =
-                new ResponseHead(status, HeaderFields.endToEnd(response.getHeaders()), end, 0);
+                new ResponseHead(
+                        status,
+                        HeaderFields.endToEnd(response.getHeaders()),
+                        bodyEnd.orElseThrow().whenForwarded(),
+                        0);
         if (!head.isSuccess()) {
             byte[] bytes = readBuffered(body);
             responseComplete = true;
@@ -328,10 +336,8 @@
                         response.getCode(),
                         attempt.request().head().method(),
                         response.getHeaders());
-        if (framing.kind() == Framing.Kind.UNTIL_CLOSE) {
-            targetStatesEnd = false;
-            targetCloses = true;
-        }
+        targetCloses |= framing.kind() == Framing.Kind.UNTIL_CLOSE;
+        bodyEnd = Optional.of(framing.kind().bodyEnd());
         return connection.reader().body(framing);
     }
 
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -59,6 +59,8 @@
                                         .with("shared_tokens", p.tokens()));
         decision.cachingEngine().ifPresent(t -> line.with("holder", t.id().value()));
         result.timeToFirstByte().ifPresent(t -> line.with("first_ms", t.toMillis()));
+        result.bodyEnd().ifPresent(e -> line.with("body_end", e.name()));
+        result.lastEvent().ifPresent(i -> line.with("last_event", i));
         if (result.outcome().verdict().isTargetFailure()) {
             line.with("progress", result.progress().name());
             addPromptParts(request, line);
--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -53,6 +53,10 @@
         fleet.desks.forEach(d -> d.setFault(fault));
     }
 
+    private void awaitLog(String text) {
+        EdgeFixture.await(text, () -> fleet.log().contains(text));
+    }
+
     @Nested
     final class WithoutLengthOrChunks {
         /** Guards against a response that is lost because only the connection ends it. */
@@ -94,6 +98,18 @@
             }
         }
 
+        /**
+         * Guards against a log that cannot tell an end that a target stated from one it did not.
+         */
+        @Test
+        void logTellsHowTheEndIsStated() throws IOException {
+            fleet.send("POST", ConfigText.NON_RESUMABLE);
+            awaitLog("\"body_end\":\"MARK\",\"last_event\":6");
+            setFault(RunnerFault.UNFRAMED);
+            fleet.send("POST", ConfigText.BOOKING);
+            awaitLog("\"body_end\":\"CONNECTION\"");
+        }
+
         /** Guards against a resumed stream with a last chunk that its target has not stated. */
         @Test
         void resumedStreamWithoutAStatedEndIsAborted() throws IOException {
