Reproduce broken responses that reach the caller as complete

Callers get 200, the signature of their target and a part of the body with a proper end.

- A chunked body breaks off inside the size of a chunk, of which a leading zero was sent, or inside the last chunk. 3 of 6 events reach the caller, followed by the daemon's own last chunk; a booking gets half of its body.
- A target's process ends between two events, or inside a plain body or failure, of a response that only its connection ends.
- A connection that this side closes while its buffer holds unread bytes reads as ended by the peer.

--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/ReadAheadSocketTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/ReadAheadSocketTest.java
@@ -105,4 +105,36 @@
             assertEquals('x', socket.input().read());
         }
     }
+
+    /** Scenario: this side closes the connection while it reads, for example at a deadline. */
+    @Nested
+    final class CloseByThisSide {
+        private static final int MORE_THAN_THE_BUFFER = 65_536;
+
+        private void readAll() throws IOException {
+            while (socket.input().read() >= 0) {
+                // Reads on until the end.
+            }
+        }
+
+        /** Guards against a body without a stated end that this side's own close completes. */
+        @Test
+        void readsFailAfterTheBufferedBytes() throws IOException {
+            peer.getOutputStream().write(new byte[MORE_THAN_THE_BUFFER]);
+            socket.setReadDeadline(after(TEST_TIMEOUT));
+            socket.input().read();
+            socket.close();
+            assertTimeoutPreemptively(
+                    TEST_TIMEOUT, () -> assertThrows(IOException.class, this::readAll));
+        }
+
+        /** Guards against the same end while no bytes wait to be read. */
+        @Test
+        void readsFailIfNoBytesAreBuffered() throws IOException {
+            socket.setReadDeadline(after(TEST_TIMEOUT));
+            socket.close();
+            assertTimeoutPreemptively(
+                    TEST_TIMEOUT, () -> assertThrows(IOException.class, this::readAll));
+        }
+    }
 }
--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -129,6 +129,47 @@
         }
     }
 
+    /**
+     * Scenario: a target's process ends within a response with neither a length nor chunks. The
+     * system closes its connections in the same way as the target does after a complete response.
+     */
+    @Nested
+    final class CrashesWithoutLengthOrChunks {
+        /** Guards against a crash between two events that the caller takes for the end. */
+        @Test
+        void streamThatCannotBeResumedIsAborted() {
+            setFault(RunnerFault.UNFRAMED_CRASH);
+            assertThrows(IOException.class, () -> fleet.send("POST", ConfigText.NON_RESUMABLE));
+            assertEquals(1, fleet.runCount(fleet.engines));
+        }
+
+        /** Guards against a stream that ends with its first target's crash. */
+        @Test
+        void streamIsResumed() throws IOException {
+            setFaultOfFirstEngine(RunnerFault.UNFRAMED_CRASH);
+            assertEquals(events(EVENTS), fleet.send("POST", ConfigText.RESUMABLE).body());
+        }
+
+        /** Guards against a part of a plain body, or of a failure, that is passed on as whole. */
+        @Test
+        void bookingFails() throws IOException {
+            fleet.desks.get(0).setFault(RunnerFault.UNFRAMED_CRASH);
+            fleet.desks.get(1).setFault(RunnerFault.UNFRAMED_FAILURE_CRASH);
+            assertEquals(502, fleet.send("POST", ConfigText.BOOKING).status());
+            assertEquals(502, fleet.send("POST", ConfigText.BOOKING).status());
+            assertEquals(2, fleet.runCount(fleet.desks));
+        }
+
+        /** Guards against a read that is not retried after its first target's crash. */
+        @Test
+        void readIsRetried() throws IOException {
+            fleet.desks.get(0).setFault(RunnerFault.UNFRAMED_CRASH);
+            for (int i = 0; i < 3; i++) {
+                assertEquals("answer of desk-1", fleet.send("GET", ConfigText.STATUS).body());
+            }
+        }
+    }
+
     @Nested
     final class IncompleteEvents {
         /** Guards against a stream with a proper last chunk, but without its last events. */
@@ -139,6 +180,53 @@
         }
     }
 
+    @Nested
+    final class TruncatedChunks {
+        private static final List<RunnerFault> FAULTS =
+                List.of(RunnerFault.TRUNCATED_CHUNK_SIZE, RunnerFault.TRUNCATED_LAST_CHUNK);
+
+        /** Guards against a size of a chunk that is cut to 0 and passed on as the last chunk. */
+        @Test
+        void streamsThatCannotBeResumedAreAborted() {
+            for (RunnerFault fault : FAULTS) {
+                setFault(fault);
+                assertThrows(
+                        IOException.class,
+                        () -> fleet.send("POST", ConfigText.NON_RESUMABLE),
+                        fault.name());
+            }
+        }
+
+        /** Guards against a stream that is ended after a part of its events. */
+        @Test
+        void streamsAreResumed() throws IOException {
+            for (RunnerFault fault : FAULTS) {
+                fleet.engines.forEach(e -> e.setFault(RunnerFault.NONE));
+                setFaultOfFirstEngine(fault);
+                assertEquals(
+                        events(EVENTS),
+                        fleet.send("POST", ConfigText.RESUMABLE).body(),
+                        fault.name());
+            }
+        }
+
+        /** Guards against a success with a part of the body, framed as complete. */
+        @Test
+        void bookingsFailAndReadsAreRetried() throws IOException {
+            for (RunnerFault fault : FAULTS) {
+                setFault(fault);
+                assertEquals(502, fleet.send("POST", ConfigText.BOOKING).status(), fault.name());
+                fleet.desks.get(1).setFault(RunnerFault.NONE);
+                for (int i = 0; i < 3; i++) {
+                    assertEquals(
+                            "answer of desk-1",
+                            fleet.send("GET", ConfigText.STATUS).body(),
+                            fault.name());
+                }
+            }
+        }
+    }
+
     @Nested
     final class TruncatedHeads {
         /** Guards against a success with an empty body, framed as complete. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerFault.java
@@ -44,8 +44,19 @@
     UNFRAMED_BROKEN,
     /** Like {@link #UNFRAMED}, but the connection ends after the head. */
     UNFRAMED_EMPTY,
+    /** Like {@link #UNFRAMED}, but the runner ends like a killed process between two events. */
+    UNFRAMED_CRASH,
+    /** Like {@link #UNFRAMED_CRASH}, in the body of a response with status 500. */
+    UNFRAMED_FAILURE_CRASH,
     /** Ends a chunked stream properly, but in the middle of the second event. */
     INCOMPLETE_EVENT,
+    /**
+     * Closes the connection in the middle of a chunk's size, of which only the leading zero is
+     * sent. The body is incomplete.
+     */
+    TRUNCATED_CHUNK_SIZE,
+    /** Sends the complete body in chunks, but closes in the middle of the last chunk. */
+    TRUNCATED_LAST_CHUNK,
     /** Runs the request and closes the connection in the middle of the head of the response. */
     TRUNCATED_HEAD,
     /** Runs the request, but first sends the rejection of an earlier request once more. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -157,8 +157,12 @@
             case TRUNCATED_HEAD -> writeTruncatedHead(writer, attempt);
             case REJECTION_WITHOUT_ID ->
                     writeEmptyResponse(writer, 503, "X-Godwithoist-Not-Executed", "1");
+            case TRUNCATED_CHUNK_SIZE -> writeTruncatedChunks(writer, attempt, "0");
+            case TRUNCATED_LAST_CHUNK -> writeTruncatedChunks(writer, attempt, "0\r\n");
             case UNFRAMED, UNFRAMED_BROKEN, UNFRAMED_EMPTY ->
                     writeUnframed(writer, attempt, currentFault);
+            case UNFRAMED_CRASH -> endWithinUnframed(writer, attempt, 200);
+            case UNFRAMED_FAILURE_CRASH -> endWithinUnframed(writer, attempt, 500);
             case FAIL -> writeTextResponse(writer, 500, attempt, "failed");
             case UNSIGNED -> writeEmptyResponse(writer, 200, "Content-Type", "text/plain");
             default ->
@@ -232,16 +236,45 @@
         return false;
     }
 
-    /** Writes a response that ends with the connection. */
-    private boolean writeUnframed(MessageWriter writer, String attempt, RunnerFault currentFault)
+    /**
+     * Writes a response in chunks, half of it if the end belongs to a further chunk, and closes.
+     *
+     * @param end bytes after the chunks
+     */
+    private boolean writeTruncatedChunks(MessageWriter writer, String attempt, String end)
             throws IOException {
+        boolean lastChunk = end.endsWith("\n");
+        int events = lastChunk ? eventCount : eventCount / 2;
+        byte[] bytes = bodyOf(events).getBytes(StandardCharsets.UTF_8);
+        byte[] endBytes = end.getBytes(StandardCharsets.US_ASCII);
         writeHead(writer, 200, attempt);
+        writer.field("Transfer-Encoding", "chunked");
         writer.endHead();
-        StringBuilder text = new StringBuilder(eventCount == 0 ? "answer of " + id : "");
-        for (int i = 1; i <= eventCount; i++) {
+        boolean whole = lastChunk || eventCount > 0;
+        writer.chunk(bytes, 0, whole ? bytes.length : bytes.length / 2);
+        writer.bytes(endBytes, 0, endBytes.length);
+        writer.flush();
+        return false;
+    }
+
+    /** Returns the body of a response with the given number of events, or the text of a service. */
+    private String bodyOf(int events) {
+        if (eventCount == 0) {
+            return "answer of " + id;
+        }
+        StringBuilder text = new StringBuilder();
+        for (int i = 1; i <= events; i++) {
             text.append("id: " + i + "\ndata: piece " + i + "\n\n");
         }
-        byte[] bytes = text.toString().getBytes(StandardCharsets.UTF_8);
+        return text.toString();
+    }
+
+    /** Writes a response that ends with the connection. */
+    private boolean writeUnframed(MessageWriter writer, String attempt, RunnerFault currentFault)
+            throws IOException {
+        writeHead(writer, 200, attempt);
+        writer.endHead();
+        byte[] bytes = bodyOf(eventCount).getBytes(StandardCharsets.UTF_8);
         int secondEvent = bytes.length / Math.max(1, eventCount);
         int length =
                 switch (currentFault) {
@@ -254,6 +287,19 @@
         return false;
     }
 
+    /** Writes half of a response that ends with the connection, and ends with all connections. */
+    private boolean endWithinUnframed(MessageWriter writer, String attempt, int status)
+            throws IOException {
+        byte[] bytes = bodyOf(eventCount / 2).getBytes(StandardCharsets.UTF_8);
+        writeHead(writer, status, attempt);
+        writer.endHead();
+        writer.bytes(bytes, 0, eventCount > 0 ? bytes.length : bytes.length / 2);
+        writer.flush();
+        ended = true;
+        close();
+        return false;
+    }
+
     private boolean respond(MessageWriter writer, String attempt, RunnerFault currentFault)
             throws IOException {
         writeTextResponse(writer, 200, attempt, "answer of " + id);
