Fail reads after this side has closed the connection

A body that only its connection ends read as complete if this side closed the connection while unread bytes waited in the read-ahead buffer: the task that reads ahead recorded an end without a failure. The reader took it for an orderly close by the target. No caller is known to have met it: all closes by other tasks (caller gone, withdrawn request, write deadline) are checked for by name.

Change: a close by this side is recorded as a failure. ReadAheadSocketTest$CloseByThisSide.readsFailAfterTheBufferedBytes failed before ('nothing was thrown') and passes; its sibling passed before too.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.net.StandardSocketOptions;
 import java.time.Duration;
@@ -201,7 +202,8 @@
 
     private void readAhead(InputStream raw) {
         try {
-            while (awaitRoom()) {
+            while (true) {
+                awaitRoom();
                 int n = raw.read(buffer, 0, BUFFER_BYTES);
                 if (n < 0) {
                     break;
@@ -214,16 +216,20 @@
         }
     }
 
-    private boolean awaitRoom() {
+    /**
+     * Waits until the buffer is empty.
+     *
+     * @throws IOException if this side closes the connection, which is not an end of the input
+     */
+    private void awaitRoom() throws IOException {
         lock.lock();
         try {
             while (position < limit) {
                 stateChanged.awaitUninterruptibly();
                 if (socket.isClosed()) {
-                    return false;
+                    throw new SocketException("closed by this side");
                 }
             }
-            return true;
         } finally {
             lock.unlock();
         }
