Confirm an end that only the connection states

Cause: the system closes the connections of a process that ends in the same way as the process does after a complete body without length and chunks. Between two events, and anywhere in a plain body, nobody had stated the end, and the daemon passed it on.

Change: EndConfirmation. After such a body the daemon opens a connection to the target; if the target refuses it, the body is treated as broken off: streams are resumed or aborted, plain answers and failures are retried or end with 502. For a stream it asks twice, 50 ms apart, since a process may close its connections shortly before its listener.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -75,8 +75,10 @@
         }
         boolean reused = false;
         response.onDisconnect(connection::close);
+        EndConfirmation endConfirmation = new EndConfirmation(() -> acceptsConnections(target));
         TargetExchange exchange =
-                new TargetExchange(attempt, response, connection, dialect, onLeaving, ticker);
+                new TargetExchange(
+                        attempt, response, connection, dialect, onLeaving, endConfirmation, ticker);
         List<PromptPartId> prompt = attempt.request().head().promptParts();
         WaitingRequests.Entry waiting = waitingRequests.add(prompt, exchange::withdraw);
         exchanges.add(exchange);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -36,6 +36,7 @@
 
     private final CallerResponse callerResponse;
     private final Runnable extendReadDeadline;
+    private final EndConfirmation endConfirmation;
     private final Ticker ticker;
     private final EventFramer framer = new EventFramer();
     private ResponseProgress progress = ResponseProgress.NONE;
@@ -46,10 +47,16 @@
      * Creates a forwarder.
      *
      * @param extendReadDeadline extends the time for which the target may send nothing
+     * @param endConfirmation confirms ends that the target does not state
      */
-    ResponseForwarder(CallerResponse callerResponse, Runnable extendReadDeadline, Ticker ticker) {
+    ResponseForwarder(
+            CallerResponse callerResponse,
+            Runnable extendReadDeadline,
+            EndConfirmation endConfirmation,
+            Ticker ticker) {
         this.callerResponse = callerResponse;
         this.extendReadDeadline = extendReadDeadline;
+        this.endConfirmation = endConfirmation;
         this.ticker = ticker;
     }
 
@@ -107,6 +114,7 @@
         if (defect.isPresent()) {
             throw new TruncatedStreamException(defect.get());
         }
+        endConfirmation.confirmStream(head.end());
         finish(head, new byte[0]);
     }
 
@@ -149,6 +157,7 @@
     void forwardBody(ResponseHead head, InputStream body) throws IOException {
         byte[] firstBytes = body.readNBytes(MAX_BUFFERED_BYTES);
         if (firstBytes.length < MAX_BUFFERED_BYTES) {
+            endConfirmation.confirm(head.end());
             finish(head.forBufferedBody(firstBytes.length), firstBytes);
             return;
         }
@@ -159,6 +168,7 @@
             writeToCaller(head, buffer, 0, n);
             n = body.read(buffer, 0, buffer.length);
         }
+        endConfirmation.confirm(head.end());
         finish(head, new byte[0]);
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -65,6 +65,7 @@
     private final Dialect dialect;
     private final Consumer<Target> onLeaving;
     private final Ticker ticker;
+    private final EndConfirmation endConfirmation;
     private final ResponseForwarder forwarder;
     private final long sentAt;
     private Optional<Duration> timeToFirstByte = Optional.empty();
@@ -80,6 +81,7 @@
      * Creates an exchange.
      *
      * @param onLeaving receives the target when it states that it is leaving
+     * @param endConfirmation confirms ends that the target does not state
      */
     TargetExchange(
             Attempt attempt,
@@ -87,6 +89,7 @@
             TargetConnection connection,
             Dialect dialect,
             Consumer<Target> onLeaving,
+            EndConfirmation endConfirmation,
             Ticker ticker) {
         this.attempt = attempt;
         this.callerResponse = callerResponse;
@@ -94,7 +97,10 @@
         this.dialect = dialect;
         this.onLeaving = onLeaving;
         this.ticker = ticker;
-        forwarder = new ResponseForwarder(callerResponse, this::setReadDeadline, ticker);
+        this.endConfirmation = endConfirmation;
+        forwarder =
+                new ResponseForwarder(
+                        callerResponse, this::setReadDeadline, endConfirmation, ticker);
         sentAt = ticker.nanos();
     }
 
@@ -298,6 +304,7 @@
                         0);
         if (!head.isSuccess()) {
             byte[] bytes = readBuffered(body);
+            endConfirmation.confirm(head.end());
             responseComplete = true;
             return AttemptResult.failure(new BufferedResponse(head, bytes));
         }
