Judge an unstated end by evidence and state the result to callers

Callers lost the sound rest of a stream whose first target had broken off, if the rest had neither length nor chunks, and their connection after each such response.

Cause: passed an unstated end on as an unstated end. In HTTP an orderly close is the end of such a body, so callers were told no less than by a last chunk, and a rest that could not be passed on in this way was aborted.

Change: BodyEnd describes what the target states, and only the evidence of EndConfirmation decides whether the body is complete. To callers the end is stated by a length or a last chunk as before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/CallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/CallerResponse.java
@@ -11,10 +11,10 @@
     /** Starts the response with its status and header fields. */
     void start(ResponseHead head) throws IOException;
 
-    /** Sends a part of the body. It is flushed unless the length of the body was stated. */
+    /** Sends a part of the body. A response without a known length is flushed with each part. */
     void write(byte[] bytes, int from, int length) throws IOException;
 
-    /** Ends the response; if it states its end, it is complete. */
+    /** Ends the response as complete. */
     void finish() throws IOException;
 
     /** Closes the connection, so that the caller cannot take the response for complete. */
@@ -31,9 +31,6 @@
     /** Returns whether the response has started. */
     boolean started();
 
-    /** Returns whether the response has started and tells the caller where its body ends. */
-    boolean statesEnd();
-
     /** Returns whether the caller has closed its connection. */
     boolean callerDisconnected();
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/ResponseHead.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/ResponseHead.java
@@ -1,16 +1,16 @@
 package org.godwithoist.dispatch;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * Status and header fields of a target's response.
  *
  * @param status HTTP status
  * @param fields fields to pass on to the caller
- * @param end how the end of the body is stated
- * @param length length of the body in bytes if the end is {@link BodyEnd#LENGTH}, otherwise 0
+ * @param length length of the body in bytes; empty if it is not known in advance
  */
-public record ResponseHead(int status, List<HeaderField> fields, BodyEnd end, long length) {
+public record ResponseHead(int status, List<HeaderField> fields, OptionalLong length) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
 
@@ -19,15 +19,8 @@
         return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
     }
 
-    /**
-     * Returns the head for a body that was read up to its end. It states the length, unless the
-     * target has stated no end.
-     *
-     * @param bytes number of bytes read
-     */
-    public ResponseHead forBufferedBody(int bytes) {
-        return end == BodyEnd.CONNECTION
-                ? this
-                : new ResponseHead(status, fields, BodyEnd.LENGTH, bytes);
+    /** Returns this head with another length of the body. */
+    public ResponseHead withLength(OptionalLong next) {
+        return new ResponseHead(status, fields, next);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndConfirmation.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndConfirmation.java
@@ -36,7 +36,7 @@
      * @throws UnconfirmedEndException if nobody vouches for the end
      */
     void confirm(BodyEnd end) throws UnconfirmedEndException {
-        if (end == BodyEnd.CONNECTION && !targetAcceptsConnections.getAsBoolean()) {
+        if (!end.isStated() && !targetAcceptsConnections.getAsBoolean()) {
             throw new UnconfirmedEndException();
         }
     }
@@ -48,7 +48,7 @@
      */
     void confirmStream(BodyEnd end) throws UnconfirmedEndException {
         confirm(end);
-        if (end == BodyEnd.CONNECTION) {
+        if (!end.isStated()) {
             Tasks.sleep(SECOND_CHECK_DELAY);
             confirm(end);
         }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
-import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.ResponseHead;
@@ -14,16 +13,13 @@
 final class HttpCallerResponse implements CallerResponse {
     private static final double MILLIS_PER_SECOND = 1000;
 
-    /** Time for which the caller may keep a connection whose end is the end of the body. */
-    private static final long CLOSE_WAIT_MS = 500;
-
     private final ReadAheadSocket socket;
     private final MessageWriter writer;
     private final ServingStatus status;
     private boolean keepOpen = true;
     private boolean started;
     private boolean finished;
-    private BodyEnd end = BodyEnd.LENGTH;
+    private boolean chunked;
 
     HttpCallerResponse(ReadAheadSocket socket, MessageWriter writer, ServingStatus status) {
         this.socket = socket;
@@ -46,16 +42,11 @@
         started = true;
         writer.startLine("HTTP/1.1 " + head.status() + " " + reasonPhrase(head.status()));
         writer.fields(head.fields());
-        end = head.end();
-        switch (end) {
-            case LENGTH -> writer.field("Content-Length", Long.toString(head.length()));
-            case MARK -> writer.field("Transfer-Encoding", "chunked");
-            case CONNECTION -> {
-                keepOpen = false;
-                // An orderly close would end the body as if it were complete, even if this process
-                // is killed.
-                socket.resetOnClose(true);
-            }
+        chunked = head.length().isEmpty();
+        if (chunked) {
+            writer.field("Transfer-Encoding", "chunked");
+        } else {
+            writer.field("Content-Length", Long.toString(head.length().getAsLong()));
         }
         endHead();
     }
@@ -70,26 +61,20 @@
 
     @Override
     public void write(byte[] bytes, int from, int length) throws IOException {
-        if (end == BodyEnd.MARK) {
+        if (chunked) {
             writer.chunk(bytes, from, length);
+            writer.flush();
         } else {
             writer.bytes(bytes, from, length);
         }
-        if (end != BodyEnd.LENGTH) {
-            writer.flush();
-        }
     }
 
     @Override
     public void finish() throws IOException {
-        if (end == BodyEnd.MARK) {
+        if (chunked) {
             writer.lastChunk();
         }
         writer.flush();
-        if (end == BodyEnd.CONNECTION) {
-            socket.resetOnClose(false);
-            socket.closeGracefully(CLOSE_WAIT_MS);
-        }
         finished = true;
     }
 
@@ -123,11 +108,6 @@
         return started;
     }
 
-    @Override
-    public boolean statesEnd() {
-        return started && end != BodyEnd.CONNECTION;
-    }
-
     @Override
     public boolean callerDisconnected() {
         return socket.isEnded();
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -84,11 +84,12 @@
     /**
      * Forwards a stream of events.
      *
+     * @param end how the target states the end of the body
      * @throws TruncatedStreamException if the stream ends before it is complete
      * @throws CallerDisconnectedException if the caller's connection fails
      * @throws IOException if the target's connection fails
      */
-    void forwardEvents(ResponseHead head, InputStream body) throws IOException {
+    void forwardEvents(ResponseHead head, InputStream body, BodyEnd end) throws IOException {
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         extendReadDeadline.run();
         int bytesWithoutEvent = 0;
@@ -110,31 +111,24 @@
             }
             n = body.read(buffer, 0, buffer.length);
         }
-        Optional<String> defect = defectAtEnd(head.end());
+        Optional<String> defect = defectAtEnd(end);
         if (defect.isPresent()) {
             throw new TruncatedStreamException(defect.get());
         }
-        endConfirmation.confirmStream(head.end());
+        endConfirmation.confirmStream(end);
         finish(head, new byte[0]);
     }
 
     /**
-     * Returns why a stream that has ended cannot be passed on as ended. If the target has not
-     * stated the end, nothing tells an empty stream from one whose target has ended before its
-     * first event, and a response that another target has begun with a stated end cannot end.
+     * Returns why a stream that has ended is not complete. If the target has not stated the end,
+     * nothing tells an empty stream from one whose target has ended before its first event.
      */
     private Optional<String> defectAtEnd(BodyEnd end) {
         if (framer.hasIncompleteEvent()) {
             return Optional.of("the stream ended inside an event");
         }
-        if (end != BodyEnd.CONNECTION) {
-            return Optional.empty();
-        }
-        if (framer.lastId().isEmpty()) {
-            return Optional.of("the connection ended before the first event");
-        }
-        return callerResponse.statesEnd()
-                ? Optional.of("the connection ended, and the stream has no stated end")
+        return !end.isStated() && framer.lastId().isEmpty()
+                ? Optional.of("the connection ended before the first event")
                 : Optional.empty();
     }
 
@@ -151,14 +145,15 @@
      * Forwards a response that is not a stream. A short one is buffered completely first: if it
      * breaks off, another target can still be tried. A longer one is forwarded while it is read.
      *
+     * @param end how the target states the end of the body
      * @throws CallerDisconnectedException if the caller's connection fails
      * @throws IOException if the target's connection fails
      */
-    void forwardBody(ResponseHead head, InputStream body) throws IOException {
+    void forwardBody(ResponseHead head, InputStream body, BodyEnd end) throws IOException {
         byte[] firstBytes = body.readNBytes(MAX_BUFFERED_BYTES);
         if (firstBytes.length < MAX_BUFFERED_BYTES) {
-            endConfirmation.confirm(head.end());
-            finish(head.forBufferedBody(firstBytes.length), firstBytes);
+            endConfirmation.confirm(end);
+            finish(head.withLength(OptionalLong.of(firstBytes.length)), firstBytes);
             return;
         }
         writeToCaller(head, firstBytes, 0, firstBytes.length);
@@ -168,7 +163,7 @@
             writeToCaller(head, buffer, 0, n);
             n = body.read(buffer, 0, buffer.length);
         }
-        endConfirmation.confirm(head.end());
+        endConfirmation.confirm(end);
         finish(head, new byte[0]);
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -298,13 +299,10 @@
         InputStream body = body(response);
         ResponseHead head =
                 new ResponseHead(
-                        status,
-                        HeaderFields.endToEnd(response.getHeaders()),
-                        bodyEnd.orElseThrow().whenForwarded(),
-                        0);
+                        status, HeaderFields.endToEnd(response.getHeaders()), OptionalLong.empty());
         if (!head.isSuccess()) {
             byte[] bytes = readBuffered(body);
-            endConfirmation.confirm(head.end());
+            endConfirmation.confirm(bodyEnd.orElseThrow());
             responseComplete = true;
             return AttemptResult.failure(new BufferedResponse(head, bytes));
         }
@@ -322,9 +320,9 @@
                 .prefix()
                 .ifPresent(p -> attempt.target().recordCachedPrefix(p.key()));
         if (attempt.route().kind().isEventStream()) {
-            forwarder.forwardEvents(head, body);
+            forwarder.forwardEvents(head, body, bodyEnd.orElseThrow());
         } else {
-            forwarder.forwardBody(head, body);
+            forwarder.forwardBody(head, body, bodyEnd.orElseThrow());
         }
         return result(AttemptOutcome.ANSWERED, "status " + status);
     }
