--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
@@ -25,7 +25,7 @@
         ResponseProgress progress,
         Optional<BodyEnd> bodyEnd,
         String detail) {
-    /** Creates a result without a failure response. */
+    /** Creates a result without an unsent response. */
     public static AttemptResult of(AttemptOutcome outcome, OptionalLong lastEvent, String detail) {
         return new AttemptResult(
                 outcome,
