Log how many bytes of a response's body an attempt has read

The log of an attempt had the framing and the evidence of the end, but not the size. Two responses that were cut at the same place, and one that was forwarded before its end, could not be told from whole ones.

AttemptResult has one record for what was read of the body in place of two optional fields.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
@@ -13,10 +13,7 @@
  * @param lastEvent id of the last event that was sent to the caller; empty if there was none
  * @param timeToFirstByte time to the head of a successful response; empty if there was none
  * @param progress how far the target got with its response
- * @param bodyEnd how the target announced that it would state the end of the body; empty if no
- *     response to this request was read
- * @param endEvidence what shows whether the response has reached its end; empty if none was read to
- *     an end
+ * @param body what was read of the body; empty if no response to this request was read
  * @param connection the connection that carried the request; empty if none could be opened
  * @param detail description for the log
  */
@@ -26,8 +23,7 @@
         OptionalLong lastEvent,
         Optional<Duration> timeToFirstByte,
         ResponseProgress progress,
-        Optional<BodyEnd> bodyEnd,
-        Optional<EndEvidence> endEvidence,
+        Optional<ResponseBody> body,
         Optional<ConnectionRecord> connection,
         String detail) {
     /** Creates a result without an unsent response. */
@@ -40,7 +36,6 @@
                 ResponseProgress.NONE,
                 Optional.empty(),
                 Optional.empty(),
-                Optional.empty(),
                 detail);
     }
 
@@ -52,36 +47,20 @@
                 lastEvent,
                 Optional.of(headAfter),
                 reached,
-                bodyEnd,
-                endEvidence,
-                connection,
-                detail);
-    }
-
-    /** Returns this result with the way in which the target announced to state the end. */
-    public AttemptResult withBodyEnd(BodyEnd end) {
-        return new AttemptResult(
-                outcome,
-                unsent,
-                lastEvent,
-                timeToFirstByte,
-                progress,
-                Optional.of(end),
-                endEvidence,
+                body,
                 connection,
                 detail);
     }
 
-    /** Returns this result with what shows whether the response has reached its end. */
-    public AttemptResult withEndEvidence(EndEvidence evidence) {
+    /** Returns this result with what was read of the body. */
+    public AttemptResult withBody(ResponseBody read) {
         return new AttemptResult(
                 outcome,
                 unsent,
                 lastEvent,
                 timeToFirstByte,
                 progress,
-                bodyEnd,
-                Optional.of(evidence),
+                Optional.of(read),
                 connection,
                 detail);
     }
@@ -94,8 +73,7 @@
                 lastEvent,
                 timeToFirstByte,
                 progress,
-                bodyEnd,
-                endEvidence,
+                body,
                 Optional.of(used),
                 detail);
     }
@@ -108,8 +86,7 @@
                 lastEvent,
                 timeToFirstByte,
                 progress,
-                bodyEnd,
-                endEvidence,
+                body,
                 connection,
                 detail);
     }
@@ -125,7 +102,6 @@
                 ResponseProgress.NONE,
                 Optional.empty(),
                 Optional.empty(),
-                Optional.empty(),
                 detail);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -25,7 +25,11 @@
 
     /** Records an attempt whose response has ended without its end being known. */
     void record(Target target, AttemptResult result) {
-        boolean alone = result.endEvidence().map(EndEvidence::isBelievedAlone).orElse(true);
+        boolean alone =
+                result.body()
+                        .flatMap(ResponseBody::evidence)
+                        .map(EndEvidence::isBelievedAlone)
+                        .orElse(true);
         alone &= !target.isKnownToCutBodies();
         if (first.isPresent() && unsent.isPresent() && result.unsent().isPresent()) {
             compare(target, result.unsent().get());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -19,6 +19,7 @@
 import org.godwithoist.dispatch.ConnectionRecord;
 import org.godwithoist.dispatch.EndEvidence;
 import org.godwithoist.dispatch.EventTooLargeException;
+import org.godwithoist.dispatch.ResponseBody;
 import org.godwithoist.dispatch.ResponseHead;
 import org.godwithoist.targets.Target;
 
@@ -172,8 +173,12 @@
     }
 
     private AttemptResult withEnd(AttemptResult result) {
-        AttemptResult stated = body.map(b -> result.withBodyEnd(b.end())).orElse(result);
-        return endEvidence.map(stated::withEndEvidence).orElse(stated);
+        return body.map(
+                        b ->
+                                result.withBody(
+                                        new ResponseBody(
+                                                b.end(), b.checksum().length(), endEvidence)))
+                .orElse(result);
     }
 
     private AttemptResult exchange() {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.godwithoist.catalog.ServiceId;
 import org.godwithoist.core.id.Endpoint;
@@ -54,7 +55,9 @@
         end.record(
                 target,
                 AttemptResult.of(AttemptOutcome.UNCONFIRMED, OptionalLong.empty(), "")
-                        .withEndEvidence(evidence)
+                        .withBody(
+                                new ResponseBody(
+                                        BodyEnd.CONNECTION, bytes.length, Optional.of(evidence)))
                         .withUnsent(new BufferedResponse(head, bytes)));
     }
 
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -13,6 +13,7 @@
 import org.godwithoist.dispatch.Request;
 import org.godwithoist.dispatch.RequestObserver;
 import org.godwithoist.dispatch.RequestOutcome;
+import org.godwithoist.dispatch.ResponseBody;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PromptPartId;
 
@@ -63,9 +64,9 @@
                                         .with("shared_tokens", p.tokens()));
         decision.cachingEngine().ifPresent(t -> line.with("holder", t.id().value()));
         result.timeToFirstByte().ifPresent(t -> line.with("first_ms", t.toMillis()));
-        result.bodyEnd().ifPresent(e -> line.with("body_end", e.name()));
+        result.body().ifPresent(b -> line.with("body_end", b.end().name()));
         result.lastEvent().ifPresent(i -> line.with("last_event", i));
-        result.endEvidence().ifPresent(e -> line.with("end_evidence", e.name()));
+        result.body().ifPresent(b -> addBody(b, line));
         result.connection().ifPresent(c -> addConnection(c, line));
         if (result.outcome().verdict().isTargetFailure()) {
             line.with("progress", result.progress().name());
@@ -74,6 +75,11 @@
         line.with("ms", duration.toMillis()).write();
     }
 
+    private static void addBody(ResponseBody body, LogLine line) {
+        line.with("body_bytes", body.bytes());
+        body.evidence().ifPresent(e -> line.with("end_evidence", e.name()));
+    }
+
     /** Adds what differs from an attempt on a new connection that the target keeps open. */
     private static void addConnection(ConnectionRecord connection, LogLine line) {
         if (connection.earlierRequests() > 0) {
