Reproduce bodies without a stated end that are cut and told as whole

Its targets respond with neither a length nor chunks, close the connection in an orderly way inside the body, and live on.

* Cut at each target: all reads, bookings and streams are told as whole, also failures.
Two reads that are cut at the same place confirm each other.
* Cut in every other run, beside failures: reads, bookings and streams are told as whole in part.

The harness of SecondCopyTest is shared as ScriptedFleet; its checks did not change.

--- a/edge/src/test/java/org/godwithoist/edge/SecondCopyTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/SecondCopyTest.java
@@ -1,30 +1,19 @@
 package org.godwithoist.edge;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.godwithoist.edge.ScriptedFleet.assertNone;
+import static org.godwithoist.edge.ScriptedFleet.scripts;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
-import java.util.Queue;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import org.godwithoist.core.id.Endpoint;
-import org.godwithoist.core.net.LoopbackPorts;
 import org.godwithoist.core.task.Tasks;
-import org.godwithoist.standins.edge.ClientStandin;
-import org.godwithoist.standins.edge.ConfigText;
-import org.godwithoist.standins.edge.EdgeSettingsText;
-import org.godwithoist.standins.edge.RowStoreStandin;
+import org.godwithoist.edge.ScriptedFleet.Result;
+import org.godwithoist.edge.ScriptedFleet.RouteKind;
 import org.godwithoist.standins.edge.ScriptedResponse;
 import org.godwithoist.standins.edge.ScriptedResponse.Copy;
 import org.godwithoist.standins.edge.ScriptedResponse.Cut;
@@ -43,126 +32,24 @@
  * twice on one connection. Each run has another body of another length.
  */
 final class SecondCopyTest {
-    private static final String ATTEMPT_ID = "X-Godwithoist-Attempt-Id";
-    private static final int TARGETS = 3;
     private static final int CALLERS = 12;
     private static final int REQUESTS_OF_EACH_KIND = 3;
-    private static final int FIRST_REQUESTS = 12;
     private static final int FIRST_COPIES = 24;
 
     /** Time after which the daemon finds a copy on a connection that it keeps. */
     private static final Duration COPY_ARRIVAL = Duration.ofMillis(10);
 
-    /** A route, by what it permits. */
-    enum RouteKind {
-        BOOKING("POST", ConfigText.BOOKING, true, false),
-        READ("GET", ConfigText.STATUS, false, false),
-        RESUMABLE_STREAM("POST", ConfigText.RESUMABLE, false, true),
-        STREAM("POST", ConfigText.NON_RESUMABLE, true, true);
-
-        final String method;
-        final String prefix;
-        final boolean runsOnce;
-        final boolean streams;
-
-        RouteKind(String method, String prefix, boolean runsOnce, boolean streams) {
-            this.method = method;
-            this.prefix = prefix;
-            this.runsOnce = runsOnce;
-            this.streams = streams;
-        }
-    }
-
-    /**
-     * What a caller got.
-     *
-     * @param status status of the response; 0 if it was not complete
-     */
-    private record Result(
-            RouteKind kind, ScriptedResponse script, String id, int status, String body) {
-        @Override
-        public String toString() {
-            return kind + " " + script.path() + " " + id + ": " + status;
-        }
-    }
-
     @TempDir Path dir;
-    private final int port = LoopbackPorts.next();
-    private final int readyPort = LoopbackPorts.next();
-    private final AtomicInteger ids = new AtomicInteger();
-    private final List<ScriptedRunner> targets = new ArrayList<>();
-    private RowStoreStandin store;
-    private DaemonProcess daemon;
+    private ScriptedFleet fleet;
 
     @BeforeEach
     void start() throws IOException {
-        store = new RowStoreStandin();
-        store.put("op", "config", ConfigText.of(1, 5000));
-        for (int i = 0; i < TARGETS; i++) {
-            add(new ScriptedRunner("desk-" + i, "desk", false, i));
-            add(new ScriptedRunner("engine-" + i, "models", true, i));
-        }
-        daemon =
-                new DaemonProcess(
-                        dir,
-                        EdgeSettingsText.of("edge-1", port, readyPort, store.endpoint()),
-                        DaemonProcess.DEPLOYED_MEMORY);
-        daemon.awaitStart();
+        fleet = new ScriptedFleet(dir);
     }
 
     @AfterEach
     void stop() throws IOException {
-        daemon.close();
-        for (ScriptedRunner t : targets) {
-            t.close();
-        }
-        store.close();
-    }
-
-    private void add(ScriptedRunner target) {
-        targets.add(target);
-        store.put("servers", target.id(), target.entry());
-    }
-
-    private Result send(ClientStandin client, RouteKind kind, ScriptedResponse script) {
-        String id = "call-" + ids.incrementAndGet();
-        Map<String, String> fields = new TreeMap<>();
-        fields.put("Host", ConfigText.HOST);
-        fields.put(ATTEMPT_ID, id);
-        fields.put("X-Api-Key", ConfigText.API_KEY);
-        fields.put("X-Godwithoist-Deadline-Ms", "4000");
-        if (kind.streams) {
-            fields.put("X-Godwithoist-Prompt-Prefix", "p" + id.hashCode() % 16 + ":500,c3:30");
-        }
-        try {
-            String path = kind.prefix + script.path();
-            client.send(kind.method, path, fields, kind.method.equals("POST") ? "text" : "");
-            ClientStandin.Response response = client.receive();
-            assertTrue(
-                    response.status() != 200 || id.equals(response.field(ATTEMPT_ID)),
-                    () -> "the response to " + id + " is that of another request: " + response);
-            return new Result(kind, script, id, response.status(), response.body());
-        } catch (IOException e) {
-            return new Result(kind, script, id, 0, String.valueOf(e.getMessage()));
-        }
-    }
-
-    private Result send(RouteKind kind, ScriptedResponse script) {
-        try (ClientStandin client = new ClientStandin(new Endpoint("127.0.0.1", port))) {
-            return send(client, kind, script);
-        } catch (IOException e) {
-            return new Result(kind, script, "", 0, String.valueOf(e.getMessage()));
-        }
-    }
-
-    /** Makes the daemon know that its targets state the ends of sound responses. */
-    private void sendSoundRequests(RouteKind kind) {
-        ScriptedResponse sound =
-                new ScriptedResponse(Framing.LENGTH, Cut.NONE, Copy.NONE, Moment.AT_ONCE, 200);
-        for (int i = 0; i < FIRST_REQUESTS; i++) {
-            Result result = send(kind, sound);
-            assertEquals(200, result.status(), result::toString);
-        }
+        fleet.close();
     }
 
     /**
@@ -174,7 +61,7 @@
                 new ScriptedResponse(
                         Framing.LENGTH, Cut.NONE, Copy.WITH_LENGTH, Moment.AT_ONCE, 200);
         for (int i = 0; i < FIRST_COPIES; i++) {
-            send(kind, copied);
+            fleet.send(kind, copied);
             Tasks.sleep(COPY_ARRIVAL);
         }
     }
@@ -182,88 +69,7 @@
     /** Sends requests with several callers, some of each kind of response. */
     private List<Result> sendAll(RouteKind kind, Collection<ScriptedResponse> scripts)
             throws InterruptedException {
-        Queue<ScriptedResponse> left = new ConcurrentLinkedQueue<>();
-        for (int i = 0; i < REQUESTS_OF_EACH_KIND; i++) {
-            left.addAll(scripts);
-        }
-        Queue<Result> results = new ConcurrentLinkedQueue<>();
-        List<Thread> callers = new ArrayList<>();
-        for (int i = 0; i < CALLERS; i++) {
-            callers.add(
-                    Tasks.start(
-                            "caller",
-                            () -> {
-                                ScriptedResponse script = left.poll();
-                                while (script != null) {
-                                    results.add(send(kind, script));
-                                    script = left.poll();
-                                }
-                            }));
-        }
-        for (Thread c : callers) {
-            c.join();
-        }
-        assertEquals(REQUESTS_OF_EACH_KIND * scripts.size(), results.size());
-        return List.copyOf(results);
-    }
-
-    /** Returns whether a caller was told a body as whole that no target has written for it. */
-    private boolean isWrong(Result result) {
-        if (result.status() != 200) {
-            return false;
-        }
-        return result.kind().streams
-                ? !isStreamOfRuns(result)
-                : targets.stream().noneMatch(t -> t.bodiesOf(result.id()).contains(result.body()));
-    }
-
-    /** Returns whether a stream consists of the last run, after parts of earlier runs. */
-    private boolean isStreamOfRuns(Result result) {
-        List<String> whole =
-                targets.stream().flatMap(t -> t.bodiesOf(result.id()).stream()).toList();
-        return whole.contains(result.body())
-                || whole.stream()
-                        .filter(b -> result.body().endsWith(b))
-                        .map(b -> result.body().substring(0, result.body().length() - b.length()))
-                        .anyMatch(rest -> whole.stream().anyMatch(b -> b.startsWith(rest)));
-    }
-
-    private void assertNone(String what, List<Result> results, Predicate<Result> condition) {
-        Map<String, Long> counts =
-                results.stream()
-                        .filter(condition)
-                        .collect(
-                                Collectors.groupingBy(
-                                        r -> r.script().path() + " " + r.status(),
-                                        TreeMap::new,
-                                        Collectors.counting()));
-        assertEquals(Map.of(), counts, what);
-    }
-
-    private void assertNoneRanTwice(RouteKind kind, List<Result> results) {
-        assertNone(
-                "ran more than once",
-                results,
-                r -> kind.runsOnce && targets.stream().mapToInt(t -> t.runsOf(r.id())).sum() > 1);
-    }
-
-    private static Stream<ScriptedResponse> scripts(
-            List<Framing> framings, List<Cut> cuts, List<Copy> copies, List<Integer> statuses) {
-        return framings.stream()
-                .flatMap(f -> cuts.stream().map(cut -> Map.entry(f, cut)))
-                .flatMap(e -> copies.stream().map(copy -> Map.entry(e, copy)))
-                .flatMap(e -> Arrays.stream(Moment.values()).map(moment -> Map.entry(e, moment)))
-                .flatMap(
-                        e ->
-                                statuses.stream()
-                                        .map(
-                                                status ->
-                                                        new ScriptedResponse(
-                                                                e.getKey().getKey().getKey(),
-                                                                e.getKey().getKey().getValue(),
-                                                                e.getKey().getValue(),
-                                                                e.getValue(),
-                                                                status)));
+        return fleet.sendAll(kind, scripts, REQUESTS_OF_EACH_KIND, CALLERS);
     }
 
     /** Copies of which the daemon can tell that the response before them is whole. */
@@ -285,33 +91,33 @@
         @ParameterizedTest
         @EnumSource
         void copyNeitherReachesTheCallerNorCostsTheResponse(RouteKind kind) throws Exception {
-            sendSoundRequests(kind);
+            fleet.sendSoundRequests(kind);
             sendCopies(kind);
             List<ScriptedResponse> scripts =
                     scripts(List.of(Framing.values()), List.of(Cut.NONE), COMPARABLE, List.of(200))
                             .toList();
             List<Result> results = sendAll(kind, scripts);
-            assertNone("wrong", results, SecondCopyTest.this::isWrong);
+            assertNone("wrong", results, fleet::isWrong);
             assertNone("lost", results, r -> r.status() != 200);
-            assertNoneRanTwice(kind, results);
+            fleet.assertNoneRanTwice(kind, results);
         }
 
         /** Guards against the first bytes of a copy that are told as the end of a response. */
         @ParameterizedTest
         @EnumSource
         void partOfACopyDoesNotReachTheCaller(RouteKind kind) throws Exception {
-            sendSoundRequests(kind);
+            fleet.sendSoundRequests(kind);
             sendCopies(kind);
             List<ScriptedResponse> scripts =
                     scripts(List.of(Framing.values()), List.of(Cut.NONE), INCOMPLETE, List.of(200))
                             .toList();
             List<Result> results = sendAll(kind, scripts);
-            assertNone("wrong", results, SecondCopyTest.this::isWrong);
+            assertNone("wrong", results, fleet::isWrong);
             assertNone(
                     "lost although its end is stated",
                     results,
                     r -> r.status() != 200 && r.script().framing() != Framing.CONNECTION);
-            assertNoneRanTwice(kind, results);
+            fleet.assertNoneRanTwice(kind, results);
         }
 
         /** Guards against a failure that a copy turns into another response. */
@@ -326,11 +132,8 @@
             assertNone(
                     "a body that the target has not sent",
                     results,
-                    r ->
-                            r.status() == 500
-                                    && targets.stream()
-                                            .noneMatch(t -> t.bodiesOf(r.id()).contains(r.body())));
-            assertNoneRanTwice(kind, results);
+                    r -> r.status() == 500 && !fleet.isBodyOfARun(r));
+            fleet.assertNoneRanTwice(kind, results);
         }
     }
 
@@ -341,14 +144,14 @@
         @ParameterizedTest
         @EnumSource
         void brokenResponseIsNotToldAsWhole(RouteKind kind) throws Exception {
-            sendSoundRequests(kind);
+            fleet.sendSoundRequests(kind);
             List<Cut> cuts = List.of(Cut.IN_THE_MIDDLE, Cut.INSIDE_AN_EVENT, Cut.NEAR_THE_END);
             List<Copy> copies = Stream.concat(COMPARABLE.stream(), INCOMPLETE.stream()).toList();
             List<ScriptedResponse> scripts =
                     scripts(List.of(Framing.values()), cuts, copies, List.of(200)).toList();
             List<Result> results = sendAll(kind, scripts);
-            assertNone("wrong", results, SecondCopyTest.this::isWrong);
-            assertNoneRanTwice(kind, results);
+            assertNone("wrong", results, fleet::isWrong);
+            fleet.assertNoneRanTwice(kind, results);
         }
 
         /**
@@ -357,7 +160,7 @@
         @ParameterizedTest
         @EnumSource(names = {"BOOKING", "READ"})
         void wholeCopyWithItsIdIsTheResponse(RouteKind kind) throws Exception {
-            sendSoundRequests(kind);
+            fleet.sendSoundRequests(kind);
             List<ScriptedResponse> scripts =
                     scripts(
                                     List.of(Framing.LENGTH, Framing.CONNECTION),
@@ -366,16 +169,16 @@
                                     List.of(200))
                             .toList();
             List<Result> results = sendAll(kind, scripts);
-            assertNone("wrong", results, SecondCopyTest.this::isWrong);
+            assertNone("wrong", results, fleet::isWrong);
             assertNone("lost", results, r -> r.status() != 200);
-            assertNoneRanTwice(kind, results);
+            fleet.assertNoneRanTwice(kind, results);
         }
 
         /** Guards against two different parts of which the second is told as the whole body. */
         @ParameterizedTest
         @EnumSource(names = "READ")
         void partsThatDifferAreNotToldAsWhole(RouteKind kind) throws Exception {
-            sendSoundRequests(kind);
+            fleet.sendSoundRequests(kind);
             List<ScriptedResponse> scripts =
                     scripts(
                                     List.of(Framing.CONNECTION),
@@ -383,7 +186,7 @@
                                     List.of(Copy.NONE),
                                     List.of(200))
                             .toList();
-            assertNone("wrong", sendAll(kind, scripts), SecondCopyTest.this::isWrong);
+            assertNone("wrong", sendAll(kind, scripts), fleet::isWrong);
         }
     }
 
@@ -406,13 +209,13 @@
                                 Moment.AT_ONCE,
                                 200);
                 for (int i = 0; i < ROUNDS; i++) {
-                    sendSoundRequests(kind);
-                    results.add(send(kind, script));
+                    fleet.sendSoundRequests(kind);
+                    results.add(fleet.send(kind, script));
                 }
             }
-            int copies = targets.stream().mapToInt(ScriptedRunner::earlierCopies).sum();
+            int copies = fleet.targets().stream().mapToInt(ScriptedRunner::earlierCopies).sum();
             assertTrue(copies > 0, "no connection has carried an earlier request");
-            assertNone("wrong", results, SecondCopyTest.this::isWrong);
+            assertNone("wrong", results, fleet::isWrong);
         }
     }
 }
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
@@ -16,6 +16,9 @@
 public record ScriptedResponse(Framing framing, Cut cut, Copy copy, Moment moment, int status) {
     private static final String SEPARATOR = ".";
 
+    /** Smaller than each body, so that cut ones have equal sizes. */
+    private static final int FIXED_BYTES = 64;
+
     /** How the end of a body is stated. */
     public enum Framing {
         /** The length is stated in the head. */
@@ -31,28 +34,42 @@
         /** It is whole. */
         NONE {
             @Override
-            int length(int whole, int event) {
+            int length(int whole, int event, int run) {
                 return whole;
             }
         },
         /** In the middle; in a stream, between two events. */
         IN_THE_MIDDLE {
             @Override
-            int length(int whole, int event) {
+            int length(int whole, int event, int run) {
                 return event > 0 ? event * (whole / event / 2) : whole / 2;
             }
         },
         /** Inside an event of a stream, and at about a third of another body. */
         INSIDE_AN_EVENT {
             @Override
-            int length(int whole, int event) {
+            int length(int whole, int event, int run) {
                 return event > 0 ? event * (whole / event / 2) + event / 2 : whole / 3;
             }
         },
+        /** After two events of a stream, and after the same number of bytes of any other body. */
+        AT_A_FIXED_SIZE {
+            @Override
+            int length(int whole, int event, int run) {
+                return Math.min(whole, event > 0 ? 2 * event : FIXED_BYTES);
+            }
+        },
+        /** Like in the middle in every other run of a runner, and whole in the others. */
+        IN_EVERY_OTHER_RUN {
+            @Override
+            int length(int whole, int event, int run) {
+                return run % 2 == 0 ? whole : IN_THE_MIDDLE.length(whole, event, run);
+            }
+        },
         /** Few bytes before the end, so that a copy's status line fills a stated length. */
         NEAR_THE_END {
             @Override
-            int length(int whole, int event) {
+            int length(int whole, int event, int run) {
                 return whole - 7;
             }
         };
@@ -62,8 +79,9 @@
          *
          * @param whole size of the whole body
          * @param event size of each of its events; 0 if it is no stream
+         * @param run number of the run at its runner
          */
-        abstract int length(int whole, int event);
+        abstract int length(int whole, int event, int run);
     }
 
     /** What follows a response. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -53,6 +53,7 @@
     private final Map<String, Queue<String>> bodies = new ConcurrentHashMap<>();
     private final Map<MessageServer.Connection, Answered> answered = new ConcurrentHashMap<>();
     private final AtomicInteger earlierCopies = new AtomicInteger();
+    private final AtomicInteger runs = new AtomicInteger();
 
     /**
      * Starts a runner on a free port.
@@ -158,7 +159,7 @@
         MessageWriter writer = connection.writer();
         String signature = id + "-" + Integer.toHexString(Arrays.hashCode(whole));
         int event = streams ? new String(whole, StandardCharsets.US_ASCII).indexOf("\n\n") + 2 : 0;
-        int length = script.cut().length(whole.length, event);
+        int length = script.cut().length(whole.length, event, runs.getAndIncrement());
         Answered earlier = answered.get(connection);
         Answered current = new Answered(attempt, signature, whole);
         writeHead(writer, script.status(), script.framing(), true, current);
