--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -52,10 +52,7 @@
 
     /** Returns how the caller is told an end that no other target is asked about. */
     public ToldEnd toldEnd(EndEvidence evidence) {
-        boolean isUnusual =
-                statedEnds.areUsual(target.entry().service(), route.kind())
-                        || target.isKnownToCutBodies();
-        return ToldEnd.of(evidence, route, isUnusual);
+        return ToldEnd.of(evidence, route, target, statedEnds);
     }
 
     /** Records that the target has stated the end of a successful response. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -24,13 +24,6 @@
             return own.length > start.length
                     && Arrays.equals(own, 0, start.length, start, 0, start.length);
         }
-
-        ToldEnd toldEnd(Route route, StatedEnds statedEnds) {
-            boolean isUnusual =
-                    statedEnds.areUsual(target.entry().service(), route.kind())
-                            || target.isKnownToCutBodies();
-            return ToldEnd.of(evidence, route, isUnusual);
-        }
     }
 
     private Optional<Response> kept = Optional.empty();
@@ -73,7 +66,8 @@
      * @param route route of the request
      */
     ToldEnd toldEnd(Route route, StatedEnds statedEnds) {
-        return kept.map(r -> r.toldEnd(route, statedEnds)).orElse(ToldEnd.BROKEN);
+        return kept.map(r -> ToldEnd.of(r.evidence(), route, r.target(), statedEnds))
+                .orElse(ToldEnd.BROKEN);
     }
 
     /** Returns the response that was not sent to the caller; empty for a stream. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
@@ -1,6 +1,7 @@
 package org.godwithoist.dispatch;
 
 import org.godwithoist.catalog.Route;
+import org.godwithoist.targets.Target;
 
 /** How a caller is told the end of a response. */
 public enum ToldEnd {
@@ -19,14 +20,20 @@
      *
      * @param evidence what shows whether the response has reached its end
      * @param route route of the request
-     * @param isUnusual whether an end that its target does not state is unusual
+     * @param target target that has sent the response
      */
-    public static ToldEnd of(EndEvidence evidence, Route route, boolean isUnusual) {
+    public static ToldEnd of(
+            EndEvidence evidence, Route route, Target target, StatedEnds statedEnds) {
         if (evidence.isWhole()) {
             return STATED;
         }
+        if (!evidence.mayBeWhole()) {
+            return BROKEN;
+        }
         boolean isReplaceable = route.allowsReexecution() && !route.kind().isEventStream();
-        boolean refused = isReplaceable && isUnusual;
-        return evidence.mayBeWhole() && !refused ? UNSTATED : BROKEN;
+        boolean isUnusual =
+                statedEnds.areUsual(target.entry().service(), route.kind())
+                        || target.isKnownToCutBodies();
+        return isReplaceable && isUnusual ? BROKEN : UNSTATED;
     }
 }
