--- a/edge/src/main/java/org/godwithoist/edge/FleetList.java
+++ b/edge/src/main/java/org/godwithoist/edge/FleetList.java
@@ -9,8 +9,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SortedSet;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
@@ -50,6 +53,13 @@
     private final Ticker ticker;
     private volatile FleetShare share;
     private boolean registered;
+
+    /** Keys of all rows that this daemon has read. */
+    private final SortedSet<String> knownKeys = new TreeSet<>();
+
+    /** Keys of rows that were in the list and are no longer. */
+    private Set<String> missingKeys = Set.of();
+
     private volatile OptionalLong newlyJoinedUntil = OptionalLong.empty();
 
     /**
@@ -101,6 +111,7 @@
     Duration poll() {
         try {
             List<FeedRow> rows = table.readAll().rows();
+            logLostRows(rows);
             boolean firstPoll = !registered;
             if (firstPoll) {
                 register(rows);
@@ -113,6 +124,24 @@
         }
     }
 
+    /**
+     * Logs rows that the store has lost: nobody removes rows, and only this daemon writes its own.
+     */
+    private void logLostRows(List<FeedRow> rows) {
+        OwnRowState ownRow = OwnRowState.of(rows, ownKey(), encode(self));
+        if (registered && ownRow.isWriteRequired()) {
+            log.event("fleet_own_row").with("state", ownRow.logName()).write();
+        }
+        Set<String> listed = rows.stream().map(FeedRow::key).collect(Collectors.toSet());
+        Set<String> missing = new TreeSet<>(knownKeys);
+        missing.removeAll(listed);
+        if (!missing.equals(missingKeys)) {
+            log.event("fleet_rows_missing").with("keys", String.join(",", missing)).write();
+        }
+        missingKeys = missing;
+        knownKeys.addAll(listed);
+    }
+
     /** Writes this daemon's row, unless an earlier start has already written the same value. */
     private void register(List<FeedRow> rows) throws IOException {
         Optional<FeedRow> ownRow = rows.stream().filter(r -> r.key().equals(ownKey())).findFirst();
--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -89,7 +89,7 @@
     private void removeExpired(List<PartEvidence> evidence) throws IOException {
         for (PartEvidence e : evidence) {
             if (!quarantine.isSuspected(e.part())) {
-                table.remove(e.part().value());
+                remove(e.part());
             }
         }
     }
@@ -112,12 +112,26 @@
     private void save(PromptPartId part) throws IOException {
         Optional<PartEvidence> evidence = quarantine.quarantinedEvidence(part);
         if (evidence.isPresent()) {
-            table.write(part.value(), encode(evidence.get()));
+            write(evidence.get());
         } else {
-            table.remove(part.value());
+            remove(part);
         }
     }
 
+    private void write(PartEvidence evidence) throws IOException {
+        table.write(evidence.part().value(), encode(evidence));
+        logChange("write", evidence.part());
+    }
+
+    private void remove(PromptPartId part) throws IOException {
+        table.remove(part.value());
+        logChange("remove", part);
+    }
+
+    private void logChange(String action, PromptPartId part) {
+        log.event("quarantine_row").with("action", action).with("part", part.value()).write();
+    }
+
     private void logFailure(String action, IOException failure) {
         log.event("quarantine_table_failed")
                 .with("action", action)
