Write a daemon's row again that the store has lost

Callers: after the store was restored from an older copy, a daemon whose row was written since the copy was missing from the list of daemons until its next start. The others divided fleet-wide limits among fewer daemons, so the shares added up to more than the limit (FAILBACK, LIMIT); 150 of 100 in the test with two daemons. Cause: FleetList wrote its row in its first poll and never compared it again (registered), and counted only the rows of the last poll. Evidence: on the old logic 7 of the 9 new tests in FleetListTest.RestoredStore fail: the lost row stays missing, an earlier value stays, the shares add up to 150, no second attempt after a failed write, no poll after storeRestored(), polls of 95 daemons at the same time. Change: each poll compares the own row and writes it if it is missing or different. Rows that were once read still count, because nobody removes rows. storeRestored() makes the task poll within 3 s, at a random time, and again 3 s later. 95 daemons then make 32 reads and at most 32 writes a second for 3 s, of the 2,000 and 300 that the store permits (computed). Failed calls are retried after up to 1, 2 and 4 s, half of it random (before: 1 s). No other call in a steady state. Measured: FleetListTest and BackoffTest, 19 of 19 pass.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -252,7 +252,8 @@
                 StoreTable.daemons(settings.store(), ticker),
                 exchange::updateMembers,
                 log,
-                ticker);
+                ticker,
+                random);
     }
 
     private void applyCatalog(Catalog next) {
--- a/edge/src/main/java/org/godwithoist/edge/FleetList.java
+++ b/edge/src/main/java/org/godwithoist/edge/FleetList.java
@@ -4,20 +4,22 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.retry.Backoff;
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
@@ -28,10 +30,12 @@
 
 /**
  * The list of daemons in the fleet. Each daemon writes a row with its address for messages when it
- * starts on a new host. Rows of removed hosts are kept, so that shares of fleet-wide limits may be
- * smaller than necessary but never too large. The list is polled, because following its changes
- * would cost one request per daemon for every changed row. A daemon that had no row when it started
- * is newly joined until all others have polled the list again. {@link #share()} is thread-safe.
+ * starts on a new host, and again when a poll shows that the store has lost the row. Rows of
+ * removed hosts are kept, and rows that the store has lost still count, so that shares of
+ * fleet-wide limits may be smaller than necessary but never too large. The list is polled, because
+ * following its changes would cost one request per daemon for every changed row. A daemon that had
+ * no row when it started is newly joined until all others have polled the list again. {@link
+ * #share()} and {@link #storeRestored()} are thread-safe.
  */
 final class FleetList {
     /** Delay of the second poll, after which daemons started together have written their rows. */
@@ -41,7 +45,14 @@
     private static final Duration STARTUP_DELAY = Duration.ofMillis(700);
 
     private static final Duration POLL_INTERVAL = Duration.ofSeconds(12);
-    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+    private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(1);
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(4);
+
+    /**
+     * Time over which the daemons distribute their polls after a restore. The second poll comes
+     * after the writes of all daemons that learned of the restore at the same time.
+     */
+    private static final Duration RESTORE_SPREAD = SECOND_POLL_DELAY;
 
     /** Time after which all others have polled the list again, even if one poll failed. */
     private static final Duration JOINING_PERIOD = POLL_INTERVAL.plus(SECOND_POLL_DELAY);
@@ -51,9 +62,18 @@
     private final Consumer<Collection<Member>> listener;
     private final EventLog log;
     private final Ticker ticker;
+    private final RandomGenerator random;
+    private final Backoff backoff;
+
+    /** Has a permit if the store was restored since the task last prepared a poll. */
+    private final Semaphore restores = new Semaphore(0);
+
     private volatile FleetShare share;
     private boolean registered;
 
+    /** Whether the next successful poll is followed by another one after a short delay. */
+    private boolean secondPollDue = true;
+
     /** Keys of all rows that this daemon has read. */
     private final SortedSet<String> knownKeys = new TreeSet<>();
 
@@ -68,6 +88,7 @@
      * @param self this daemon
      * @param assumedSize assumed fleet size until the list has been read
      * @param listener receives all listed daemons after each poll
+     * @param random distributes the calls of daemons that the same event affects
      */
     FleetList(
             Member self,
@@ -75,12 +96,15 @@
             WritableTable table,
             Consumer<Collection<Member>> listener,
             EventLog log,
-            Ticker ticker) {
+            Ticker ticker,
+            RandomGenerator random) {
         this.self = self;
         this.table = table;
         this.listener = listener;
         this.log = log;
         this.ticker = ticker;
+        this.random = random;
+        backoff = new Backoff(FIRST_RETRY_DELAY, MAX_RETRY_DELAY, random);
         int rank = Math.floorMod(ownKey().hashCode(), assumedSize);
         share = new FleetShare(assumedSize, rank);
     }
@@ -96,39 +120,86 @@
         return until.isPresent() && ticker.nanos() - until.getAsLong() < 0;
     }
 
-    void start(Supervisor supervisor) {
-        supervisor.start("fleet-list", this::run);
+    /**
+     * Makes the task poll the list soon, because the store was restored from an older copy and may
+     * have lost this daemon's row. Returns at once.
+     */
+    void storeRestored() {
+        restores.release();
+    }
+
+    /** Starts the task; interrupt the returned thread to stop it. */
+    Thread start(Supervisor supervisor) {
+        return supervisor.start("fleet-list", this::run);
     }
 
     private void run() {
         boolean keepRunning = Tasks.sleep(STARTUP_DELAY);
         while (keepRunning) {
-            keepRunning = Tasks.sleep(poll());
+            keepRunning = awaitNextPoll(poll());
+        }
+    }
+
+    /**
+     * Waits for a time, or for a random part of {@link #RESTORE_SPREAD} once the store was
+     * restored.
+     *
+     * @return false if the task was interrupted and should end; its interrupt status is set
+     */
+    boolean awaitNextPoll(Duration delay) {
+        try {
+            if (!restores.tryAcquire(delay.toNanos(), TimeUnit.NANOSECONDS)) {
+                return true;
+            }
+            Thread.sleep(restoreDelay());
+            restores.drainPermits();
+            secondPollDue = true;
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
         }
     }
 
+    /** Returns the delay of this daemon's poll after a restore. */
+    Duration restoreDelay() {
+        return Duration.ofNanos(random.nextLong(RESTORE_SPREAD.toNanos()));
+    }
+
     /** Polls the list once and returns the delay until the next poll. */
     Duration poll() {
+        List<FeedRow> rows;
         try {
-            List<FeedRow> rows = table.readAll().rows();
-            logLostRows(rows);
-            boolean firstPoll = !registered;
-            if (firstPoll) {
-                register(rows);
-            }
-            applyRows(rows);
-            return firstPoll ? SECOND_POLL_DELAY : POLL_INTERVAL;
+            rows = table.readAll().rows();
         } catch (IOException e) {
-            log.event("fleet_list_failed").with("reason", String.valueOf(e.getMessage())).write();
-            return RETRY_DELAY;
+            logFailure("read", e);
+            return backoff.next();
         }
+        OwnRowState ownRow = OwnRowState.of(rows, ownKey(), encode(self));
+        recordRows(rows, ownRow);
+        boolean current = !ownRow.isWriteRequired() || writeOwnRow();
+        registered |= current;
+        if (registered) {
+            applyRows(rows);
+        }
+        return current ? nextPollDelay() : backoff.next();
+    }
+
+    private Duration nextPollDelay() {
+        backoff.reset();
+        Duration delay = secondPollDue ? SECOND_POLL_DELAY : POLL_INTERVAL;
+        secondPollDue = false;
+        return delay;
     }
 
     /**
-     * Logs rows that the store has lost: nobody removes rows, and only this daemon writes its own.
+     * Records which rows have ever been listed. A row that is missing later was lost by the store,
+     * because nobody removes rows.
      */
-    private void logLostRows(List<FeedRow> rows) {
-        OwnRowState ownRow = OwnRowState.of(rows, ownKey(), encode(self));
+    private void recordRows(List<FeedRow> rows, OwnRowState ownRow) {
+        if (!registered && ownRow == OwnRowState.MISSING) {
+            startJoining(rows);
+        }
         if (registered && ownRow.isWriteRequired()) {
             log.event("fleet_own_row").with("state", ownRow.logName()).write();
         }
@@ -142,23 +213,35 @@
         knownKeys.addAll(listed);
     }
 
-    /** Writes this daemon's row, unless an earlier start has already written the same value. */
-    private void register(List<FeedRow> rows) throws IOException {
-        Optional<FeedRow> ownRow = rows.stream().filter(r -> r.key().equals(ownKey())).findFirst();
-        if (ownRow.isEmpty() && !rows.isEmpty() && newlyJoinedUntil.isEmpty()) {
+    /** Records that the other daemons do not know this one yet. */
+    private void startJoining(List<FeedRow> rows) {
+        if (!rows.isEmpty() && newlyJoinedUntil.isEmpty()) {
             newlyJoinedUntil = OptionalLong.of(ticker.nanos() + JOINING_PERIOD.toNanos());
         }
-        byte[] value = encode(self);
-        if (ownRow.isEmpty() || !Arrays.equals(ownRow.get().value(), value)) {
-            table.write(ownKey(), value);
+    }
+
+    /** Writes this daemon's row; returns whether the store confirmed it. */
+    private boolean writeOwnRow() {
+        try {
+            table.write(ownKey(), encode(self));
+            return true;
+        } catch (IOException e) {
+            logFailure("write", e);
+            return false;
         }
-        registered = true;
+    }
+
+    private void logFailure(String action, IOException failure) {
+        log.event("fleet_list_failed")
+                .with("action", action)
+                .with("reason", String.valueOf(failure.getMessage()))
+                .write();
     }
 
     private void applyRows(List<FeedRow> rows) {
         listener.accept(decodeAll(rows));
-        TreeSet<String> keys = new TreeSet<>(List.of(ownKey()));
-        rows.forEach(r -> keys.add(r.key()));
+        SortedSet<String> keys = new TreeSet<>(knownKeys);
+        keys.add(ownKey());
         FleetShare next =
                 new FleetShare(keys.size(), keys.headSet(ownKey()).size(), isNewlyJoined());
         if (!next.equals(share)) {
--- a/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
@@ -1,27 +1,36 @@
 package org.godwithoist.edge;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.Random;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.random.RandomGenerator;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Supervisor;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.core.time.VirtualTicker;
 import org.godwithoist.peers.Member;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.WritableTable;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -32,10 +41,11 @@
 
     /** An in-memory table with simulated failures. */
     private static final class Table implements WritableTable {
-        private final Map<String, byte[]> rows = new TreeMap<>();
+        private final Map<String, byte[]> rows = new ConcurrentSkipListMap<>();
         private int writes;
         private boolean available = true;
         private boolean writeResponsesAreLost;
+        private boolean writesFail;
 
         @Override
         public FeedPage readAll(Duration timeout) throws IOException {
@@ -50,6 +60,9 @@
         @Override
         public void write(String key, byte[] value) throws IOException {
             writes++;
+            if (writesFail) {
+                throw new IOException("status 429");
+            }
             rows.put(key, value);
             if (writeResponsesAreLost) {
                 throw new IOException("no response");
@@ -77,6 +90,10 @@
     private Collection<Member> members = List.of();
 
     private FleetList create(int number) {
+        return create(number, () -> 0);
+    }
+
+    private FleetList create(int number, RandomGenerator random) {
         Member self =
                 new Member(
                         new HostId("edge-" + number),
@@ -88,7 +105,8 @@
                 table,
                 listed -> members = listed,
                 EventLog.start(OutputStream.nullOutputStream()),
-                ticker);
+                ticker,
+                random);
     }
 
     private int share(FleetList list) {
@@ -166,7 +184,7 @@
         @Test
         void changedAddressIsWritten() {
             create(1).poll();
-            table.rows.put("edge-1", "10.9.9.9:1 north".getBytes(StandardCharsets.UTF_8));
+            table.rows.put("edge-1", "10.9.9.9:1 north".getBytes(UTF_8));
             create(1).poll();
             assertEquals(2, table.writes);
         }
@@ -185,4 +203,138 @@
             assertEquals(100, share(list));
         }
     }
+
+    /**
+     * Scenario: the store was restored from an older copy and has lost rows ({@code platform_down},
+     * {@code restored}).
+     */
+    @Nested
+    final class RestoredStore {
+        private final FleetList old = create(1);
+        private final FleetList added = create(2);
+
+        @BeforeEach
+        void listBoth() {
+            old.poll();
+            added.poll();
+            old.poll();
+            ticker.advance(Duration.ofMinutes(1));
+        }
+
+        /** Guards against a daemon that is missing from the list until its next start. */
+        @Test
+        void lostRowIsWrittenAgainByTheNextPoll() {
+            byte[] row = table.rows.remove("edge-2");
+            old.poll();
+            added.poll();
+            assertArrayEquals(row, table.rows.get("edge-2"));
+            FleetList started = create(3);
+            started.poll();
+            assertEquals(3, started.share().members());
+        }
+
+        /** Guards against an earlier address that is back and stays. */
+        @Test
+        void earlierValueIsReplaced() {
+            byte[] row = table.rows.put("edge-2", "10.9.9.9:1 north".getBytes(UTF_8));
+            added.poll();
+            assertArrayEquals(row, table.rows.get("edge-2"));
+        }
+
+        /** Guards against shares that add up to more than the limit until the row is back. */
+        @Test
+        void daemonWhoseRowIsLostStillCounts() {
+            table.rows.remove("edge-2");
+            old.poll();
+            assertEquals(100, share(old) + share(added));
+            table.rows.clear();
+            old.poll();
+            added.poll();
+            assertEquals(100, share(old) + share(added));
+        }
+
+        /** Guards against calls to the store that nothing requires. */
+        @Test
+        void nothingIsWrittenWhileTheRowIsListed() {
+            int before = table.writes;
+            for (int i = 0; i < 10; i++) {
+                assertEquals(POLL_INTERVAL, old.poll());
+            }
+            assertEquals(before, table.writes);
+        }
+
+        /** Guards against a row that is not written again because the first attempt failed. */
+        @Test
+        void failedWriteIsRepeatedAfterAGrowingDelay() {
+            table.rows.remove("edge-2");
+            table.writesFail = true;
+            Duration first = added.poll();
+            Duration second = added.poll();
+            assertTrue(first.compareTo(Duration.ofMillis(500)) >= 0);
+            assertTrue(second.compareTo(first) > 0);
+            for (int i = 0; i < 10; i++) {
+                assertTrue(added.poll().compareTo(Duration.ofSeconds(4)) <= 0);
+            }
+            table.writesFail = false;
+            added.poll();
+            assertTrue(table.rows.containsKey("edge-2"));
+        }
+
+        /** Guards against a list that is out of date while the daemon cannot write its row. */
+        @Test
+        void othersAreCountedWhileTheWriteFails() {
+            create(3).poll();
+            table.rows.remove("edge-2");
+            table.writesFail = true;
+            added.poll();
+            assertEquals(3, added.share().members());
+        }
+
+        /** Guards against a lost row that is written only after the rest of the poll interval. */
+        @Test
+        void runningTaskWritesTheRowSoonAfterTheRestore() {
+            Supervisor supervisor = new Supervisor((name, cause, backoff) -> {}, Ticker.SYSTEM);
+            Thread task = added.start(supervisor);
+            table.rows.remove("edge-2");
+            awaitRow("edge-2");
+            table.rows.remove("edge-2");
+            added.storeRestored();
+            awaitRow("edge-2");
+            task.interrupt();
+        }
+
+        private void awaitRow(String key) {
+            Instant end = Instant.now().plusSeconds(5);
+            while (!table.rows.containsKey(key) && Instant.now().isBefore(end)) {
+                Tasks.sleep(Duration.ofMillis(10));
+            }
+            assertTrue(table.rows.containsKey(key));
+        }
+
+        /** Guards against a poll that comes before the others have written their rows again. */
+        @Test
+        void restoreIsFollowedByTwoPolls() {
+            old.poll();
+            old.storeRestored();
+            old.storeRestored();
+            assertTrue(old.awaitNextPoll(Duration.ofMinutes(1)));
+            assertEquals(Duration.ofSeconds(3), old.poll());
+            assertEquals(POLL_INTERVAL, old.poll());
+            assertTrue(old.awaitNextPoll(Duration.ofMillis(1)));
+            assertEquals(POLL_INTERVAL, old.poll());
+        }
+
+        /** Guards against a fleet whose daemons all call the restored store at the same time. */
+        @Test
+        void pollsOfTheFleetAreSpread() {
+            int[] pollsBySecond = new int[3];
+            for (int i = 0; i < 95; i++) {
+                Duration delay = create(i + 10, new Random(i)).restoreDelay();
+                pollsBySecond[(int) delay.toSeconds()]++;
+            }
+            for (int polls : pollsBySecond) {
+                assertTrue(polls > 0 && polls < 60, Arrays.toString(pollsBySecond));
+            }
+        }
+    }
 }
