Count the joining period of a daemon from the time its row is in the list

Callers: a cold target could get more than its limit (FAILBACK). A new daemon has no share of such limits for 15 s, in which the others read its row. The time ran from its first attempt to write: if the write failed for longer, took effect late, or the store lost the row, the daemon used its share while the others divided the whole limit among themselves (150 of 100 in the tests with two daemons; 8 where none was due). Cause: newlyJoinedUntil was set once, before the write. Change: JoiningPeriod ends 15 s after the row is known to be listed, by a confirmed write or by a poll. It begins again if the store loses the row before it has ended; afterwards the others go on counting the daemon.

--- a/edge/src/main/java/org/godwithoist/edge/FleetList.java
+++ b/edge/src/main/java/org/godwithoist/edge/FleetList.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
@@ -61,7 +60,6 @@
     private final WritableTable table;
     private final Consumer<Collection<Member>> listener;
     private final EventLog log;
-    private final Ticker ticker;
     private final RandomGenerator random;
     private final Backoff backoff;
 
@@ -80,7 +78,7 @@
     /** Keys of rows that were in the list and are no longer. */
     private Set<String> missingKeys = Set.of();
 
-    private volatile OptionalLong newlyJoinedUntil = OptionalLong.empty();
+    private final JoiningPeriod joining;
 
     /**
      * Creates a list that has not been read yet.
@@ -102,8 +100,8 @@
         this.table = table;
         this.listener = listener;
         this.log = log;
-        this.ticker = ticker;
         this.random = random;
+        joining = new JoiningPeriod(JOINING_PERIOD, ticker);
         backoff = new Backoff(FIRST_RETRY_DELAY, MAX_RETRY_DELAY, random);
         int rank = Math.floorMod(ownKey().hashCode(), assumedSize);
         share = new FleetShare(assumedSize, rank);
@@ -112,12 +110,7 @@
     /** Returns this daemon's share of fleet-wide limits. */
     FleetShare share() {
         FleetShare current = share;
-        return current.newlyJoined() && !isNewlyJoined() ? current.asKnownMember() : current;
-    }
-
-    private boolean isNewlyJoined() {
-        OptionalLong until = newlyJoinedUntil;
-        return until.isPresent() && ticker.nanos() - until.getAsLong() < 0;
+        return current.newlyJoined() && !joining.isRunning() ? current.asKnownMember() : current;
     }
 
     /**
@@ -179,7 +172,7 @@
         recordRows(rows, ownRow);
         boolean current = !ownRow.isWriteRequired() || writeOwnRow();
         registered |= current;
-        if (registered) {
+        if (registered || joining.isRunning()) {
             applyRows(rows);
         }
         return current ? nextPollDelay() : backoff.next();
@@ -197,8 +190,10 @@
      * because nobody removes rows.
      */
     private void recordRows(List<FeedRow> rows, OwnRowState ownRow) {
-        if (!registered && ownRow == OwnRowState.MISSING) {
-            startJoining(rows);
+        if (ownRow == OwnRowState.MISSING) {
+            joining.recordMissing(!rows.isEmpty());
+        } else {
+            joining.recordListed();
         }
         if (registered && ownRow.isWriteRequired()) {
             log.event("fleet_own_row").with("state", ownRow.logName()).write();
@@ -213,17 +208,11 @@
         knownKeys.addAll(listed);
     }
 
-    /** Records that the other daemons do not know this one yet. */
-    private void startJoining(List<FeedRow> rows) {
-        if (!rows.isEmpty() && newlyJoinedUntil.isEmpty()) {
-            newlyJoinedUntil = OptionalLong.of(ticker.nanos() + JOINING_PERIOD.toNanos());
-        }
-    }
-
     /** Writes this daemon's row; returns whether the store confirmed it. */
     private boolean writeOwnRow() {
         try {
             table.write(ownKey(), encode(self));
+            joining.recordListed();
             return true;
         } catch (IOException e) {
             logFailure("write", e);
@@ -243,7 +232,7 @@
         SortedSet<String> keys = new TreeSet<>(knownKeys);
         keys.add(ownKey());
         FleetShare next =
-                new FleetShare(keys.size(), keys.headSet(ownKey()).size(), isNewlyJoined());
+                new FleetShare(keys.size(), keys.headSet(ownKey()).size(), joining.isRunning());
         if (!next.equals(share)) {
             share = next;
             log.event("fleet")
--- a/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
@@ -162,6 +162,59 @@
             added.poll();
             assertEquals(0, share(added));
         }
+
+        /** Guards against a joining period that ends before the others can have read the row. */
+        @Test
+        void joiningPeriodBeginsWhenTheRowIsListed() {
+            FleetList old = create(1);
+            old.poll();
+            FleetList added = create(2);
+            table.writesFail = true;
+            added.poll();
+            ticker.advance(Duration.ofSeconds(20));
+            assertEquals(0, share(added));
+            table.writesFail = false;
+            added.poll();
+            ticker.advance(Duration.ofSeconds(14));
+            assertEquals(100, share(old) + share(added));
+            old.poll();
+            ticker.advance(Duration.ofSeconds(1));
+            assertEquals(50, share(added));
+        }
+
+        /** Guards against a joining period that ignores a write that took effect late. */
+        @Test
+        void joiningPeriodBeginsWhenALateWriteIsSeen() {
+            FleetList old = create(1);
+            old.poll();
+            FleetList added = create(2);
+            table.writesFail = true;
+            added.poll();
+            table.writesFail = false;
+            ticker.advance(Duration.ofSeconds(8));
+            table.rows.put("edge-2", "10.0.0.2:7340 north".getBytes(UTF_8));
+            added.poll();
+            ticker.advance(Duration.ofSeconds(14));
+            assertEquals(100, share(old) + share(added));
+        }
+
+        /** Guards against shares above the limit after the store has lost a new row. */
+        @Test
+        void joiningPeriodBeginsAgainIfTheStoreLosesTheRow() {
+            FleetList old = create(1);
+            old.poll();
+            FleetList added = create(2);
+            added.poll();
+            table.rows.remove("edge-2");
+            ticker.advance(POLL_INTERVAL);
+            old.poll();
+            added.poll();
+            ticker.advance(Duration.ofSeconds(4));
+            assertEquals(100, share(old) + share(added));
+            old.poll();
+            ticker.advance(Duration.ofSeconds(11));
+            assertEquals(50, share(added));
+        }
     }
 
     /** Scenario: all daemons restart at the same time ({@code kill_all}, {@code power_off_all}). */
