Write evidence against prompt parts again that the store has lost

Callers: a prompt part that crashes targets was refused by the running daemons, but after the store was restored from an older copy its evidence was gone or older there. After a restart of all daemons the part could crash targets again (BUDGET, LOST), or its quarantine ended early. Cause: QuarantineTable read the table once and wrote a row only when an observation of its own daemon quarantined a part. Change: storeRestored() makes the task read the table within 3 s, at a random time, and write the rows of quarantined parts that are missing or contain other crashes. Any daemon that knows the evidence does it; one without suspects makes no call. Failed calls are retried after up to 1, 2 and 4 s, half of it random (before: 1 s). No other call in a steady state.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -167,7 +167,9 @@
                         quarantine,
                         StoreTable.quarantine(settings.store(), ticker),
                         log,
-                        InstantSource.system())
+                        InstantSource.system(),
+                        ticker,
+                        random)
                 .start(supervisor);
         supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -40,6 +40,10 @@
     private final Ticker ticker;
     private final Suspects suspects = new Suspects();
     private final LongAdder observedCrashes = new LongAdder();
+
+    /** Has a permit if the task that saves evidence may have something to do. */
+    private final Semaphore saves = new Semaphore(0);
+
     private volatile List<QuarantinedParts> quarantined = List.of();
 
     /** Parts that an observation of this daemon has quarantined or released. */
@@ -151,7 +155,7 @@
         after.retainAll(prompt);
         unsaved.addAll(before);
         unsaved.addAll(after);
-        notifyAll();
+        saves.release();
         observations.release();
     }
 
@@ -179,9 +183,13 @@
      * @return false if the task was interrupted and should end; its interrupt status is set
      */
     public boolean awaitObservation(Duration timeout) {
+        return await(observations, timeout);
+    }
+
+    private static boolean await(Semaphore signal, Duration timeout) {
         try {
-            if (observations.tryAcquire(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
-                observations.drainPermits();
+            if (signal.tryAcquire(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
+                signal.drainPermits();
             }
             return true;
         } catch (InterruptedException e) {
@@ -218,20 +226,18 @@
     // ---- store
 
     /**
-     * Waits until there are parts whose stored evidence this daemon must write or remove.
+     * Waits until there are parts whose stored evidence this daemon must write or remove, until
+     * {@link #wakeSavingTask()} is called, or for a time.
      *
      * @return false if the task was interrupted and should end; its interrupt status is set
      */
-    synchronized boolean awaitUnsaved() {
-        try {
-            while (unsaved.isEmpty()) {
-                wait();
-            }
-            return true;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+    boolean awaitUnsaved(Duration timeout) {
+        return await(saves, timeout);
+    }
+
+    /** Ends the wait of the task that saves evidence. */
+    void wakeSavingTask() {
+        saves.release();
     }
 
     /** Returns the parts whose stored evidence this daemon must write or remove, once. */
@@ -248,6 +254,19 @@
                 .map(s -> s.evidence(ticker.nanos()));
     }
 
+    /** Returns the evidence against all quarantined parts. */
+    synchronized List<PartEvidence> quarantinedEvidence() {
+        return quarantinedParts().stream()
+                .map(this::quarantinedEvidence)
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    /** Returns whether this daemon knows of no crash, neither counted nor cleared. */
+    synchronized boolean isWithoutSuspects() {
+        return suspects.all().isEmpty();
+    }
+
     /** Returns whether crashes count against a part. */
     synchronized boolean isSuspected(PromptPartId part) {
         return suspects.find(part).filter(Suspect::hasCrashes).isPresent();
--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -8,15 +8,19 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Queue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.retry.Backoff;
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.quarantine.wire.EvidenceCodec;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.WritableTable;
@@ -25,18 +29,35 @@
 /**
  * Keeps the evidence against quarantined prompt parts in the store, so that it outlives a restart
  * of all daemons. Each row has the id of a part as its key. A row is written or removed by the
- * daemon whose observation quarantined or released the part. Used by one task.
+ * daemon whose observation quarantined or released the part. After the store was restored from an
+ * older copy, each daemon that knows of crashes compares the rows with what it knows. Used by one
+ * task, except for {@link #storeRestored()}.
  */
 public final class QuarantineTable {
     /** Delay of the first read, because the daemon needs the other tables first. */
     private static final Duration STARTUP_DELAY = Duration.ofMillis(100);
 
-    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+    private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(1);
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(4);
+
+    /** Time over which the daemons distribute their checks after a restore. */
+    private static final Duration RESTORE_SPREAD = Duration.ofSeconds(3);
+
+    /** Longest wait of the task while no check is due. */
+    private static final Duration MAX_WAIT = Duration.ofHours(1);
 
     private final Quarantine quarantine;
     private final WritableTable table;
     private final EventLog log;
     private final InstantSource clock;
+    private final Ticker ticker;
+    private final RandomGenerator random;
+    private final Backoff backoff;
+    private final AtomicBoolean restored = new AtomicBoolean();
+    private boolean loaded;
+
+    /** Time at which the rows must be compared with what this daemon knows; empty if not due. */
+    private OptionalLong checkAt = OptionalLong.empty();
 
     /** Parts whose rows must be written or removed. */
     private final Queue<PromptPartId> unsaved = new ArrayDeque<>();
@@ -45,39 +66,101 @@
      * Creates an instance that has read nothing yet.
      *
      * @param clock time of day, by which the age of a row is estimated
+     * @param random distributes the calls of daemons that the same event affects
      */
     public QuarantineTable(
-            Quarantine quarantine, WritableTable table, EventLog log, InstantSource clock) {
+            Quarantine quarantine,
+            WritableTable table,
+            EventLog log,
+            InstantSource clock,
+            Ticker ticker,
+            RandomGenerator random) {
         this.quarantine = quarantine;
         this.table = table;
         this.log = log;
         this.clock = clock;
+        this.ticker = ticker;
+        this.random = random;
+        backoff = new Backoff(FIRST_RETRY_DELAY, MAX_RETRY_DELAY, random);
     }
 
-    /** Starts the task that reads the table once and then saves changes. */
-    public void start(Supervisor supervisor) {
-        supervisor.start("quarantine-table", this::run);
+    /**
+     * Makes the task compare the rows with what this daemon knows, because the store was restored
+     * from an older copy. Returns at once; thread-safe.
+     */
+    public void storeRestored() {
+        restored.set(true);
+        quarantine.wakeSavingTask();
+    }
+
+    /**
+     * Starts the task that reads the table once and then saves changes; interrupt the returned
+     * thread to stop it.
+     */
+    public Thread start(Supervisor supervisor) {
+        return supervisor.start("quarantine-table", this::run);
     }
 
     private void run() {
         boolean keepRunning = Tasks.sleep(STARTUP_DELAY);
-        while (keepRunning && !load()) {
-            keepRunning = Tasks.sleep(RETRY_DELAY);
-        }
         while (keepRunning) {
-            keepRunning = save() ? quarantine.awaitUnsaved() : Tasks.sleep(RETRY_DELAY);
+            keepRunning =
+                    step() ? quarantine.awaitUnsaved(timeToCheck()) : Tasks.sleep(backoff.next());
+        }
+    }
+
+    /** Does what is due; returns false if the store did not respond. */
+    boolean step() {
+        if (restored.getAndSet(false)) {
+            scheduleCheck(Duration.ofNanos(random.nextLong(RESTORE_SPREAD.toNanos())));
         }
+        boolean done = (!isReadDue() || load()) && save();
+        if (done) {
+            backoff.reset();
+        }
+        return done;
+    }
+
+    private void scheduleCheck(Duration delay) {
+        checkAt = OptionalLong.of(ticker.nanos() + delay.toNanos());
     }
 
-    /** Reads all rows; returns false if the store did not respond. */
+    private boolean isReadDue() {
+        if (!loaded) {
+            return true;
+        }
+        if (checkAt.isEmpty() || !timeToCheck().isZero()) {
+            return false;
+        }
+        if (quarantine.isWithoutSuspects()) {
+            checkAt = OptionalLong.empty();
+            return false;
+        }
+        return true;
+    }
+
+    private Duration timeToCheck() {
+        if (checkAt.isEmpty()) {
+            return MAX_WAIT;
+        }
+        return Duration.ofNanos(Math.max(0, checkAt.getAsLong() - ticker.nanos()));
+    }
+
+    /**
+     * Reads all rows, adds what they say to what this daemon knows, and writes or removes the rows
+     * that differ from it; returns false if the store did not respond.
+     */
     boolean load() {
         try {
-            List<PartEvidence> evidence = new ArrayList<>();
+            Map<PromptPartId, PartEvidence> stored = new HashMap<>();
             for (FeedRow row : table.readAll().rows()) {
-                decode(row).ifPresent(evidence::add);
+                decode(row).ifPresent(e -> stored.put(e.part(), e));
             }
-            quarantine.merge(evidence);
-            removeExpired(evidence);
+            quarantine.merge(stored.values());
+            removeExpired(stored.values());
+            writeMissing(stored);
+            loaded = true;
+            checkAt = OptionalLong.empty();
             return true;
         } catch (IOException e) {
             logFailure("read", e);
@@ -85,8 +168,18 @@
         }
     }
 
+    /** Writes the rows of quarantined parts that are missing or contain other crashes. */
+    private void writeMissing(Map<PromptPartId, PartEvidence> stored) throws IOException {
+        for (PartEvidence known : quarantine.quarantinedEvidence()) {
+            PartEvidence row = stored.get(known.part());
+            if (row == null || !row.crashes().keySet().equals(known.crashes().keySet())) {
+                write(known);
+            }
+        }
+    }
+
     /** Removes the rows of parts whose crashes are too old to count. */
-    private void removeExpired(List<PartEvidence> evidence) throws IOException {
+    private void removeExpired(Collection<PartEvidence> evidence) throws IOException {
         for (PartEvidence e : evidence) {
             if (!quarantine.isSuspected(e.part())) {
                 remove(e.part());
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
@@ -11,15 +11,21 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.Random;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.random.RandomGenerator;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Supervisor;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.core.time.VirtualTicker;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.WritableTable;
 import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -29,8 +35,9 @@
 
     /** A table that can be unavailable. */
     private static final class Table implements WritableTable {
-        private final Map<String, byte[]> rows = new TreeMap<>();
+        private final Map<String, byte[]> rows = new ConcurrentSkipListMap<>();
         private boolean available = true;
+        private int calls;
 
         @Override
         public FeedPage readAll(Duration timeout) throws IOException {
@@ -63,6 +70,7 @@
         }
 
         private void checkAvailable() throws IOException {
+            calls++;
             if (!available) {
                 throw new IOException("the store is down");
             }
@@ -74,12 +82,22 @@
         private final VirtualTicker ticker = new VirtualTicker();
         private final Quarantine quarantine =
                 new Quarantine(EventLog.start(OutputStream.nullOutputStream()), ticker);
-        private final QuarantineTable stored =
-                new QuarantineTable(
-                        quarantine,
-                        table,
-                        EventLog.start(OutputStream.nullOutputStream()),
-                        () -> timeOfDay);
+        private final QuarantineTable stored;
+
+        private Daemon() {
+            this(() -> 0);
+        }
+
+        private Daemon(RandomGenerator random) {
+            stored =
+                    new QuarantineTable(
+                            quarantine,
+                            table,
+                            EventLog.start(OutputStream.nullOutputStream()),
+                            () -> timeOfDay,
+                            ticker,
+                            random);
+        }
 
         private void crash(int count) {
             for (int i = 0; i < count; i++) {
@@ -194,4 +212,132 @@
             assertEquals(1, table.rows.size());
         }
     }
+
+    /**
+     * Scenario: the store was restored from an older copy ({@code platform_down}, {@code
+     * restored}).
+     */
+    @Nested
+    final class RestoredStore {
+        private final Daemon first = new Daemon();
+
+        @BeforeEach
+        void saveEvidence() {
+            assertTrue(first.stored.step());
+            first.crash(3);
+            assertTrue(first.stored.step());
+            assertEquals(1, table.rows.size());
+        }
+
+        /** Guards against evidence that is gone at the next start of all daemons. */
+        @Test
+        void lostEvidenceIsWrittenAgain() {
+            table.rows.clear();
+            first.stored.storeRestored();
+            assertTrue(first.stored.step());
+            Daemon started = new Daemon();
+            started.stored.load();
+            assertTrue(started.blocks());
+        }
+
+        /** Guards against evidence that is lost with the daemon that has written it. */
+        @Test
+        void daemonThatLearnedTheEvidenceWritesIt() {
+            Daemon other = new Daemon();
+            assertTrue(other.stored.step());
+            other.quarantine.merge(first.quarantine.evidence());
+            table.rows.clear();
+            other.stored.storeRestored();
+            assertTrue(other.stored.step());
+            assertEquals(1, table.rows.size());
+        }
+
+        /** Guards against evidence that is older than what the daemons know. */
+        @Test
+        void olderEvidenceIsReplaced() {
+            Map<String, byte[]> copy = Map.copyOf(table.rows);
+            first.crash(5);
+            assertTrue(first.stored.step());
+            table.rows.putAll(copy);
+            first.stored.storeRestored();
+            assertTrue(first.stored.step());
+            Daemon started = new Daemon();
+            started.stored.load();
+            assertEquals(first.quarantine.remaining(POISON), started.quarantine.remaining(POISON));
+        }
+
+        /** Guards against evidence that stays lost because the first attempt failed. */
+        @Test
+        void failedCheckIsRepeated() {
+            table.rows.clear();
+            table.available = false;
+            first.stored.storeRestored();
+            assertFalse(first.stored.step());
+            assertFalse(first.stored.step());
+            table.available = true;
+            assertTrue(first.stored.step());
+            assertEquals(1, table.rows.size());
+        }
+
+        /** Guards against calls of daemons whose rows are as they should be, or that have none. */
+        @Test
+        void callsAreMadeOnlyWhereNeeded() {
+            Daemon withoutSuspects = new Daemon();
+            Map<String, byte[]> rows = Map.copyOf(table.rows);
+            table.rows.clear();
+            assertTrue(withoutSuspects.stored.step());
+            table.rows.putAll(rows);
+            int before = table.calls;
+            withoutSuspects.stored.storeRestored();
+            assertTrue(withoutSuspects.stored.step());
+            assertEquals(before, table.calls);
+            first.stored.storeRestored();
+            for (int i = 0; i < 100; i++) {
+                assertTrue(first.stored.step());
+                first.ticker.advance(Duration.ofSeconds(1));
+            }
+            assertEquals(before + 1, table.calls);
+        }
+
+        /** Guards against a fleet whose daemons all call the restored store at the same time. */
+        @Test
+        void checksOfTheFleetAreSpread() {
+            List<Daemon> fleet = new ArrayList<>();
+            for (int i = 0; i < 95; i++) {
+                Daemon daemon = new Daemon(new Random(i));
+                daemon.stored.step();
+                daemon.stored.storeRestored();
+                fleet.add(daemon);
+            }
+            int callsBefore = table.calls;
+            for (int second = 0; second < 3; second++) {
+                int before = table.calls;
+                for (Daemon d : fleet) {
+                    d.stored.step();
+                    d.ticker.advance(Duration.ofSeconds(1));
+                }
+                int calls = table.calls - before;
+                assertTrue(second == 0 ? calls == 0 : calls < 60, calls + " calls");
+            }
+            fleet.forEach(d -> d.stored.step());
+            fleet.forEach(d -> d.stored.step());
+            assertEquals(callsBefore + fleet.size(), table.calls);
+        }
+
+        /** Guards against a task that does not notice the restore while it waits. */
+        @Test
+        void runningTaskWritesTheEvidence() {
+            Supervisor supervisor = new Supervisor((name, cause, backoff) -> {}, Ticker.SYSTEM);
+            Thread task = first.stored.start(supervisor);
+            Tasks.sleep(Duration.ofMillis(300));
+            table.rows.clear();
+            first.stored.storeRestored();
+            Instant end = Instant.now().plusSeconds(5);
+            while (table.rows.isEmpty() && Instant.now().isBefore(end)) {
+                Tasks.sleep(Duration.ofMillis(10));
+            }
+            assertEquals(1, table.rows.size());
+            task.interrupt();
+        }
+    }
 }
