Overrule the row of a released prompt part that a restored store brings back

Callers: sound requests could be refused as quarantined for up to an hour, by a daemon that started after the store was restored from an older copy, and one minute after the release by the whole fleet. Nothing released the part then, because no request with it reached a target. Cause: the release removes the row once, so the older copy's row stayed. A daemon that has read it announces the crashes; the others had forgotten after one minute that they were cleared, and told nobody while they still knew it. A daemon without room for a part (256 suspects) also removed its valid row as expired. Change: cleared crashes are remembered for 10 minutes; a daemon that is told of crashes that it knows as cleared announces the clearing again, for 5 s; the check after a restore removes rows of cleared parts. Rows of parts that a daemon has no room to remember are kept.

--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -213,6 +213,10 @@
         Suspect suspect = suspects.findOrAdd(evidence.part(), now);
         boolean changed = evidence.answered() && suspect.setAnswered(now);
         changed |= suspect.clear(evidence.cleared(), now);
+        if (suspect.hasCleared(evidence.crashes().keySet())) {
+            // The sender may have read them from a row that the store has brought back.
+            suspect.announceAgain(now);
+        }
         for (Map.Entry<CrashId, CrashReport> e : evidence.crashes().entrySet()) {
             CrashReport crash = e.getValue();
             if (crash.age().compareTo(Suspects.CRASH_RETENTION) < 0) {
@@ -267,9 +271,12 @@
         return suspects.all().isEmpty();
     }
 
-    /** Returns whether crashes count against a part. */
-    synchronized boolean isSuspected(PromptPartId part) {
-        return suspects.find(part).filter(Suspect::hasCrashes).isPresent();
+    /**
+     * Returns whether no crash counts against a known part; false for a part that this daemon does
+     * not know or has no room to remember.
+     */
+    synchronized boolean isCleared(PromptPartId part) {
+        return suspects.find(part).filter(s -> !s.hasCrashes()).isPresent();
     }
 
     // ---- decisions
--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -157,7 +157,7 @@
                 decode(row).ifPresent(e -> stored.put(e.part(), e));
             }
             quarantine.merge(stored.values());
-            removeExpired(stored.values());
+            removeCleared(stored.values());
             writeMissing(stored);
             loaded = true;
             checkAt = OptionalLong.empty();
@@ -178,10 +178,10 @@
         }
     }
 
-    /** Removes the rows of parts whose crashes are too old to count. */
-    private void removeExpired(Collection<PartEvidence> evidence) throws IOException {
+    /** Removes the rows of parts whose crashes were cleared or are too old to count. */
+    private void removeCleared(Collection<PartEvidence> evidence) throws IOException {
         for (PartEvidence e : evidence) {
-            if (!quarantine.isSuspected(e.part())) {
+            if (quarantine.isCleared(e.part())) {
                 remove(e.part());
             }
         }
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Suspect.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Suspect.java
@@ -1,6 +1,7 @@
 package org.godwithoist.quarantine;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -138,6 +139,16 @@
         return true;
     }
 
+    /** Returns whether one of the crashes was cleared. */
+    boolean hasCleared(Set<CrashId> ids) {
+        return !Collections.disjoint(cleared, ids);
+    }
+
+    /** Makes the evidence count as changed now, so that the other daemons are told again. */
+    void announceAgain(long now) {
+        changedAt = now;
+    }
+
     /** Removes crashes that are too old to count; returns whether there was one. */
     boolean removeOlderThan(Duration age, long now) {
         return crashes.values().removeIf(c -> now - c.occurredAt() >= age.toNanos());
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Suspects.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Suspects.java
@@ -29,9 +29,9 @@
 
     /**
      * Time for which cleared crashes are remembered, in case that a daemon which was paused
-     * announces them again.
+     * announces them again, or that the store was away and comes back with their row.
      */
-    private static final Duration CLEARED_RETENTION = Duration.ofMinutes(1);
+    private static final Duration CLEARED_RETENTION = Duration.ofMinutes(10);
 
     private static final int MAX_SUSPECTS = 256;
     private static final int MAX_ANSWERED_PARTS = 2000;
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
@@ -324,6 +324,72 @@
             assertEquals(callsBefore + fleet.size(), table.calls);
         }
 
+        /** Guards against a released part whose row is back and blocks it at the next start. */
+        @Test
+        void rowOfAReleasedPartIsRemovedAgain() {
+            Map<String, byte[]> copy = saveSixCrashes();
+            releaseAndForgetAnnouncement();
+            assertTrue(table.rows.isEmpty());
+            table.rows.putAll(copy);
+            first.stored.storeRestored();
+            assertTrue(first.stored.step());
+            assertFalse(first.blocks());
+            assertTrue(table.rows.isEmpty());
+        }
+
+        /** Guards against a whole fleet that believes a daemon which has read the row too soon. */
+        @Test
+        void daemonThatHasReadTheRowOfAReleasedPartIsCorrected() {
+            Map<String, byte[]> copy = saveSixCrashes();
+            releaseAndForgetAnnouncement();
+            table.rows.putAll(copy);
+            Daemon started = new Daemon();
+            started.stored.load();
+            assertTrue(started.blocks());
+            first.quarantine.merge(started.quarantine.evidence());
+            assertFalse(first.blocks());
+            started.quarantine.merge(first.quarantine.evidence());
+            assertFalse(started.blocks());
+            // The two daemons agree, so that they have nothing more to announce.
+            first.ticker.advance(Duration.ofSeconds(6));
+            first.quarantine.merge(started.quarantine.evidence());
+            assertTrue(first.quarantine.evidence().isEmpty());
+        }
+
+        /** Guards against the removal of valid rows that a daemon has no room to remember. */
+        @Test
+        void rowsBeyondTheLimitOfSuspectsAreKept() {
+            for (int i = 0; i < 300; i++) {
+                Daemon daemon = new Daemon();
+                List<PromptPartId> prompt = List.of(new PromptPartId("part-" + i));
+                for (int j = 0; j < 3; j++) {
+                    TargetId target = new TargetId("t-" + i + "-" + j);
+                    daemon.quarantine.recordCrash(new TargetIncarnation(target, 1), prompt);
+                }
+                assertTrue(daemon.stored.save());
+            }
+            assertTrue(new Daemon().stored.load());
+            assertEquals(301, table.rows.size());
+        }
+
+        /** Saves as many crashes as block an answered part; returns a copy of the rows. */
+        private Map<String, byte[]> saveSixCrashes() {
+            first.crash(6);
+            assertTrue(first.stored.step());
+            return Map.copyOf(table.rows);
+        }
+
+        /** Releases the part; returns when the other daemons are no longer told. */
+        private void releaseAndForgetAnnouncement() {
+            first.ticker.advance(Duration.ofSeconds(1));
+            first.quarantine.recordResponse(POISON, first.ticker.nanos());
+            assertTrue(first.stored.step());
+            for (int i = 0; i < 120; i++) {
+                first.ticker.advance(Duration.ofSeconds(1));
+                first.quarantine.evidence();
+            }
+        }
+
         /** Guards against a task that does not notice the restore while it waits. */
         @Test
         void runningTaskWritesTheEvidence() {
