Check the rows of quarantined parts again after a call without a response

Callers: a released prompt part could be refused after the next start, or evidence could be gone, because the store performed a write or a removal whose response was lost, after the daemon had changed the row again. Cause: a failed call was repeated with what the daemon knew by then, and nothing looked at the row afterwards. The store may perform such a call seconds later, also around a restore. A check after a restore may in the same way write a row whose part another daemon has just released. Change: a failed call, or a check that has written a row, is followed by one check after 10 to 13 s. CheckReason lists the reasons for a check and their delays.

--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -9,10 +9,11 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
@@ -40,12 +41,15 @@
     private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(1);
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(4);
 
-    /** Time over which the daemons distribute their checks after a restore. */
-    private static final Duration RESTORE_SPREAD = Duration.ofSeconds(3);
-
     /** Longest wait of the task while no check is due. */
     private static final Duration MAX_WAIT = Duration.ofHours(1);
 
+    /** A change of the row with a key. */
+    @FunctionalInterface
+    private interface RowChange {
+        void apply(String key) throws IOException;
+    }
+
     private final Quarantine quarantine;
     private final WritableTable table;
     private final EventLog log;
@@ -56,8 +60,8 @@
     private final AtomicBoolean restored = new AtomicBoolean();
     private boolean loaded;
 
-    /** Time at which the rows must be compared with what this daemon knows; empty if not due. */
-    private OptionalLong checkAt = OptionalLong.empty();
+    /** Times at which the rows must be compared with what this daemon knows. */
+    private final Map<CheckReason, Long> checks = new EnumMap<>(CheckReason.class);
 
     /** Parts whose rows must be written or removed. */
     private final Queue<PromptPartId> unsaved = new ArrayDeque<>();
@@ -111,8 +115,8 @@
 
     /** Does what is due; returns false if the store did not respond. */
     boolean step() {
-        if (restored.getAndSet(false)) {
-            scheduleCheck(Duration.ofNanos(random.nextLong(RESTORE_SPREAD.toNanos())));
+        if (restored.getAndSet(false) && !checks.containsKey(CheckReason.RESTORE)) {
+            schedule(CheckReason.RESTORE);
         }
         boolean done = (!isReadDue() || load()) && save();
         if (done) {
@@ -121,29 +125,34 @@
         return done;
     }
 
-    private void scheduleCheck(Duration delay) {
-        checkAt = OptionalLong.of(ticker.nanos() + delay.toNanos());
+    private void schedule(CheckReason reason) {
+        checks.put(reason, ticker.nanos() + reason.delay(random).toNanos());
     }
 
     private boolean isReadDue() {
         if (!loaded) {
             return true;
         }
-        if (checkAt.isEmpty() || !timeToCheck().isZero()) {
+        if (!timeToCheck().isZero()) {
             return false;
         }
         if (quarantine.isWithoutSuspects()) {
-            checkAt = OptionalLong.empty();
+            removeDueChecks(ticker.nanos());
             return false;
         }
         return true;
     }
 
+    private void removeDueChecks(long now) {
+        checks.values().removeIf(at -> at - now <= 0);
+    }
+
     private Duration timeToCheck() {
-        if (checkAt.isEmpty()) {
-            return MAX_WAIT;
-        }
-        return Duration.ofNanos(Math.max(0, checkAt.getAsLong() - ticker.nanos()));
+        long now = ticker.nanos();
+        return checks.values().stream()
+                .map(at -> Duration.ofNanos(Math.max(0, at - now)))
+                .min(Comparator.naturalOrder())
+                .orElse(MAX_WAIT);
     }
 
     /**
@@ -151,6 +160,7 @@
      * that differ from it; returns false if the store did not respond.
      */
     boolean load() {
+        long startedAt = ticker.nanos();
         try {
             Map<PromptPartId, PartEvidence> stored = new HashMap<>();
             for (FeedRow row : table.readAll().rows()) {
@@ -160,7 +170,7 @@
             removeCleared(stored.values());
             writeMissing(stored);
             loaded = true;
-            checkAt = OptionalLong.empty();
+            removeDueChecks(startedAt);
             return true;
         } catch (IOException e) {
             logFailure("read", e);
@@ -174,6 +184,7 @@
             PartEvidence row = stored.get(known.part());
             if (row == null || !row.crashes().keySet().equals(known.crashes().keySet())) {
                 write(known);
+                schedule(CheckReason.CONFIRMATION);
             }
         }
     }
@@ -212,16 +223,21 @@
     }
 
     private void write(PartEvidence evidence) throws IOException {
-        table.write(evidence.part().value(), encode(evidence));
-        logChange("write", evidence.part());
+        byte[] value = encode(evidence);
+        change("write", evidence.part(), key -> table.write(key, value));
     }
 
     private void remove(PromptPartId part) throws IOException {
-        table.remove(part.value());
-        logChange("remove", part);
+        change("remove", part, table::remove);
     }
 
-    private void logChange(String action, PromptPartId part) {
+    private void change(String action, PromptPartId part, RowChange change) throws IOException {
+        try {
+            change.apply(part.value());
+        } catch (IOException e) {
+            schedule(CheckReason.CONFIRMATION);
+            throw e;
+        }
         log.event("quarantine_row").with("action", action).with("part", part.value()).write();
     }
 
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
@@ -39,6 +39,9 @@
         private boolean available = true;
         private int calls;
 
+        /** Calls whose responses are lost and that take effect later; null to respond. */
+        private List<Runnable> delayed;
+
         @Override
         public FeedPage readAll(Duration timeout) throws IOException {
             checkAvailable();
@@ -49,14 +52,29 @@
 
         @Override
         public void write(String key, byte[] value) throws IOException {
-            checkAvailable();
-            rows.put(key, value);
+            commit(() -> rows.put(key, value));
         }
 
         @Override
         public void remove(String key) throws IOException {
+            commit(() -> rows.remove(key));
+        }
+
+        private void commit(Runnable change) throws IOException {
             checkAvailable();
-            rows.remove(key);
+            if (delayed != null) {
+                delayed.add(change);
+                throw new IOException("no response");
+            }
+            change.run();
+        }
+
+        private void loseResponses() {
+            delayed = new ArrayList<>();
+        }
+
+        private void respond() {
+            delayed = null;
         }
 
         @Override
@@ -406,4 +424,93 @@
             task.interrupt();
         }
     }
+
+    /** Scenario: the store performs a call later whose response was lost. */
+    @Nested
+    final class LostResponses {
+        private final Daemon daemon = new Daemon();
+
+        @BeforeEach
+        void load() {
+            assertTrue(daemon.stored.step());
+        }
+
+        /** Guards against a released part whose row a late write brings back. */
+        @Test
+        void lateWriteIsUndone() {
+            daemon.crash(3);
+            table.loseResponses();
+            assertFalse(daemon.stored.step());
+            List<Runnable> late = table.delayed;
+            table.respond();
+            release();
+            assertTrue(daemon.stored.step());
+            late.forEach(Runnable::run);
+            assertEquals(1, table.rows.size());
+            daemon.ticker.advance(Duration.ofSeconds(13));
+            assertTrue(daemon.stored.step());
+            assertTrue(table.rows.isEmpty());
+        }
+
+        /** Guards against evidence that a late removal takes away. */
+        @Test
+        void lateRemovalIsUndone() {
+            daemon.crash(3);
+            assertTrue(daemon.stored.step());
+            release();
+            table.loseResponses();
+            assertFalse(daemon.stored.step());
+            List<Runnable> late = table.delayed;
+            table.respond();
+            daemon.ticker.advance(Duration.ofSeconds(1));
+            for (int i = 0; i < 6; i++) {
+                daemon.quarantine.recordCrash(
+                        new TargetIncarnation(new TargetId("i-" + i), 2), POISON);
+            }
+            assertTrue(daemon.stored.step());
+            late.forEach(Runnable::run);
+            assertTrue(table.rows.isEmpty());
+            daemon.ticker.advance(Duration.ofSeconds(13));
+            assertTrue(daemon.stored.step());
+            assertEquals(1, table.rows.size());
+        }
+
+        /** Guards against a late call of which a restore in between makes the daemon forget. */
+        @Test
+        void restoreDoesNotReplaceTheCheck() {
+            daemon.crash(3);
+            table.loseResponses();
+            assertFalse(daemon.stored.step());
+            List<Runnable> late = table.delayed;
+            table.respond();
+            release();
+            daemon.stored.storeRestored();
+            assertTrue(daemon.stored.step());
+            late.forEach(Runnable::run);
+            daemon.ticker.advance(Duration.ofSeconds(13));
+            assertTrue(daemon.stored.step());
+            assertTrue(table.rows.isEmpty());
+        }
+
+        /** Guards against a repeated check after calls that the store has confirmed. */
+        @Test
+        void oneCheckFollowsAFailure() {
+            daemon.crash(3);
+            table.loseResponses();
+            assertFalse(daemon.stored.step());
+            table.respond();
+            assertTrue(daemon.stored.step());
+            int before = table.calls;
+            for (int i = 0; i < 60; i++) {
+                daemon.ticker.advance(Duration.ofSeconds(1));
+                assertTrue(daemon.stored.step());
+            }
+            assertEquals(before + 1, table.calls);
+        }
+
+        private void release() {
+            daemon.ticker.advance(Duration.ofSeconds(1));
+            daemon.quarantine.recordResponse(POISON, daemon.ticker.nanos());
+        }
+    }
 }
