Begin a joining period again when the store was away or restored

Change: the period begins again after a failed poll or a restore, and a row lost later is ignored only if a poll after the period's end has shown it. A restore never postpones a poll; retries come after 2 s at most. In FleetListTest.RestoredStore the daemon now polls once more before the loss, as it does every 12 s.

--- a/edge/src/main/java/org/godwithoist/edge/FleetList.java
+++ b/edge/src/main/java/org/godwithoist/edge/FleetList.java
@@ -21,6 +21,7 @@
 import org.godwithoist.core.retry.Backoff;
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.peers.Member;
 import org.godwithoist.store.feed.FeedRow;
@@ -45,7 +46,7 @@
 
     private static final Duration POLL_INTERVAL = Duration.ofSeconds(12);
     private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(1);
-    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(4);
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(2);
 
     /**
      * Time over which the daemons distribute their polls after a restore. The second poll comes
@@ -134,19 +135,18 @@
     }
 
     /**
-     * Waits for a time, or for a random part of {@link #RESTORE_SPREAD} once the store was
-     * restored.
+     * Waits for a time, or until the poll that follows a restore of the store.
      *
      * @return false if the task was interrupted and should end; its interrupt status is set
      */
     boolean awaitNextPoll(Duration delay) {
+        long endsAt = System.nanoTime() + delay.toNanos();
         try {
             if (!restores.tryAcquire(delay.toNanos(), TimeUnit.NANOSECONDS)) {
                 return true;
             }
-            Thread.sleep(restoreDelay());
+            Thread.sleep(delayAfterRestore(Duration.ofNanos(endsAt - System.nanoTime())));
             restores.drainPermits();
-            secondPollDue = true;
             return true;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -154,9 +154,17 @@
         }
     }
 
-    /** Returns the delay of this daemon's poll after a restore. */
-    Duration restoreDelay() {
-        return Duration.ofNanos(random.nextLong(RESTORE_SPREAD.toNanos()));
+    /**
+     * Records a restore of the store and returns the delay until the next poll, a random part of
+     * {@link #RESTORE_SPREAD}.
+     *
+     * @param remaining delay that was left, which a restore does not prolong
+     */
+    Duration delayAfterRestore(Duration remaining) {
+        joining.restart();
+        secondPollDue = true;
+        Duration delay = Duration.ofNanos(random.nextLong(RESTORE_SPREAD.toNanos()));
+        return Durations.min(delay, Durations.max(remaining, Duration.ZERO));
     }
 
     /** Polls the list once and returns the delay until the next poll. */
@@ -166,6 +174,7 @@
             rows = table.readAll().rows();
         } catch (IOException e) {
             logFailure("read", e);
+            joining.restart();
             return backoff.next();
         }
         OwnRowState ownRow = OwnRowState.of(rows, ownKey(), encode(self));
--- a/edge/src/main/java/org/godwithoist/edge/JoiningPeriod.java
+++ b/edge/src/main/java/org/godwithoist/edge/JoiningPeriod.java
@@ -21,6 +21,9 @@
 
     private boolean missing;
 
+    /** Whether the row was still in the list when the period had ended. */
+    private boolean listedAtEnd;
+
     /**
      * Creates the period of a daemon that has not read the list yet.
      *
@@ -42,13 +45,13 @@
     }
 
     /**
-     * Records that this daemon's row is not in the list. Has no effect once the others count this
-     * daemon, because they go on doing so.
+     * Records that this daemon's row is not in the list. Has no effect if the row was in the list
+     * for the whole period, because the others go on counting this daemon then.
      *
      * @param othersListed whether the list contains other daemons
      */
     void recordMissing(boolean othersListed) {
-        if (isKnown()) {
+        if (listedAtEnd) {
             return;
         }
         missing = true;
@@ -56,12 +59,22 @@
         knownFrom = OptionalLong.empty();
     }
 
+    /**
+     * Begins the period again if it has not ended, because the others may read the list late or
+     * without this daemon's row: the store did not respond or was restored.
+     */
+    void restart() {
+        if (knownFrom.isPresent() && !isKnown()) {
+            knownFrom = OptionalLong.of(ticker.nanos() + duration.toNanos());
+        }
+    }
+
     /** Records that this daemon's row is in the list, whatever its value. */
     void recordListed() {
-        if (knownFrom.isPresent()) {
-            return;
+        if (knownFrom.isEmpty()) {
+            Duration untilRead = missing ? duration : Duration.ZERO;
+            knownFrom = OptionalLong.of(ticker.nanos() + untilRead.toNanos());
         }
-        Duration untilRead = missing ? duration : Duration.ZERO;
-        knownFrom = OptionalLong.of(ticker.nanos() + untilRead.toNanos());
+        listedAtEnd |= isKnown();
     }
 }
--- a/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
@@ -272,6 +272,7 @@
             added.poll();
             old.poll();
             ticker.advance(Duration.ofMinutes(1));
+            added.poll();
         }
 
         /** Guards against a daemon that is missing from the list until its next start. */
@@ -326,7 +327,7 @@
             assertTrue(first.compareTo(Duration.ofMillis(500)) >= 0);
             assertTrue(second.compareTo(first) > 0);
             for (int i = 0; i < 10; i++) {
-                assertTrue(added.poll().compareTo(Duration.ofSeconds(4)) <= 0);
+                assertTrue(added.poll().compareTo(Duration.ofSeconds(2)) <= 0);
             }
             table.writesFail = false;
             added.poll();
@@ -377,12 +378,20 @@
             assertEquals(POLL_INTERVAL, old.poll());
         }
 
+        /** Guards against a restore that postpones a poll. */
+        @Test
+        void pollThatIsDueSoonerIsNotPostponed() {
+            FleetList list = create(3, () -> Long.MAX_VALUE / 2);
+            assertEquals(Duration.ofMillis(1), list.delayAfterRestore(Duration.ofMillis(1)));
+            assertEquals(Duration.ZERO, list.delayAfterRestore(Duration.ofMillis(-1)));
+        }
+
         /** Guards against a fleet whose daemons all call the restored store at the same time. */
         @Test
         void pollsOfTheFleetAreSpread() {
             int[] pollsBySecond = new int[3];
             for (int i = 0; i < 95; i++) {
-                Duration delay = create(i + 10, new Random(i)).restoreDelay();
+                Duration delay = create(i + 10, new Random(i)).delayAfterRestore(POLL_INTERVAL);
                 pollsBySecond[(int) delay.toSeconds()]++;
             }
             for (int polls : pollsBySecond) {
