--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -8,15 +8,20 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.retry.Backoff;
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.quarantine.wire.EvidenceCodec;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.WritableTable;
@@ -25,18 +30,38 @@
 /**
  * Keeps the evidence against quarantined prompt parts in the store, so that it outlives a restart
  * of all daemons. Each row has the id of a part as its key. A row is written or removed by the
- * daemon whose observation quarantined or released the part. Used by one task.
+ * daemon whose observation quarantined or released the part. After the store was restored from an
+ * older copy, each daemon that knows of crashes compares the rows with what it knows. Used by one
+ * task, except for {@link #storeRestored()}.
  */
 public final class QuarantineTable {
     /** Delay of the first read, because the daemon needs the other tables first. */
     private static final Duration STARTUP_DELAY = Duration.ofMillis(100);
 
-    private static final Duration RETRY_DELAY = Duration.ofSeconds(1);
+    private static final Duration FIRST_RETRY_DELAY = Duration.ofSeconds(1);
+    private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(4);
+
+    /** Longest wait of the task while no check is due. */
+    private static final Duration MAX_WAIT = Duration.ofHours(1);
+
+    /** A change of the row with a key. */
+    @FunctionalInterface
+    private interface RowChange {
+        void apply(String key) throws IOException;
+    }
 
     private final Quarantine quarantine;
     private final WritableTable table;
     private final EventLog log;
     private final InstantSource clock;
+    private final Ticker ticker;
+    private final RandomGenerator random;
+    private final Backoff backoff;
+    private final AtomicBoolean restored = new AtomicBoolean();
+    private boolean loaded;
+
+    /** Times at which the rows must be compared with what this daemon knows. */
+    private final Map<CheckReason, Long> checks = new EnumMap<>(CheckReason.class);
 
     /** Parts whose rows must be written or removed. */
     private final Queue<PromptPartId> unsaved = new ArrayDeque<>();
@@ -45,39 +70,107 @@
      * Creates an instance that has read nothing yet.
      *
      * @param clock time of day, by which the age of a row is estimated
+     * @param random distributes the calls of daemons that the same event affects
      */
     public QuarantineTable(
-            Quarantine quarantine, WritableTable table, EventLog log, InstantSource clock) {
+            Quarantine quarantine,
+            WritableTable table,
+            EventLog log,
+            InstantSource clock,
+            Ticker ticker,
+            RandomGenerator random) {
         this.quarantine = quarantine;
         this.table = table;
         this.log = log;
         this.clock = clock;
+        this.ticker = ticker;
+        this.random = random;
+        backoff = new Backoff(FIRST_RETRY_DELAY, MAX_RETRY_DELAY, random);
     }
 
-    /** Starts the task that reads the table once and then saves changes. */
-    public void start(Supervisor supervisor) {
-        supervisor.start("quarantine-table", this::run);
+    /**
+     * Makes the task compare the rows with what this daemon knows, because the store was restored
+     * from an older copy. Returns at once; thread-safe.
+     */
+    public void storeRestored() {
+        restored.set(true);
+        quarantine.wakeSavingTask();
+    }
+
+    /**
+     * Starts the task that reads the table once and then saves changes; interrupt the returned
+     * thread to stop it.
+     */
+    public Thread start(Supervisor supervisor) {
+        return supervisor.start("quarantine-table", this::run);
     }
 
     private void run() {
         boolean keepRunning = Tasks.sleep(STARTUP_DELAY);
-        while (keepRunning && !load()) {
-            keepRunning = Tasks.sleep(RETRY_DELAY);
-        }
         while (keepRunning) {
-            keepRunning = save() ? quarantine.awaitUnsaved() : Tasks.sleep(RETRY_DELAY);
+            keepRunning =
+                    step() ? quarantine.awaitUnsaved(timeToCheck()) : Tasks.sleep(backoff.next());
+        }
+    }
+
+    /** Does what is due; returns false if the store did not respond. */
+    boolean step() {
+        if (restored.getAndSet(false) && !checks.containsKey(CheckReason.RESTORE)) {
+            schedule(CheckReason.RESTORE);
+        }
+        boolean done = (!isReadDue() || load()) && save();
+        if (done) {
+            backoff.reset();
+        }
+        return done;
+    }
+
+    private void schedule(CheckReason reason) {
+        checks.put(reason, ticker.nanos() + reason.delay(random).toNanos());
+    }
+
+    private boolean isReadDue() {
+        if (!loaded) {
+            return true;
+        }
+        if (!timeToCheck().isZero()) {
+            return false;
+        }
+        if (quarantine.isWithoutSuspects()) {
+            removeDueChecks(ticker.nanos());
+            return false;
         }
+        return true;
     }
 
-    /** Reads all rows; returns false if the store did not respond. */
+    private void removeDueChecks(long now) {
+        checks.values().removeIf(at -> at - now <= 0);
+    }
+
+    private Duration timeToCheck() {
+        long now = ticker.nanos();
+        return checks.values().stream()
+                .map(at -> Duration.ofNanos(Math.max(0, at - now)))
+                .min(Comparator.naturalOrder())
+                .orElse(MAX_WAIT);
+    }
+
+    /**
+     * Reads all rows, adds what they say to what this daemon knows, and writes or removes the rows
+     * that differ from it; returns false if the store did not respond.
+     */
     boolean load() {
+        long startedAt = ticker.nanos();
         try {
-            List<PartEvidence> evidence = new ArrayList<>();
+            Map<PromptPartId, PartEvidence> stored = new HashMap<>();
             for (FeedRow row : table.readAll().rows()) {
-                decode(row).ifPresent(evidence::add);
+                decode(row).ifPresent(e -> stored.put(e.part(), e));
             }
-            quarantine.merge(evidence);
-            removeExpired(evidence);
+            quarantine.merge(stored.values());
+            removeCleared(stored.values());
+            writeMissing(stored);
+            loaded = true;
+            removeDueChecks(startedAt);
             return true;
         } catch (IOException e) {
             logFailure("read", e);
@@ -85,11 +178,22 @@
         }
     }
 
-    /** Removes the rows of parts whose crashes are too old to count. */
-    private void removeExpired(List<PartEvidence> evidence) throws IOException {
+    /** Writes the rows of quarantined parts that are missing or contain other crashes. */
+    private void writeMissing(Map<PromptPartId, PartEvidence> stored) throws IOException {
+        for (PartEvidence known : quarantine.quarantinedEvidence()) {
+            PartEvidence row = stored.get(known.part());
+            if (row == null || !row.crashes().keySet().equals(known.crashes().keySet())) {
+                write(known);
+                schedule(CheckReason.CONFIRMATION);
+            }
+        }
+    }
+
+    /** Removes the rows of parts whose crashes were cleared or are too old to count. */
+    private void removeCleared(Collection<PartEvidence> evidence) throws IOException {
         for (PartEvidence e : evidence) {
-            if (!quarantine.isSuspected(e.part())) {
-                table.remove(e.part().value());
+            if (quarantine.isCleared(e.part())) {
+                remove(e.part());
             }
         }
     }
@@ -112,10 +216,29 @@
     private void save(PromptPartId part) throws IOException {
         Optional<PartEvidence> evidence = quarantine.quarantinedEvidence(part);
         if (evidence.isPresent()) {
-            table.write(part.value(), encode(evidence.get()));
+            write(evidence.get());
         } else {
-            table.remove(part.value());
+            remove(part);
+        }
+    }
+
+    private void write(PartEvidence evidence) throws IOException {
+        byte[] value = encode(evidence);
+        change("write", evidence.part(), key -> table.write(key, value));
+    }
+
+    private void remove(PromptPartId part) throws IOException {
+        change("remove", part, table::remove);
+    }
+
+    private void change(String action, PromptPartId part, RowChange change) throws IOException {
+        try {
+            change.apply(part.value());
+        } catch (IOException e) {
+            schedule(CheckReason.CONFIRMATION);
+            throw e;
         }
+        log.event("quarantine_row").with("action", action).with("part", part.value()).write();
     }
 
     private void logFailure(String action, IOException failure) {
