Log the era of the store and versions that go back

Callers see an older state after a restore of the store; the logs could not tell a change that the store has not sent from one that was skipped by its version. store_era names each new era once, store_era_odd the first missing, malformed or older statement of one, store_version_back a response of the store below the known version. No decision uses them yet. StoreTableTest, StoreConnectionTest, StoreTableFuzzTest and RelayedFeedTest pass.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -36,6 +36,7 @@
 import org.godwithoist.quarantine.QuarantineTable;
 import org.godwithoist.relay.wire.RelayServer;
 import org.godwithoist.settings.EdgeSettings;
+import org.godwithoist.store.feed.StoreEras;
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.Placement;
@@ -65,6 +66,7 @@
     private final TargetDirectory directory;
     private final PeerLoads peerLoads;
     private final Quarantine quarantine;
+    private final StoreEras eras;
     private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
     private final Supervisor supervisor;
@@ -95,6 +97,7 @@
         addConnectionLimit(ConnectionLimit.Kind.STATUS, maxHeapBytes, idleStatusConnections);
         addConnectionLimit(ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker));
         metrics = new EdgeMetrics(quarantine, memory, directory, connectionLimits);
+        eras = new StoreEras(new EraLog(log));
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
@@ -103,6 +106,7 @@
                                 directory,
                                 this::applyCatalog,
                                 this::openGateIfReady,
+                                eras,
                                 log,
                                 ticker,
                                 random));
@@ -165,7 +169,7 @@
         fleet.start(supervisor);
         new QuarantineTable(
                         quarantine,
-                        StoreTable.quarantine(settings.store(), ticker),
+                        StoreTable.quarantine(settings.store(), eras, ticker),
                         log,
                         InstantSource.system())
                 .start(supervisor);
@@ -249,7 +253,7 @@
         return new FleetList(
                 self,
                 settings.bounds().assumedDaemons(),
-                StoreTable.daemons(settings.store(), ticker),
+                StoreTable.daemons(settings.store(), eras, ticker),
                 exchange::updateMembers,
                 log,
                 ticker);
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -23,6 +23,7 @@
 import org.godwithoist.relay.TableName;
 import org.godwithoist.relay.wire.RelayConnection;
 import org.godwithoist.relay.wire.RelayServer;
+import org.godwithoist.store.feed.StoreEras;
 import org.godwithoist.store.feed.TableFollower;
 import org.godwithoist.targets.TargetDirectory;
 
@@ -47,6 +48,7 @@
      *
      * @param applyCatalog receives each catalog that was read
      * @param onTableRead called after a complete table was read
+     * @param eras eras of the store, shared by all tables of this daemon
      */
     record Dependencies(
             SettingsFile settingsFile,
@@ -54,6 +56,7 @@
             TargetDirectory directory,
             Consumer<Catalog> applyCatalog,
             Runnable onTableRead,
+            StoreEras eras,
             EventLog log,
             Ticker ticker,
             RandomGenerator random) {}
@@ -101,14 +104,14 @@
                 relayedFeed(
                         TARGETS,
                         CatchUp.MISSED_CHANGES,
-                        StoreTable.runners(store, ticker),
+                        StoreTable.runners(store, dependencies.eras(), ticker),
                         targetChanges,
                         leadership);
         RelayedFeed operatorRows =
                 relayedFeed(
                         OPERATOR,
                         CatchUp.CURRENT_ROWS,
-                        StoreTable.operator(store, ticker),
+                        StoreTable.operator(store, dependencies.eras(), ticker),
                         operatorChanges,
                         leadership);
         targetFollower =
--- a/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
+++ b/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
@@ -128,6 +128,7 @@
         nextRequestBy = OptionalLong.of(now + boundedWait.plus(MAX_REQUEST_GAP).toNanos());
         try {
             FeedPage page = changesFromSource(after, boundedWait);
+            logOlderVersion(after, page);
             recordResponse(page);
             return page;
         } catch (IOException e) {
@@ -141,6 +142,20 @@
         dependencies.catchUp().recordKeys(page.rows(), knownKeys);
     }
 
+    /** A leader may be behind this daemon, so only the store's versions are of interest. */
+    private void logOlderVersion(long after, FeedPage page) {
+        if (page.version() >= after || source == Source.LEADER) {
+            return;
+        }
+        dependencies
+                .log()
+                .event("store_version_back")
+                .with("table", dependencies.table().value())
+                .with("known", after)
+                .with("received", page.version())
+                .write();
+    }
+
     private FeedPage changesFromSource(long after, Duration wait)
             throws IOException, HistoryExpiredException {
         RelayTiming timing = dependencies.timing().get();
