--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -34,6 +34,7 @@
 import org.godwithoist.platform.StoreTable;
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.quarantine.QuarantineTable;
+import org.godwithoist.relay.Leadership;
 import org.godwithoist.relay.wire.RelayServer;
 import org.godwithoist.settings.EdgeSettings;
 import org.godwithoist.store.feed.StoreEras;
@@ -148,7 +149,7 @@
                         supervisor,
                         connectionLimits.get(ConnectionLimit.Kind.CALLER),
                         s -> CallerConnection.serve(s, callerDependencies));
-        followers.start(exchange, supervisor);
+        followers.start(new Leadership(exchange::leaderAddress, exchange::isLeader), supervisor);
         StatusServer statusServer =
                 new StatusServer(
                         Map.of("/readiness", this::readiness, "/metrics", this::metricsResponse),
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -10,7 +10,6 @@
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.time.Ticker;
-import org.godwithoist.peers.LoadExchange;
 import org.godwithoist.platform.OperatorRows;
 import org.godwithoist.platform.RunnerRows;
 import org.godwithoist.platform.StoreTable;
@@ -96,8 +95,7 @@
     }
 
     /** Starts a task for each table. */
-    void start(LoadExchange exchange, Supervisor supervisor) {
-        Leadership leadership = new Leadership(exchange::leaderAddress, exchange::isLeader);
+    void start(Leadership leadership, Supervisor supervisor) {
         Endpoint store = dependencies.settingsFile().current().store();
         Ticker ticker = dependencies.ticker();
         RelayedFeed targetRows =
--- a/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.godwithoist.core.id.Endpoint;
 
@@ -27,6 +28,9 @@
     private static final int UNAVAILABLE = 503;
     private static final Duration HANG_TIMEOUT = Duration.ofHours(1);
 
+    /** Rows and history at one moment. */
+    private record Copy(Map<String, Map<String, Row>> tables, List<Row> history, long version) {}
+
     private record Row(String table, String key, String value, long version, boolean deleted) {}
 
     private final MessageServer server;
@@ -34,10 +38,14 @@
     private final List<Row> history = new ArrayList<>();
     private long version = 1;
     private long historyStart = 1;
+    private long era = 1;
+    private Copy copy = new Copy(Map.of(), List.of(), 1);
     private boolean down;
+    private boolean stalled;
     private volatile boolean unresponsive;
     private volatile int unresponsiveCount;
     private int waitingFeeds;
+    private final AtomicInteger requests = new AtomicInteger();
     private final Map<String, Integer> sentRows = new HashMap<>();
 
     /** Starts the store on a free port. */
@@ -91,6 +99,51 @@
         notifyAll();
     }
 
+    /**
+     * Sets whether requests wait until the store goes on, and are then executed on its state at
+     * that time. For a daemon this is as if it had been suspended before it sent them.
+     */
+    public synchronized void setStalled(boolean value) {
+        stalled = value;
+        notifyAll();
+    }
+
+    /** Makes the copy from which {@link #restoreCopy()} goes on. */
+    public synchronized void takeCopy() {
+        Map<String, Map<String, Row>> copies = new HashMap<>();
+        tables.forEach((table, rows) -> copies.put(table, Map.copyOf(rows)));
+        copy = new Copy(copies, List.copyOf(history), version);
+    }
+
+    /**
+     * Goes on from the last copy in a new era. Versions given out since are given out again;
+     * clients that request changes after a version that the store does not have receive status 410.
+     */
+    public synchronized void restoreCopy() {
+        tables.clear();
+        copy.tables().forEach((table, rows) -> tables.put(table, new TreeMap<>(rows)));
+        history.clear();
+        history.addAll(copy.history());
+        version = copy.version();
+        era++;
+        notifyAll();
+    }
+
+    /** Sets the era that the store states. */
+    public synchronized void setEra(long value) {
+        era = value;
+    }
+
+    /** Returns the version of the last change. */
+    public synchronized long version() {
+        return version;
+    }
+
+    /** Returns the number of requests received. */
+    public int requests() {
+        return requests.get();
+    }
+
     /** Returns the number of requests that wait for changes. */
     public synchronized int waitingFeeds() {
         return waitingFeeds;
@@ -124,6 +177,7 @@
     private boolean serve(
             ClassicHttpRequest request, byte[] body, MessageServer.Connection connection)
             throws IOException {
+        requests.incrementAndGet();
         int initialCount = unresponsiveCount;
         if (unresponsive) {
             return awaitClose(connection);
@@ -131,13 +185,15 @@
         Map<String, String> query = query(request.getRequestUri());
         String path = request.getRequestUri().split("\\?", 2)[0];
         ObjectNode response = MAPPER.createObjectNode();
-        int status = handle(path, query, body, response);
+        Outcome outcome = handle(path, query, body, response);
+        int status = outcome.status();
         if (unresponsiveCount != initialCount) {
             return awaitClose(connection);
         }
         byte[] bytes = MAPPER.writeValueAsBytes(response);
         connection.writer().startLine("HTTP/1.1 " + status + " Status");
         connection.writer().field("Content-Type", "application/json");
+        connection.writer().field("Store-Era", Long.toString(outcome.era()));
         connection.writer().field("Content-Length", Integer.toString(bytes.length));
         connection.writer().endHead();
         connection.writer().bytes(bytes, 0, bytes.length);
@@ -151,18 +207,30 @@
         return false;
     }
 
-    private synchronized int handle(
+    /** Status of a response and the era in which it was made. */
+    private record Outcome(int status, long era) {}
+
+    private synchronized Outcome handle(
             String path, Map<String, String> query, byte[] body, ObjectNode response)
             throws IOException {
+        awaitEndOfStall();
         if (down) {
-            return UNAVAILABLE;
+            return new Outcome(UNAVAILABLE, era);
+        }
+        int status =
+                switch (path) {
+                    case "/rows-get" -> readRows(query, response);
+                    case "/rows-feed" -> readChanges(query, response);
+                    case "/rows-tx" -> transact(MAPPER.readTree(body), response);
+                    default -> 404;
+                };
+        return new Outcome(status, era);
+    }
+
+    private void awaitEndOfStall() {
+        while (stalled) {
+            pause(HANG_TIMEOUT.toNanos());
         }
-        return switch (path) {
-            case "/rows-get" -> readRows(query, response);
-            case "/rows-feed" -> readChanges(query, response);
-            case "/rows-tx" -> transact(MAPPER.readTree(body), response);
-            default -> 404;
-        };
     }
 
     private int readRows(Map<String, String> query, ObjectNode response) {
@@ -179,18 +247,18 @@
         long after = Long.parseLong(query.get("afterRevision"));
         long deadline = System.nanoTime() + millisToNanos(Long.parseLong(query.get("waitMs")));
         List<Row> changes = changesAfter(query.get("table"), after);
-        while (changes.isEmpty() && !down && after >= historyStart) {
+        while (stalled || (changes.isEmpty() && !down && hasHistory(after))) {
             long remainingNanos = deadline - System.nanoTime();
-            if (remainingNanos <= 0) {
+            if (remainingNanos <= 0 && !stalled) {
                 break;
             }
-            awaitChange(remainingNanos);
+            awaitChange(stalled ? HANG_TIMEOUT.toNanos() : remainingNanos);
             changes = changesAfter(query.get("table"), after);
         }
         if (down) {
             return UNAVAILABLE;
         }
-        if (after < historyStart) {
+        if (!hasHistory(after)) {
             return GONE;
         }
         ArrayNode list = response.putArray("rows");
@@ -200,14 +268,25 @@
         return OK;
     }
 
+    private boolean hasHistory(long after) {
+        return after >= historyStart && after <= version;
+    }
+
     private void awaitChange(long nanos) {
         waitingFeeds++;
+        try {
+            pause(nanos);
+        } finally {
+            waitingFeeds--;
+        }
+    }
+
+    /** Waits for a change of the state. */
+    private void pause(long nanos) {
         try {
             TimeUnit.NANOSECONDS.timedWait(this, nanos);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } finally {
-            waitingFeeds--;
         }
     }
 
--- a/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
@@ -175,6 +175,11 @@
         }
     }
 
+    /** Returns whether a target is listed, or kept because the store may list it again. */
+    public boolean knows(TargetId id) {
+        return find(id).isPresent();
+    }
+
     private synchronized Optional<Target> find(TargetId id) {
         return Optional.ofNullable(byId.get(id));
     }
