--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -67,6 +67,7 @@
     private final TargetDirectory directory;
     private final PeerLoads peerLoads;
     private final Quarantine quarantine;
+    private final EraMonitor eraMonitor;
     private final StoreEras eras;
     private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
@@ -98,7 +99,8 @@
         addConnectionLimit(ConnectionLimit.Kind.STATUS, maxHeapBytes, idleStatusConnections);
         addConnectionLimit(ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker));
         metrics = new EdgeMetrics(quarantine, memory, directory, connectionLimits);
-        eras = new StoreEras(new EraLog(log));
+        eraMonitor = new EraMonitor(log);
+        eras = new StoreEras(eraMonitor, ticker);
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
@@ -168,12 +170,13 @@
                 ConnectionListener.open(
                         metricsAddress, "metrics", supervisor, statusLimit, statusServer::serve);
         fleet.start(supervisor);
-        new QuarantineTable(
+        QuarantineTable quarantineTable =
+                new QuarantineTable(
                         quarantine,
                         StoreTable.quarantine(settings.store(), eras, ticker),
                         log,
-                        InstantSource.system())
-                .start(supervisor);
+                        InstantSource.system());
+        quarantineTable.start(supervisor);
         supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
     }
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -116,7 +116,8 @@
                 new TableFollower(
                         targetRows,
                         new RunnerRows(dependencies.directory(), targetFeed),
-                        new TableFollower.Timing(TARGETS_MAX_WAIT, targetRows::pollDelay),
+                        new TableFollower.Timing(
+                                TARGETS_MAX_WAIT, targetRows::pollDelay, this::restoreSpread),
                         dependencies.random());
         TableFollower operatorFollower =
                 new TableFollower(
@@ -124,8 +125,11 @@
                         new OperatorRows(
                                 dependencies.applyCatalog(),
                                 dependencies.catalogs()::outOfService,
-                                operatorFeed),
-                        new TableFollower.Timing(OPERATOR_MAX_WAIT, operatorRows::pollDelay),
+                                operatorFeed,
+                                this::rewriteTime,
+                                ticker),
+                        new TableFollower.Timing(
+                                OPERATOR_MAX_WAIT, operatorRows::pollDelay, this::restoreSpread),
                         dependencies.random());
         operatorFollower.start("follow-operator", supervisor);
         targetFollower.start("follow-targets", supervisor);
@@ -146,6 +150,7 @@
                         new RelayConnection(dependencies.ticker()),
                         storeCooldown,
                         leadership,
+                        dependencies.eras(),
                         this::relayTiming,
                         dependencies.log(),
                         dependencies.ticker()));
@@ -156,6 +161,16 @@
                 dependencies.settingsFile().current().bounds().maxPropagationDelay());
     }
 
+    /** Returns the maximum random delay of the snapshot of a restored store. */
+    private Duration restoreSpread() {
+        return relayTiming().leaderPollDelay();
+    }
+
+    /** Returns the time within which lost rows of the operator are written again and received. */
+    private Duration rewriteTime() {
+        return relayTiming().maxPropagationDelay().multipliedBy(2);
+    }
+
     /**
      * Restarts the request for the targets. Called when the operator's table is available again,
      * because the same outage may have lost the request for the targets without an error.
--- a/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/FleetListTest.java
@@ -21,6 +21,8 @@
 import org.godwithoist.peers.Member;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.WritableTable;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -44,7 +46,7 @@
             }
             List<FeedRow> list = new ArrayList<>();
             rows.forEach((key, value) -> list.add(new FeedRow(key, value, 1, false)));
-            return new FeedPage(list, 1);
+            return new FeedPage(list, new StoreVersion(StoreEra.UNKNOWN, 1));
         }
 
         @Override
@@ -62,7 +64,7 @@
         }
 
         @Override
-        public FeedPage changes(long after, Duration wait) throws IOException {
+        public FeedPage changes(StoreVersion after, Duration wait) throws IOException {
             return readAll();
         }
 
--- a/edge/src/test/java/org/godwithoist/edge/StoreReader.java
+++ b/edge/src/test/java/org/godwithoist/edge/StoreReader.java
@@ -62,7 +62,7 @@
                                 directory,
                                 catalogs::updateIfNewer,
                                 () -> {},
-                                new StoreEras(new EraLog(log)),
+                                new StoreEras(new EraMonitor(log), Ticker.SYSTEM),
                                 log,
                                 Ticker.SYSTEM,
                                 new SplittableRandom(3)));
--- a/relay/src/main/java/org/godwithoist/relay/CatchUp.java
+++ b/relay/src/main/java/org/godwithoist/relay/CatchUp.java
@@ -10,6 +10,7 @@
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.HistoryExpiredException;
+import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.TableFeed;
 
 /** How a daemon that has not read a table for some time reads at the store what it missed. */
@@ -17,7 +18,7 @@
     /** Reads each change that was missed; suits large tables of which few rows change. */
     MISSED_CHANGES {
         @Override
-        FeedPage read(TableFeed store, long after, Set<String> knownKeys)
+        FeedPage read(TableFeed store, StoreVersion after, Set<String> knownKeys)
                 throws IOException, HistoryExpiredException {
             return store.changes(after, Duration.ZERO);
         }
@@ -35,19 +36,18 @@
      */
     CURRENT_ROWS {
         @Override
-        FeedPage read(TableFeed store, long after, Set<String> knownKeys) throws IOException {
+        FeedPage read(TableFeed store, StoreVersion after, Set<String> knownKeys)
+                throws IOException {
             FeedPage page = store.readAll(RESPONSE_TIMEOUT);
-            List<FeedRow> changes = new ArrayList<>();
-            Set<String> removedKeys = new HashSet<>(knownKeys);
-            for (FeedRow row : page.rows()) {
-                removedKeys.remove(row.key());
-                if (row.version() > after) {
-                    changes.add(row);
-                }
+            if (!page.version().sameEra(after)) {
+                return page;
             }
+            List<FeedRow> changes = new ArrayList<>(page.rowsAfter(after));
             changes.sort(Comparator.comparingLong(FeedRow::version));
+            Set<String> removedKeys = new HashSet<>(knownKeys);
+            page.rows().forEach(r -> removedKeys.remove(r.key()));
             for (String key : removedKeys) {
-                changes.add(new FeedRow(key, new byte[0], page.version(), true));
+                changes.add(new FeedRow(key, new byte[0], page.version().number(), true));
             }
             return new FeedPage(changes, page.version());
         }
@@ -68,12 +68,13 @@
     private static final Duration RESPONSE_TIMEOUT = Duration.ofSeconds(1);
 
     /**
-     * Reads the changes after a version without waiting for new ones.
+     * Reads the changes after a version without waiting for new ones, or all rows if the store was
+     * restored.
      *
      * @param after version up to which this daemon has the table
      * @param knownKeys keys of the rows that this daemon has, as {@link #recordKeys} keeps them
      */
-    abstract FeedPage read(TableFeed store, long after, Set<String> knownKeys)
+    abstract FeedPage read(TableFeed store, StoreVersion after, Set<String> knownKeys)
             throws IOException, HistoryExpiredException;
 
     /** Applies rows that this daemon has received to the known keys, if they are needed. */
--- a/relay/src/main/java/org/godwithoist/relay/RecentChanges.java
+++ b/relay/src/main/java/org/godwithoist/relay/RecentChanges.java
@@ -1,16 +1,17 @@
 package org.godwithoist.relay;
 
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 
 /**
  * The most recent changes of a table, kept by a leader for the members of its failure domain. Once
@@ -22,6 +23,8 @@
     private static final long MAX_BYTES = 2L << 20;
     private static final long NANOS_PER_MS = 1_000_000;
 
+    private static final StoreVersion NONE = new StoreVersion(StoreEra.UNKNOWN, 0);
+
     private final Ticker ticker;
 
     /** Rows by key in the order of their versions, with only the latest row of each key. */
@@ -29,13 +32,18 @@
 
     private boolean initialized;
 
+    /** Whether the rows are the complete table, so that they replace those of another era. */
+    private boolean completeTable;
+
     /** All changes after this version are retained. */
-    private long completeAfter;
+    private StoreVersion completeAfter = NONE;
 
     /** Lowest version of a member that could not be served; empty if there is none. */
-    private OptionalLong requestedAfter = OptionalLong.empty();
+    private Optional<StoreVersion> requestedAfter = Optional.empty();
+
+    /** Version up to which the changes are known; of the same era as all retained rows. */
+    private StoreVersion version = NONE;
 
-    private long version;
     private long currentAt;
     private long bytes;
 
@@ -45,19 +53,35 @@
     }
 
     /**
-     * Adds a response of the store.
+     * Adds a response of the store. All versions are of the same era.
      *
      * @param from version after which changes were requested
      * @param knownVersion version up to which this daemon had the table before; the version of the
      *     response may be lower if nothing has changed
      * @param sentAt earliest instant at which the store can have sent the response, in nanoseconds
      */
-    synchronized void add(long from, long knownVersion, FeedPage page, long sentAt) {
-        if (!initialized || from != version) {
+    synchronized void add(
+            StoreVersion from, StoreVersion knownVersion, FeedPage page, long sentAt) {
+        if (!initialized || !from.equals(version)) {
             restart(from);
         }
         page.rows().forEach(this::put);
-        version = Math.max(knownVersion, page.version());
+        version = knownVersion.max(page.version());
+        currentAt = sentAt;
+        dropOldest();
+        notifyAll();
+    }
+
+    /**
+     * Replaces everything by a complete table, with which members of another era are served too.
+     *
+     * @param sentAt earliest instant at which the store can have sent the response, in nanoseconds
+     */
+    synchronized void replaceAll(FeedPage table, long sentAt) {
+        restart(table.version());
+        completeTable = true;
+        table.rows().stream().sorted(Comparator.comparingLong(FeedRow::version)).forEach(this::put);
+        version = table.version();
         currentAt = sentAt;
         dropOldest();
         notifyAll();
@@ -70,17 +94,17 @@
      *
      * @param after version up to which this daemon has the table
      */
-    synchronized long nextStoreVersion(long after) {
-        long from =
-                requestedAfter.isPresent() ? Math.min(requestedAfter.getAsLong(), after) : after;
-        requestedAfter = OptionalLong.empty();
+    synchronized StoreVersion nextStoreVersion(StoreVersion after) {
+        StoreVersion from = requestedAfter.filter(after::sameEra).map(after::min).orElse(after);
+        requestedAfter = Optional.empty();
         return from;
     }
 
-    private void restart(long after) {
+    private void restart(StoreVersion after) {
         rows.clear();
         bytes = 0;
         completeAfter = after;
+        completeTable = false;
         initialized = true;
     }
 
@@ -94,7 +118,8 @@
         Iterator<FeedRow> oldest = rows.values().iterator();
         while (rows.size() > MAX_ROWS || bytes > MAX_BYTES) {
             FeedRow row = oldest.next();
-            completeAfter = row.version();
+            completeAfter = completeAfter.max(new StoreVersion(completeAfter.era(), row.version()));
+            completeTable = false;
             bytes -= row.value().length;
             oldest.remove();
         }
@@ -114,36 +139,49 @@
      * @param after version up to which the member has the table
      * @param maxWait maximum time to wait for a change or for an up-to-date copy
      * @param maxAge age at which the copy becomes stale
-     * @return changes, without rows if nothing has changed; empty if the copy is stale or does not
-     *     reach back to the member's version
+     * @return changes, without rows if nothing has changed; all rows if the member's version is of
+     *     an earlier era; empty if the copy is stale or does not reach back to the member's version
      * @throws InterruptedException if the waiting task is interrupted
      */
     public synchronized Optional<FeedPage> awaitChanges(
-            long after, Duration maxWait, Duration maxAge) throws InterruptedException {
-        if (initialized && after < completeAfter) {
-            requestedAfter = OptionalLong.of(Math.min(after, requestedAfter.orElse(after)));
+            StoreVersion after, Duration maxWait, Duration maxAge) throws InterruptedException {
+        if (initialized && !reachesBackTo(after) && after.sameEra(version)) {
+            requestedAfter = Optional.of(requestedAfter.filter(after::sameEra).orElse(after));
+            requestedAfter = requestedAfter.map(after::min);
         }
         long deadline = ticker.nanos() + maxWait.toNanos();
-        while (initialized && after >= completeAfter) {
+        while (initialized && reachesBackTo(after)) {
             long now = ticker.nanos();
             boolean upToDate = now - currentAt < maxAge.toNanos();
-            List<FeedRow> newer = upToDate ? rowsAfter(after) : List.of();
+            boolean changed = upToDate && hasNews(after);
             long remaining = deadline - now;
-            if (!newer.isEmpty() || remaining <= 0) {
-                return upToDate ? Optional.of(new FeedPage(newer, version)) : Optional.empty();
+            if (changed || remaining <= 0) {
+                return upToDate ? Optional.of(pageAfter(after)) : Optional.empty();
             }
             wait(remaining / NANOS_PER_MS + 1);
         }
         return Optional.empty();
     }
 
-    private List<FeedRow> rowsAfter(long after) {
-        List<FeedRow> newer = new ArrayList<>();
-        for (FeedRow row : rows.values()) {
-            if (row.version() > after) {
-                newer.add(row);
-            }
+    /** Returns whether a member can be brought up to date with the retained rows. */
+    private boolean reachesBackTo(StoreVersion after) {
+        if (after.sameEra(version)) {
+            return !after.isBefore(completeAfter);
+        }
+        // A member of a later era knows that the store was restored, and this daemon does not.
+        return completeTable && after.era().compareTo(version.era()) < 0;
+    }
+
+    private boolean hasNews(StoreVersion after) {
+        return !after.sameEra(version) || !pageAfter(after).rows().isEmpty();
+    }
+
+    private FeedPage pageAfter(StoreVersion after) {
+        FeedPage all = new FeedPage(List.copyOf(rows.values()), version);
+        if (after.sameEra(version)) {
+            return new FeedPage(all.rowsAfter(after), version);
         }
-        return newer;
+        List<FeedRow> present = all.rows().stream().filter(r -> !r.deleted()).toList();
+        return new FeedPage(present, version);
     }
 }
--- a/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
+++ b/relay/src/main/java/org/godwithoist/relay/RelayedFeed.java
@@ -12,9 +12,11 @@
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.store.feed.EraChangedException;
 import org.godwithoist.store.feed.FeedPage;
-import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.HistoryExpiredException;
+import org.godwithoist.store.feed.StoreEras;
+import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.TableFeed;
 
 /**
@@ -86,6 +88,7 @@
             RelayClient client,
             Cooldown storeCooldown,
             Leadership leadership,
+            StoreEras eras,
             Supplier<RelayTiming> timing,
             EventLog log,
             Ticker ticker) {}
@@ -114,21 +117,28 @@
     public FeedPage readAll(Duration timeout) throws IOException {
         dependencies.recent().invalidate();
         setSource(Source.STORE, "the complete table is read");
+        long requestedAt = dependencies.ticker().nanos();
         FeedPage page = dependencies.store().readAll(timeout);
+        if (isLeader(dependencies.timing().get())) {
+            dependencies.recent().replaceAll(page, requestedAt);
+        }
         knownKeys.clear();
         recordResponse(page);
         return page;
     }
 
     @Override
-    public FeedPage changes(long after, Duration wait) throws IOException, HistoryExpiredException {
+    public FeedPage changes(StoreVersion after, Duration wait)
+            throws IOException, HistoryExpiredException {
         long now = dependencies.ticker().nanos();
         behind = behind || (nextRequestBy.isPresent() && now - nextRequestBy.getAsLong() > 0);
         Duration boundedWait = behind ? Duration.ZERO : wait;
         nextRequestBy = OptionalLong.of(now + boundedWait.plus(MAX_REQUEST_GAP).toNanos());
         try {
             FeedPage page = changesFromSource(after, boundedWait);
-            logOlderVersion(after, page);
+            if (!page.version().sameEra(after)) {
+                knownKeys.clear();
+            }
             recordResponse(page);
             return page;
         } catch (IOException e) {
@@ -142,24 +152,10 @@
         dependencies.catchUp().recordKeys(page.rows(), knownKeys);
     }
 
-    /** A leader may be behind this daemon, so only the store's versions are of interest. */
-    private void logOlderVersion(long after, FeedPage page) {
-        if (page.version() >= after || source == Source.LEADER) {
-            return;
-        }
-        dependencies
-                .log()
-                .event("store_version_back")
-                .with("table", dependencies.table().value())
-                .with("known", after)
-                .with("received", page.version())
-                .write();
-    }
-
-    private FeedPage changesFromSource(long after, Duration wait)
+    private FeedPage changesFromSource(StoreVersion after, Duration wait)
             throws IOException, HistoryExpiredException {
         RelayTiming timing = dependencies.timing().get();
-        if (timing.allowsRelay() && dependencies.leadership().isLeader().getAsBoolean()) {
+        if (isLeader(timing)) {
             return changesAsLeader(after, Durations.min(wait, timing.maxLeaderWait()));
         }
         dependencies.recent().invalidate();
@@ -172,7 +168,11 @@
         return changesAsMember(leader.get(), after, wait);
     }
 
-    private FeedPage changesFromStore(long after, Duration wait)
+    private boolean isLeader(RelayTiming timing) {
+        return timing.allowsRelay() && dependencies.leadership().isLeader().getAsBoolean();
+    }
+
+    private FeedPage changesFromStore(StoreVersion after, Duration wait)
             throws IOException, HistoryExpiredException {
         return behind
                 ? dependencies.catchUp().read(dependencies.store(), after, knownKeys)
@@ -181,19 +181,26 @@
 
     // ---- leader
 
-    private FeedPage changesAsLeader(long after, Duration wait)
+    private FeedPage changesAsLeader(StoreVersion after, Duration wait)
             throws IOException, HistoryExpiredException {
         setSource(Source.STORE_AS_LEADER, "this daemon is the leader");
         // What is missed is read from the version of the known rows.
-        long from = behind ? after : dependencies.recent().nextStoreVersion(after);
+        StoreVersion from = behind ? after : dependencies.recent().nextStoreVersion(after);
         long requestedAt = dependencies.ticker().nanos();
         try {
             FeedPage page = changesFromStore(from, wait);
+            if (!page.version().sameEra(after)) {
+                dependencies.recent().replaceAll(page, requestedAt);
+                return page;
+            }
             dependencies.recent().add(from, after, page, earliestSentAt(page, requestedAt, wait));
             return withoutKnownRows(page, after);
+        } catch (EraChangedException e) {
+            dependencies.recent().invalidate();
+            throw e;
         } catch (HistoryExpiredException e) {
             dependencies.recent().invalidate();
-            if (from == after) {
+            if (from.equals(after)) {
                 throw e;
             }
             return new FeedPage(List.of(), after);
@@ -204,9 +211,8 @@
     }
 
     /** Removes rows that were requested for a member and that this daemon already has. */
-    private static FeedPage withoutKnownRows(FeedPage page, long after) {
-        List<FeedRow> rows = page.rows().stream().filter(r -> r.version() > after).toList();
-        return new FeedPage(rows, page.version());
+    private static FeedPage withoutKnownRows(FeedPage page, StoreVersion after) {
+        return new FeedPage(page.rowsAfter(after), page.version());
     }
 
     /**
@@ -221,7 +227,7 @@
 
     // ---- member
 
-    private FeedPage changesAsMember(Endpoint leader, long after, Duration wait)
+    private FeedPage changesAsMember(Endpoint leader, StoreVersion after, Duration wait)
             throws IOException, HistoryExpiredException {
         if (!leaderCooldown.active()) {
             Optional<FeedPage> page = requestFromLeader(leader, after, wait);
@@ -239,13 +245,15 @@
         return requestFromStore(after, Durations.min(wait, LEADER_COOLDOWN));
     }
 
-    private Optional<FeedPage> requestFromLeader(Endpoint leader, long after, Duration wait) {
+    private Optional<FeedPage> requestFromLeader(
+            Endpoint leader, StoreVersion after, Duration wait) {
         RelayTiming timing = dependencies.timing().get();
         Duration boundedWait = Durations.min(wait, timing.maxMemberWait());
         RelayClient.Request request =
                 new RelayClient.Request(dependencies.table(), after, boundedWait);
         try {
             FeedPage page = dependencies.client().changes(leader, request, timing.responseMargin());
+            dependencies.eras().acceptRelayed(page.version().era());
             setSource(Source.LEADER, leader.toString());
             dependencies.storeCooldown().end();
             return Optional.of(page);
@@ -255,7 +263,7 @@
         }
     }
 
-    private FeedPage requestFromStore(long after, Duration wait)
+    private FeedPage requestFromStore(StoreVersion after, Duration wait)
             throws IOException, HistoryExpiredException {
         try {
             FeedPage page = changesFromStore(after, wait);
--- a/relay/src/main/java/org/godwithoist/relay/wire/RelayCodec.java
+++ b/relay/src/main/java/org/godwithoist/relay/wire/RelayCodec.java
@@ -16,13 +16,16 @@
 import org.godwithoist.relay.TableName;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 
 /**
  * Encodes and decodes requests and responses. A request consists of a version byte, the table, the
- * member's version and the maximum wait in milliseconds. A response consists of a version byte,
- * whether the leader has an up-to-date copy, the version, the number of rows, and the rows. Rows
- * are compressed, because the configuration is sent to all daemons of a failure domain over the
- * link of one host. Hand-written, because a protobuf runtime would add about 1 MB to each daemon.
+ * member's version of the store (era and number) and the maximum wait in milliseconds. A response
+ * consists of a version byte, whether the leader has an up-to-date copy, the version of the store,
+ * the number of rows, and the rows. Messages of version 1 had no era and are rejected. Rows are
+ * compressed, because the configuration is sent to all daemons of a failure domain over the link of
+ * one host. Hand-written, because a protobuf runtime would add about 1 MB to each daemon.
  */
 final class RelayCodec {
     /** Maximum size of a request. */
@@ -40,7 +43,7 @@
     /** Size that a row adds to its key and value, in bytes. */
     private static final int ROW_OVERHEAD_BYTES = 64;
 
-    private static final int VERSION = 1;
+    private static final int VERSION = 2;
 
     private RelayCodec() {}
 
@@ -49,7 +52,7 @@
         DataOutputStream out = new DataOutputStream(bytes);
         out.writeByte(VERSION);
         out.writeUTF(request.table().value());
-        out.writeLong(request.after());
+        writeVersion(request.after(), out);
         out.writeInt((int) request.maxWait().toMillis());
         return bytes.toByteArray();
     }
@@ -64,7 +67,7 @@
         checkVersion(in);
         try {
             TableName table = new TableName(in.readUTF());
-            long after = in.readLong();
+            StoreVersion after = readVersion(in);
             return new RelayClient.Request(table, after, Duration.ofMillis(in.readInt()));
         } catch (IllegalArgumentException e) {
             throw new IOException("malformed relay request: " + e.getMessage(), e);
@@ -82,7 +85,7 @@
         out.writeByte(VERSION);
         out.writeBoolean(page.isPresent());
         if (page.isPresent()) {
-            out.writeLong(page.get().version());
+            writeVersion(page.get().version(), out);
             out.writeInt(page.get().rows().size());
             writeRows(page.get().rows(), out);
         }
@@ -116,7 +119,7 @@
         if (!in.readBoolean()) {
             return Optional.empty();
         }
-        long version = in.readLong();
+        StoreVersion version = readVersion(in);
         int count = in.readInt();
         List<FeedRow> rows = new ArrayList<>();
         DataInputStream rowsIn = new DataInputStream(new InflaterInputStream(in));
@@ -143,6 +146,16 @@
         return new FeedRow(key, value, version, deleted);
     }
 
+    private static void writeVersion(StoreVersion version, DataOutputStream out)
+            throws IOException {
+        out.writeLong(version.era().value());
+        out.writeLong(version.number());
+    }
+
+    private static StoreVersion readVersion(DataInputStream in) throws IOException {
+        return new StoreVersion(new StoreEra(in.readLong()), in.readLong());
+    }
+
     private static void checkVersion(DataInputStream in) throws IOException {
         int version = in.readUnsignedByte();
         if (version != VERSION) {
--- /dev/null
+++ b/relay/src/test/java/org/godwithoist/relay/IgnoredEras.java
@@ -0,0 +1,13 @@
+package org.godwithoist.relay;
+
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreEras;
+
+/** Observer of eras for tests that do not check them. */
+final class IgnoredEras implements StoreEras.Observer {
+    @Override
+    public void eraChanged(StoreEra previous, StoreEra next) {}
+
+    @Override
+    public void oddEra(StoreEras.Oddity oddity, String detail) {}
+}
--- a/relay/src/test/java/org/godwithoist/relay/RecentChangesTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RecentChangesTest.java
@@ -15,6 +15,8 @@
 import org.godwithoist.core.time.VirtualTicker;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -29,12 +31,24 @@
         return new FeedRow(key, new byte[] {1}, version, false);
     }
 
+    private static StoreVersion version(long number) {
+        return new StoreVersion(new StoreEra(1), number);
+    }
+
+    private static FeedPage page(long version, FeedRow... rows) {
+        return new FeedPage(List.of(rows), version(version));
+    }
+
     private void add(long after, long version, FeedRow... rows) {
-        recent.add(after, after, new FeedPage(List.of(rows), version), ticker.nanos());
+        recent.add(version(after), version(after), page(version, rows), ticker.nanos());
+    }
+
+    private long nextStoreVersion(long after) {
+        return recent.nextStoreVersion(version(after)).number();
     }
 
     private Optional<FeedPage> changesAfter(long version) throws InterruptedException {
-        return recent.awaitChanges(version, Duration.ZERO, MAX_AGE);
+        return recent.awaitChanges(version(version), Duration.ZERO, MAX_AGE);
     }
 
     private List<String> keysAfter(long version) throws InterruptedException {
@@ -50,7 +64,7 @@
             add(12, 14, row("a", 14));
             assertEquals(List.of("b", "a"), keysAfter(10));
             assertEquals(List.of("a"), keysAfter(12));
-            assertEquals(14, changesAfter(12).orElseThrow().version());
+            assertEquals(14, changesAfter(12).orElseThrow().version().number());
         }
 
         /** Guards against a member that reverts to the older version of its leader. */
@@ -64,20 +78,20 @@
         @Test
         void changeEndsTheWait() throws Exception {
             RecentChanges recentInRealTime = new RecentChanges(Ticker.SYSTEM);
-            recentInRealTime.add(10, 10, new FeedPage(List.of(), 10), System.nanoTime());
+            recentInRealTime.add(version(10), version(10), page(10), System.nanoTime());
             CompletableFuture<Optional<FeedPage>> response = new CompletableFuture<>();
             Tasks.start("member", () -> response.complete(awaitChanges(recentInRealTime)));
             Thread.sleep(50);
             assertFalse(response.isDone());
             recentInRealTime.add(
-                    10, 10, new FeedPage(List.of(row("a", 11)), 11), System.nanoTime());
+                    version(10), version(10), page(11, row("a", 11)), System.nanoTime());
             assertEquals(1, response.get(2, TimeUnit.SECONDS).orElseThrow().rows().size());
         }
 
         private Optional<FeedPage> awaitChanges(RecentChanges recentInRealTime) {
             try {
                 return recentInRealTime.awaitChanges(
-                        10, Duration.ofSeconds(10), Duration.ofSeconds(20));
+                        version(10), Duration.ofSeconds(10), Duration.ofSeconds(20));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return Optional.empty();
@@ -103,7 +117,7 @@
         void invalidationIsReportedImmediately() throws InterruptedException {
             add(10, 12, row("a", 11));
             recent.invalidate();
-            assertTrue(recent.awaitChanges(10, Duration.ofSeconds(30), MAX_AGE).isEmpty());
+            assertTrue(recent.awaitChanges(version(10), Duration.ofSeconds(30), MAX_AGE).isEmpty());
         }
     }
 
@@ -123,15 +137,15 @@
         @Test
         void storeIsReadFromTheVersionOfTheMemberBehind() throws InterruptedException {
             add(10, 12);
-            assertEquals(12, recent.nextStoreVersion(12));
+            assertEquals(12, nextStoreVersion(12));
             assertTrue(changesAfter(8).isEmpty());
             assertTrue(changesAfter(7).isEmpty());
             assertTrue(changesAfter(9).isEmpty());
-            long from = recent.nextStoreVersion(12);
+            long from = nextStoreVersion(12);
             assertEquals(7, from);
             add(from, 12);
             assertEquals(List.of(), keysAfter(7));
-            assertEquals(12, recent.nextStoreVersion(12));
+            assertEquals(12, nextStoreVersion(12));
         }
 
         /**
@@ -142,7 +156,7 @@
         void memberThatWasBehindRemainsServed() throws InterruptedException {
             add(12, 12);
             assertTrue(changesAfter(7).isEmpty());
-            recent.add(recent.nextStoreVersion(12), 12, new FeedPage(List.of(), 7), ticker.nanos());
+            recent.add(recent.nextStoreVersion(version(12)), version(12), page(7), ticker.nanos());
             add(12, 12);
             assertEquals(List.of(), keysAfter(7));
         }
@@ -172,4 +186,65 @@
             assertEquals(512, keysAfter(1010 - 512).size());
         }
     }
+
+    /** Scenario: the store is restored from an older copy, and daemons notice it by and by. */
+    @Nested
+    final class Eras {
+        private StoreVersion inEra(long era, long number) {
+            return new StoreVersion(new StoreEra(era), number);
+        }
+
+        private void readTable(FeedRow... rows) {
+            recent.replaceAll(new FeedPage(List.of(rows), inEra(2, 8)), ticker.nanos());
+        }
+
+        /** Guards against a member that keeps its rows because its version is the higher one. */
+        @Test
+        void memberOfAnEarlierEraReceivesTheTable() throws InterruptedException {
+            readTable(row("a", 7), row("b", 8));
+            StoreVersion from = inEra(2, 8);
+            FeedRow removed = new FeedRow("a", new byte[0], 9, true);
+            recent.add(from, from, new FeedPage(List.of(removed), inEra(2, 9)), ticker.nanos());
+            FeedPage page =
+                    recent.awaitChanges(inEra(1, 40), Duration.ofSeconds(9), MAX_AGE).orElseThrow();
+            assertEquals(List.of("b"), page.rows().stream().map(FeedRow::key).toList());
+            assertEquals(inEra(2, 9), page.version());
+        }
+
+        /** Guards against a leader that has not noticed the restore and takes its member back. */
+        @Test
+        void memberOfALaterEraIsNotServed() throws InterruptedException {
+            readTable(row("a", 7));
+            assertTrue(recent.awaitChanges(inEra(3, 1), Duration.ZERO, MAX_AGE).isEmpty());
+            assertEquals(inEra(2, 8), recent.nextStoreVersion(inEra(2, 8)));
+        }
+
+        /** Guards against a part of the table that a member takes for all of it. */
+        @Test
+        void changesAloneAreNotSentToAnotherEra() throws InterruptedException {
+            add(10, 12, row("a", 11));
+            assertTrue(recent.awaitChanges(inEra(0, 12), Duration.ZERO, MAX_AGE).isEmpty());
+        }
+
+        /** Guards against a table without the rows that exceeded the limits. */
+        @Test
+        void largeTableIsNotSentToAnotherEra() throws InterruptedException {
+            List<FeedRow> rows = new ArrayList<>();
+            for (int i = 1; i <= 1000; i++) {
+                rows.add(row("target-" + i, i));
+            }
+            recent.replaceAll(new FeedPage(rows, inEra(2, 1000)), ticker.nanos());
+            assertTrue(recent.awaitChanges(inEra(1, 5), Duration.ZERO, MAX_AGE).isEmpty());
+            assertTrue(recent.awaitChanges(inEra(2, 999), Duration.ZERO, MAX_AGE).isEmpty());
+            assertTrue(recent.awaitChanges(inEra(2, 1000), Duration.ZERO, MAX_AGE).isPresent());
+        }
+
+        /** Guards against a stale table, which would take the member back. */
+        @Test
+        void staleTableIsNotSent() throws InterruptedException {
+            readTable(row("a", 7));
+            ticker.advance(MAX_AGE);
+            assertTrue(recent.awaitChanges(inEra(1, 5), Duration.ZERO, MAX_AGE).isEmpty());
+        }
+    }
 }
--- a/relay/src/test/java/org/godwithoist/relay/RelayFleetTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RelayFleetTest.java
@@ -16,6 +16,9 @@
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.HistoryExpiredException;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreEras;
+import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.TableFeed;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -27,6 +30,10 @@
     private static final int DAEMONS = 72;
     private static final int DOMAINS = 3;
 
+    private static StoreVersion version(long number) {
+        return new StoreVersion(new StoreEra(1), number);
+    }
+
     /** A store that counts the requests of the fleet. */
     private static final class Store implements TableFeed {
         private final List<FeedRow> rows = new ArrayList<>();
@@ -39,13 +46,15 @@
 
         @Override
         public FeedPage readAll(Duration timeout) {
-            return new FeedPage(List.copyOf(rows), rows.size());
+            return new FeedPage(List.copyOf(rows), version(rows.size()));
         }
 
         @Override
-        public FeedPage changes(long after, Duration wait) {
+        public FeedPage changes(StoreVersion after, Duration wait) {
             requests++;
-            return new FeedPage(List.copyOf(rows.subList((int) after, rows.size())), rows.size());
+            return new FeedPage(
+                    List.copyOf(rows.subList((int) after.number(), rows.size())),
+                    version(rows.size()));
         }
 
         @Override
@@ -77,6 +86,7 @@
                                     new Leadership(
                                             () -> Optional.of(leader),
                                             () -> address.equals(leader)),
+                                    new StoreEras(new IgnoredEras(), ticker),
                                     () -> TIMING,
                                     EventLog.start(OutputStream.nullOutputStream()),
                                     ticker));
@@ -84,8 +94,8 @@
         }
 
         void poll() throws IOException, HistoryExpiredException {
-            FeedPage page = feed.changes(version, Duration.ofSeconds(10));
-            version = Math.max(version, page.version());
+            FeedPage page = feed.changes(version(version), Duration.ofSeconds(10));
+            version = Math.max(version, page.version().number());
             rows += page.rows().size();
         }
 
--- a/relay/src/test/java/org/godwithoist/relay/RelayedFeedTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/RelayedFeedTest.java
@@ -16,6 +16,9 @@
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.HistoryExpiredException;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreEras;
+import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.TableFeed;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -27,6 +30,10 @@
     private static final Duration LONG_WAIT = Duration.ofSeconds(10);
     private static final Duration STEP = Duration.ofMillis(500);
 
+    private static StoreVersion version(long number) {
+        return new StoreVersion(new StoreEra(1), number);
+    }
+
     /** A store with a configurable response time. */
     private final class Store implements TableFeed {
         private final List<Duration> waits = new ArrayList<>();
@@ -44,22 +51,22 @@
                 throw new IOException("the store is down");
             }
             long version = rows.stream().mapToLong(FeedRow::version).max().orElse(0);
-            return new FeedPage(rows, Math.max(10, version));
+            return new FeedPage(rows, version(Math.max(10, version)));
         }
 
         @Override
-        public FeedPage changes(long after, Duration wait)
+        public FeedPage changes(StoreVersion after, Duration wait)
                 throws IOException, HistoryExpiredException {
             waits.add(wait);
-            versions.add(after);
-            if (after < 10 && !historyAvailable) {
+            versions.add(after.number());
+            if (after.number() < 10 && !historyAvailable) {
                 throw new HistoryExpiredException("gone");
             }
             ticker.advance(responseTime);
             if (!responds) {
                 throw new IOException("the store is down");
             }
-            return new FeedPage(rows, 12);
+            return new FeedPage(rows, version(12));
         }
 
         @Override
@@ -80,7 +87,7 @@
             if (!responds) {
                 throw new StaleCopyException(request.table());
             }
-            return new FeedPage(List.of(), 12);
+            return new FeedPage(List.of(), version(12));
         }
 
         @Override
@@ -113,13 +120,14 @@
                         leader,
                         storeCooldown,
                         new Leadership(() -> leaderAddress, () -> isLeader),
+                        new StoreEras(new IgnoredEras(), ticker),
                         () -> new RelayTiming(maxPropagationDelay),
                         EventLog.start(OutputStream.nullOutputStream()),
                         ticker));
     }
 
     private FeedPage requestChanges() throws IOException, HistoryExpiredException {
-        return feed.changes(10, LONG_WAIT);
+        return feed.changes(version(10), LONG_WAIT);
     }
 
     /** Requests changes once per {@link #STEP} for the given time; failures are ignored. */
@@ -213,7 +221,7 @@
             store.responds = false;
             RelayedFeed other = feed(new TableName("operator"));
             assertThrows(IOException.class, RelayedFeedTest.this::requestChanges);
-            assertThrows(IOException.class, () -> other.changes(10, LONG_WAIT));
+            assertThrows(IOException.class, () -> other.changes(version(10), LONG_WAIT));
             assertEquals(1, store.waits.size());
         }
 
@@ -234,7 +242,7 @@
     final class DaemonAsLeader {
         private Optional<FeedPage> relayed() throws InterruptedException {
             return recent.awaitChanges(
-                    10, Duration.ZERO, new RelayTiming(maxPropagationDelay).maxAge());
+                    version(10), Duration.ZERO, new RelayTiming(maxPropagationDelay).maxAge());
         }
 
         /** Guards against a leader whose copy becomes stale during one long wait. */
@@ -277,12 +285,14 @@
             isLeader = true;
             store.rows = List.of(new FeedRow("a", new byte[0], 9, false));
             requestChanges();
-            assertTrue(recent.awaitChanges(8, Duration.ZERO, Duration.ofSeconds(1)).isEmpty());
+            assertTrue(
+                    recent.awaitChanges(version(8), Duration.ZERO, Duration.ofSeconds(1))
+                            .isEmpty());
             assertEquals(List.of(), requestChanges().rows());
             assertEquals(List.of(10L, 8L), store.versions);
             assertEquals(
                     1,
-                    recent.awaitChanges(8, Duration.ZERO, Duration.ofSeconds(1))
+                    recent.awaitChanges(version(8), Duration.ZERO, Duration.ofSeconds(1))
                             .orElseThrow()
                             .rows()
                             .size());
@@ -297,9 +307,11 @@
             isLeader = true;
             store.historyAvailable = false;
             requestChanges();
-            assertTrue(recent.awaitChanges(3, Duration.ZERO, Duration.ofSeconds(1)).isEmpty());
+            assertTrue(
+                    recent.awaitChanges(version(3), Duration.ZERO, Duration.ofSeconds(1))
+                            .isEmpty());
             assertEquals(List.of(), requestChanges().rows());
-            assertEquals(12, requestChanges().version());
+            assertEquals(version(12), requestChanges().version());
             assertEquals(List.of(10L, 3L, 10L), store.versions);
         }
 
@@ -349,7 +361,7 @@
 
         private void failOnce() {
             store.responds = false;
-            assertThrows(IOException.class, () -> operatorFeed.changes(10, LONG_WAIT));
+            assertThrows(IOException.class, () -> operatorFeed.changes(version(10), LONG_WAIT));
             store.responds = true;
             store.waits.clear();
         }
@@ -361,7 +373,7 @@
             readTable(row("config", 9), row("evacuate/a", 8));
             failOnce();
             store.rows = List.of(row("config", 40), row("evacuate/a", 8));
-            List<FeedRow> changes = operatorFeed.changes(10, LONG_WAIT).rows();
+            List<FeedRow> changes = operatorFeed.changes(version(10), LONG_WAIT).rows();
             assertEquals(List.of("config"), changes.stream().map(FeedRow::key).toList());
             assertEquals(1, store.reads);
             assertEquals(List.of(), store.waits);
@@ -374,7 +386,7 @@
             readTable(row("config", 9), row("evacuate/a", 8));
             failOnce();
             store.rows = List.of(row("config", 9));
-            List<FeedRow> changes = operatorFeed.changes(10, LONG_WAIT).rows();
+            List<FeedRow> changes = operatorFeed.changes(version(10), LONG_WAIT).rows();
             assertEquals(1, changes.size());
             assertEquals("evacuate/a", changes.get(0).key());
             assertTrue(changes.get(0).deleted());
@@ -386,8 +398,8 @@
             leaderAddress = Optional.empty();
             readTable(row("config", 9));
             failOnce();
-            operatorFeed.changes(10, LONG_WAIT);
-            operatorFeed.changes(12, LONG_WAIT);
+            operatorFeed.changes(version(10), LONG_WAIT);
+            operatorFeed.changes(version(12), LONG_WAIT);
             assertEquals(1, store.reads);
             assertEquals(List.of(LONG_WAIT), store.waits);
         }
@@ -397,9 +409,9 @@
         void suspendedDaemonReadsTheCurrentRows() throws Exception {
             leaderAddress = Optional.empty();
             readTable(row("config", 9));
-            operatorFeed.changes(10, LONG_WAIT);
+            operatorFeed.changes(version(10), LONG_WAIT);
             ticker.advance(LONG_WAIT.plusSeconds(4));
-            operatorFeed.changes(12, LONG_WAIT);
+            operatorFeed.changes(version(12), LONG_WAIT);
             assertEquals(1, store.reads);
         }
 
@@ -411,12 +423,13 @@
         void leaderRelaysTheMissedChangesWithoutTheHistory() throws Exception {
             isLeader = true;
             readTable(row("config", 9), row("evacuate/a", 8));
-            operatorFeed.changes(10, LONG_WAIT);
+            operatorFeed.changes(version(10), LONG_WAIT);
             failOnce();
             store.rows = List.of(row("config", 40));
-            operatorFeed.changes(10, LONG_WAIT);
+            operatorFeed.changes(version(10), LONG_WAIT);
             FeedPage relayed =
-                    recent.awaitChanges(10, Duration.ZERO, Duration.ofSeconds(1)).orElseThrow();
+                    recent.awaitChanges(version(10), Duration.ZERO, Duration.ofSeconds(1))
+                            .orElseThrow();
             assertEquals(
                     List.of("config", "evacuate/a"),
                     relayed.rows().stream().map(FeedRow::key).toList());
@@ -429,10 +442,10 @@
             readTable(row("config", 9));
             leader.responds = false;
             failOnce();
-            assertThrows(IOException.class, () -> operatorFeed.changes(10, LONG_WAIT));
+            assertThrows(IOException.class, () -> operatorFeed.changes(version(10), LONG_WAIT));
             assertEquals(0, store.reads);
             leader.responds = true;
-            operatorFeed.changes(10, LONG_WAIT);
+            operatorFeed.changes(version(10), LONG_WAIT);
             assertEquals(0, store.reads);
         }
 
--- a/relay/src/test/java/org/godwithoist/relay/RelayedTable.java
+++ b/relay/src/test/java/org/godwithoist/relay/RelayedTable.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.feed.FeedPage;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 
 /** A leader's copy of one table, for tests in other packages. */
 public final class RelayedTable {
@@ -16,7 +18,8 @@
 
     /** Adds a response of the store. */
     public void add(long after, FeedPage page) {
-        recent.add(after, after, page, Ticker.SYSTEM.nanos());
+        StoreVersion from = new StoreVersion(new StoreEra(1), after);
+        recent.add(from, from, page, Ticker.SYSTEM.nanos());
     }
 
     /** Returns the relayed table, as {@code RelayServer} takes it. */
--- a/relay/src/test/java/org/godwithoist/relay/wire/RelayCodecFuzzTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/wire/RelayCodecFuzzTest.java
@@ -14,6 +14,8 @@
 import org.godwithoist.relay.TableName;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -21,8 +23,13 @@
 final class RelayCodecFuzzTest {
     private static final int PAGES = 300;
 
+    private static StoreVersion version(long number) {
+        return new StoreVersion(new StoreEra(1), number);
+    }
+
     private static RelayClient.Request request(String table, long after, int waitMs) {
-        return new RelayClient.Request(new TableName(table), after, Duration.ofMillis(waitMs));
+        return new RelayClient.Request(
+                new TableName(table), version(after), Duration.ofMillis(waitMs));
     }
 
     private static FeedPage page(SplittableRandom random) {
@@ -32,7 +39,7 @@
             random.nextBytes(value);
             rows.add(new FeedRow("key-" + i, value, random.nextLong(), random.nextBoolean()));
         }
-        return new FeedPage(rows, random.nextLong());
+        return new FeedPage(rows, version(random.nextLong()));
     }
 
     @Nested
--- a/relay/src/test/java/org/godwithoist/relay/wire/RelayCodecTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/wire/RelayCodecTest.java
@@ -11,16 +11,22 @@
 import java.util.SplittableRandom;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 final class RelayCodecTest {
+    private static StoreVersion version(long number) {
+        return new StoreVersion(new StoreEra(1), number);
+    }
+
     private static FeedPage page(int rows, int valueBytes) {
         List<FeedRow> list = new ArrayList<>();
         for (int i = 0; i < rows; i++) {
             list.add(new FeedRow("row-" + i, new byte[valueBytes], i + 1, false));
         }
-        return new FeedPage(list, rows);
+        return new FeedPage(list, version(rows));
     }
 
     @Nested
--- a/relay/src/test/java/org/godwithoist/relay/wire/RelayConnectionTest.java
+++ b/relay/src/test/java/org/godwithoist/relay/wire/RelayConnectionTest.java
@@ -30,6 +30,8 @@
 import org.godwithoist.relay.TableName;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -40,7 +42,7 @@
     private static final TableName TABLE = new TableName("operator");
     private static final RelayTiming TIMING = new RelayTiming(Duration.ofSeconds(3));
     private static final RelayClient.Request REQUEST =
-            new RelayClient.Request(TABLE, 10, Duration.ofMillis(200));
+            new RelayClient.Request(TABLE, version(10), Duration.ofMillis(200));
     private static final Duration MARGIN = Duration.ofMillis(300);
 
     /** Time beyond the deadline that is allowed for delays on a busy host. */
@@ -64,6 +66,10 @@
         connection.close();
     }
 
+    private static StoreVersion version(long number) {
+        return new StoreVersion(new StoreEra(1), number);
+    }
+
     private void accept(Consumer<Socket> handler) {
         Tasks.start(
                 "leader",
@@ -136,9 +142,9 @@
             byte[] large = "route-12 ".repeat(50_000).getBytes(StandardCharsets.UTF_8);
             FeedRow config = new FeedRow("config", large, 11, false);
             FeedRow order = new FeedRow("evacuate/north", new byte[0], 12, true);
-            relayedTable.add(10, new FeedPage(List.of(config, order), 12));
+            relayedTable.add(10, new FeedPage(List.of(config, order), version(12)));
             FeedPage page = connection.changes(leader, REQUEST, MARGIN);
-            assertEquals(12, page.version());
+            assertEquals(version(12), page.version());
             assertEquals(2, page.rows().size());
             assertArrayEquals(large, page.rows().get(0).value());
             assertEquals("evacuate/north", page.rows().get(1).key());
@@ -148,7 +154,7 @@
         /** Guards against a new connection for each request. */
         @Test
         void connectionIsReused() throws Exception {
-            relayedTable.add(10, new FeedPage(List.of(), 10));
+            relayedTable.add(10, new FeedPage(List.of(), version(10)));
             for (int i = 0; i < 3; i++) {
                 assertEquals(List.of(), connection.changes(leader, REQUEST, MARGIN).rows());
             }
@@ -170,8 +176,8 @@
                 assertEquals(-1, other.getInputStream().read());
             }
             awaitEvent("relay_question_left_out");
-            relayedTable.add(10, new FeedPage(List.of(), 10));
-            assertEquals(10, connection.changes(leader, REQUEST, MARGIN).version());
+            relayedTable.add(10, new FeedPage(List.of(), version(10)));
+            assertEquals(version(10), connection.changes(leader, REQUEST, MARGIN).version());
         }
     }
 
@@ -188,7 +194,8 @@
         /** Guards against single bytes that extend the wait indefinitely. */
         @Test
         void slowBytesDoNotExtendTheTimeout() throws Exception {
-            byte[] response = framed(RelayCodec.encode(Optional.of(new FeedPage(List.of(), 12))));
+            byte[] response =
+                    framed(RelayCodec.encode(Optional.of(new FeedPage(List.of(), version(12)))));
             acceptAndSend(response, Duration.ofMillis(400));
             assertFailsInTime();
         }
--- a/store/src/main/java/org/godwithoist/store/feed/FeedListener.java
+++ b/store/src/main/java/org/godwithoist/store/feed/FeedListener.java
@@ -7,6 +7,12 @@
     /** Receives the complete table; rows that are not listed no longer exist. */
     void onSnapshot(List<FeedRow> rows);
 
+    /**
+     * Receives the complete table of a store that was restored from an older copy. Rows that were
+     * known may be missing or older until their writers have written them again.
+     */
+    void onRestoredSnapshot(List<FeedRow> rows);
+
     /** Receives changed and deleted rows. */
     void onChanges(List<FeedRow> rows);
 
--- a/store/src/main/java/org/godwithoist/store/feed/FeedRow.java
+++ b/store/src/main/java/org/godwithoist/store/feed/FeedRow.java
@@ -4,7 +4,7 @@
  * The current state of a row, or its deletion.
  *
  * @param value content; empty if the row was deleted
- * @param version version of the last change
+ * @param version number of the version of the last change, in the era of the page
  * @param deleted whether the row was deleted
  */
 @SuppressWarnings("ArrayRecordComponent")
--- a/store/src/main/java/org/godwithoist/store/feed/TableFeed.java
+++ b/store/src/main/java/org/godwithoist/store/feed/TableFeed.java
@@ -21,13 +21,15 @@
     FeedPage readAll(Duration timeout) throws IOException;
 
     /**
-     * Waits for changes.
+     * Waits for changes. A page of another era than the requested version holds all rows of the
+     * table.
      *
      * @param afterVersion version up to which the changes are known
      * @param maxWait maximum time to wait; the page is empty if nothing has changed
+     * @throws EraChangedException if the store was restored, so that a new snapshot must be read
      * @throws HistoryExpiredException if a new snapshot must be read
      */
-    FeedPage changes(long afterVersion, Duration maxWait)
+    FeedPage changes(StoreVersion afterVersion, Duration maxWait)
             throws IOException, HistoryExpiredException;
 
     /**
--- a/store/src/main/java/org/godwithoist/store/feed/TableFollower.java
+++ b/store/src/main/java/org/godwithoist/store/feed/TableFollower.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.godwithoist.core.task.Supervisor;
@@ -18,7 +18,11 @@
     private final FeedListener listener;
     private final Timing timing;
     private final RandomGenerator random;
-    private OptionalLong knownVersion = OptionalLong.empty();
+
+    /** Version up to which the rows are known; empty before the first snapshot. */
+    private Optional<StoreVersion> knownVersion = Optional.empty();
+
+    private boolean snapshotNeeded = true;
     private Duration backoff = INITIAL_BACKOFF;
     private boolean unavailable;
 
@@ -30,8 +34,13 @@
      * @param coalescingDelay delay between a response with changes and the next request, so that
      *     changes in quick succession are read by one request; a change is received at most this
      *     much later
+     * @param restoreSpread maximum random delay of the snapshot of a restored store, which all
+     *     daemons read at the same time
      */
-    public record Timing(Duration maxWait, Supplier<Duration> coalescingDelay) {}
+    public record Timing(
+            Duration maxWait,
+            Supplier<Duration> coalescingDelay,
+            Supplier<Duration> restoreSpread) {}
 
     /**
      * Creates a follower; {@link #start} starts it.
@@ -71,14 +80,16 @@
     boolean pollOnce() {
         try {
             boolean wasUnavailable = unavailable;
-            boolean changed =
-                    knownVersion.isEmpty() ? readAll() : readChanges(knownVersion.getAsLong());
+            boolean changed = snapshotNeeded ? readAll() : readChanges(knownVersion.orElseThrow());
             backoff = INITIAL_BACKOFF;
             unavailable = false;
             // The transfer of missed changes may have taken long; further ones must not wait.
             return !changed || wasUnavailable || Tasks.sleep(timing.coalescingDelay().get());
+        } catch (EraChangedException e) {
+            snapshotNeeded = true;
+            return sleepRandomly(timing.restoreSpread().get());
         } catch (HistoryExpiredException e) {
-            knownVersion = OptionalLong.empty();
+            snapshotNeeded = true;
             return true;
         } catch (IOException e) {
             unavailable = true;
@@ -89,31 +100,47 @@
 
     /** Returns false, so that changes during the read are requested immediately. */
     private boolean readAll() throws IOException {
-        FeedPage page = feed.readAll();
-        listener.onAvailable();
-        listener.onSnapshot(page.rows());
-        knownVersion = OptionalLong.of(page.version());
+        applySnapshot(feed.readAll());
         return false;
     }
 
+    private void applySnapshot(FeedPage page) {
+        listener.onAvailable();
+        if (knownVersion.isPresent() && !knownVersion.get().sameEra(page.version())) {
+            listener.onRestoredSnapshot(page.rows());
+        } else {
+            listener.onSnapshot(page.rows());
+        }
+        knownVersion = Optional.of(page.version());
+        snapshotNeeded = false;
+    }
+
     /** Returns whether rows have changed. */
-    private boolean readChanges(long afterVersion) throws IOException, HistoryExpiredException {
+    private boolean readChanges(StoreVersion afterVersion)
+            throws IOException, HistoryExpiredException {
         // The first request after a failure does not wait for changes, so that the recovery of the
         // store is detected immediately.
         FeedPage page = feed.changes(afterVersion, unavailable ? Duration.ZERO : timing.maxWait());
+        if (!page.version().sameEra(afterVersion)) {
+            applySnapshot(page);
+            return false;
+        }
         listener.onAvailable();
         if (!page.rows().isEmpty()) {
             listener.onChanges(page.rows());
         }
-        knownVersion = OptionalLong.of(Math.max(afterVersion, page.version()));
+        knownVersion = Optional.of(afterVersion.max(page.version()));
         return !page.rows().isEmpty();
     }
 
     private boolean waitForBackoff() {
-        long halfMillis = backoff.toMillis() / 2;
-        boolean running =
-                Tasks.sleep(Duration.ofMillis(halfMillis + random.nextLong(halfMillis + 1)));
+        Duration half = backoff.dividedBy(2);
         backoff = Durations.min(backoff.multipliedBy(2), MAX_BACKOFF);
-        return running;
+        return Tasks.sleep(half) && sleepRandomly(half);
+    }
+
+    /** Waits for a random time up to the given one; returns false if the task was interrupted. */
+    private boolean sleepRandomly(Duration maxTime) {
+        return Tasks.sleep(Duration.ofMillis(random.nextLong(maxTime.toMillis() + 1)));
     }
 }
--- a/store/src/test/java/org/godwithoist/store/feed/TableFollowerTest.java
+++ b/store/src/test/java/org/godwithoist/store/feed/TableFollowerTest.java
@@ -18,6 +18,7 @@
     private enum Response {
         PAGE,
         EXPIRED,
+        RESTORED,
         FAILURE
     }
 
@@ -25,6 +26,7 @@
     private static final class ScriptedFeed implements TableFeed {
         private final Deque<Response> responses = new ArrayDeque<>();
         private final List<String> requests = new ArrayList<>();
+        private StoreEra era = new StoreEra(1);
         private long version = 10;
 
         private FeedPage page() throws IOException {
@@ -34,7 +36,9 @@
             }
             responses.poll();
             version++;
-            return new FeedPage(List.of(new FeedRow("key", new byte[0], version, false)), version);
+            return new FeedPage(
+                    List.of(new FeedRow("key", new byte[0], version, false)),
+                    new StoreVersion(era, version));
         }
 
         @Override
@@ -44,16 +48,28 @@
         }
 
         @Override
-        public FeedPage changes(long afterVersion, Duration maxWait)
+        public FeedPage changes(StoreVersion afterVersion, Duration maxWait)
                 throws IOException, HistoryExpiredException {
-            requests.add("after " + afterVersion + (maxWait.isZero() ? " without wait" : ""));
+            requests.add(
+                    "after " + afterVersion.number() + (maxWait.isZero() ? " without wait" : ""));
             if (responses.peek() == Response.EXPIRED) {
                 responses.poll();
                 throw new HistoryExpiredException("history expired");
             }
+            if (responses.peek() == Response.RESTORED) {
+                responses.poll();
+                restore();
+                throw new EraChangedException(afterVersion, era);
+            }
             return page();
         }
 
+        /** Goes on from an older copy. */
+        void restore() {
+            era = new StoreEra(era.value() + 1);
+            version = 5;
+        }
+
         @Override
         public void abortRequest() {
             requests.add("abort");
@@ -69,6 +85,11 @@
             notifications.add("snapshot");
         }
 
+        @Override
+        public void onRestoredSnapshot(List<FeedRow> rows) {
+            notifications.add("restored snapshot");
+        }
+
         @Override
         public void onChanges(List<FeedRow> rows) {
             notifications.add("changes");
@@ -92,7 +113,8 @@
             new TableFollower(
                     feed,
                     listener,
-                    new TableFollower.Timing(Duration.ofSeconds(10), () -> coalescingDelay),
+                    new TableFollower.Timing(
+                            Duration.ofSeconds(10), () -> coalescingDelay, () -> Duration.ZERO),
                     new SplittableRandom(1));
 
     private void pollWith(Response... responses) {
@@ -138,6 +160,40 @@
         }
     }
 
+    /** Scenario: the store is restored from an older copy. */
+    @Nested
+    final class RestoredStore {
+        /** Guards against changes after a version that the store has given out again. */
+        @Test
+        void snapshotIsReadAndFollowedFromItsVersion() {
+            pollWith(Response.PAGE, Response.RESTORED, Response.PAGE, Response.PAGE);
+            assertEquals(List.of("all", "after 11", "all", "after 6"), feed.requests);
+            assertEquals(
+                    List.of("snapshot", "restored snapshot", "changes"),
+                    listener.notifications.stream().filter(n -> !n.equals("available")).toList());
+        }
+
+        /**
+         * Guards against all rows of the restored store being applied as changes of the old one.
+         */
+        @Test
+        void pageOfAnotherEraIsASnapshot() {
+            pollWith(Response.PAGE);
+            feed.restore();
+            pollWith(Response.PAGE, Response.PAGE);
+            assertEquals(List.of("all", "after 11", "after 6"), feed.requests);
+            assertTrue(listener.notifications.contains("restored snapshot"));
+        }
+
+        /** Guards against a restore that is forgotten because the snapshot failed. */
+        @Test
+        void failedSnapshotIsReadAgain() {
+            pollWith(Response.PAGE, Response.RESTORED, Response.FAILURE, Response.PAGE);
+            assertEquals(List.of("all", "after 11", "all", "all"), feed.requests);
+            assertTrue(listener.notifications.contains("restored snapshot"));
+        }
+    }
+
     /** Scenario: the store is down or rejects this host ({@code platform_down}). */
     @Nested
     final class StoreUnavailable {
--- a/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
@@ -39,6 +39,7 @@
     private boolean awaitingRelist;
     private long storeAvailableAt;
     private final LeavingTargets leavingTargets;
+    private final DepartedTargets departedTargets;
     private final RateObserver rateObserver;
 
     /** Creates a directory without targets, before the first list of the store. */
@@ -55,6 +56,7 @@
         this.ticker = ticker;
         this.rateObserver = rateObserver;
         leavingTargets = new LeavingTargets(ticker);
+        departedTargets = new DepartedTargets(ticker);
     }
 
     /** Returns the targets of a service, in no particular order; empty if it has none. */
@@ -210,6 +212,24 @@
         publish();
     }
 
+    /**
+     * Replaces all known entries by those of a store that was restored from an older copy. Targets
+     * that this daemon knows to have left or to be draining are not used again; targets that the
+     * copy does not list may have registered since it was made, and are kept as after an outage.
+     */
+    public synchronized void replaceAllByRestored(Collection<TargetEntry> entries) {
+        storeDown = false;
+        awaitingRelist = true;
+        storeAvailableAt = ticker.nanos();
+        for (TargetEntry e : entries) {
+            Target known = byId.get(e.id());
+            if (known != null && known.entry().draining() && known.entry().sameIncarnation(e)) {
+                known.setLeaving();
+            }
+        }
+        replaceAll(departedTargets.holdDeparted(entries));
+    }
+
     /** Adds or updates an entry. */
     public synchronized void put(TargetEntry entry) {
         putEntry(entry);
@@ -218,15 +238,22 @@
 
     /** Removes an entry that the store no longer lists. */
     public synchronized void remove(TargetId id) {
+        departedTargets.forgetHeld(id);
         removeOrAwaitRelist(id);
         publish();
     }
 
     /**
-     * Removes entries that are still missing after an outage; in the next outage they are kept. To
-     * be called a few times a second.
+     * Removes entries that are still missing after an outage; in the next outage they are kept.
+     * Uses targets that a restored store still lists although they had left. To be called a few
+     * times a second.
      */
     public synchronized void removeMissing() {
+        List<TargetEntry> released = departedTargets.takeReleased();
+        if (!released.isEmpty()) {
+            released.forEach(this::putEntry);
+            publish();
+        }
         if (!awaitingRelist || storeDown || inRelistGrace()) {
             return;
         }
@@ -246,6 +273,7 @@
 
     private void putEntry(TargetEntry entry) {
         missingIds.remove(entry.id());
+        departedTargets.remove(entry.incarnation());
         Target known = byId.get(entry.id());
         if (known != null && known.entry().sameIncarnation(entry)) {
             known.update(entry);
@@ -277,6 +305,7 @@
     private void removeTarget(TargetId id) {
         Target known = byId.remove(id);
         if (known != null) {
+            departedTargets.add(known.entry().incarnation(), known.isGoingAway());
             known.setRemoved(true);
         }
     }
--- a/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
@@ -110,6 +110,89 @@
         }
     }
 
+    /** Scenario: the store is restored from an older copy ({@code platform_down}, restored). */
+    @Nested
+    final class RestoredStore {
+        /** Guards against requests to a target that left before the restore. */
+        @Test
+        void targetThatLeftIsNotUsedAgain() {
+            directory.remove(Samples.entry(1).id());
+            directory.replaceAllByRestored(List.of(Samples.entry(1), Samples.entry(2)));
+            assertEquals(1, size());
+        }
+
+        /** Guards against a running target that is never used again. */
+        @Test
+        void targetThatIsStillListedAfterTheHoldTimeIsUsed() {
+            directory.remove(Samples.entry(1).id());
+            directory.replaceAllByRestored(List.of(Samples.entry(1), Samples.entry(2)));
+            ticker.advance(DepartedTargets.HOLD_TIME);
+            directory.removeMissing();
+            assertEquals(2, size());
+        }
+
+        /** Guards against a held entry that is used although the store removed it. */
+        @Test
+        void heldEntryThatIsRemovedIsNotUsed() {
+            directory.remove(Samples.entry(1).id());
+            directory.replaceAllByRestored(List.of(Samples.entry(1), Samples.entry(2)));
+            directory.remove(Samples.entry(1).id());
+            ticker.advance(DepartedTargets.HOLD_TIME);
+            directory.removeMissing();
+            assertEquals(1, size());
+        }
+
+        /** Guards against a target that registers again and waits for the hold time. */
+        @Test
+        void targetThatRegistersAgainIsUsed() {
+            directory.remove(Samples.entry(1).id());
+            directory.replaceAllByRestored(List.of(Samples.entry(1), Samples.entry(2)));
+            directory.put(Samples.entry(1));
+            assertEquals(2, size());
+        }
+
+        /** Guards against a restarted target that counts as the one that left. */
+        @Test
+        void anotherIncarnationIsUsed() {
+            directory.remove(Samples.entry(1).id());
+            directory.replaceAllByRestored(List.of(Samples.restarted(1), Samples.entry(2)));
+            assertEquals(2, size());
+        }
+
+        /** Guards against requests to a target whose draining the copy does not know. */
+        @Test
+        void drainingTargetIsNotReadyAgain() {
+            directory.put(Samples.draining(1));
+            directory.replaceAllByRestored(List.of(Samples.entry(1), Samples.entry(2)));
+            assertTrue(target(1).isGoingAway());
+            directory.put(Samples.restarted(1));
+            assertFalse(target(1).isGoingAway());
+        }
+
+        /** Guards against a drained target that is used because its entry had been removed. */
+        @Test
+        void drainedTargetIsNeverUsedAgain() {
+            directory.put(Samples.draining(1));
+            directory.remove(Samples.entry(1).id());
+            directory.replaceAllByRestored(List.of(Samples.entry(1), Samples.entry(2)));
+            ticker.advance(DepartedTargets.HOLD_TIME);
+            directory.removeMissing();
+            assertEquals(1, size());
+        }
+
+        /** Guards against rejecting requests because targets registered after the copy. */
+        @Test
+        void targetsThatTheCopyLacksAreKeptForTheGrace() {
+            directory.replaceAllByRestored(List.of());
+            ticker.advance(TargetDirectory.RELIST_GRACE.minusMillis(1));
+            directory.removeMissing();
+            assertEquals(2, size());
+            ticker.advance(Duration.ofMillis(1));
+            directory.removeMissing();
+            assertEquals(0, size());
+        }
+    }
+
     @Nested
     final class StoreAvailable {
         /** Guards against requests to a target whose entry was removed. */
