--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -34,8 +34,10 @@
 import org.godwithoist.platform.StoreTable;
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.quarantine.QuarantineTable;
+import org.godwithoist.relay.Leadership;
 import org.godwithoist.relay.wire.RelayServer;
 import org.godwithoist.settings.EdgeSettings;
+import org.godwithoist.store.feed.StoreEras;
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.Placement;
@@ -65,6 +67,8 @@
     private final TargetDirectory directory;
     private final PeerLoads peerLoads;
     private final Quarantine quarantine;
+    private final EraMonitor eraMonitor;
+    private final StoreEras eras;
     private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
     private final Supervisor supervisor;
@@ -95,6 +99,8 @@
         addConnectionLimit(ConnectionLimit.Kind.STATUS, maxHeapBytes, idleStatusConnections);
         addConnectionLimit(ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker));
         metrics = new EdgeMetrics(quarantine, memory, directory, connectionLimits);
+        eraMonitor = new EraMonitor(log);
+        eras = new StoreEras(eraMonitor, ticker);
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
@@ -103,6 +109,7 @@
                                 directory,
                                 this::applyCatalog,
                                 this::openGateIfReady,
+                                eras,
                                 log,
                                 ticker,
                                 random));
@@ -144,7 +151,7 @@
                         supervisor,
                         connectionLimits.get(ConnectionLimit.Kind.CALLER),
                         s -> CallerConnection.serve(s, callerDependencies));
-        followers.start(exchange, supervisor);
+        followers.start(new Leadership(exchange::leaderAddress, exchange::isLeader), supervisor);
         StatusServer statusServer =
                 new StatusServer(
                         Map.of("/readiness", this::readiness, "/metrics", this::metricsResponse),
@@ -163,14 +170,17 @@
                 ConnectionListener.open(
                         metricsAddress, "metrics", supervisor, statusLimit, statusServer::serve);
         fleet.start(supervisor);
-        new QuarantineTable(
+        QuarantineTable quarantineTable =
+                new QuarantineTable(
                         quarantine,
-                        StoreTable.quarantine(settings.store(), ticker),
+                        StoreTable.quarantine(settings.store(), eras, ticker),
                         log,
                         InstantSource.system(),
                         ticker,
-                        random)
-                .start(supervisor);
+                        random);
+        quarantineTable.start(supervisor);
+        eraMonitor.addRestoreListener(fleet::storeRestored);
+        eraMonitor.addRestoreListener(quarantineTable::storeRestored);
         supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
     }
@@ -251,7 +261,7 @@
         return new FleetList(
                 self,
                 settings.bounds().assumedDaemons(),
-                StoreTable.daemons(settings.store(), ticker),
+                StoreTable.daemons(settings.store(), eras, ticker),
                 exchange::updateMembers,
                 log,
                 ticker,
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -10,7 +10,6 @@
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.time.Ticker;
-import org.godwithoist.peers.LoadExchange;
 import org.godwithoist.platform.OperatorRows;
 import org.godwithoist.platform.RunnerRows;
 import org.godwithoist.platform.StoreTable;
@@ -23,6 +22,7 @@
 import org.godwithoist.relay.TableName;
 import org.godwithoist.relay.wire.RelayConnection;
 import org.godwithoist.relay.wire.RelayServer;
+import org.godwithoist.store.feed.StoreEras;
 import org.godwithoist.store.feed.TableFollower;
 import org.godwithoist.targets.TargetDirectory;
 
@@ -47,6 +47,7 @@
      *
      * @param applyCatalog receives each catalog that was read
      * @param onTableRead called after a complete table was read
+     * @param eras eras of the store, shared by all tables of this daemon
      */
     record Dependencies(
             SettingsFile settingsFile,
@@ -54,6 +55,7 @@
             TargetDirectory directory,
             Consumer<Catalog> applyCatalog,
             Runnable onTableRead,
+            StoreEras eras,
             EventLog log,
             Ticker ticker,
             RandomGenerator random) {}
@@ -93,29 +95,29 @@
     }
 
     /** Starts a task for each table. */
-    void start(LoadExchange exchange, Supervisor supervisor) {
-        Leadership leadership = new Leadership(exchange::leaderAddress, exchange::isLeader);
+    void start(Leadership leadership, Supervisor supervisor) {
         Endpoint store = dependencies.settingsFile().current().store();
         Ticker ticker = dependencies.ticker();
         RelayedFeed targetRows =
                 relayedFeed(
                         TARGETS,
                         CatchUp.MISSED_CHANGES,
-                        StoreTable.runners(store, ticker),
+                        StoreTable.runners(store, dependencies.eras(), ticker),
                         targetChanges,
                         leadership);
         RelayedFeed operatorRows =
                 relayedFeed(
                         OPERATOR,
                         CatchUp.CURRENT_ROWS,
-                        StoreTable.operator(store, ticker),
+                        StoreTable.operator(store, dependencies.eras(), ticker),
                         operatorChanges,
                         leadership);
         targetFollower =
                 new TableFollower(
                         targetRows,
                         new RunnerRows(dependencies.directory(), targetFeed),
-                        new TableFollower.Timing(TARGETS_MAX_WAIT, targetRows::pollDelay),
+                        new TableFollower.Timing(
+                                TARGETS_MAX_WAIT, targetRows::pollDelay, this::restoreSpread),
                         dependencies.random());
         TableFollower operatorFollower =
                 new TableFollower(
@@ -123,8 +125,11 @@
                         new OperatorRows(
                                 dependencies.applyCatalog(),
                                 dependencies.catalogs()::outOfService,
-                                operatorFeed),
-                        new TableFollower.Timing(OPERATOR_MAX_WAIT, operatorRows::pollDelay),
+                                operatorFeed,
+                                this::rewriteTime,
+                                ticker),
+                        new TableFollower.Timing(
+                                OPERATOR_MAX_WAIT, operatorRows::pollDelay, this::restoreSpread),
                         dependencies.random());
         operatorFollower.start("follow-operator", supervisor);
         targetFollower.start("follow-targets", supervisor);
@@ -145,6 +150,7 @@
                         new RelayConnection(dependencies.ticker()),
                         storeCooldown,
                         leadership,
+                        dependencies.eras(),
                         this::relayTiming,
                         dependencies.log(),
                         dependencies.ticker()));
@@ -155,6 +161,16 @@
                 dependencies.settingsFile().current().bounds().maxPropagationDelay());
     }
 
+    /** Returns the maximum random delay of the snapshot of a restored store. */
+    private Duration restoreSpread() {
+        return relayTiming().leaderPollDelay();
+    }
+
+    /** Returns the time within which lost rows of the operator are written again and received. */
+    private Duration rewriteTime() {
+        return relayTiming().maxPropagationDelay().multipliedBy(2);
+    }
+
     /**
      * Restarts the request for the targets. Called when the operator's table is available again,
      * because the same outage may have lost the request for the targets without an error.
