Hold targets that left when a restored store is read once more

Found by reading. The test failed before (3 targets used in place of 1) and passes; 53 tests of TargetDirectoryTest, PlacementTest and PlacementFleetTest pass.

--- a/targets/src/main/java/org/godwithoist/targets/DepartedTargets.java
+++ b/targets/src/main/java/org/godwithoist/targets/DepartedTargets.java
@@ -28,9 +28,18 @@
     /** Whether each incarnation was draining or leaving when its entry was removed. */
     private final SequencedMap<TargetIncarnation, Boolean> leaving = new LinkedHashMap<>();
 
-    private final Map<TargetId, TargetEntry> held = new HashMap<>();
+    /** Entries of departed targets that the restored store lists. */
+    private final Map<TargetId, HeldEntry> held = new HashMap<>();
+
     private long heldUntil;
 
+    /**
+     * An entry that is not used.
+     *
+     * @param isLeaving whether the target was draining or leaving, so that it is never used again
+     */
+    private record HeldEntry(TargetEntry entry, boolean isLeaving) {}
+
     DepartedTargets(Ticker ticker) {
         this.ticker = ticker;
     }
@@ -71,20 +80,31 @@
             Boolean wasLeaving = leaving.get(e.incarnation());
             if (wasLeaving == null) {
                 usable.add(e);
-            } else if (!wasLeaving) {
-                held.put(e.id(), e);
+            } else {
+                held.put(e.id(), new HeldEntry(e, wasLeaving));
             }
         }
         return usable;
     }
 
+    /** Returns the entries that are not held, when the same store has been read again. */
+    List<TargetEntry> withoutHeld(Collection<TargetEntry> entries) {
+        return entries.stream().filter(e -> !isHeld(e)).toList();
+    }
+
+    private boolean isHeld(TargetEntry entry) {
+        HeldEntry known = held.get(entry.id());
+        return known != null && known.entry().equals(entry);
+    }
+
     /** Returns the held entries that are still listed after the hold time, once. */
     List<TargetEntry> takeReleased() {
         if (held.isEmpty() || ticker.nanos() - heldUntil < 0) {
             return List.of();
         }
-        List<TargetEntry> released = List.copyOf(held.values());
-        held.clear();
+        List<TargetEntry> released =
+                held.values().stream().filter(h -> !h.isLeaving()).map(HeldEntry::entry).toList();
+        released.forEach(e -> held.remove(e.id()));
         return released;
     }
 }
--- a/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
@@ -202,6 +202,10 @@
 
     /** Replaces all known entries by those of the store. */
     public synchronized void replaceAll(Collection<TargetEntry> entries) {
+        replaceEntries(departedTargets.withoutHeld(entries));
+    }
+
+    private void replaceEntries(Collection<TargetEntry> entries) {
         Set<TargetId> removedIds = new HashSet<>(byId.keySet());
         for (TargetEntry e : entries) {
             removedIds.remove(e.id());
@@ -227,7 +231,7 @@
                 known.setLeaving();
             }
         }
-        replaceAll(departedTargets.holdDeparted(entries));
+        replaceEntries(departedTargets.holdDeparted(entries));
     }
 
     /** Adds or updates an entry. */
--- a/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
@@ -131,6 +131,26 @@
             assertEquals(2, size());
         }
 
+        /**
+         * Guards against a target that left and is used, because the restored store dropped its
+         * history and the table was read again. Found by reading.
+         */
+        @Test
+        void targetThatLeftIsNotUsedAfterAnotherSnapshot() {
+            directory.put(Samples.draining(2));
+            directory.remove(Samples.entry(1).id());
+            directory.remove(Samples.entry(2).id());
+            directory.put(Samples.entry(3));
+            List<TargetEntry> copy = List.of(Samples.entry(1), Samples.entry(2), Samples.entry(3));
+            directory.replaceAllByRestored(copy);
+            directory.replaceAll(copy);
+            assertEquals(1, size());
+            ticker.advance(DepartedTargets.HOLD_TIME);
+            directory.removeMissing();
+            directory.replaceAll(copy);
+            assertEquals(2, size());
+        }
+
         /** Guards against a held entry that is used although the store removed it. */
         @Test
         void heldEntryThatIsRemovedIsNotUsed() {
