Compare the lost reads with the copies that the target wrote

Cause: the test counts on one lost read in two. The caller has the end of a body a moment before the pool has its connection back, so the next read may get a new connection. The target writes no copy there, and nothing is lost.

Change: the test notes which requests the target answered behind a copy, and requires that exactly these are lost, that each connection lost all but its first request, and that some were lost if the target names the request. The number 10 was a property of the pool's timing; a copy that reaches a caller still fails the test, as does a read that is lost without a copy.

--- a/services/src/test/java/org/godwithoist/services/http/RepeatedResponsesTest.java
+++ b/services/src/test/java/org/godwithoist/services/http/RepeatedResponsesTest.java
@@ -11,9 +11,11 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -181,7 +183,10 @@
     }
 
     private void sendAndCompare(String method) {
-        RequestId id = nextId();
+        sendAndCompare(nextId(), method);
+    }
+
+    private void sendAndCompare(RequestId id, String method) {
         String received = send(id, method);
         assertEquals(bodies.get(id.value()), received);
     }
@@ -191,6 +196,11 @@
     final class CopyBeforeTheNextResponse {
         private String last = "";
 
+        /**
+         * Requests that arrived on a used connection, where a copy is written before the response.
+         */
+        private final Set<String> behindACopy = ConcurrentHashMap.newKeySet();
+
         /** Writes the last response of the connection once more in front of the next one. */
         private boolean respond(ScriptedTarget.Exchange e, Naming naming) throws IOException {
             e.write(response(naming, e.id(), Framing.LENGTH, newBody(e.id())));
@@ -199,6 +209,9 @@
 
         private boolean repeatLate(ScriptedTarget.Exchange e, Naming naming) throws IOException {
             String own = response(naming, e.id(), Framing.LENGTH, newBody(e.id()));
+            if (!e.first()) {
+                behindACopy.add(e.id());
+            }
             e.write(e.first() ? own : last + own);
             last = own;
             return true;
@@ -206,22 +219,27 @@
 
         /**
          * Guards against a copy that the next caller receives as its own response. A read on a
-         * connection that is used again may be lost, which ends the use of the connection.
+         * connection that is used again may be lost, which ends the use of the connection. How many
+         * are lost is not fixed: a read that begins before the pool has the connection of the last
+         * one back gets a new connection, on which no copy arrives.
          */
         @ParameterizedTest
         @EnumSource
         void isNotReceivedByTheNextCaller(Naming naming) throws IOException {
             start(e -> repeatLate(e, naming));
-            int lost = 0;
+            Set<String> lost = new HashSet<>();
             for (int i = 0; i < REQUESTS; i++) {
+                RequestId id = nextId();
                 try {
-                    sendAndCompare("GET");
+                    sendAndCompare(id, "GET");
                 } catch (ServiceException e) {
                     assertEquals(ServiceException.Kind.CONNECTION_LOST, e.kind());
-                    lost++;
+                    lost.add(id.value());
                 }
             }
-            assertEquals(naming == Naming.NAMED ? REQUESTS / 2 : 0, lost);
+            assertEquals(behindACopy, lost);
+            assertEquals(REQUESTS - standin.connections(), lost.size());
+            assertEquals(naming == Naming.NAMED, !lost.isEmpty());
         }
 
         /** Guards against a booking that loses its response to a copy of another one. */
