Register the reader of an engine's response before the request is sent

Cause: HttpEngineClient sent the request and then, on the caller's thread, added the step that reads the response. A response that arrives whole at once may end before. A stream then failed, because no handler can be set after the end; a short call waited for ever for a body that had already passed.

Change: the step is registered with the request before the first write, for streams and for short calls, as HttpServiceClient does. It then runs on the event loop before the body.

--- a/chat/src/main/java/org/godwithoist/chat/http/HttpEngineClient.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/HttpEngineClient.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.godwithoist.accounting.Usage;
 import org.godwithoist.chat.ChatRequest;
@@ -185,12 +186,26 @@
                         () ->
                                 client(engine)
                                         .request(options)
-                                        .compose(r -> r.send(content))
-                                        .compose(r -> readBody(call, r))
+                                        .compose(r -> send(r, content, x -> readBody(call, x)))
                                         .recover(e -> Future.failedFuture(unreachable(engine, e)))
                                         .toCompletionStage());
     }
 
+    /**
+     * Sends a request. The action is registered before the first write, because a response that
+     * arrives whole at once ends before an action that is added later can read it.
+     *
+     * @param onResponse called on the event loop, before the body arrives
+     */
+    private static <T> Future<T> send(
+            HttpClientRequest request,
+            Buffer body,
+            Function<HttpClientResponse, Future<T>> onResponse) {
+        Future<T> result = request.response().compose(onResponse);
+        request.send(body);
+        return result;
+    }
+
     private Future<Response> readBody(RequestId call, HttpClientResponse response) {
         if (!reuse.accept(response, call)) {
             return Future.failedFuture("the response does not name request " + call);
@@ -240,9 +255,9 @@
         client(engine)
                 .request(options)
                 .recover(e -> Future.failedFuture(unreachable(engine, e)))
-                .compose(r -> pending.send(r, body))
+                .compose(
+                        r -> pending.send(r, body, x -> checkResponse(engine, attempt, options, x)))
                 .recover(e -> Future.failedFuture(connectionLost(engine, e)))
-                .compose(r -> checkResponse(engine, attempt, options, r))
                 .onComplete(pending::opened);
         return pending;
     }
@@ -260,13 +275,16 @@
             return cancelled;
         }
 
-        synchronized Future<HttpClientResponse> send(HttpClientRequest r, Buffer body) {
+        synchronized Future<EngineStream> send(
+                HttpClientRequest r,
+                Buffer body,
+                Function<HttpClientResponse, Future<EngineStream>> onResponse) {
             request = r;
             if (isCancelled()) {
                 r.reset();
                 return Future.failedFuture("the request was cancelled before it was sent");
             }
-            return r.send(body);
+            return HttpEngineClient.send(r, body, onResponse);
         }
 
         private synchronized void reset() {
--- a/chat/src/test/java/org/godwithoist/chat/http/RepeatedEngineResponsesTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/http/RepeatedEngineResponsesTest.java
@@ -9,10 +9,15 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.godwithoist.accounting.Usage;
@@ -23,6 +28,7 @@
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.membership.ServiceState;
 import org.godwithoist.membership.Target;
 import org.junit.jupiter.api.AfterEach;
@@ -376,4 +382,58 @@
                     () -> Await.result(client.cancel(engine, attempt(1)), TIMEOUT));
         }
     }
+
+    /** Responses are whole in one segment, so that they arrive as soon as the request is sent. */
+    @Nested
+    final class ResponsesThatArriveAtOnce {
+        private static final int CALLERS = 32;
+        private static final int CALLS_OF_EACH = 200;
+
+        /** Runs calls of several callers at the same time and returns the failures. */
+        private List<Throwable> failures(Consumer<RequestId> call) throws InterruptedException {
+            List<Throwable> failures = Collections.synchronizedList(new ArrayList<>());
+            CountDownLatch done = new CountDownLatch(CALLERS);
+            for (int c = 0; c < CALLERS; c++) {
+                int first = c * CALLS_OF_EACH;
+                Tasks.start(
+                        "caller",
+                        () -> {
+                            for (int i = 0; i < CALLS_OF_EACH; i++) {
+                                try {
+                                    call.accept(attempt(first + i));
+                                } catch (RuntimeException | AssertionError e) {
+                                    failures.add(e);
+                                }
+                            }
+                            done.countDown();
+                        });
+            }
+            done.await();
+            return failures;
+        }
+
+        private void assertOwnText(RequestId attempt) {
+            String text = receive(attempt);
+            assertEquals(texts.get(attempt.value()), text);
+        }
+
+        /** Guards against a stream whose response ends before its events are read. */
+        @Test
+        void streamsAreForwarded() throws InterruptedException {
+            script =
+                    e -> {
+                        texts.put(e.attempt(), e.attempt());
+                        return response("", event(1, e.attempt()) + "data: [DONE]\n\n");
+                    };
+            assertEquals(List.of(), failures(this::assertOwnText));
+        }
+
+        /** Guards against a short call that waits for a body which has already arrived. */
+        @Test
+        void shortCallsEnd() throws InterruptedException {
+            script = e -> response(Naming.NAMED.field(e.header()), "{}");
+            assertEquals(
+                    List.of(), failures(a -> Await.result(client.hasAttempt(engine, a), TIMEOUT)));
+        }
+    }
 }
