Wait for the first bytes of a request before the stop in EdgeTest

Cause: the stop has to find a request of which the daemon has read the first bytes, and whose head may still come. The test waited 100 ms for the first and did not bound the second: it waited for a change of the settings in between, and the daemon drops a request whose head takes longer than 3 s.

Change: the test sets the grace period first, sends the bytes, waits until the daemon counts one request in progress, and begins the stop. It is as strict as before. Edge has an accessor for the count.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -194,6 +194,11 @@
         }
     }
 
+    /** Returns the number of requests in progress, from their first byte to their response. */
+    int requestsInProgress() {
+        return serving.requestsInProgress();
+    }
+
     /** Returns the address for callers, with the actual port if it was chosen by the system. */
     Endpoint callerAddress() {
         return new Endpoint(settings.frontend().ip(), callerListener.port());
--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -621,13 +621,21 @@
     final class EndOfShutdown {
         /** Starts a shutdown with a grace period of the given number of seconds. */
         private Thread stop(int graceSeconds) throws IOException {
+            setGracePeriod(graceSeconds);
+            return startStop();
+        }
+
+        private Thread startStop() {
+            return Thread.ofVirtual().start(fleet.edge::stop);
+        }
+
+        private void setGracePeriod(int graceSeconds) throws IOException {
             String text = Files.readString(fleet.settings);
             Tasks.sleep(Duration.ofMillis(20));
             Files.writeString(fleet.settings, text.replace("graceS=8", "graceS=" + graceSeconds));
             EdgeFixture.await(
                     "settings",
                     () -> fleet.log().contains("\"settings_read\",\"changed\":\"true\""));
-            return Thread.ofVirtual().start(fleet.edge::stop);
         }
 
         private ClientStandin.Response sendWithin(String method, String prefix, int millis)
@@ -721,11 +729,13 @@
         /** Guards against an exit as idle while the body of a request is still being read. */
         @Test
         void requestThatIsBeingReadCountsAsInProgress() throws Exception {
+            // The daemon gives a request 3 s from its first byte to the end of its head.
+            setGracePeriod(1);
             try (ClientStandin client = fleet.client()) {
                 client.sendRaw(
                         "POST " + ConfigText.BOOKING + "x HTTP/1.1\r\nContent-Length: 9\r\n");
-                Tasks.sleep(Duration.ofMillis(100));
-                Thread stop = stop(1);
+                EdgeFixture.await("first bytes", () -> fleet.edge.requestsInProgress() == 1);
+                Thread stop = startStop();
                 EdgeFixture.await(
                         "the request in progress",
                         () -> fleet.log().contains("\"stop\",\"in_progress\":1"));
