Remove the row of a prompt part that another daemon's evidence has released

Callers: after a restart of all daemons sound requests could be refused for 10 minutes or more as quarantined, although the fleet had released the part within a second. Cause: a daemon that does not know yet that a part was answered quarantines it after two crashes and writes its row. The evidence of the others releases the part, but only a release by an own observation removed the row. Change: a daemon removes the rows that it has written when their parts are no longer quarantined, whoever released them. A part is queued for saving once.

--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -46,9 +46,15 @@
 
     private volatile List<QuarantinedParts> quarantined = List.of();
 
-    /** Parts that an observation of this daemon has quarantined or released. */
+    /**
+     * Parts that an observation of this daemon has quarantined or released, and parts whose row it
+     * has written and that another daemon's evidence has released.
+     */
     private final Set<PromptPartId> unsaved = new HashSet<>();
 
+    /** Parts whose row this daemon has written and not removed. */
+    private final Set<PromptPartId> ownRows = new HashSet<>();
+
     /** Has a permit if this daemon has observed something since the last one was taken. */
     private final Semaphore observations = new Semaphore(0);
 
@@ -206,6 +212,9 @@
             changed |= merge(e, now);
         }
         update(changed, now);
+        if (changed) {
+            saveReleasedRows();
+        }
         return changed;
     }
 
@@ -227,8 +236,26 @@
         return changed;
     }
 
+    /** Makes the saving task remove own rows whose parts another daemon's evidence released. */
+    private void saveReleasedRows() {
+        Set<PromptPartId> released = new HashSet<>(ownRows);
+        released.removeAll(quarantinedParts());
+        if (unsaved.addAll(released)) {
+            saves.release();
+        }
+    }
+
     // ---- store
 
+    /** Records that this daemon has written or removed the row of a part. */
+    synchronized void recordRow(PromptPartId part, boolean exists) {
+        if (exists) {
+            ownRows.add(part);
+        } else {
+            ownRows.remove(part);
+        }
+    }
+
     /**
      * Waits until there are parts whose stored evidence this daemon must write or remove, until
      * {@link #wakeSavingTask()} is called, or for a time.
--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -7,14 +7,14 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Queue;
+import java.util.SequencedSet;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 import org.godwithoist.core.log.EventLog;
@@ -64,7 +64,7 @@
     private final Map<CheckReason, Long> checks = new EnumMap<>(CheckReason.class);
 
     /** Parts whose rows must be written or removed. */
-    private final Queue<PromptPartId> unsaved = new ArrayDeque<>();
+    private final SequencedSet<PromptPartId> unsaved = new LinkedHashSet<>();
 
     /**
      * Creates an instance that has read nothing yet.
@@ -203,8 +203,8 @@
         unsaved.addAll(quarantine.takeUnsaved());
         try {
             while (!unsaved.isEmpty()) {
-                save(unsaved.peek());
-                unsaved.remove();
+                save(unsaved.getFirst());
+                unsaved.removeFirst();
             }
             return true;
         } catch (IOException e) {
@@ -224,11 +224,13 @@
 
     private void write(PartEvidence evidence) throws IOException {
         byte[] value = encode(evidence);
+        quarantine.recordRow(evidence.part(), true);
         change("write", evidence.part(), key -> table.write(key, value));
     }
 
     private void remove(PromptPartId part) throws IOException {
         change("remove", part, table::remove);
+        quarantine.recordRow(part, false);
     }
 
     private void change(String action, PromptPartId part, RowChange change) throws IOException {
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
@@ -185,6 +185,23 @@
             assertTrue(table.rows.isEmpty());
         }
 
+        /** Guards against a row that stays because another daemon's evidence released its part. */
+        @Test
+        void rowIsRemovedByItsWriterWhenAnotherDaemonReleasesThePart() {
+            Daemon writer = new Daemon();
+            assertTrue(writer.stored.step());
+            Daemon other = new Daemon();
+            other.quarantine.recordResponse(POISON, other.ticker.nanos());
+            other.crash(1);
+            writer.crash(3);
+            assertTrue(writer.stored.step());
+            assertEquals(1, table.rows.size());
+            writer.quarantine.merge(other.quarantine.evidence());
+            assertFalse(writer.blocks());
+            assertTrue(writer.stored.step());
+            assertTrue(table.rows.isEmpty());
+        }
+
         /** Guards against rows that are kept without end. */
         @Test
         void expiredRowIsRemoved() {
