Remove rows with cleared crashes although later crashes count

Cause: the check removed a row only if no crash at all counted against its part. With one or two later crashes, too few for a quarantine, the row with its cleared crashes stayed. Change: the check removes the row of a part that is not quarantined if one of the row's crashes was cleared.

--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -299,11 +299,15 @@
     }
 
     /**
-     * Returns whether no crash counts against a known part; false for a part that this daemon does
-     * not know or has no room to remember.
+     * Returns whether the stored evidence against a part that is not quarantined contains crashes
+     * that do not count any more; false for a part that this daemon does not know or has no room to
+     * remember.
      */
-    synchronized boolean isCleared(PromptPartId part) {
-        return suspects.find(part).filter(s -> !s.hasCrashes()).isPresent();
+    synchronized boolean isOutdated(PartEvidence stored) {
+        return suspects.find(stored.part())
+                .filter(s -> !quarantinedParts().contains(s.part()))
+                .filter(s -> !s.hasCrashes() || s.hasCleared(stored.crashes().keySet()))
+                .isPresent();
     }
 
     // ---- decisions
--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -167,7 +167,7 @@
                 decode(row).ifPresent(e -> stored.put(e.part(), e));
             }
             quarantine.merge(stored.values());
-            removeCleared(stored.values());
+            removeOutdated(stored.values());
             writeMissing(stored);
             loaded = true;
             removeDueChecks(startedAt);
@@ -190,9 +190,9 @@
     }
 
     /** Removes the rows of parts whose crashes were cleared or are too old to count. */
-    private void removeCleared(Collection<PartEvidence> evidence) throws IOException {
+    private void removeOutdated(Collection<PartEvidence> evidence) throws IOException {
         for (PartEvidence e : evidence) {
-            if (quarantine.isCleared(e.part())) {
+            if (quarantine.isOutdated(e)) {
                 remove(e.part());
             }
         }
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
@@ -372,6 +372,19 @@
             assertTrue(table.rows.isEmpty());
         }
 
+        /** Guards against cleared crashes that block a part again beside too few later ones. */
+        @Test
+        void rowWithClearedCrashesIsRemovedAlthoughOthersCount() {
+            Map<String, byte[]> copy = saveSixCrashes();
+            releaseAndForgetAnnouncement();
+            first.quarantine.recordCrash(new TargetIncarnation(new TargetId("later"), 1), POISON);
+            table.rows.putAll(copy);
+            first.stored.storeRestored();
+            assertTrue(first.stored.step());
+            assertFalse(first.blocks());
+            assertTrue(table.rows.isEmpty());
+        }
+
         /** Guards against a whole fleet that believes a daemon which has read the row too soon. */
         @Test
         void daemonThatHasReadTheRowOfAReleasedPartIsCorrected() {
