--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
@@ -187,6 +187,23 @@
             assertTrue(table.rows.isEmpty());
         }
 
+        /** Guards against a row that stays because another daemon's evidence released its part. */
+        @Test
+        void rowIsRemovedByItsWriterWhenAnotherDaemonReleasesThePart() {
+            Daemon writer = new Daemon();
+            assertTrue(writer.stored.step());
+            Daemon other = new Daemon();
+            other.quarantine.recordResponse(POISON, other.ticker.nanos());
+            other.crash(1);
+            writer.crash(3);
+            assertTrue(writer.stored.step());
+            assertEquals(1, table.rows.size());
+            writer.quarantine.merge(other.quarantine.evidence());
+            assertFalse(writer.blocks());
+            assertTrue(writer.stored.step());
+            assertTrue(table.rows.isEmpty());
+        }
+
         /** Guards against rows that are kept without end. */
         @Test
         void expiredRowIsRemoved() {
@@ -357,6 +374,19 @@
             assertTrue(table.rows.isEmpty());
         }
 
+        /** Guards against cleared crashes that block a part again beside too few later ones. */
+        @Test
+        void rowWithClearedCrashesIsRemovedAlthoughOthersCount() {
+            Map<String, byte[]> copy = saveSixCrashes();
+            releaseAndForgetAnnouncement();
+            first.quarantine.recordCrash(new TargetIncarnation(new TargetId("later"), 1), POISON);
+            table.rows.putAll(copy);
+            first.stored.storeRestored();
+            assertTrue(first.stored.step());
+            assertFalse(first.blocks());
+            assertTrue(table.rows.isEmpty());
+        }
+
         /** Guards against a whole fleet that believes a daemon which has read the row too soon. */
         @Test
         void daemonThatHasReadTheRowOfAReleasedPartIsCorrected() {
