--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableRestoreTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableRestoreTest.java
@@ -20,6 +20,8 @@
 import org.godwithoist.core.time.VirtualTicker;
 import org.godwithoist.store.feed.FeedPage;
 import org.godwithoist.store.feed.FeedRow;
+import org.godwithoist.store.feed.StoreEra;
+import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.WritableTable;
 import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
@@ -76,7 +78,7 @@
             checkAvailable();
             List<FeedRow> list = new ArrayList<>();
             rows.forEach((key, value) -> list.add(new FeedRow(key, value, 1, false)));
-            return new FeedPage(list, 1);
+            return new FeedPage(list, new StoreVersion(StoreEra.UNKNOWN, 1));
         }
 
         @Override
@@ -108,7 +110,7 @@
         }
 
         @Override
-        public FeedPage changes(long after, Duration wait) {
+        public FeedPage changes(StoreVersion after, Duration wait) {
             throw new UnsupportedOperationException("not used");
         }
 
