Take an equal copy without a stated end for no confirmation

Callers could be told a part of a body as whole: a target sends the first bytes of a body, then the first bytes of its copy on the same connection, and closes it.

Cause: two guesses taken for a confirmation. The end of the copy was only the end of the connection, and the target was not even asked whether it is there.

Change: such a copy is evidence of its own, EQUAL_UNSTATED_COPY, and leaves the end in doubt. A body before it is passed on without a stated end, also a read where ends are stated as a rule: whole bodies before whole copies look the same, and SecondCopyTest demands that they are not lost.

Evidence: HttpTargetGatewayTest partBeforeACopyThatIsCutAtTheSamePlaceIsNotTold- AsWhole failed on ("the end of a part was stated", load average 13 to 15) and passes.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
@@ -7,10 +7,18 @@
 public enum EndEvidence {
     /** The target has stated the end, and nothing contradicts it. */
     STATED(Meaning.WHOLE, true),
-    /** A copy of the response that follows it on the connection has the same size and bytes. */
+    /**
+     * A copy of the response that follows it on the connection and states its end has the same size
+     * or bytes.
+     */
     EQUAL_COPY(Meaning.WHOLE, true),
     /** A copy of the response whose end is stated; it takes the place of the response. */
     WHOLE_COPY(Meaning.WHOLE, true),
+    /**
+     * A copy that follows on the connection has the same bytes, but does not state its end either:
+     * both may be cut at the same place.
+     */
+    EQUAL_UNSTATED_COPY(Meaning.DOUBTFUL, true),
     /** The connection was closed in an orderly way, and the target is still there. */
     ORDERLY_CLOSE(Meaning.DOUBTFUL, true),
     /**
--- a/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
@@ -13,9 +13,9 @@
 
     /**
      * Returns how the end of a response is told that no other target is asked about. A caller can
-     * repeat a request that may run again, so it gets no body in doubt where that is unusual. A
-     * request that may run only once has no other response, and the events of a stream have been
-     * sent by then.
+     * repeat a request that may run again, so it gets no body in doubt where that is unusual,
+     * unless the target has ended two of the same size. A request that may run only once has no
+     * other response, and the events of a stream have been sent by then.
      *
      * @param evidence what shows whether the response has reached its end
      * @param route route of the request
@@ -26,7 +26,7 @@
             return STATED;
         }
         boolean isReplaceable = route.allowsReexecution() && !route.kind().isEventStream();
-        boolean refused = isReplaceable && isUnusual;
+        boolean refused = isReplaceable && isUnusual && evidence != EndEvidence.EQUAL_UNSTATED_COPY;
         return evidence.mayBeWhole() && !refused ? UNSTATED : BROKEN;
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -207,7 +207,8 @@
         }
         Copy copy = readCopy(framing, body.checksum().startComparison());
         if (copy.match() == BodyChecksum.Match.EQUAL && !body.end().isStated()) {
-            return Judgement.of(EndEvidence.EQUAL_COPY);
+            boolean stated = framing.kind().bodyEnd().isStated();
+            return Judgement.of(stated ? EndEvidence.EQUAL_COPY : EndEvidence.EQUAL_UNSTATED_COPY);
         }
         if (same && copy.body().isPresent() && !stream) {
             return new Judgement(EndEvidence.WHOLE_COPY, copy.body());
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -397,6 +397,18 @@
             assertEquals(AttemptOutcome.LOST, result.outcome(), result.detail());
         }
 
+        /**
+         * Guards against two parts on one connection that were cut at the same place and confirm
+         * each other.
+         */
+        @Test
+        void partBeforeACopyThatIsCutAtTheSamePlaceIsNotToldAsWhole() {
+            String part = head(200, "Id: {id}\r\n") + WHOLE.substring(0, CUT);
+            TestResponse caller = new TestResponse();
+            attemptWith(part + part, caller);
+            assertFalse(caller.statesEnd(), "the end of a part was stated");
+        }
+
         /** Guards against a long whole response that is broken off because of its copy. */
         @Test
         void longResponseBeforeItsCopyIsPassedOn() {
