Compare the bytes of a copy that does not name its request

Callers could be told a part of a body as whole if a response without an id and of the same status and size follows on the connection.

Cause: the stated length of that response counted as a confirmation, although nothing shows that it is a copy.

Change: the length alone confirms only if the copy has the id and the signature of the response. Otherwise its bytes must be the same and its end stated.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -202,7 +202,8 @@
         String method = attempt.request().head().method();
         Framing framing = Framing.ofResponse(head.getCode(), method, head.getHeaders());
         boolean hasLength = framing.kind() == Framing.Kind.LENGTH;
-        if (!body.end().isStated() && hasLength && framing.length() == body.checksum().length()) {
+        boolean sameLength = hasLength && framing.length() == body.checksum().length();
+        if (same && sameLength && !body.end().isStated()) {
             return Judgement.of(EndEvidence.EQUAL_COPY);
         }
         Copy copy = readCopy(framing, body.checksum().startComparison());
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -409,6 +409,20 @@
             assertFalse(caller.statesEnd(), "the end of a part was stated");
         }
 
+        /** Guards against the size of another response that confirms a part. */
+        @Test
+        void partBeforeAnUnnamedResponseOfItsSizeIsNotToldAsWhole() {
+            String response =
+                    head(200, "Id: {id}\r\n")
+                            + WHOLE.substring(0, CUT)
+                            + head(200, length(CUT))
+                            + "x".repeat(CUT);
+            TestResponse caller = new TestResponse();
+            AttemptResult result = attemptWith(response, caller);
+            assertFalse(caller.statesEnd(), "the end of a part was stated");
+            assertEquals(AttemptOutcome.LOST, result.outcome(), result.detail());
+        }
+
         /** Guards against a long whole response that is broken off because of its copy. */
         @Test
         void longResponseBeforeItsCopyIsPassedOn() {
