Find copies that have neither an id nor a length

Callers could be told a mix of two runs as whole: a target breaks off inside a chunk, and the head of a copy without an id ends where the chunk does, so that the copy's chunks go on. Behind a body without a stated end, a copy without any field of a target, a length or a type was passed on as a part of the body.

Cause: SelfCopy knows a copy without an id only by its length, and looked for one only in bodies whose end is stated.

Change: a head is also that of a copy if it states no length and at least 16 bytes of the beginning of the body follow it. A body that begins with a status line is not judged so, because a record of several messages repeats itself. Long bodies and streams are not searched, as before.

SelfCopyTest gets two texts that must still pass.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -97,7 +97,7 @@
      * Judges the end of a body whose bytes were kept. Finds copies without an id inside it, too.
      */
     Judgement judge(TargetBody body, byte[] bytes) throws IOException {
-        if (body.end().isStated() && SelfCopy.isIn(bytes)) {
+        if (SelfCopy.isIn(bytes)) {
             attempt.target().recordCutBody();
             throw new IncompleteBodyException(EndEvidence.RESPONSE_INSIDE);
         }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/SelfCopy.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/SelfCopy.java
@@ -7,9 +7,9 @@
 import java.util.regex.Pattern;
 
 /**
- * Finds a second response inside a body that the beginning of this response, its head and the
- * beginning of the body again have filled up to the stated length. The second head may lack an id.
- * A text that quotes another response is none: its length and its bytes differ.
+ * Finds a second response inside a body: the beginning of the body, a head, and the beginning of
+ * the body again. The second head may lack an id. A text that quotes another response is none: its
+ * length or its bytes differ.
  */
 final class SelfCopy {
     /**
@@ -25,14 +25,22 @@
                             + NO_INNER_STATUS_LINE
                             + "[^\\r\\n]*+\\r?\\n((?:"
                             + NO_INNER_STATUS_LINE
-                            + "[^:\\r\\n]++:[^\\r\\n]*+\\r?\\n)++)\\r?\\n");
+                            + "[^:\\r\\n]++:[^\\r\\n]*+\\r?\\n)++)(\\r?\\n)?+");
+
+    /**
+     * Size from which the beginning of a body behind a head without a length is no coincidence, in
+     * bytes.
+     */
+    private static final int MIN_REPEATED_BYTES = 16;
+
+    private static final String STATUS_LINE_START = "HTTP/";
 
     private static final Pattern LENGTH =
             Pattern.compile("(?m)^content-length:\\s*(\\d{1,9})\\s*$");
 
     private SelfCopy() {}
 
-    /** Returns whether a body contains the head of a response of its size, and then its start. */
+    /** Returns whether a body contains the head of a copy of its response, and then its start. */
     static boolean isIn(byte[] body) {
         if (!mayContainHead(body)) {
             return false;
@@ -40,15 +48,26 @@
         String text = new String(body, StandardCharsets.ISO_8859_1);
         Matcher head = HEAD.matcher(text);
         while (head.find()) {
-            Matcher length = LENGTH.matcher(head.group(1).toLowerCase(Locale.ROOT));
-            boolean sameSize = length.find() && Integer.parseInt(length.group(1)) == body.length;
-            if (sameSize && startsAgain(body, head)) {
+            if (isOfCopy(head, body, text)) {
                 return true;
             }
         }
         return false;
     }
 
+    private static boolean isOfCopy(Matcher head, byte[] body, String text) {
+        Matcher length = LENGTH.matcher(head.group(1).toLowerCase(Locale.ROOT));
+        if (length.find()) {
+            boolean sameSize = Integer.parseInt(length.group(1)) == body.length;
+            return sameSize && head.group(2) != null && startsAgain(body, head);
+        }
+        // A chunk may have ended at the empty line after the fields. A record of several messages
+        // repeats its beginning, too.
+        return repeatableBytes(body, head) >= MIN_REPEATED_BYTES
+                && !text.startsWith(STATUS_LINE_START)
+                && startsAgain(body, head);
+    }
+
     /** Saves most bodies the decoding. */
     private static boolean mayContainHead(byte[] body) {
         for (int i = 0; i + 5 < body.length; i++) {
@@ -59,9 +78,13 @@
         return false;
     }
 
+    private static int repeatableBytes(byte[] body, Matcher head) {
+        return Math.min(head.start(), body.length - head.end());
+    }
+
     /** Returns whether what follows a head is what precedes it, as far as both go. */
     private static boolean startsAgain(byte[] body, Matcher head) {
-        int n = Math.min(head.start(), body.length - head.end());
+        int n = repeatableBytes(body, head);
         return Arrays.equals(body, 0, n, body, head.end(), head.end() + n);
     }
 }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -423,6 +423,34 @@
             assertEquals(AttemptOutcome.LOST, result.outcome(), result.detail());
         }
 
+        /** Guards against a chunk filled up by a copy in chunks that has no id. */
+        @Test
+        void chunkFilledUpByAnUnnamedCopyInChunksIsNotWhole() {
+            String coding = "Transfer-Encoding: chunked\r\n";
+            String chunk = Integer.toHexString(WHOLE.length()) + "\r\n" + WHOLE;
+            String unnamed = head(200, coding);
+            String size = Integer.toHexString(CUT + unnamed.length() - 2) + "\r\n";
+            String response =
+                    head(200, "Id: {id}\r\n" + coding)
+                            + size
+                            + WHOLE.substring(0, CUT)
+                            + unnamed
+                            + chunk
+                            + "\r\n0\r\n\r\n";
+            TestResponse caller = new TestResponse();
+            AttemptResult result = attemptWith(response, caller);
+            assertEquals(AttemptOutcome.LOST, result.outcome(), caller.body());
+        }
+
+        /** Guards against a copy without fields of a target that is told as a part of the body. */
+        @Test
+        void unnamedCopyBehindABodyWithoutAStatedEndDoesNotReachTheCaller() {
+            String response = head(200, "Id: {id}\r\n") + WHOLE + head(200, "") + WHOLE;
+            TestResponse caller = new TestResponse();
+            attemptWith(response, caller);
+            assertFalse(caller.body().contains("HTTP/1.1"), caller.body());
+        }
+
         /** Guards against a long whole response that is broken off because of its copy. */
         @Test
         void longResponseBeforeItsCopyIsPassedOn() {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/SelfCopyTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/SelfCopyTest.java
@@ -43,6 +43,9 @@
         void isPassedOn() {
             assertFalse(isIn("see: " + head(5) + "hello, which is all"));
             assertFalse(isIn("HTTP is spoken here, and HTTP/1.1 200 OK is a status line"));
+            String sameStart = "HTTP/1.1 200 OK\r\nDate: now\r\n\r\n".repeat(4);
+            assertFalse(isIn(sameStart), "a record of messages");
+            assertFalse(isIn("first part: HTTP/1.1 200 OK\r\nDate: now\r\n\r\nother part"));
             String quote = "see: " + head(100) + "x".repeat(200);
             assertFalse(isIn(quote.substring(0, 100)));
         }
