Count no response without a body as one with a stated end

Callers of reads could get 502 for whole responses: after a response with status 204, or to a HEAD request, ends counted as stated as a rule for 60 s, although the service has not stated the end of any body.

Cause: the framing of a response without a body counts as a length of 0.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -148,7 +148,7 @@
             attempt.target().recordUnrequestedResponse();
             return evidenceOfNext(body, stream);
         }
-        if (body.end().isStated() && ResponseHead.isSuccess(status)) {
+        if (body.isPresent() && body.end().isStated() && ResponseHead.isSuccess(status)) {
             attempt.recordStatedEnd();
         }
         return Judgement.of(body.end().isStated() ? EndEvidence.STATED : EndEvidence.ORDERLY_CLOSE);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetBody.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetBody.java
@@ -40,6 +40,11 @@
         return framing.kind().bodyEnd();
     }
 
+    /** Returns whether the response has a body, by its status and the method of its request. */
+    boolean isPresent() {
+        return framing.kind() != Framing.Kind.NONE;
+    }
+
     /** Returns the size and the checksum of what was read. */
     BodyChecksum checksum() {
         return checksum;
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -73,6 +73,7 @@
 
     private final Ticker ticker = Ticker.SYSTEM;
     private final EventLog log = EventLog.start(new ByteArrayOutputStream());
+    private final StatedEnds statedEnds = new StatedEnds(ticker);
     private TargetServer server;
     private Target target;
     private HttpTargetGateway gateway;
@@ -135,7 +136,7 @@
                         OptionalLong.empty(),
                         false,
                         false,
-                        new StatedEnds(ticker),
+                        statedEnds,
                         target.startWaiting()),
                 caller);
     }
@@ -463,6 +464,19 @@
         }
     }
 
+    /** Scenario: the status says that there is no body. */
+    @Nested
+    final class ResponseWithoutABody {
+        /** Guards against whole bodies that are refused because an empty response has no body. */
+        @Test
+        void doesNotCountAsAStatedEnd() {
+            server.respond("/empty", "HTTP/1.1 204 Status\r\nKeep-Alive: 5\r\nId: {id}\r\n\r\n");
+            AttemptResult result = attempt("/empty", new TestResponse());
+            assertEquals(AttemptOutcome.ANSWERED, result.outcome(), result.detail());
+            assertFalse(statedEnds.areUsual(SERVICE, ROUTE.kind()));
+        }
+    }
+
     /** Response to a caller that may leave when it has the complete response. */
     private static final class TestResponse implements CallerResponse {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
