Keep stated ends by route

Callers of reads could get 502 for whole responses: a service that states the ends of one route's bodies, and ends those of another one of the same kind with the connection, lost the latter for as long as the former had requests. Both targets that a read may ask respond in the same way.

Cause: what is usual was kept by service and kind of route, but a service may frame the bodies of different paths in different ways.

Change: it is kept by service and route.

Evidence: DoubtfulEndTest readIsToldUnstatedWhereAnotherRouteStatesEnds. The other tests of the class record the ends of their own route, as the daemon does.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -53,13 +53,13 @@
     /** Returns how the caller is told an end that no other target is asked about. */
     public ToldEnd toldEnd(EndEvidence evidence) {
         boolean isUnusual =
-                statedEnds.areUsual(target.entry().service(), route.kind())
+                statedEnds.areUsual(target.entry().service(), route.id())
                         || target.isKnownToCutBodies();
         return ToldEnd.of(evidence, route, isUnusual);
     }
 
     /** Records that the target has stated the end of a successful response. */
     public void recordStatedEnd() {
-        statedEnds.record(target.entry().service(), route.kind());
+        statedEnds.record(target.entry().service(), route.id());
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -27,7 +27,7 @@
 
         ToldEnd toldEnd(Route route, StatedEnds statedEnds) {
             boolean isUnusual =
-                    statedEnds.areUsual(target.entry().service(), route.kind())
+                    statedEnds.areUsual(target.entry().service(), route.id())
                             || target.isKnownToCutBodies();
             return ToldEnd.of(evidence, route, isUnusual);
         }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
@@ -28,6 +28,7 @@
 
 final class DoubtfulEndTest {
     private static final ServiceId SERVICE = new ServiceId("service");
+    private static final RouteId ROUTE = new RouteId("r");
 
     private final VirtualTicker ticker = new VirtualTicker();
     private final TargetDirectory directory = new TargetDirectory(ticker);
@@ -75,7 +76,7 @@
 
     private static Route route(RouteKind kind) {
         return new Route(
-                new RouteId("r"),
+                ROUTE,
                 "host",
                 "/",
                 kind,
@@ -104,10 +105,18 @@
             assertEquals(ToldEnd.UNSTATED, toldEnd(kind));
         }
 
+        /** Guards against reads that are lost because of the ends of another route's responses. */
+        @Test
+        void readIsToldUnstatedWhereAnotherRouteStatesEnds() {
+            statedEnds.record(SERVICE, new RouteId("other"));
+            record(first, "body");
+            assertEquals(ToldEnd.UNSTATED, toldEnd(RouteKind.IDEMPOTENT));
+        }
+
         /** Guards against a part of a read that is told where the caller can repeat it. */
         @Test
         void readIsNotToldWhereEndsAreStatedAsARule() {
-            statedEnds.record(SERVICE, RouteKind.IDEMPOTENT);
+            statedEnds.record(SERVICE, ROUTE);
             record(first, "body");
             assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
             assertTrue(end.isPresent());
@@ -116,7 +125,7 @@
         /** Guards against a response that cannot be repeated and is lost. */
         @Test
         void bookingIsToldUnstatedWhereEndsAreStatedAsARule() {
-            statedEnds.record(SERVICE, RouteKind.NON_IDEMPOTENT);
+            statedEnds.record(SERVICE, ROUTE);
             first.recordCutBody();
             record(first, "body");
             assertEquals(ToldEnd.UNSTATED, toldEnd(RouteKind.NON_IDEMPOTENT));
@@ -125,7 +134,7 @@
         /** Guards against reads that are refused because of ends that were stated long ago. */
         @Test
         void statedEndsAreForgotten() {
-            statedEnds.record(SERVICE, RouteKind.IDEMPOTENT);
+            statedEnds.record(SERVICE, ROUTE);
             ticker.advance(Duration.ofMinutes(2));
             record(first, "body");
             assertEquals(ToldEnd.UNSTATED, toldEnd(RouteKind.IDEMPOTENT));
@@ -153,7 +162,7 @@
         /** Guards against two parts that were cut at the same place and confirm each other. */
         @Test
         void responsesOfTheSameSizeConfirmNothing() {
-            statedEnds.record(SERVICE, RouteKind.IDEMPOTENT);
+            statedEnds.record(SERVICE, ROUTE);
             record(first, "body one");
             record(second, "body two");
             assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
@@ -180,7 +189,7 @@
         /** Guards against one of two parts that is told as whole. */
         @Test
         void responsesThatDifferAreNotToldWhereEndsAreStatedAsARule() {
-            statedEnds.record(SERVICE, RouteKind.IDEMPOTENT);
+            statedEnds.record(SERVICE, ROUTE);
             record(first, "body of a run");
             record(second, "another one");
             assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -473,7 +473,7 @@
             server.respond("/empty", "HTTP/1.1 204 Status\r\nKeep-Alive: 5\r\nId: {id}\r\n\r\n");
             AttemptResult result = attempt("/empty", new TestResponse());
             assertEquals(AttemptOutcome.ANSWERED, result.outcome(), result.detail());
-            assertFalse(statedEnds.areUsual(SERVICE, ROUTE.kind()));
+            assertFalse(statedEnds.areUsual(SERVICE, ROUTE.id()));
         }
     }
 
