--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -131,6 +131,19 @@
             }
         }
 
+        /** Guards against a close that discards a body because the next request is not read. */
+        @Test
+        void bodyArrivesAlthoughTheNextRequestWasSentBehind() throws IOException {
+            setFault(RunnerFault.UNFRAMED);
+            try (ClientStandin client = fleet.client()) {
+                client.send("POST", ConfigText.BOOKING + "x", fleet.validFields(), "text");
+                client.send("POST", ConfigText.BOOKING + "x", fleet.validFields(), "text");
+                String body = client.receive().body();
+                assertTrue(body.startsWith("answer of desk-"), body);
+            }
+            assertEquals(1, fleet.runCount(fleet.desks));
+        }
+
         /** Guards against a truncated stream that the caller takes for complete. */
         @Test
         void streamThatEndsInsideAnEventAndCannotBeResumedIsAborted() {
--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -118,6 +118,16 @@
         store.close();
     }
 
+    /** Ends the daemon without a warning. */
+    void killDaemon() {
+        daemon.process().destroyForcibly();
+    }
+
+    /** Asks the daemon to end. */
+    void stopDaemon() {
+        daemon.process().destroy();
+    }
+
     private void add(ScriptedRunner target) {
         targets.add(target);
         store.put("servers", target.id(), target.entry());
--- a/edge/src/test/java/org/godwithoist/edge/UnstatedEndTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/UnstatedEndTest.java
@@ -2,12 +2,16 @@
 
 import static org.godwithoist.edge.ScriptedFleet.assertNone;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.edge.ScriptedFleet.Result;
 import org.godwithoist.edge.ScriptedFleet.RouteKind;
 import org.godwithoist.standins.edge.ScriptedResponse;
@@ -149,6 +153,40 @@
         }
     }
 
+    /** Scenario: the daemon ends after it has sent a stream whose connection is still open. */
+    @Nested
+    final class DaemonThatEnds {
+        private static final Duration TIME_TO_SEND = Duration.ofMillis(150);
+
+        /** The target closes the connection some time after the last byte. */
+        private static final ScriptedResponse LATE_CLOSE =
+                new ScriptedResponse(Framing.CONNECTION, Cut.NONE, Copy.NONE, Moment.LATE, 200);
+
+        private Result receiveWhile(Runnable endOfDaemon) throws Exception {
+            fleet.sendSoundRequests(RouteKind.STREAM);
+            CompletableFuture<Result> result = new CompletableFuture<>();
+            Tasks.start("caller", () -> result.complete(fleet.send(RouteKind.STREAM, LATE_CLOSE)));
+            Tasks.sleep(TIME_TO_SEND);
+            endOfDaemon.run();
+            return result.get();
+        }
+
+        /** Guards against the end of a killed process that ends a stream in an orderly way. */
+        @Test
+        void killedDaemonDoesNotEndTheStream() throws Exception {
+            Result result = receiveWhile(fleet::killDaemon);
+            assertEquals(0, result.status(), result::body);
+        }
+
+        /** Guards against a stream that a planned stop cuts. */
+        @Test
+        void stoppedDaemonCompletesTheStream() throws Exception {
+            Result result = receiveWhile(fleet::stopDaemon);
+            assertEquals(200, result.status(), result::body);
+            assertFalse(fleet.isWrong(result), result::body);
+        }
+    }
+
     /** Scenario: the bodies are whole. */
     @Nested
     final class WholeResponses {
