Send nothing behind the head of a response without a body

Callers got a last chunk behind a response with status 204 on a streaming route, and the body of a refusal behind one to a HEAD request. Neither has a body, so that the caller takes these bytes for the beginning of the next response. A response to HEAD was told with "Content-Length: 0", a length that nobody stated.

Cause: HttpCallerResponse knew neither the method nor the meaning of the status.

HeadOnly (2 cases) needs the new method headOnly and was not run before; by reading, the same code wrote both.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/ResponseHead.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/ResponseHead.java
@@ -13,6 +13,8 @@
 public record ResponseHead(int status, List<HeaderField> fields, BodyEnd end, long length) {
     private static final int FIRST_SUCCESS = 200;
     private static final int FIRST_REDIRECT = 300;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
 
     /**
      * Creates the head of a response that is forwarded while it is read.
@@ -34,6 +36,11 @@
         return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
     }
 
+    /** Returns whether the status permits a body. */
+    public boolean hasBody() {
+        return status != NO_CONTENT && status != NOT_MODIFIED;
+    }
+
     /** Returns this head for a body that is known to be whole. */
     public ResponseHead withLength(long bytes) {
         return new ResponseHead(status, fields, BodyEnd.LENGTH, bytes);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -127,6 +127,7 @@
             throws IOException, HttpException, RefusedException {
         Header[] headers = httpRequest.getHeaders();
         response.keepOpen(!HeaderFields.connectionOptions(headers).contains("close"));
+        response.headOnly(httpRequest.getMethod().equals("HEAD"));
         Framing framing = Framing.ofRequest(headers);
         RequestHead head =
                 dependencies
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -18,6 +18,8 @@
     private final MessageWriter writer;
     private final ServingStatus status;
     private boolean keepOpen = true;
+    private boolean isHead;
+    private boolean hasBody = true;
     private volatile boolean started;
     private boolean finished;
     private BodyEnd end = BodyEnd.LENGTH;
@@ -33,6 +35,11 @@
         keepOpen = value;
     }
 
+    /** Sets whether the request asks for the head of the response only. */
+    void headOnly(boolean value) {
+        isHead = value;
+    }
+
     /** Returns whether the end of the connection is the end of the body. */
     boolean endsWithConnection() {
         return finished && end == BodyEnd.CONNECTION;
@@ -49,6 +56,14 @@
         writer.startLine("HTTP/1.1 " + head.status() + " " + reasonPhrase(head.status()));
         writer.fields(head.fields());
         end = head.end();
+        hasBody = !isHead && head.hasBody();
+        if (hasBody) {
+            writeFraming(head);
+        }
+        endHead();
+    }
+
+    private void writeFraming(ResponseHead head) throws IOException {
         switch (end) {
             case LENGTH -> writer.field("Content-Length", Long.toString(head.length()));
             case MARK -> writer.field("Transfer-Encoding", "chunked");
@@ -59,7 +74,6 @@
                 socket.resetOnClose(true);
             }
         }
-        endHead();
     }
 
     private void endHead() throws IOException {
@@ -72,6 +86,9 @@
 
     @Override
     public void write(byte[] bytes, int from, int length) throws IOException {
+        if (!hasBody) {
+            return;
+        }
         if (end == BodyEnd.MARK) {
             writer.chunk(bytes, from, length);
         } else {
@@ -84,7 +101,7 @@
 
     @Override
     public void finish() throws IOException {
-        if (end == BodyEnd.MARK) {
+        if (hasBody && end == BodyEnd.MARK) {
             writer.lastChunk();
         }
         writer.flush();
@@ -114,7 +131,9 @@
             writer.field("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
         }
         endHead();
-        writer.bytes(body, 0, body.length);
+        if (!isHead) {
+            writer.bytes(body, 0, body.length);
+        }
         writer.flush();
         finished = true;
     }
--- /dev/null
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpCallerResponseTest.java
@@ -0,0 +1,98 @@
+package org.godwithoist.dispatch.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.dispatch.BodyEnd;
+import org.godwithoist.dispatch.Refusal;
+import org.godwithoist.dispatch.ResponseHead;
+import org.godwithoist.dispatch.ServingStatus;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What callers read of the responses that are sent to them. */
+final class HttpCallerResponseTest {
+    private ServerSocket server;
+    private Socket caller;
+    private ReadAheadSocket socket;
+    private HttpCallerResponse response;
+
+    @BeforeEach
+    void connect() throws IOException {
+        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        caller = new Socket(server.getInetAddress(), server.getLocalPort());
+        socket = new ReadAheadSocket(server.accept(), "caller", Ticker.SYSTEM);
+        response =
+                new HttpCallerResponse(
+                        socket, new MessageWriter(socket.output()), new ServingStatus());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        socket.close();
+        caller.close();
+        server.close();
+    }
+
+    private String received() throws IOException {
+        socket.closeGracefully(0);
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private static void assertOnlyAHead(String received) {
+        assertTrue(received.endsWith("\r\n\r\n"), received);
+        assertEquals(received.length(), received.indexOf("\r\n\r\n") + 4, received);
+    }
+
+    /** Scenario: the request asks for the head of a response. */
+    @Nested
+    final class HeadOnly {
+        /** Guards against a length of 0 of a body that has another one, and against a body. */
+        @Test
+        void noLengthIsInvented() throws IOException {
+            response.headOnly(true);
+            ResponseHead head = ResponseHead.of(200, List.of(), BodyEnd.LENGTH);
+            response.start(head.withLength(0));
+            response.write(new byte[0], 0, 0);
+            response.finish();
+            String received = received();
+            assertOnlyAHead(received);
+            assertFalse(received.contains("Content-Length"), received);
+        }
+
+        /** Guards against the body of a refusal that the caller takes for the next response. */
+        @Test
+        void refusalHasNoBody() throws IOException {
+            response.headOnly(true);
+            response.refuse(Refusal.NO_TARGET, Duration.ofSeconds(1));
+            assertOnlyAHead(received());
+        }
+    }
+
+    /** Scenario: the status says that there is no body. */
+    @Nested
+    final class StatusWithoutABody {
+        /** Guards against a last chunk that the caller takes for the next response. */
+        @ParameterizedTest
+        @ValueSource(ints = {204, 304})
+        void nothingFollowsTheHead(int status) throws IOException {
+            response.start(ResponseHead.of(status, List.of(), BodyEnd.MARK));
+            response.write(new byte[0], 0, 0);
+            response.finish();
+            assertOnlyAHead(received());
+        }
+    }
+}
