Send callers that speak HTTP/1.0 no chunks

Callers that speak HTTP/1.0 got streams, and bodies of 64 KB and more, in chunks, which they cannot read: the sizes are parts of the body for them, and the close after a stream that broke off is its end, so that a part is told as whole. The connection stayed open, also behind a length, until the idle limit.

Cause: the version of the request was not looked at.

Change: such a body ends with the connection, which is reset unless the body is whole, and a connection carries one such request.

Evidence: BrokenResponsesTest CallersWithoutChunks, 3 of 3 cases failed on (load average 20): no end within 15 s in two, and no error for a broken stream. BrokenResponsesTest passes 35 of 35 (load 14 to 20).

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.godwithoist.catalog.RequestLimits;
@@ -126,7 +127,9 @@
             ClassicHttpRequest httpRequest, RequestLimits limits, HttpCallerResponse response)
             throws IOException, HttpException, RefusedException {
         Header[] headers = httpRequest.getHeaders();
-        response.keepOpen(!HeaderFields.connectionOptions(headers).contains("close"));
+        boolean isCurrent = !httpRequest.getVersion().lessEquals(HttpVersion.HTTP_1_0);
+        response.takesChunks(isCurrent);
+        response.keepOpen(isCurrent && !HeaderFields.connectionOptions(headers).contains("close"));
         response.headOnly(httpRequest.getMethod().equals("HEAD"));
         Framing framing = Framing.ofRequest(headers);
         RequestHead head =
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -19,6 +19,7 @@
     private final ServingStatus status;
     private boolean keepOpen = true;
     private boolean isHead;
+    private boolean takesChunks = true;
     private boolean hasBody = true;
     private volatile boolean started;
     private boolean finished;
@@ -40,6 +41,14 @@
         isHead = value;
     }
 
+    /**
+     * Sets whether the caller can read chunks, which HTTP/1.0 does not have. Without them, a body
+     * of unknown length ends with the connection.
+     */
+    void takesChunks(boolean value) {
+        takesChunks = value;
+    }
+
     /** Returns whether the end of the connection is the end of the body. */
     boolean endsWithConnection() {
         return finished && end == BodyEnd.CONNECTION;
@@ -55,7 +64,8 @@
         started = true;
         writer.startLine("HTTP/1.1 " + head.status() + " " + reasonPhrase(head.status()));
         writer.fields(head.fields());
-        end = head.end();
+        boolean needsChunks = head.end() == BodyEnd.MARK;
+        end = needsChunks && !takesChunks ? BodyEnd.CONNECTION : head.end();
         hasBody = !isHead && head.hasBody();
         if (hasBody) {
             writeFraming(head);
--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -313,6 +313,42 @@
         }
     }
 
+    /** Scenario: callers speak HTTP/1.0, which has no chunks. */
+    @Nested
+    final class CallersWithoutChunks {
+        private String receive(String prefix) throws IOException {
+            try (ClientStandin client = fleet.client()) {
+                StringBuilder head = new StringBuilder("POST " + prefix + "x HTTP/1.0\r\n");
+                fleet.validFields()
+                        .forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+                client.sendRaw(head + "Content-Length: 4\r\n\r\ntext");
+                return client.receiveUntilClose();
+            }
+        }
+
+        /** Guards against sizes of chunks that the caller takes for parts of the body. */
+        @Test
+        void streamEndsWithTheConnection() throws IOException {
+            String received = receive(ConfigText.NON_RESUMABLE);
+            assertFalse(received.contains("Transfer-Encoding"), received);
+            assertTrue(received.endsWith("\r\n\r\n" + events(EVENTS)), received);
+        }
+
+        /** Guards against a broken stream that ends like a whole one. */
+        @Test
+        void brokenStreamIsReset() {
+            setFault(RunnerFault.BREAK_MIDWAY);
+            assertThrows(IOException.class, () -> receive(ConfigText.NON_RESUMABLE));
+        }
+
+        /** Guards against a connection on which the caller waits for its end. */
+        @Test
+        void connectionIsClosedAfterAResponseWithALength() throws IOException {
+            String received = receive(ConfigText.BOOKING);
+            assertTrue(received.contains("\r\n\r\nanswer of desk-"), received);
+        }
+    }
+
     @Nested
     final class IncompleteEvents {
         /** Guards against a stream with a proper last chunk, but without its last events. */
