Believe the content of a stored object only if its end is stated

godwithoistd could replay a part of a stored response as whole: StoreClient.get took any body of the store, and one that ends with its connection may have broken off. The content is bytes, so that nothing else shows it; all other responses of the store are JSON, which does.

Change: a response without a length and without chunks counts as no response of the store (StoreUnavailableException), as a failed connection does.

By reading only: that the store ever responds so; its stand-in states all lengths.

--- a/store/src/main/java/org/godwithoist/store/http/StoreClient.java
+++ b/store/src/main/java/org/godwithoist/store/http/StoreClient.java
@@ -160,11 +160,22 @@
                             if (response.statusCode() == NOT_FOUND) {
                                 return Optional.empty();
                             }
-                            return Optional.of(
-                                    expectOk("get " + path, response).bodyAsBuffer().getBytes());
+                            requireStatedEnd(path, expectOk("get " + path, response));
+                            return Optional.of(response.bodyAsBuffer().getBytes());
                         });
     }
 
+    /** JSON shows by itself whether it is whole, but the content of an object does not. */
+    private static void requireStatedEnd(String path, HttpResponse<Buffer> response) {
+        boolean stated =
+                response.headers().contains("Content-Length")
+                        || response.headers().contains("Transfer-Encoding");
+        if (!stated) {
+            throw new StoreUnavailableException(
+                    "get " + path + ": the response does not state where its content ends");
+        }
+    }
+
     // ---- hosts and weights
 
     @Override
