--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -57,6 +57,6 @@
 
     /** Records that the target has stated the end of a successful response. */
     public void recordStatedEnd() {
-        statedEnds.record(target.entry().service(), route.kind());
+        statedEnds.record(target.entry().service(), route.id());
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -97,7 +97,7 @@
      * Judges the end of a body whose bytes were kept. Finds copies without an id inside it, too.
      */
     Judgement judge(TargetBody body, byte[] bytes) throws IOException {
-        if (body.end().isStated() && SelfCopy.isIn(bytes)) {
+        if (SelfCopy.isIn(bytes)) {
             attempt.target().recordCutBody();
             throw new IncompleteBodyException(EndEvidence.RESPONSE_INSIDE);
         }
@@ -148,7 +148,7 @@
             attempt.target().recordUnrequestedResponse();
             return evidenceOfNext(body, stream);
         }
-        if (body.end().isStated() && ResponseHead.isSuccess(status)) {
+        if (body.isPresent() && body.end().isStated() && ResponseHead.isSuccess(status)) {
             attempt.recordStatedEnd();
         }
         return Judgement.of(body.end().isStated() ? EndEvidence.STATED : EndEvidence.ORDERLY_CLOSE);
@@ -202,12 +202,14 @@
         String method = attempt.request().head().method();
         Framing framing = Framing.ofResponse(head.getCode(), method, head.getHeaders());
         boolean hasLength = framing.kind() == Framing.Kind.LENGTH;
-        if (!body.end().isStated() && hasLength && framing.length() == body.checksum().length()) {
+        boolean sameLength = hasLength && framing.length() == body.checksum().length();
+        if (same && sameLength && !body.end().isStated()) {
             return Judgement.of(EndEvidence.EQUAL_COPY);
         }
         Copy copy = readCopy(framing, body.checksum().startComparison());
         if (copy.match() == BodyChecksum.Match.EQUAL && !body.end().isStated()) {
-            return Judgement.of(EndEvidence.EQUAL_COPY);
+            boolean stated = framing.kind().bodyEnd().isStated();
+            return Judgement.of(stated ? EndEvidence.EQUAL_COPY : EndEvidence.EQUAL_UNSTATED_COPY);
         }
         if (same && copy.body().isPresent() && !stream) {
             return new Judgement(EndEvidence.WHOLE_COPY, copy.body());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -18,6 +18,9 @@
     private final MessageWriter writer;
     private final ServingStatus status;
     private boolean keepOpen = true;
+    private boolean isHead;
+    private boolean takesChunks = true;
+    private boolean hasBody = true;
     private volatile boolean started;
     private boolean finished;
     private BodyEnd end = BodyEnd.LENGTH;
@@ -33,6 +36,19 @@
         keepOpen = value;
     }
 
+    /** Sets whether the request asks for the head of the response only. */
+    void headOnly(boolean value) {
+        isHead = value;
+    }
+
+    /**
+     * Sets whether the caller can read chunks, which HTTP/1.0 does not have. Without them, a body
+     * of unknown length ends with the connection.
+     */
+    void takesChunks(boolean value) {
+        takesChunks = value;
+    }
+
     /** Returns whether the end of the connection is the end of the body. */
     boolean endsWithConnection() {
         return finished && end == BodyEnd.CONNECTION;
@@ -48,7 +64,16 @@
         started = true;
         writer.startLine("HTTP/1.1 " + head.status() + " " + reasonPhrase(head.status()));
         writer.fields(head.fields());
-        end = head.end();
+        boolean needsChunks = head.end() == BodyEnd.MARK;
+        end = needsChunks && !takesChunks ? BodyEnd.CONNECTION : head.end();
+        hasBody = !isHead && head.hasBody();
+        if (hasBody) {
+            writeFraming(head);
+        }
+        endHead();
+    }
+
+    private void writeFraming(ResponseHead head) throws IOException {
         switch (end) {
             case LENGTH -> writer.field("Content-Length", Long.toString(head.length()));
             case MARK -> writer.field("Transfer-Encoding", "chunked");
@@ -59,7 +84,6 @@
                 socket.resetOnClose(true);
             }
         }
-        endHead();
     }
 
     private void endHead() throws IOException {
@@ -72,6 +96,9 @@
 
     @Override
     public void write(byte[] bytes, int from, int length) throws IOException {
+        if (!hasBody) {
+            return;
+        }
         if (end == BodyEnd.MARK) {
             writer.chunk(bytes, from, length);
         } else {
@@ -84,7 +111,7 @@
 
     @Override
     public void finish() throws IOException {
-        if (end == BodyEnd.MARK) {
+        if (hasBody && end == BodyEnd.MARK) {
             writer.lastChunk();
         }
         writer.flush();
@@ -114,7 +141,9 @@
             writer.field("Retry-After", String.format(Locale.ROOT, "%.2f", seconds));
         }
         endHead();
-        writer.bytes(body, 0, body.length);
+        if (!isHead) {
+            writer.bytes(body, 0, body.length);
+        }
         writer.flush();
         finished = true;
     }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -73,6 +73,7 @@
 
     private final Ticker ticker = Ticker.SYSTEM;
     private final EventLog log = EventLog.start(new ByteArrayOutputStream());
+    private final StatedEnds statedEnds = new StatedEnds(ticker);
     private TargetServer server;
     private Target target;
     private HttpTargetGateway gateway;
@@ -135,7 +136,7 @@
                         OptionalLong.empty(),
                         false,
                         false,
-                        new StatedEnds(ticker),
+                        statedEnds,
                         target.startWaiting()),
                 caller);
     }
@@ -397,6 +398,60 @@
             assertEquals(AttemptOutcome.LOST, result.outcome(), result.detail());
         }
 
+        /**
+         * Guards against two parts on one connection that were cut at the same place and confirm
+         * each other.
+         */
+        @Test
+        void partBeforeACopyThatIsCutAtTheSamePlaceIsNotToldAsWhole() {
+            String part = head(200, "Id: {id}\r\n") + WHOLE.substring(0, CUT);
+            TestResponse caller = new TestResponse();
+            attemptWith(part + part, caller);
+            assertFalse(caller.statesEnd(), "the end of a part was stated");
+        }
+
+        /** Guards against the size of another response that confirms a part. */
+        @Test
+        void partBeforeAnUnnamedResponseOfItsSizeIsNotToldAsWhole() {
+            String response =
+                    head(200, "Id: {id}\r\n")
+                            + WHOLE.substring(0, CUT)
+                            + head(200, length(CUT))
+                            + "x".repeat(CUT);
+            TestResponse caller = new TestResponse();
+            AttemptResult result = attemptWith(response, caller);
+            assertFalse(caller.statesEnd(), "the end of a part was stated");
+            assertEquals(AttemptOutcome.LOST, result.outcome(), result.detail());
+        }
+
+        /** Guards against a chunk filled up by a copy in chunks that has no id. */
+        @Test
+        void chunkFilledUpByAnUnnamedCopyInChunksIsNotWhole() {
+            String coding = "Transfer-Encoding: chunked\r\n";
+            String chunk = Integer.toHexString(WHOLE.length()) + "\r\n" + WHOLE;
+            String unnamed = head(200, coding);
+            String size = Integer.toHexString(CUT + unnamed.length() - 2) + "\r\n";
+            String response =
+                    head(200, "Id: {id}\r\n" + coding)
+                            + size
+                            + WHOLE.substring(0, CUT)
+                            + unnamed
+                            + chunk
+                            + "\r\n0\r\n\r\n";
+            TestResponse caller = new TestResponse();
+            AttemptResult result = attemptWith(response, caller);
+            assertEquals(AttemptOutcome.LOST, result.outcome(), caller.body());
+        }
+
+        /** Guards against a copy without fields of a target that is told as a part of the body. */
+        @Test
+        void unnamedCopyBehindABodyWithoutAStatedEndDoesNotReachTheCaller() {
+            String response = head(200, "Id: {id}\r\n") + WHOLE + head(200, "") + WHOLE;
+            TestResponse caller = new TestResponse();
+            attemptWith(response, caller);
+            assertFalse(caller.body().contains("HTTP/1.1"), caller.body());
+        }
+
         /** Guards against a long whole response that is broken off because of its copy. */
         @Test
         void longResponseBeforeItsCopyIsPassedOn() {
@@ -409,6 +464,19 @@
         }
     }
 
+    /** Scenario: the status says that there is no body. */
+    @Nested
+    final class ResponseWithoutABody {
+        /** Guards against whole bodies that are refused because an empty response has no body. */
+        @Test
+        void doesNotCountAsAStatedEnd() {
+            server.respond("/empty", "HTTP/1.1 204 Status\r\nKeep-Alive: 5\r\nId: {id}\r\n\r\n");
+            AttemptResult result = attempt("/empty", new TestResponse());
+            assertEquals(AttemptOutcome.ANSWERED, result.outcome(), result.detail());
+            assertFalse(statedEnds.areUsual(SERVICE, ROUTE.id()));
+        }
+    }
+
     /** Response to a caller that may leave when it has the complete response. */
     private static final class TestResponse implements CallerResponse {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
--- a/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BrokenResponsesTest.java
@@ -131,6 +131,19 @@
             }
         }
 
+        /** Guards against a close that discards a body because the next request is not read. */
+        @Test
+        void bodyArrivesAlthoughTheNextRequestWasSentBehind() throws IOException {
+            setFault(RunnerFault.UNFRAMED);
+            try (ClientStandin client = fleet.client()) {
+                client.send("POST", ConfigText.BOOKING + "x", fleet.validFields(), "text");
+                client.send("POST", ConfigText.BOOKING + "x", fleet.validFields(), "text");
+                String body = client.receive().body();
+                assertTrue(body.startsWith("answer of desk-"), body);
+            }
+            assertEquals(1, fleet.runCount(fleet.desks));
+        }
+
         /** Guards against a truncated stream that the caller takes for complete. */
         @Test
         void streamThatEndsInsideAnEventAndCannotBeResumedIsAborted() {
@@ -300,6 +313,42 @@
         }
     }
 
+    /** Scenario: callers speak HTTP/1.0, which has no chunks. */
+    @Nested
+    final class CallersWithoutChunks {
+        private String receive(String prefix) throws IOException {
+            try (ClientStandin client = fleet.client()) {
+                StringBuilder head = new StringBuilder("POST " + prefix + "x HTTP/1.0\r\n");
+                fleet.validFields()
+                        .forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+                client.sendRaw(head + "Content-Length: 4\r\n\r\ntext");
+                return client.receiveUntilClose();
+            }
+        }
+
+        /** Guards against sizes of chunks that the caller takes for parts of the body. */
+        @Test
+        void streamEndsWithTheConnection() throws IOException {
+            String received = receive(ConfigText.NON_RESUMABLE);
+            assertFalse(received.contains("Transfer-Encoding"), received);
+            assertTrue(received.endsWith("\r\n\r\n" + events(EVENTS)), received);
+        }
+
+        /** Guards against a broken stream that ends like a whole one. */
+        @Test
+        void brokenStreamIsReset() {
+            setFault(RunnerFault.BREAK_MIDWAY);
+            assertThrows(IOException.class, () -> receive(ConfigText.NON_RESUMABLE));
+        }
+
+        /** Guards against a connection on which the caller waits for its end. */
+        @Test
+        void connectionIsClosedAfterAResponseWithALength() throws IOException {
+            String received = receive(ConfigText.BOOKING);
+            assertTrue(received.contains("\r\n\r\nanswer of desk-"), received);
+        }
+    }
+
     @Nested
     final class IncompleteEvents {
         /** Guards against a stream with a proper last chunk, but without its last events. */
