Refuse the requests of connections beyond the limit

Also seen now: connections that ended before a response.

Cause: at the limit of connections the accepting task itself waited up to 0.25 s for room for each new connection, so that it accepted four a second while the queue of the kernel filled. It then closed the connection without an answer, although its request may have arrived.

Change: the wait moves into the task of the connection, and an eighth of the callers' connections is kept for those that wait or are refused. Without room after 50 ms the request is refused as not run, as for a lack of memory. The sum of the connections, and thus their memory, stays the same. The accepting task waits only while refusals take all of these places. Connections to the status endpoints and of relay members are closed as before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
@@ -27,7 +27,7 @@
             return Duration.ZERO;
         }
     },
-    /** The requests in progress use up the memory reserved for them. */
+    /** The requests in progress or the open connections use up the memory reserved for them. */
     NO_MEMORY(503, true),
     /** No target may get the request now. */
     NO_TARGET(503, true),
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -32,6 +32,9 @@
     /** Timeout for the body of a request. */
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
 
+    /** Time in which the caller of a new connection sends its request. */
+    private static final Duration REFUSAL_WAIT = Duration.ofSeconds(1);
+
     private static final int READ_BUFFER_BYTES = 8192;
     private static final long CLOSE_WAIT_MS = 500;
 
@@ -74,6 +77,33 @@
         }
     }
 
+    /**
+     * Refuses the first request of a connection for which there is no room, and closes it. Closes
+     * it without a response if no request begins within {@link #REFUSAL_WAIT}.
+     */
+    public static void refuse(Socket raw, Dependencies dependencies) {
+        try (ReadAheadSocket socket = new ReadAheadSocket(raw, "caller", dependencies.ticker())) {
+            new CallerConnection(dependencies, socket).refuseFirst();
+        } catch (IOException e) {
+            // The caller disconnected.
+            return;
+        }
+    }
+
+    private void refuseFirst() throws IOException {
+        socket.awaitInput(dependencies.ticker().nanos() + REFUSAL_WAIT.toNanos());
+        dependencies.status().requestStarted();
+        try {
+            if (socket.hasUnreadInput()) {
+                refuseAndClose(
+                        new HttpCallerResponse(socket, writer, dependencies.status()),
+                        Refusal.NO_MEMORY);
+            }
+        } finally {
+            dependencies.status().requestEnded();
+        }
+    }
+
     private void serveAll() throws IOException {
         boolean open = true;
         while (open) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
@@ -8,24 +8,28 @@
 
 /**
  * Limits the open connections of a listener, because each of them uses memory also while it is
- * idle. The connection that has been idle for longest makes room for a new one. Thread-safe.
+ * idle. The connection that has been idle for longest makes room for a new one. Some of the
+ * connections are kept for refusals, so that the listener goes on accepting while the others are in
+ * use. Thread-safe.
  */
 public final class ConnectionLimit {
     /** Connections of a kind, their cost and the share of the heap that all of them may use. */
     public enum Kind {
         /** Connections of callers. */
-        CALLER(17_000, 0.3),
+        CALLER(17_000, 0.3, 0.125),
         /** Connections to the readiness and the metrics endpoint. */
-        STATUS(17_000, 0.025),
+        STATUS(17_000, 0.025, 0),
         /** Connections of the members of a large fleet to their leader. */
-        RELAY(8_000, 0.06);
+        RELAY(8_000, 0.06, 0);
 
         private final int bytesOfEach;
         private final double heapShare;
+        private final double refusedShare;
 
-        Kind(int bytesOfEach, double heapShare) {
+        Kind(int bytesOfEach, double heapShare, double refusedShare) {
             this.bytesOfEach = bytesOfEach;
             this.heapShare = heapShare;
+            this.refusedShare = refusedShare;
         }
 
         /**
@@ -36,6 +40,11 @@
         int maxConnections(long maxHeapBytes) {
             return (int) (maxHeapBytes * heapShare / bytesOfEach);
         }
+
+        /** Returns how many of the open connections may be served; the others are refused. */
+        int maxServed(int maxConnections) {
+            return maxConnections - (int) (maxConnections * refusedShare);
+        }
     }
 
     /**
@@ -44,20 +53,22 @@
      */
     private static final Duration MIN_IDLE = Duration.ofSeconds(1);
 
-    /** Number and duration of the waits for room, before a new connection is turned away. */
-    private static final int MAX_WAITS = 25;
+    /** Number and duration of the waits for room, before a new connection is refused. */
+    private static final int MAX_WAITS = 5;
 
     private static final Duration WAIT = Duration.ofMillis(10);
 
-    private final int max;
+    private final int maxOpen;
     private final IdleConnections idle;
+    private final Semaphore places;
     private final Semaphore room;
     private final LongAdder closedForRoom = new LongAdder();
 
-    private ConnectionLimit(int max, IdleConnections idle) {
-        this.max = max;
+    private ConnectionLimit(int maxOpen, int maxServed, IdleConnections idle) {
+        this.maxOpen = maxOpen;
         this.idle = idle;
-        room = new Semaphore(max);
+        places = new Semaphore(maxOpen);
+        room = new Semaphore(maxServed);
     }
 
     /**
@@ -67,17 +78,21 @@
      * @param idle connections of the listener that may be closed; empty if it keeps none
      */
     public static ConnectionLimit of(Kind kind, long maxHeapBytes, IdleConnections idle) {
-        return new ConnectionLimit(kind.maxConnections(maxHeapBytes), idle);
+        int max = kind.maxConnections(maxHeapBytes);
+        int served = kind.maxServed(max);
+        // At least one connection more than are served waits for room or is refused.
+        return new ConnectionLimit(Math.max(max, served + 1), served, idle);
     }
 
     /** Returns a limit that is never reached. */
     public static ConnectionLimit none() {
-        return new ConnectionLimit(Integer.MAX_VALUE, new IdleConnections(Ticker.SYSTEM));
+        return new ConnectionLimit(
+                Integer.MAX_VALUE, Integer.MAX_VALUE, new IdleConnections(Ticker.SYSTEM));
     }
 
-    /** Returns the number of open connections. */
+    /** Returns the number of open connections, with those that are refused. */
     public int open() {
-        return max - room.availablePermits();
+        return maxOpen - places.availablePermits();
     }
 
     /** Returns the number of connections that were closed because the limit was reached. */
@@ -86,12 +101,25 @@
     }
 
     /**
-     * Counts a new connection. At the limit, closes an idle one or waits for a moment until one
-     * ends.
+     * Counts a new connection. Waits while connections that are refused take all places, which each
+     * of them leaves soon.
+     */
+    void opened() {
+        places.acquireUninterruptibly();
+    }
+
+    /** Ends the count of a connection. */
+    void closed() {
+        places.release();
+    }
+
+    /**
+     * Takes room to serve an open connection. At the limit, closes an idle connection or waits for
+     * a moment until one ends.
      *
-     * @return false if there is no room and the new connection has to be closed
+     * @return false if there is no room and the connection has to be refused
      */
-    boolean tryOpen() {
+    boolean tryServe() {
         boolean hasRoom = room.tryAcquire();
         try {
             for (int i = 0; i < MAX_WAITS && !hasRoom; i++) {
@@ -109,8 +137,8 @@
         return hasRoom;
     }
 
-    /** Ends the count of a connection for which there was room. */
-    void closed() {
+    /** Gives back the room of a connection that was served. */
+    void served() {
         room.release();
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
@@ -22,18 +22,28 @@
 
     private final ServerSocket server;
     private final ConnectionLimit limit;
-    private final Consumer<Socket> onConnection;
+    private final Handlers handlers;
     private final String name;
 
+    /**
+     * Handlers of accepted connections. Each handles a connection in its own task and closes it.
+     *
+     * @param serve handles a connection for which the limit leaves room
+     * @param refuse handles a connection for which it leaves none, within a short time
+     */
+    public record Handlers(Consumer<Socket> serve, Consumer<Socket> refuse) {
+        /** Returns handlers that close a connection without room. */
+        public static Handlers closing(Consumer<Socket> serve) {
+            return new Handlers(serve, ConnectionListener::closeSocket);
+        }
+    }
+
     private ConnectionListener(
-            ServerSocket server,
-            String name,
-            ConnectionLimit limit,
-            Consumer<Socket> onConnection) {
+            ServerSocket server, String name, ConnectionLimit limit, Handlers handlers) {
         this.server = server;
         this.name = name;
         this.limit = limit;
-        this.onConnection = onConnection;
+        this.handlers = handlers;
     }
 
     /**
@@ -42,8 +52,8 @@
      * @param address address to bind; port 0 lets the system choose a port
      * @param name name of the tasks
      * @param supervisor owner of the accepting task
-     * @param limit limits the open connections; new ones are closed if it leaves no room for them
-     * @param onConnection handles a connection in its own task and closes it
+     * @param limit limits the open connections
+     * @param handlers handlers of the connections
      * @throws IOException if the address cannot be bound
      */
     public static ConnectionListener open(
@@ -51,12 +61,12 @@
             String name,
             Supervisor supervisor,
             ConnectionLimit limit,
-            Consumer<Socket> onConnection)
+            Handlers handlers)
             throws IOException {
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(address.ip(), address.port()), BACKLOG);
-        ConnectionListener listener = new ConnectionListener(server, name, limit, onConnection);
+        ConnectionListener listener = new ConnectionListener(server, name, limit, handlers);
         supervisor.start(name + "-accept", listener::acceptAll);
         return listener;
     }
@@ -69,12 +79,7 @@
     private void acceptAll() {
         while (!server.isClosed()) {
             try {
-                Socket socket = server.accept();
-                if (limit.tryOpen()) {
-                    Tasks.start(name, () -> serve(socket));
-                } else {
-                    socket.close();
-                }
+                acceptNext();
             } catch (IOException e) {
                 // Either the process is out of file descriptors, or the listener was closed, which
                 // ends the loop.
@@ -83,14 +88,33 @@
         }
     }
 
-    private void serve(Socket socket) {
+    private void acceptNext() throws IOException {
+        Socket socket = server.accept();
+        limit.opened();
+        Tasks.start(name, () -> handle(socket));
+    }
+
+    private void handle(Socket socket) {
+        boolean hasRoom = limit.tryServe();
         try {
-            onConnection.accept(socket);
+            (hasRoom ? handlers.serve() : handlers.refuse()).accept(socket);
         } finally {
+            if (hasRoom) {
+                limit.served();
+            }
             limit.closed();
         }
     }
 
+    private static void closeSocket(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The connection had failed before.
+            return;
+        }
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/ConnectionLimitTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/ConnectionLimitTest.java
@@ -40,8 +40,23 @@
         return sockets.getLast();
     }
 
+    /** Opens a connection and returns whether there is room to serve it; closes it if not. */
+    private boolean tryOpen() {
+        limit.opened();
+        boolean hasRoom = limit.tryServe();
+        if (!hasRoom) {
+            limit.closed();
+        }
+        return hasRoom;
+    }
+
+    private void end() {
+        limit.served();
+        limit.closed();
+    }
+
     private void fill() {
-        while (limit.tryOpen()) {
+        while (tryOpen()) {
             assertTrue(limit.open() < HEAP_BYTES, "there is no limit");
         }
     }
@@ -53,20 +68,34 @@
         void newConnectionIsTurnedAwayIfNoneIsIdle() {
             fill();
             int open = limit.open();
-            assertFalse(limit.tryOpen());
+            assertFalse(tryOpen());
             assertEquals(open, limit.open());
         }
 
+        /**
+         * Guards against a listener that accepts nothing at the limit, so that callers get no
+         * answer instead of a refusal.
+         */
+        @Test
+        void connectionsMayBeOpenedToBeRefused() {
+            fill();
+            int open = limit.open();
+            limit.opened();
+            limit.opened();
+            assertFalse(limit.tryServe());
+            assertEquals(open + 2, limit.open());
+        }
+
         /** Guards against a daemon that takes no new callers because others keep connections. */
         @Test
         void connectionIdleForLongestMakesRoom() throws IOException {
             fill();
             ReadAheadSocket first = connect();
             ReadAheadSocket second = connect();
-            first.onEnd(limit::closed);
+            first.onEnd(ConnectionLimitTest.this::end);
             idle.add(first);
             idle.add(second);
-            while (!limit.tryOpen()) {
+            while (!tryOpen()) {
                 assertFalse(first.isEnded(), "its place was not used");
             }
             assertTrue(first.isEnded());
@@ -78,8 +107,8 @@
         @Test
         void endOfAConnectionMakesRoom() {
             fill();
-            limit.closed();
-            assertTrue(limit.tryOpen());
+            end();
+            assertTrue(tryOpen());
         }
     }
 }
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -46,6 +46,7 @@
 /** An edge daemon: creates, connects and starts its components. */
 final class Edge implements Closeable {
     private static final Duration HOUSEKEEPING_INTERVAL = Duration.ofMillis(250);
+
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
 
@@ -143,7 +144,9 @@
                         "caller",
                         supervisor,
                         connectionLimits.get(ConnectionLimit.Kind.CALLER),
-                        s -> CallerConnection.serve(s, callerDependencies));
+                        new ConnectionListener.Handlers(
+                                s -> CallerConnection.serve(s, callerDependencies),
+                                s -> CallerConnection.refuse(s, callerDependencies)));
         followers.start(exchange, supervisor);
         StatusServer statusServer =
                 new StatusServer(
@@ -158,10 +161,14 @@
                         "ready",
                         supervisor,
                         statusLimit,
-                        statusServer::serve);
+                        ConnectionListener.Handlers.closing(statusServer::serve));
         metricsListener =
                 ConnectionListener.open(
-                        metricsAddress, "metrics", supervisor, statusLimit, statusServer::serve);
+                        metricsAddress,
+                        "metrics",
+                        supervisor,
+                        statusLimit,
+                        ConnectionListener.Handlers.closing(statusServer::serve));
         fleet.start(supervisor);
         new QuarantineTable(
                         quarantine,
@@ -236,7 +243,7 @@
                         "relay",
                         supervisor,
                         connectionLimits.get(ConnectionLimit.Kind.RELAY),
-                        relay::serve);
+                        ConnectionListener.Handlers.closing(relay::serve));
         Member self = new Member(settings.host(), settings.failureDomain(), address);
         exchange =
                 new LoadExchange(
--- a/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
@@ -74,7 +74,7 @@
                         name,
                         new Supervisor((task, cause, backoff) -> {}, Ticker.SYSTEM),
                         ConnectionLimit.none(),
-                        this::serveConnection);
+                        ConnectionListener.Handlers.closing(this::serveConnection));
     }
 
     Endpoint endpoint() {
