Accept the queued connections before the listener is closed

Seen: EdgeProcessTest$EndOfProcess.callersAreAnsweredOrNotAccepted (edge): callers that connected in the last 0.1 s of the service got no answer.

Cause: the close of the listener resets the connections that the kernel has established and the accepting task has not accepted yet. The stop also waited 20 ms for the tasks of the connections accepted last to start, which is no bound on a busy machine.

Evidence: ConnectionListenerTest queues 20 connections while the listener can accept none.

Change: the accepting task closes the listener when its queue has been empty for 1 ms, or the stop does after 100 ms. A connection counts as open from its accept on, and the stop waits for the open connections in place of the idle ones and the 20 ms.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
@@ -5,7 +5,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Supervisor;
@@ -20,10 +23,15 @@
      */
     private static final Duration ACCEPT_RETRY_DELAY = Duration.ofMillis(20);
 
+    /** Time without a new connection after which the queue counts as empty. */
+    private static final int DRAIN_TIMEOUT_MS = 1;
+
     private final ServerSocket server;
     private final ConnectionLimit limit;
     private final Handlers handlers;
     private final String name;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile boolean draining;
 
     /**
      * Handlers of accepted connections. Each handles a connection in its own task and closes it.
@@ -86,10 +94,19 @@
                 Tasks.sleep(ACCEPT_RETRY_DELAY);
             }
         }
+        drained.countDown();
     }
 
     private void acceptNext() throws IOException {
-        Socket socket = server.accept();
+        Socket socket;
+        try {
+            socket = server.accept();
+        } catch (SocketTimeoutException e) {
+            if (draining) {
+                close();
+            }
+            return;
+        }
         limit.opened();
         Tasks.start(name, () -> handle(socket));
     }
@@ -115,6 +132,26 @@
         }
     }
 
+    /**
+     * Accepts the connections that the kernel has queued, then closes the listener. A connection
+     * that is still queued at the close is reset, and its caller gets no answer.
+     *
+     * @param timeout time after which the listener is closed also if connections are queued
+     */
+    public void closeWhenDrained(Duration timeout) throws IOException {
+        server.setSoTimeout(DRAIN_TIMEOUT_MS);
+        draining = true;
+        // The accepting task may wait without a timeout, which the next connection ends.
+        try (Socket last = new Socket()) {
+            last.connect(server.getLocalSocketAddress(), (int) timeout.toMillis());
+            drained.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/ConnectionListenerTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/ConnectionListenerTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -89,4 +90,26 @@
             connectAndExpect(MAX_REFUSED, REFUSED);
         }
     }
+
+    @Nested
+    final class Stop {
+        private static final int QUEUED = 20;
+        private static final Duration MAX_DRAIN = Duration.ofMillis(TIMEOUT_MS);
+
+        /** Guards against a close that resets the connections in the queue of the kernel. */
+        @Test
+        void queuedConnectionsAreAnswered() throws IOException {
+            connectAndExpect(MAX_SERVED, SERVED);
+            connectAndExpect(MAX_REFUSED, REFUSED);
+            List<Socket> queued = new ArrayList<>();
+            for (int i = 0; i < QUEUED; i++) {
+                queued.add(connect());
+            }
+            release.countDown();
+            listener.closeWhenDrained(MAX_DRAIN);
+            for (Socket s : queued) {
+                assertTrue(s.getInputStream().read() > 0, "no answer");
+            }
+        }
+    }
 }
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -47,6 +47,9 @@
 final class Edge implements Closeable {
     private static final Duration HOUSEKEEPING_INTERVAL = Duration.ofMillis(250);
 
+    /** Time that the stop leaves the caller's listener to accept what the kernel has queued. */
+    private static final Duration MAX_DRAIN = Duration.ofMillis(100);
+
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
 
@@ -185,6 +188,7 @@
         new GracefulShutdown(
                         serving,
                         idleConnections,
+                        connectionLimits.get(ConnectionLimit.Kind.CALLER)::open,
                         this::closeCallerListener,
                         gateway,
                         settingsFile.current().bounds().gracePeriod(),
@@ -195,7 +199,7 @@
 
     private void closeCallerListener() {
         try {
-            callerListener.close();
+            callerListener.closeWhenDrained(MAX_DRAIN);
         } catch (IOException e) {
             log.event("close_failed").with("reason", String.valueOf(e.getMessage())).write();
         }
--- a/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
+++ b/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
@@ -1,6 +1,7 @@
 package org.godwithoist.edge;
 
 import java.time.Duration;
+import java.util.function.IntSupplier;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
@@ -45,6 +46,7 @@
 
     private final ServingStatus serving;
     private final IdleConnections idleConnections;
+    private final IntSupplier openConnections;
     private final Runnable closeListener;
     private final HttpTargetGateway gateway;
     private final Duration gracePeriod;
@@ -54,13 +56,16 @@
     /**
      * Creates a shutdown that has not begun.
      *
-     * @param closeListener ends the acceptance of callers' connections
+     * @param openConnections number of the callers' open connections, counted as they are accepted
+     * @param closeListener ends the acceptance of callers' connections, after those that callers
+     *     have already established
      * @param gateway sends requests to targets until the end of the service
      * @param gracePeriod time after which the process is killed
      */
     GracefulShutdown(
             ServingStatus serving,
             IdleConnections idleConnections,
+            IntSupplier openConnections,
             Runnable closeListener,
             HttpTargetGateway gateway,
             Duration gracePeriod,
@@ -68,6 +73,7 @@
             Ticker ticker) {
         this.serving = serving;
         this.idleConnections = idleConnections;
+        this.openConnections = openConnections;
         this.closeListener = closeListener;
         this.gateway = gateway;
         this.gracePeriod = gracePeriod;
@@ -120,10 +126,8 @@
      * connected send their request within this time, and get an answer.
      */
     private void awaitAnswers(Deadline latest) {
-        // The tasks of the connections that were accepted last have started by then.
-        Tasks.sleep(latest.cap(POLL_INTERVAL));
         while (!latest.isExpired()
-                && (serving.requestsInProgress() > 0 || !idleConnections.isEmpty())) {
+                && (serving.requestsInProgress() > 0 || openConnections.getAsInt() > 0)) {
             Tasks.sleep(latest.cap(POLL_INTERVAL));
         }
     }
