Keep new connections open when a stop closes the idle ones

Seen: EdgeProcessTest$EndOfProcess.callersAreAnsweredOrNotAccepted (edge) failed with callers whose connection ended before a response, about 0.3 s before the end of the service.

Cause: 2.3 s after its beginning the stop closes the connections without a request. Among them are those that were opened a moment before, whose request is on its way and is lost.

Evidence: in a trial 12 callers of 224 got the end of their connection 0.27 to 0.31 s before the end of the service, which is the time of that step with the grace period of 3 s of the test.

Change: the stop closes the connections that have been idle for 1 s, and does so again when it begins to refuse requests and before it waits for the last ones. A connection that is in use is closed after its next response, as before. IdleConnectionsTest has a case for it.

EdgeTest, ConnectionLimitTest, ConnectionListenerTest and IdleConnectionsTest passed once (load average 18 to 35).

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/IdleConnections.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/IdleConnections.java
@@ -68,6 +68,20 @@
         return closed;
     }
 
+    /**
+     * Closes the connections that have been idle for a time and returns their number.
+     *
+     * @param minIdle time for which a connection has to be idle to be closed; the caller of one
+     *     that was just opened is about to send its request
+     */
+    public int closeIdleFor(Duration minIdle) {
+        int closed = 0;
+        while (closeLongestIdle(minIdle)) {
+            closed++;
+        }
+        return closed;
+    }
+
     /**
      * Closes the connection that has been idle for longest.
      *
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/IdleConnectionsTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/IdleConnectionsTest.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.godwithoist.core.time.Ticker;
 import org.junit.jupiter.api.AfterEach;
@@ -47,6 +48,15 @@
             assertFalse(idle.claim(socket));
         }
 
+        /** Guards against a caller whose new connection is closed before its request arrives. */
+        @Test
+        void connectionThatWasJustOpenedStaysOpen() {
+            assertEquals(0, idle.closeIdleFor(Duration.ofMinutes(1)));
+            assertTrue(socket.isIdle());
+            assertEquals(1, idle.closeIdleFor(Duration.ZERO));
+            assertTrue(socket.isEnded());
+        }
+
         /** Guards against a connection that is still open when the process ends. */
         @Test
         void connectionsThatBecomeIdleAfterTheEndAreClosed() {
--- a/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
+++ b/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
@@ -42,6 +42,12 @@
     /** Time in which the tasks of requests that are aborted close their callers' connections. */
     private static final Duration ABORT_PERIOD = Duration.ofMillis(60);
 
+    /**
+     * Time for which a connection has been idle when it is closed. Callers send their first request
+     * within it, and a connection that is in use is closed after its next response.
+     */
+    private static final Duration MIN_IDLE = Duration.ofSeconds(1);
+
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
     private final ServingStatus serving;
@@ -89,10 +95,12 @@
         serving.startDraining(end);
         log.event("stop").with("in_progress", serving.requestsInProgress()).write();
         Tasks.sleep(end.cap(LOAD_BALANCER_DELAY));
-        log.event("idle_closed").with("connections", idleConnections.closeAll()).write();
+        closeIdleConnections();
         Tasks.sleep(end.cap(FULL_SERVICE_PERIOD.minus(LOAD_BALANCER_DELAY)));
         serving.advance(ServingState.CLOSING);
+        closeIdleConnections();
         Tasks.sleep(earliestEnd.remaining());
+        closeIdleConnections();
         awaitIdle(end);
         serving.advance(ServingState.STOPPED);
         // A request may have been admitted after the last check and before the change of state.
@@ -107,6 +115,11 @@
         log.flush();
     }
 
+    private void closeIdleConnections() {
+        int closed = idleConnections.closeIdleFor(MIN_IDLE);
+        log.event("idle_closed").with("connections", closed).write();
+    }
+
     /**
      * Closes the connections without a request, and ends the responses that go on, so that no
      * target completes one that nobody forwards while the virtual machine exits.
