--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
@@ -5,7 +5,10 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Supervisor;
@@ -20,20 +23,35 @@
      */
     private static final Duration ACCEPT_RETRY_DELAY = Duration.ofMillis(20);
 
+    /** Time without a new connection after which the queue counts as empty. */
+    private static final int DRAIN_TIMEOUT_MS = 1;
+
     private final ServerSocket server;
     private final ConnectionLimit limit;
-    private final Consumer<Socket> onConnection;
+    private final Handlers handlers;
     private final String name;
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile boolean draining;
+
+    /**
+     * Handlers of accepted connections. Each handles a connection in its own task and closes it.
+     *
+     * @param serve handles a connection for which the limit leaves room
+     * @param refuse handles a connection for which it leaves none, within a short time
+     */
+    public record Handlers(Consumer<Socket> serve, Consumer<Socket> refuse) {
+        /** Returns handlers that close a connection without room. */
+        public static Handlers closing(Consumer<Socket> serve) {
+            return new Handlers(serve, ConnectionListener::closeSocket);
+        }
+    }
 
     private ConnectionListener(
-            ServerSocket server,
-            String name,
-            ConnectionLimit limit,
-            Consumer<Socket> onConnection) {
+            ServerSocket server, String name, ConnectionLimit limit, Handlers handlers) {
         this.server = server;
         this.name = name;
         this.limit = limit;
-        this.onConnection = onConnection;
+        this.handlers = handlers;
     }
 
     /**
@@ -42,8 +60,8 @@
      * @param address address to bind; port 0 lets the system choose a port
      * @param name name of the tasks
      * @param supervisor owner of the accepting task
-     * @param limit limits the open connections; new ones are closed if it leaves no room for them
-     * @param onConnection handles a connection in its own task and closes it
+     * @param limit limits the open connections
+     * @param handlers handlers of the connections
      * @throws IOException if the address cannot be bound
      */
     public static ConnectionListener open(
@@ -51,12 +69,12 @@
             String name,
             Supervisor supervisor,
             ConnectionLimit limit,
-            Consumer<Socket> onConnection)
+            Handlers handlers)
             throws IOException {
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(new InetSocketAddress(address.ip(), address.port()), BACKLOG);
-        ConnectionListener listener = new ConnectionListener(server, name, limit, onConnection);
+        ConnectionListener listener = new ConnectionListener(server, name, limit, handlers);
         supervisor.start(name + "-accept", listener::acceptAll);
         return listener;
     }
@@ -69,28 +87,71 @@
     private void acceptAll() {
         while (!server.isClosed()) {
             try {
-                Socket socket = server.accept();
-                if (limit.tryOpen()) {
-                    Tasks.start(name, () -> serve(socket));
-                } else {
-                    socket.close();
-                }
+                acceptNext();
             } catch (IOException e) {
                 // Either the process is out of file descriptors, or the listener was closed, which
                 // ends the loop.
                 Tasks.sleep(ACCEPT_RETRY_DELAY);
             }
         }
+        drained.countDown();
+    }
+
+    private void acceptNext() throws IOException {
+        Socket socket;
+        try {
+            socket = server.accept();
+        } catch (SocketTimeoutException e) {
+            if (draining) {
+                close();
+            }
+            return;
+        }
+        limit.opened();
+        Tasks.start(name, () -> handle(socket));
     }
 
-    private void serve(Socket socket) {
+    private void handle(Socket socket) {
+        boolean hasRoom = limit.tryServe();
         try {
-            onConnection.accept(socket);
+            (hasRoom ? handlers.serve() : handlers.refuse()).accept(socket);
         } finally {
+            if (hasRoom) {
+                limit.served();
+            }
             limit.closed();
         }
     }
 
+    private static void closeSocket(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The connection had failed before.
+            return;
+        }
+    }
+
+    /**
+     * Accepts the connections that the kernel has queued, then closes the listener. A connection
+     * that is still queued at the close is reset, and its caller gets no answer.
+     *
+     * @param timeout time after which the listener is closed also if connections are queued
+     */
+    public void closeWhenDrained(Duration timeout) throws IOException {
+        server.setSoTimeout(DRAIN_TIMEOUT_MS);
+        draining = true;
+        // The accepting task may wait without a timeout, which the next connection ends.
+        try (Socket last = new Socket()) {
+            last.connect(server.getLocalSocketAddress(), (int) timeout.toMillis());
+            drained.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            close();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -48,6 +48,10 @@
 /** An edge daemon: creates, connects and starts its components. */
 final class Edge implements Closeable {
     private static final Duration HOUSEKEEPING_INTERVAL = Duration.ofMillis(250);
+
+    /** Time that the stop leaves the caller's listener to accept what the kernel has queued. */
+    private static final Duration MAX_DRAIN = Duration.ofMillis(100);
+
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
 
@@ -150,7 +154,9 @@
                         "caller",
                         supervisor,
                         connectionLimits.get(ConnectionLimit.Kind.CALLER),
-                        s -> CallerConnection.serve(s, callerDependencies));
+                        new ConnectionListener.Handlers(
+                                s -> CallerConnection.serve(s, callerDependencies),
+                                s -> CallerConnection.refuse(s, callerDependencies)));
         followers.start(new Leadership(exchange::leaderAddress, exchange::isLeader), supervisor);
         StatusServer statusServer =
                 new StatusServer(
@@ -165,10 +171,14 @@
                         "ready",
                         supervisor,
                         statusLimit,
-                        statusServer::serve);
+                        ConnectionListener.Handlers.closing(statusServer::serve));
         metricsListener =
                 ConnectionListener.open(
-                        metricsAddress, "metrics", supervisor, statusLimit, statusServer::serve);
+                        metricsAddress,
+                        "metrics",
+                        supervisor,
+                        statusLimit,
+                        ConnectionListener.Handlers.closing(statusServer::serve));
         fleet.start(supervisor);
         QuarantineTable quarantineTable =
                 new QuarantineTable(
@@ -190,6 +200,7 @@
         new GracefulShutdown(
                         serving,
                         idleConnections,
+                        connectionLimits.get(ConnectionLimit.Kind.CALLER)::open,
                         this::closeCallerListener,
                         gateway,
                         settingsFile.current().bounds().gracePeriod(),
@@ -200,7 +211,7 @@
 
     private void closeCallerListener() {
         try {
-            callerListener.close();
+            callerListener.closeWhenDrained(MAX_DRAIN);
         } catch (IOException e) {
             log.event("close_failed").with("reason", String.valueOf(e.getMessage())).write();
         }
@@ -248,7 +259,7 @@
                         "relay",
                         supervisor,
                         connectionLimits.get(ConnectionLimit.Kind.RELAY),
-                        relay::serve);
+                        ConnectionListener.Handlers.closing(relay::serve));
         Member self = new Member(settings.host(), settings.failureDomain(), address);
         exchange =
                 new LoadExchange(
--- a/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
+++ b/edge/src/main/java/org/godwithoist/edge/GracefulShutdown.java
@@ -1,6 +1,7 @@
 package org.godwithoist.edge;
 
 import java.time.Duration;
+import java.util.function.IntSupplier;
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
@@ -41,10 +42,17 @@
     /** Time in which the tasks of requests that are aborted close their callers' connections. */
     private static final Duration ABORT_PERIOD = Duration.ofMillis(60);
 
+    /**
+     * Time for which a connection has been idle when it is closed. Callers send their first request
+     * within it, and a connection that is in use is closed after its next response.
+     */
+    private static final Duration MIN_IDLE = Duration.ofSeconds(1);
+
     private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
 
     private final ServingStatus serving;
     private final IdleConnections idleConnections;
+    private final IntSupplier openConnections;
     private final Runnable closeListener;
     private final HttpTargetGateway gateway;
     private final Duration gracePeriod;
@@ -54,13 +62,16 @@
     /**
      * Creates a shutdown that has not begun.
      *
-     * @param closeListener ends the acceptance of callers' connections
+     * @param openConnections number of the callers' open connections, counted as they are accepted
+     * @param closeListener ends the acceptance of callers' connections, after those that callers
+     *     have already established
      * @param gateway sends requests to targets until the end of the service
      * @param gracePeriod time after which the process is killed
      */
     GracefulShutdown(
             ServingStatus serving,
             IdleConnections idleConnections,
+            IntSupplier openConnections,
             Runnable closeListener,
             HttpTargetGateway gateway,
             Duration gracePeriod,
@@ -68,6 +79,7 @@
             Ticker ticker) {
         this.serving = serving;
         this.idleConnections = idleConnections;
+        this.openConnections = openConnections;
         this.closeListener = closeListener;
         this.gateway = gateway;
         this.gracePeriod = gracePeriod;
@@ -83,10 +95,12 @@
         serving.startDraining(end);
         log.event("stop").with("in_progress", serving.requestsInProgress()).write();
         Tasks.sleep(end.cap(LOAD_BALANCER_DELAY));
-        log.event("idle_closed").with("connections", idleConnections.closeAll()).write();
+        closeIdleConnections();
         Tasks.sleep(end.cap(FULL_SERVICE_PERIOD.minus(LOAD_BALANCER_DELAY)));
         serving.advance(ServingState.CLOSING);
+        closeIdleConnections();
         Tasks.sleep(earliestEnd.remaining());
+        closeIdleConnections();
         awaitIdle(end);
         serving.advance(ServingState.STOPPED);
         // A request may have been admitted after the last check and before the change of state.
@@ -101,6 +115,11 @@
         log.flush();
     }
 
+    private void closeIdleConnections() {
+        int closed = idleConnections.closeIdleFor(MIN_IDLE);
+        log.event("idle_closed").with("connections", closed).write();
+    }
+
     /**
      * Closes the connections without a request, and ends the responses that go on, so that no
      * target completes one that nobody forwards while the virtual machine exits.
@@ -120,10 +139,8 @@
      * connected send their request within this time, and get an answer.
      */
     private void awaitAnswers(Deadline latest) {
-        // The tasks of the connections that were accepted last have started by then.
-        Tasks.sleep(latest.cap(POLL_INTERVAL));
         while (!latest.isExpired()
-                && (serving.requestsInProgress() > 0 || !idleConnections.isEmpty())) {
+                && (serving.requestsInProgress() > 0 || openConnections.getAsInt() > 0)) {
             Tasks.sleep(latest.cap(POLL_INTERVAL));
         }
     }
