--- a/edge/src/test/java/org/godwithoist/edge/StoreReader.java
+++ b/edge/src/test/java/org/godwithoist/edge/StoreReader.java
@@ -73,7 +73,7 @@
                         "relay",
                         supervisor,
                         ConnectionLimit.none(),
-                        followers.relayServer()::serve);
+                        ConnectionListener.Handlers.closing(followers.relayServer()::serve));
         followers.start(new Leadership(() -> leader, leader::isEmpty), supervisor);
         housekeeping = Tasks.start("housekeeping", this::removeMissingTargets);
     }
