Log how a caller is told the end of a response

Attempts log how a target has ended its body, and nothing said what the caller was told: a length or last chunk, an orderly close, or a reset. The field is 'told' of the 'call' line; no decision changes.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
@@ -60,6 +60,7 @@
                 route,
                 Optional.of(refusal),
                 RequestOutcome.REFUSED,
+                Optional.empty(),
                 attempts,
                 elapsed(request));
         response.refuse(refusal, retryAfter);
@@ -93,6 +94,7 @@
                 Optional.of(route),
                 Optional.empty(),
                 outcome,
+                toldEnd(outcome, policy, response, responded),
                 policy.attempts(),
                 elapsed(request));
         if (outcome == RequestOutcome.ANSWERED && !responded) {
@@ -104,6 +106,20 @@
         }
     }
 
+    /** Returns how the caller is told the end of the response; empty if it gets none. */
+    private static Optional<ToldEnd> toldEnd(
+            RequestOutcome outcome,
+            RetryPolicy policy,
+            CallerResponse response,
+            boolean responded) {
+        return switch (outcome) {
+            case ANSWERED -> Optional.of(ToldEnd.of(responded && response.statesEnd()));
+            case FAILED -> policy.failure().map(f -> ToldEnd.of(f.head().end().isStated()));
+            case BROKEN -> Optional.of(ToldEnd.BROKEN);
+            case LEFT, REFUSED -> Optional.empty();
+        };
+    }
+
     /**
      * Ends a response whose end nobody has stated, and which no target could be asked about. It is
      * told to the caller in the same way.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestObserver.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestObserver.java
@@ -26,6 +26,7 @@
      * @param refusal response of the daemon itself; empty if a target's response was sent to the
      *     caller
      * @param outcome how the request ended for its caller
+     * @param told how the caller is told the end of a target's response; empty if it gets none
      * @param attempts number of attempts
      * @param took time since the request was read
      */
@@ -34,6 +35,7 @@
             Optional<Route> route,
             Optional<Refusal> refusal,
             RequestOutcome outcome,
+            Optional<ToldEnd> told,
             int attempts,
             Duration took);
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
@@ -12,6 +12,11 @@
     /** Not at all: the response is broken off, or a failure is sent in its place. */
     BROKEN;
 
+    /** Returns how the end of a response is told that is sent to its last byte. */
+    static ToldEnd of(boolean stated) {
+        return stated ? STATED : UNSTATED;
+    }
+
     /**
      * Returns how the end of a response is told that no other target is asked about. A caller can
      * repeat a request that may run again, so it gets no body in doubt where that is unusual,
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -14,6 +14,7 @@
 import org.godwithoist.dispatch.RequestObserver;
 import org.godwithoist.dispatch.RequestOutcome;
 import org.godwithoist.dispatch.ResponseBody;
+import org.godwithoist.dispatch.ToldEnd;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PromptPartId;
 
@@ -112,6 +113,7 @@
             Optional<Route> route,
             Optional<Refusal> refusal,
             RequestOutcome outcome,
+            Optional<ToldEnd> told,
             int attempts,
             Duration duration) {
         metrics.recordRequest(outcome, duration);
@@ -121,6 +123,7 @@
                         .with("route", route.map(r -> r.id().value()).orElse(""))
                         .with("end", outcome.name());
         refusal.ifPresent(r -> line.with("refusal", r.name()));
+        told.ifPresent(t -> line.with("told", t.name()));
         if (refusal.equals(Optional.of(Refusal.QUARANTINED))) {
             addPromptParts(request, line);
         }
