--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -355,7 +355,7 @@
      * Sets whether a close resets the connection, also a close by the end of this process, so that
      * the peer cannot take it for the end of the output.
      */
-    void resetOnClose(boolean value) throws IOException {
+    public void resetOnClose(boolean value) throws IOException {
         socket.setSoLinger(value, 0);
     }
 
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
@@ -12,13 +12,36 @@
  * @param copy what follows the response on its connection
  * @param moment when it follows
  * @param status status of the response
+ * @param size size of the whole body
  */
-public record ScriptedResponse(Framing framing, Cut cut, Copy copy, Moment moment, int status) {
+public record ScriptedResponse(
+        Framing framing, Cut cut, Copy copy, Moment moment, int status, Size size) {
     private static final String SEPARATOR = ".";
 
     /** Smaller than each body, so that cut ones have equal sizes. */
     private static final int FIXED_BYTES = 64;
 
+    /** How large a whole body is. */
+    public enum Size {
+        /** Less than a KB. */
+        SHORT(0),
+        /** More than a daemon buffers. */
+        LONG(200_000),
+        /** Less than a KB, and the same in all runs. */
+        FIXED(0);
+
+        final int addedBytes;
+
+        Size(int addedBytes) {
+            this.addedBytes = addedBytes;
+        }
+    }
+
+    /** Creates a response with a short body. */
+    public ScriptedResponse(Framing framing, Cut cut, Copy copy, Moment moment, int status) {
+        this(framing, cut, copy, moment, status, Size.SHORT);
+    }
+
     /** How the end of a body is stated. */
     public enum Framing {
         /** The length is stated in the head. */
@@ -105,7 +128,11 @@
         /** The first 20 bytes of a copy, which end in the status line. */
         TWENTY_BYTES_OF_HEAD(Framing.LENGTH, true, true),
         /** The response to the request before on the connection, and then the missing rest. */
-        OF_EARLIER_REQUEST(Framing.LENGTH, true, false);
+        OF_EARLIER_REQUEST(Framing.LENGTH, true, false),
+        /** Bytes that are no part of a response, more than a daemon buffers. */
+        JUNK(Framing.CONNECTION, false, false),
+        /** A reset of the connection. */
+        RESET(Framing.CONNECTION, false, false);
 
         final Framing framing;
         final boolean hasId;
@@ -155,7 +182,8 @@
                 cut.name(),
                 copy.name(),
                 moment.name(),
-                Integer.toString(status));
+                Integer.toString(status),
+                size.name());
     }
 
     /** Returns the response that a path names. */
@@ -167,7 +195,8 @@
                 Cut.valueOf(names[1]),
                 Copy.valueOf(names[2]),
                 Moment.valueOf(names[3]),
-                Integer.parseInt(names[4]));
+                Integer.parseInt(names[4]),
+                Size.valueOf(names[5]));
     }
 
     /** Returns whether the connection can carry another request afterwards. */
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -30,6 +30,12 @@
     private static final int MIN_BODY_BYTES = 120;
     private static final int BODY_BYTES_SPREAD = 700;
 
+    /** Part of the size of bodies that is the same in all runs, in place of the varied one. */
+    private static final int FIXED_SPREAD = 680;
+
+    private static final int JUNK_PIECES = 10;
+    private static final int JUNK_PIECE_BYTES = 8192;
+
     /** Difference of the sizes of two successive runs, so that their halves differ, too. */
     private static final int BODY_BYTES_STEP = 7;
 
@@ -120,17 +126,19 @@
             return messages.writeOwnState(connection.writer(), path);
         }
         int first = 1 + Integer.parseInt(fields.getOrDefault("last-event-id", "0"));
-        byte[] whole = nextBody(first);
+        ScriptedResponse script = ScriptedResponse.ofPath(path);
+        byte[] whole = nextBody(first, script.size());
         String text = new String(whole, StandardCharsets.US_ASCII);
         bodies.computeIfAbsent(attempt, key -> new ConcurrentLinkedQueue<>()).add(text);
-        return respond(ScriptedResponse.ofPath(path), attempt, whole, connection);
+        return respond(script, attempt, whole, connection);
     }
 
     /** Returns the body of a run: printable text, or events of equal size from a first one on. */
-    private synchronized byte[] nextBody(int firstEvent) {
+    private synchronized byte[] nextBody(int firstEvent, ScriptedResponse.Size size) {
         if (!streams) {
-            int run = RUNS.incrementAndGet();
-            return letters(MIN_BODY_BYTES + run * BODY_BYTES_STEP % BODY_BYTES_SPREAD);
+            boolean fixed = size == ScriptedResponse.Size.FIXED;
+            int varied = RUNS.incrementAndGet() * BODY_BYTES_STEP % BODY_BYTES_SPREAD;
+            return letters(size.addedBytes + MIN_BODY_BYTES + (fixed ? FIXED_SPREAD : varied));
         }
         int count = MIN_EVENTS + random.nextInt(EVENTS_SPREAD);
         int dataBytes = 8 + random.nextInt(60);
@@ -170,6 +178,11 @@
         }
         if (script.copy() == Copy.OF_EARLIER_REQUEST) {
             writeEarlier(writer, script, earlier, whole, length);
+        } else if (script.copy() == Copy.JUNK) {
+            writeJunk(writer);
+        } else if (script.copy() == Copy.RESET) {
+            writer.flush();
+            connection.socket().resetOnClose(true);
         } else if (script.copy() != Copy.NONE) {
             writeCopy(writer, script, current);
         }
@@ -194,6 +207,14 @@
         writer.bytes(whole, length, whole.length - length);
     }
 
+    private void writeJunk(MessageWriter writer) throws IOException {
+        for (int i = 0; i < JUNK_PIECES; i++) {
+            byte[] junk = new byte[JUNK_PIECE_BYTES];
+            random.nextBytes(junk);
+            writer.bytes(junk, 0, junk.length);
+        }
+    }
+
     private void writeCopy(MessageWriter writer, ScriptedResponse script, Answered current)
             throws IOException {
         Copy copy = script.copy();
