Compare bodies without a stated end with the known ones of their route

Callers took junk, and parts of bodies, for whole: a target sends a proper head and half a body, or 80 KB of bytes that are none, and closes its connection in order. Such an end was passed on as the target had told it, by an orderly close with no framing, which most clients take for the end of the body.

Cause: the end in doubt was judged by the connection and by what other attempts showed, never by the body. A booking, a failure, a stream and a read on a route without a stated end in the last 60 s were told whatever they contained.

Change: StatedEnds keeps the sizes of the bodies whose ends were stated, by route and by service. A body without a stated end whose size is far outside is cut (UNUSUAL_SIZE): it is repeated if the route permits it, else 502, and one that is still being read is dropped as soon as it is too long. Where all bodies of a route have one size, a read of that size is told. The end of a failure in doubt is told only to callers that cannot repeat their request, and a resumable stream is broken off where many ends of its route are stated, because its caller can resume it.

DoubtfulEndTest's calls of StatedEnds.record state a size now; its checks are the same.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -50,13 +50,38 @@
         return route.allowsReexecution() && !endInDoubt;
     }
 
-    /** Returns how the caller is told an end that no other target is asked about. */
-    public ToldEnd toldEnd(EndEvidence evidence) {
-        return ToldEnd.of(evidence, route, target, statedEnds);
+    /**
+     * Returns how the caller is told an end that no other target is asked about.
+     *
+     * @param isSuccess whether the response is a success
+     * @param bytes size of the body
+     */
+    public ToldEnd toldEnd(EndEvidence evidence, boolean isSuccess, long bytes) {
+        return isSuccess
+                ? ToldEnd.of(evidence, route, target, bytes, statedEnds)
+                : ToldEnd.ofFailure(evidence, route);
+    }
+
+    /**
+     * Records that the target has stated the end of a successful response.
+     *
+     * @param bytes size of the body
+     */
+    public void recordStatedEnd(long bytes) {
+        statedEnds.record(target.entry().service(), route.id(), bytes);
+    }
+
+    /**
+     * Returns whether a successful body without a stated end, of which more may come, is longer
+     * than the known ones of its route or service.
+     */
+    public boolean isTooLong(long bytes) {
+        return statedEnds.isTooLong(target.entry().service(), route.id(), bytes);
     }
 
-    /** Records that the target has stated the end of a successful response. */
-    public void recordStatedEnd() {
-        statedEnds.record(target.entry().service(), route.id());
+    /** Returns whether no successful body of the route has such a size. */
+    public boolean hasUnusualSize(long bytes) {
+        BodySizes known = statedEnds.sizes(target.entry().service(), route.id());
+        return known.match(bytes) == BodySizes.Match.FAR;
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -66,7 +66,7 @@
      * @param route route of the request
      */
     ToldEnd toldEnd(Route route, StatedEnds statedEnds) {
-        return kept.map(r -> ToldEnd.of(r.evidence(), route, r.target(), statedEnds))
+        return kept.map(r -> ToldEnd.of(r.evidence(), route, r.target(), r.length(), statedEnds))
                 .orElse(ToldEnd.BROKEN);
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
@@ -30,6 +30,8 @@
     PARTIAL_COPY(Meaning.DOUBTFUL, false),
     /** A response to another request, or to none, begins where the response ends. */
     OTHER_RESPONSE(Meaning.DOUBTFUL, false),
+    /** The end is not stated, and no body of the route has such a size. */
+    UNUSUAL_SIZE(Meaning.CUT, false),
     /** A copy that follows on the connection begins like the response and is longer. */
     LONGER_COPY(Meaning.CUT, false),
     /** Another response begins before the stated end. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
@@ -8,32 +8,94 @@
 import org.godwithoist.core.time.Ticker;
 
 /**
- * Remembers which services state the ends of their successful responses. Where one has done so
- * lately, a response without a stated end is unusual. Kept by route, because a service may frame
- * the bodies of different paths in different ways. Thread-safe.
+ * Remembers which services state the ends of their successful responses, and how large these are.
+ * Where one has done so lately, a response without a stated end is unusual. Kept by route, because
+ * a service may frame the bodies of different paths in different ways. Thread-safe.
  */
 public final class StatedEnds {
     /** Time for which one stated end makes others expected. */
     private static final Duration MEMORY = Duration.ofSeconds(60);
 
+    /** Time for which sizes are collected; they are used for as long again. */
+    private static final Duration SIZES_PERIOD = Duration.ofMinutes(5);
+
     private record Key(ServiceId service, RouteId route) {}
 
+    /**
+     * What is known of the responses of a route or service. Instants are in nanoseconds of the
+     * ticker.
+     *
+     * @param periodStart when the current sizes were begun
+     * @param previous sizes of the period before
+     */
+    private record Known(
+            long lastStatedAt, long periodStart, BodySizes current, BodySizes previous) {
+        /** Adds a size to what is known of a route or service; null for nothing. */
+        static Known add(Known known, long bytes, long now) {
+            return known == null
+                    ? new Known(now, now, BodySizes.NONE.with(bytes), BodySizes.NONE)
+                    : known.with(bytes, now);
+        }
+
+        private Known with(long bytes, long now) {
+            if (now - periodStart < SIZES_PERIOD.toNanos()) {
+                return new Known(now, periodStart, current.with(bytes), previous);
+            }
+            BodySizes last = isOutdated(now) ? BodySizes.NONE : current;
+            return new Known(now, now, BodySizes.NONE.with(bytes), last);
+        }
+
+        BodySizes sizes(long now) {
+            return isOutdated(now) ? BodySizes.NONE : current.merge(previous);
+        }
+
+        private boolean isOutdated(long now) {
+            return now - periodStart >= 2 * SIZES_PERIOD.toNanos();
+        }
+    }
+
     private final Ticker ticker;
-    private final Map<Key, Long> lastStatedAt = new ConcurrentHashMap<>();
+    private final Map<Key, Known> routes = new ConcurrentHashMap<>();
+    private final Map<ServiceId, Known> services = new ConcurrentHashMap<>();
 
     /** Creates a memory without any service. */
     public StatedEnds(Ticker ticker) {
         this.ticker = ticker;
     }
 
-    /** Records that a target of a service has stated the end of a successful response. */
-    public void record(ServiceId service, RouteId route) {
-        lastStatedAt.put(new Key(service, route), ticker.nanos());
+    /**
+     * Records that a target of a service has stated the end of a successful response.
+     *
+     * @param bytes size of the body
+     */
+    public void record(ServiceId service, RouteId route, long bytes) {
+        long now = ticker.nanos();
+        routes.compute(new Key(service, route), (key, k) -> Known.add(k, bytes, now));
+        services.compute(service, (key, k) -> Known.add(k, bytes, now));
     }
 
     /** Returns whether a response of a service that does not state its end is unusual. */
     public boolean areUsual(ServiceId service, RouteId route) {
-        Long at = lastStatedAt.get(new Key(service, route));
-        return at != null && ticker.nanos() - at < MEMORY.toNanos();
+        Known k = routes.get(new Key(service, route));
+        return k != null && ticker.nanos() - k.lastStatedAt() < MEMORY.toNanos();
+    }
+
+    /** Returns the known sizes of the successful bodies of a route. */
+    BodySizes sizes(ServiceId service, RouteId route) {
+        return sizes(routes.get(new Key(service, route)));
+    }
+
+    /**
+     * Returns whether a body that may go on is longer than the known ones of its route, or of its
+     * service if too few of the route are known.
+     */
+    boolean isTooLong(ServiceId service, RouteId route, long bytes) {
+        BodySizes ofRoute = sizes(service, route);
+        BodySizes sizes = ofRoute.areKnown() ? ofRoute : sizes(services.get(service));
+        return sizes.isTooLong(bytes);
+    }
+
+    private BodySizes sizes(Known known) {
+        return known == null ? BodySizes.NONE : known.sizes(ticker.nanos());
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -110,7 +110,7 @@
     }
 
     private Judgement judge(TargetBody body, boolean stream) throws IOException {
-        Judgement found = evidence(body, stream);
+        Judgement found = withSize(evidence(body, stream), body, stream);
         if (found.evidence().isCut()) {
             attempt.target().recordCutBody();
             throw new IncompleteBodyException(found.evidence());
@@ -130,16 +130,43 @@
      * Checks that the end of a response may be told to the caller, by the framing of the response
      * to it, without asking another target.
      *
+     * @param bytes size of the body
      * @param statesEnd whether the response tells the caller where its body ends
      * @throws IncompleteBodyException if it may not
      */
-    void checkMayBeTold(EndEvidence evidence, boolean statesEnd) throws IncompleteBodyException {
-        ToldEnd told = attempt.toldEnd(evidence);
+    void checkMayBeTold(EndEvidence evidence, long bytes, boolean statesEnd)
+            throws IncompleteBodyException {
+        ToldEnd told = attempt.toldEnd(evidence, ResponseHead.isSuccess(status), bytes);
         if (told == ToldEnd.BROKEN || (told == ToldEnd.UNSTATED && statesEnd)) {
             throw new IncompleteBodyException(evidence);
         }
     }
 
+    /**
+     * Returns the evidence, unless its body has a size that refutes it. The sizes of streams tell
+     * nothing, and those of failures are not known.
+     */
+    private Judgement withSize(Judgement found, TargetBody body, boolean stream) {
+        boolean isKnownSize = !stream && ResponseHead.isSuccess(status);
+        boolean refuted =
+                isKnownSize
+                        && !found.evidence().isWhole()
+                        && attempt.hasUnusualSize(body.checksum().length());
+        return refuted ? Judgement.of(EndEvidence.UNUSUAL_SIZE) : found;
+    }
+
+    /**
+     * Checks that a successful body without a stated end, of which more may come, is not longer
+     * than the known ones of its route or service.
+     *
+     * @throws IncompleteBodyException if it is
+     */
+    void checkLength(TargetBody body) throws IncompleteBodyException {
+        if (!body.end().isStated() && attempt.isTooLong(body.checksum().length())) {
+            throw new IncompleteBodyException(EndEvidence.UNUSUAL_SIZE);
+        }
+    }
+
     private Judgement evidence(TargetBody body, boolean stream) {
         if (body.endsInsideHead()) {
             return Judgement.of(statedOr(body, EndEvidence.PARTIAL_COPY));
@@ -149,7 +176,7 @@
             return evidenceOfNext(body, stream);
         }
         if (body.isPresent() && body.end().isStated() && ResponseHead.isSuccess(status)) {
-            attempt.recordStatedEnd();
+            attempt.recordStatedEnd(body.checksum().length());
         }
         return Judgement.of(body.end().isStated() ? EndEvidence.STATED : EndEvidence.ORDERLY_CLOSE);
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -129,7 +129,7 @@
             progress = ResponseProgress.ESTABLISHED;
             return false;
         }
-        judge.checkMayBeTold(evidence, callerResponse.statesEnd());
+        judge.checkMayBeTold(evidence, body.checksum().length(), callerResponse.statesEnd());
         finish(head, new byte[0]);
         return true;
     }
@@ -174,10 +174,12 @@
         if (firstBytes.length < MAX_BUFFERED_BYTES) {
             return finishShort(head, firstBytes, body, judge, attempt);
         }
+        judge.checkLength(body);
         writeToCaller(head, firstBytes, 0, firstBytes.length);
         byte[] buffer = new byte[READ_BUFFER_BYTES];
         int n = body.read(buffer, 0, buffer.length);
         while (n >= 0) {
+            judge.checkLength(body);
             writeToCaller(head, buffer, 0, n);
             n = body.read(buffer, 0, buffer.length);
         }
@@ -186,7 +188,7 @@
         if (end.copy().isPresent()) {
             throw new EndJudge.IncompleteBodyException(EndEvidence.LONGER_COPY);
         }
-        judge.checkMayBeTold(end.evidence(), callerResponse.statesEnd());
+        judge.checkMayBeTold(end.evidence(), body.checksum().length(), callerResponse.statesEnd());
         finish(head, new byte[0]);
         return Optional.empty();
     }
@@ -203,7 +205,7 @@
             return Optional.of(new BufferedResponse(head, whole));
         }
         boolean isWhole = end.evidence().isWhole();
-        judge.checkMayBeTold(end.evidence(), isWhole);
+        judge.checkMayBeTold(end.evidence(), bytes.length, isWhole);
         finish(isWhole ? head.withLength(whole.length) : head, whole);
         return Optional.empty();
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -288,7 +288,7 @@
             EndJudge.Judgement end = judge.judge(content, bytes);
             endEvidence = Optional.of(end.evidence());
             boolean isWhole = end.evidence().isWhole();
-            judge.checkMayBeTold(end.evidence(), isWhole);
+            judge.checkMayBeTold(end.evidence(), bytes.length, isWhole);
             responseComplete = true;
             byte[] whole = end.copy().orElse(bytes);
             return AttemptResult.failure(
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
@@ -70,17 +70,27 @@
                         .withUnsent(new BufferedResponse(head, bytes)));
     }
 
+    private void recordStated(long bytes) {
+        for (int i = 0; i < BodySizes.MIN_COUNT; i++) {
+            statedEnds.record(SERVICE, ROUTE, bytes);
+        }
+    }
+
     private ToldEnd toldEnd(RouteKind kind) {
         return end.toldEnd(route(kind), statedEnds);
     }
 
     private static Route route(RouteKind kind) {
+        return route(kind, false);
+    }
+
+    private static Route route(RouteKind kind, boolean resumable) {
         return new Route(
                 ROUTE,
                 "host",
                 "/",
                 kind,
-                false,
+                resumable,
                 Duration.ofSeconds(1),
                 Duration.ofMillis(100),
                 Duration.ZERO,
@@ -108,7 +118,7 @@
         /** Guards against reads that are lost because of the ends of another route's responses. */
         @Test
         void readIsToldUnstatedWhereAnotherRouteStatesEnds() {
-            statedEnds.record(SERVICE, new RouteId("other"));
+            statedEnds.record(SERVICE, new RouteId("other"), 100);
             record(first, "body");
             assertEquals(ToldEnd.UNSTATED, toldEnd(RouteKind.IDEMPOTENT));
         }
@@ -116,7 +126,7 @@
         /** Guards against a part of a read that is told where the caller can repeat it. */
         @Test
         void readIsNotToldWhereEndsAreStatedAsARule() {
-            statedEnds.record(SERVICE, ROUTE);
+            statedEnds.record(SERVICE, ROUTE, 100);
             record(first, "body");
             assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
             assertTrue(end.isPresent());
@@ -125,16 +135,44 @@
         /** Guards against a response that cannot be repeated and is lost. */
         @Test
         void bookingIsToldUnstatedWhereEndsAreStatedAsARule() {
-            statedEnds.record(SERVICE, ROUTE);
+            statedEnds.record(SERVICE, ROUTE, 100);
             first.recordCutBody();
             record(first, "body");
             assertEquals(ToldEnd.UNSTATED, toldEnd(RouteKind.NON_IDEMPOTENT));
         }
 
+        /** Guards against whole reads that are lost although their size shows that they are. */
+        @Test
+        void readOfTheOnlySizeOfItsRouteIsTold() {
+            recordStated("body".length());
+            record(first, "body");
+            assertEquals(ToldEnd.UNSTATED, toldEnd(RouteKind.IDEMPOTENT));
+        }
+
+        /** Guards against a part of a stream that its caller could resume. */
+        @Test
+        void resumableStreamIsBrokenOffWhereManyEndsAreStated() {
+            recordStated("body".length());
+            record(first, "body");
+            assertEquals(ToldEnd.BROKEN, end.toldEnd(route(RouteKind.STREAMING, true), statedEnds));
+        }
+
+        /** Guards against a part of a failure that a caller gets who can repeat its request. */
+        @ParameterizedTest
+        @EnumSource
+        void failureIsToldWhereTheRequestRunsOnce(RouteKind kind) {
+            Route route = route(kind);
+            assertEquals(
+                    route.allowsReexecution() ? ToldEnd.BROKEN : ToldEnd.UNSTATED,
+                    ToldEnd.ofFailure(EndEvidence.ORDERLY_CLOSE, route));
+            assertEquals(ToldEnd.BROKEN, ToldEnd.ofFailure(EndEvidence.PARTIAL_COPY, route));
+            assertEquals(ToldEnd.STATED, ToldEnd.ofFailure(EndEvidence.STATED, route));
+        }
+
         /** Guards against reads that are refused because of ends that were stated long ago. */
         @Test
         void statedEndsAreForgotten() {
-            statedEnds.record(SERVICE, ROUTE);
+            statedEnds.record(SERVICE, ROUTE, 100);
             ticker.advance(Duration.ofMinutes(2));
             record(first, "body");
             assertEquals(ToldEnd.UNSTATED, toldEnd(RouteKind.IDEMPOTENT));
@@ -162,7 +200,7 @@
         /** Guards against two parts that were cut at the same place and confirm each other. */
         @Test
         void responsesOfTheSameSizeConfirmNothing() {
-            statedEnds.record(SERVICE, ROUTE);
+            statedEnds.record(SERVICE, ROUTE, 100);
             record(first, "body one");
             record(second, "body two");
             assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
@@ -189,7 +227,7 @@
         /** Guards against one of two parts that is told as whole. */
         @Test
         void responsesThatDifferAreNotToldWhereEndsAreStatedAsARule() {
-            statedEnds.record(SERVICE, ROUTE);
+            statedEnds.record(SERVICE, ROUTE, 100);
             record(first, "body of a run");
             record(second, "another one");
             assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
--- a/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
@@ -83,6 +83,13 @@
             assertNoneTaken(send(kind, JUNK));
         }
 
+        /** Guards against the same on a route that is rarely asked for. */
+        @Test
+        void isNotTakenWhereBodiesOfAnotherRouteAreKnown() throws Exception {
+            sendStated(RouteKind.BOOKING, Size.SHORT);
+            assertNoneTaken(send(RouteKind.READ, JUNK));
+        }
+
         /** Guards against the same just after the start, when no body of the route is known. */
         @ParameterizedTest
         @EnumSource
