Split the listeners from the edge daemon's wiring

Edge held four listeners, the limits of their connections and two sets of idle connections beside all other collaborators. EdgeListeners opens and closes them; no behavior changes. EdgeTest (54) and EdgeProcessTest's signals (2) pass.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.InstantSource;
-import java.util.EnumMap;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.godwithoist.catalog.Catalog;
@@ -23,10 +22,8 @@
 import org.godwithoist.dispatch.StartupGate;
 import org.godwithoist.dispatch.http.CallerConnection;
 import org.godwithoist.dispatch.http.ConnectionLimit;
-import org.godwithoist.dispatch.http.ConnectionListener;
 import org.godwithoist.dispatch.http.Dialect;
 import org.godwithoist.dispatch.http.HttpTargetGateway;
-import org.godwithoist.dispatch.http.IdleConnections;
 import org.godwithoist.peers.LoadExchange;
 import org.godwithoist.peers.Member;
 import org.godwithoist.peers.wire.UdpTransport;
@@ -35,7 +32,6 @@
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.quarantine.QuarantineTable;
 import org.godwithoist.relay.Leadership;
-import org.godwithoist.relay.wire.RelayServer;
 import org.godwithoist.settings.EdgeSettings;
 import org.godwithoist.store.feed.StoreEras;
 import org.godwithoist.targets.ColdLimit;
@@ -63,10 +59,8 @@
     private final CatalogState catalogs = new CatalogState();
     private final StartupGate gate = new StartupGate();
     private final ServingStatus serving = new ServingStatus();
-    private final IdleConnections idleConnections = new IdleConnections(ticker);
-    private final IdleConnections idleStatusConnections = new IdleConnections(ticker);
     private final MemoryBudget memory;
-    private final Map<ConnectionLimit.Kind, ConnectionLimit> connectionLimits;
+    private final EdgeListeners listeners;
     private final EdgeMetrics metrics;
     private final TargetDirectory directory;
     private final PeerLoads peerLoads;
@@ -77,10 +71,6 @@
     private final HttpTargetGateway gateway;
     private final Supervisor supervisor;
     private final Dialect dialect = new HttpDialect();
-    private ConnectionListener callerListener;
-    private ConnectionListener readinessListener;
-    private ConnectionListener metricsListener;
-    private ConnectionListener relayListener;
     private LoadExchange exchange;
 
     /**
@@ -98,11 +88,9 @@
         peerLoads = new PeerLoads(ticker);
         quarantine = new Quarantine(log, ticker);
         memory = MemoryBudget.ofHeap(maxHeapBytes);
-        connectionLimits = new EnumMap<>(ConnectionLimit.Kind.class);
-        addConnectionLimit(ConnectionLimit.Kind.CALLER, maxHeapBytes, idleConnections);
-        addConnectionLimit(ConnectionLimit.Kind.STATUS, maxHeapBytes, idleStatusConnections);
-        addConnectionLimit(ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker));
-        metrics = new EdgeMetrics(quarantine, memory, directory, connectionLimits);
+        supervisor = new Supervisor(this::logTaskFailure, ticker);
+        listeners = new EdgeListeners(settings, maxHeapBytes, supervisor, ticker);
+        metrics = new EdgeMetrics(quarantine, memory, directory, listeners.limits());
         eraMonitor = new EraMonitor(log);
         eras = new StoreEras(eraMonitor, ticker);
         followers =
@@ -117,7 +105,6 @@
                                 log,
                                 ticker,
                                 random));
-        supervisor = new Supervisor(this::logTaskFailure, ticker);
         gateway =
                 new HttpTargetGateway(
                         dialect,
@@ -127,11 +114,6 @@
                         ticker);
     }
 
-    private void addConnectionLimit(
-            ConnectionLimit.Kind kind, long maxHeapBytes, IdleConnections idle) {
-        connectionLimits.put(kind, ConnectionLimit.of(kind, maxHeapBytes, idle));
-    }
-
     /**
      * Opens all listeners and starts all tasks.
      *
@@ -139,46 +121,23 @@
      */
     void start(Endpoint metricsAddress) throws IOException {
         FleetList fleet = startExchange();
-        CallerConnection.Dependencies callerDependencies =
+        listeners.openCallers(
                 new CallerConnection.Dependencies(
                         dispatcher(fleet),
                         dialect,
                         this::limits,
                         serving,
-                        idleConnections,
+                        listeners.idleCallers(),
                         memory,
-                        ticker);
-        callerListener =
-                ConnectionListener.open(
-                        settings.frontend(),
-                        "caller",
-                        supervisor,
-                        connectionLimits.get(ConnectionLimit.Kind.CALLER),
-                        new ConnectionListener.Handlers(
-                                s -> CallerConnection.serve(s, callerDependencies),
-                                s -> CallerConnection.refuse(s, callerDependencies)));
+                        ticker));
         followers.start(new Leadership(exchange::leaderAddress, exchange::isLeader), supervisor);
         StatusServer statusServer =
                 new StatusServer(
                         Map.of("/readiness", this::readiness, "/metrics", this::metricsResponse),
-                        idleStatusConnections,
+                        listeners.idleStatusConnections(),
                         log,
                         ticker);
-        ConnectionLimit statusLimit = connectionLimits.get(ConnectionLimit.Kind.STATUS);
-        readinessListener =
-                ConnectionListener.open(
-                        settings.readiness(),
-                        "ready",
-                        supervisor,
-                        statusLimit,
-                        ConnectionListener.Handlers.closing(statusServer::serve));
-        metricsListener =
-                ConnectionListener.open(
-                        metricsAddress,
-                        "metrics",
-                        supervisor,
-                        statusLimit,
-                        ConnectionListener.Handlers.closing(statusServer::serve));
+        listeners.openStatus(statusServer::serve, metricsAddress);
         fleet.start(supervisor);
         QuarantineTable quarantineTable =
                 new QuarantineTable(
@@ -199,8 +158,8 @@
     void stop() {
         new GracefulShutdown(
                         serving,
-                        idleConnections,
-                        connectionLimits.get(ConnectionLimit.Kind.CALLER)::open,
+                        listeners.idleCallers(),
+                        listeners.limits().get(ConnectionLimit.Kind.CALLER)::open,
                         this::closeCallerListener,
                         gateway,
                         settingsFile.current().bounds().gracePeriod(),
@@ -211,7 +170,7 @@
 
     private void closeCallerListener() {
         try {
-            callerListener.closeWhenDrained(MAX_DRAIN);
+            listeners.callers().closeWhenDrained(MAX_DRAIN);
         } catch (IOException e) {
             log.event("close_failed").with("reason", String.valueOf(e.getMessage())).write();
         }
@@ -224,42 +183,30 @@
 
     /** Returns the address for callers, with the actual port if it was chosen by the system. */
     Endpoint callerAddress() {
-        return new Endpoint(settings.frontend().ip(), callerListener.port());
+        return listeners.callerAddress();
     }
 
     /** Returns the address of the readiness endpoint, with the actual port. */
     Endpoint readinessAddress() {
-        return new Endpoint(settings.readiness().ip(), readinessListener.port());
+        return listeners.readinessAddress();
     }
 
     /** Returns the address of the metrics endpoint, with the actual port. */
     Endpoint metricsAddress() {
-        return new Endpoint(settings.readiness().ip(), metricsListener.port());
+        return listeners.metricsAddress();
     }
 
     /** Closes all listeners and the load exchange. Open connections and feeds are not closed. */
     @Override
     public void close() throws IOException {
-        callerListener.close();
-        readinessListener.close();
-        metricsListener.close();
-        relayListener.close();
+        listeners.close();
         exchange.close();
     }
 
     private FleetList startExchange() throws IOException {
         UdpTransport transport = UdpTransport.open(settings.peers());
         Endpoint address = new Endpoint(settings.peers().ip(), transport.port());
-        RelayServer relay = followers.relayServer();
-        // Members connect to the TCP port with the same number as the UDP port. If the system
-        // chooses the ports, the two numbers differ and members cannot use this daemon's relay.
-        relayListener =
-                ConnectionListener.open(
-                        settings.peers(),
-                        "relay",
-                        supervisor,
-                        connectionLimits.get(ConnectionLimit.Kind.RELAY),
-                        ConnectionListener.Handlers.closing(relay::serve));
+        listeners.openRelay(followers.relayServer()::serve);
         Member self = new Member(settings.host(), settings.failureDomain(), address);
         exchange =
                 new LoadExchange(
--- /dev/null
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeListeners.java
@@ -0,0 +1,142 @@
+package org.godwithoist.edge;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Supervisor;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.dispatch.http.CallerConnection;
+import org.godwithoist.dispatch.http.ConnectionLimit;
+import org.godwithoist.dispatch.http.ConnectionListener;
+import org.godwithoist.dispatch.http.IdleConnections;
+import org.godwithoist.settings.EdgeSettings;
+
+/**
+ * The listeners of a daemon, which are opened one after the other, and the limits of their
+ * connections. Opened and closed by one task; the limits are thread-safe.
+ */
+final class EdgeListeners implements Closeable {
+    private final EdgeSettings settings;
+    private final Supervisor supervisor;
+    private final IdleConnections idleCallers;
+    private final IdleConnections idleStatusConnections;
+    private final Map<ConnectionLimit.Kind, ConnectionLimit> limits =
+            new EnumMap<>(ConnectionLimit.Kind.class);
+    private ConnectionListener callers;
+    private ConnectionListener readiness;
+    private ConnectionListener metrics;
+    private ConnectionListener relay;
+
+    /**
+     * Creates an instance that listens to nothing yet.
+     *
+     * @param maxHeapBytes maximum size of the heap, which limits the connections
+     */
+    EdgeListeners(EdgeSettings settings, long maxHeapBytes, Supervisor supervisor, Ticker ticker) {
+        this.settings = settings;
+        this.supervisor = supervisor;
+        idleCallers = new IdleConnections(ticker);
+        idleStatusConnections = new IdleConnections(ticker);
+        addLimit(ConnectionLimit.Kind.CALLER, maxHeapBytes, idleCallers);
+        addLimit(ConnectionLimit.Kind.STATUS, maxHeapBytes, idleStatusConnections);
+        addLimit(ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker));
+    }
+
+    private void addLimit(ConnectionLimit.Kind kind, long maxHeapBytes, IdleConnections idle) {
+        limits.put(kind, ConnectionLimit.of(kind, maxHeapBytes, idle));
+    }
+
+    /** Returns the limits of the connections, by kind. */
+    Map<ConnectionLimit.Kind, ConnectionLimit> limits() {
+        return limits;
+    }
+
+    /** Returns the idle connections of callers. */
+    IdleConnections idleCallers() {
+        return idleCallers;
+    }
+
+    /** Returns the idle connections to the status endpoints. */
+    IdleConnections idleStatusConnections() {
+        return idleStatusConnections;
+    }
+
+    /**
+     * Opens the listener for members of the daemon's group. They connect to the TCP port with the
+     * same number as the UDP port. If the system chooses the ports, the two numbers differ and
+     * members cannot use this daemon's relay.
+     */
+    void openRelay(Consumer<Socket> server) throws IOException {
+        relay =
+                open(
+                        settings.peers(),
+                        "relay",
+                        ConnectionLimit.Kind.RELAY,
+                        ConnectionListener.Handlers.closing(server));
+    }
+
+    /** Opens the listener for callers. */
+    void openCallers(CallerConnection.Dependencies dependencies) throws IOException {
+        callers =
+                open(
+                        settings.frontend(),
+                        "caller",
+                        ConnectionLimit.Kind.CALLER,
+                        new ConnectionListener.Handlers(
+                                s -> CallerConnection.serve(s, dependencies),
+                                s -> CallerConnection.refuse(s, dependencies)));
+    }
+
+    /**
+     * Opens the listeners of the status endpoints.
+     *
+     * @param metricsAddress listen address of the metrics endpoint
+     */
+    void openStatus(Consumer<Socket> server, Endpoint metricsAddress) throws IOException {
+        ConnectionListener.Handlers handlers = ConnectionListener.Handlers.closing(server);
+        readiness = open(settings.readiness(), "ready", ConnectionLimit.Kind.STATUS, handlers);
+        metrics = open(metricsAddress, "metrics", ConnectionLimit.Kind.STATUS, handlers);
+    }
+
+    private ConnectionListener open(
+            Endpoint address,
+            String name,
+            ConnectionLimit.Kind kind,
+            ConnectionListener.Handlers handlers)
+            throws IOException {
+        return ConnectionListener.open(address, name, supervisor, limits.get(kind), handlers);
+    }
+
+    /** Returns the address for callers, with the actual port if it was chosen by the system. */
+    Endpoint callerAddress() {
+        return new Endpoint(settings.frontend().ip(), callers.port());
+    }
+
+    /** Returns the address of the readiness endpoint, with the actual port. */
+    Endpoint readinessAddress() {
+        return new Endpoint(settings.readiness().ip(), readiness.port());
+    }
+
+    /** Returns the address of the metrics endpoint, with the actual port. */
+    Endpoint metricsAddress() {
+        return new Endpoint(settings.readiness().ip(), metrics.port());
+    }
+
+    /** Returns the listener for callers. */
+    ConnectionListener callers() {
+        return callers;
+    }
+
+    /** Closes all listeners. Open connections are not closed. */
+    @Override
+    public void close() throws IOException {
+        callers.close();
+        readiness.close();
+        metrics.close();
+        relay.close();
+    }
+}
