Name the request in the lines of attempts that fail

A request to a plain service had no identity in the logs, so that nothing could tell whether the requests at whose attempts targets ended were one request and its repeats, or different ones. The fingerprint is a hash of the method, host, path, workspace, named prompt and body.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -93,7 +93,7 @@
             Admission.AdmittedRequest admitted = admission.admit(request.head());
             memory.requestStarted(admitted.priority());
             try {
-                run(request, admitted, response);
+                run(request.identified(admitted.workspace()), admitted, response);
             } finally {
                 memory.requestEnded();
             }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
@@ -1,8 +1,11 @@
 package org.godwithoist.dispatch;
 
 import java.time.Duration;
+import java.util.Optional;
+import org.godwithoist.core.id.WorkspaceId;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.quarantine.RequestFingerprint;
 
 /**
  * A request that was read completely.
@@ -11,9 +14,33 @@
  * @param body body of the request; empty if it has none
  * @param hasBody whether the caller sent a body, which may be empty
  * @param arrivedAt time at which the last byte was read, in nanoseconds of the ticker
+ * @param fingerprint identifies the request and its repeats; empty until its workspace is known
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record Request(RequestHead head, byte[] body, boolean hasBody, long arrivedAt) {
+public record Request(
+        RequestHead head,
+        byte[] body,
+        boolean hasBody,
+        long arrivedAt,
+        Optional<RequestFingerprint> fingerprint) {
+    /** Creates a request whose workspace is not known yet. */
+    public Request(RequestHead head, byte[] body, boolean hasBody, long arrivedAt) {
+        this(head, body, hasBody, arrivedAt, Optional.empty());
+    }
+
+    /** Returns this request with its fingerprint, as sent by a workspace. */
+    Request identified(Optional<WorkspaceId> workspace) {
+        RequestFingerprint computed =
+                RequestFingerprint.of(
+                        body,
+                        head.method(),
+                        head.host(),
+                        head.uri(),
+                        workspace.map(WorkspaceId::value).orElse(""),
+                        head.prefix().map(p -> p.wholePrompt().value()).orElse(""));
+        return new Request(head, body, hasBody, arrivedAt, Optional.of(computed));
+    }
+
     /** Returns the earlier of the caller's deadline and the route's timeout. */
     Deadline deadline(Duration timeout, Ticker ticker) {
         return new Deadline(arrivedAt + head.timeLimit(timeout).toNanos(), ticker);
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -71,7 +71,7 @@
         result.connection().ifPresent(c -> addConnection(c, line));
         if (result.outcome().verdict().isTargetFailure()) {
             line.with("progress", result.progress().name());
-            addPromptParts(request, line);
+            addIdentity(request, line);
         }
         line.with("ms", duration.toMillis()).write();
     }
@@ -94,8 +94,11 @@
         }
     }
 
-    /** Adds the ids in the order of the prompt; a request may have more than a line can show. */
-    private static void addPromptParts(Request request, LogLine line) {
+    /**
+     * Adds what other requests may have too: the parts in the order of the prompt, of which there
+     * may be more than a line can show, and the fingerprint, by which repeats are recognized.
+     */
+    private static void addIdentity(Request request, LogLine line) {
         List<PromptPartId> parts = request.head().promptParts();
         if (!parts.isEmpty()) {
             String ids =
@@ -105,6 +108,7 @@
                             .collect(Collectors.joining(","));
             line.with("parts", ids);
         }
+        request.fingerprint().ifPresent(f -> line.with("request", f.value()));
     }
 
     @Override
@@ -125,7 +129,7 @@
         refusal.ifPresent(r -> line.with("refusal", r.name()));
         told.ifPresent(t -> line.with("told", t.name()));
         if (refusal.equals(Optional.of(Refusal.QUARANTINED))) {
-            addPromptParts(request, line);
+            addIdentity(request, line);
         }
         line.with("attempts", attempts).with("ms", duration.toMillis()).write();
     }
