--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
@@ -55,6 +56,7 @@
     private volatile RunnerFault fault = RunnerFault.NONE;
     private volatile Optional<RepeatedResponses> repeatedResponses = Optional.empty();
     private volatile Optional<String> poisonPart = Optional.empty();
+    private volatile Optional<Predicate<ExecutedRequest>> deadlyRequests = Optional.empty();
     private volatile List<String> rateLimits = List.of();
     private final List<Long> arrivals = new CopyOnWriteArrayList<>();
     private volatile Optional<String> successorId = Optional.empty();
@@ -142,7 +144,21 @@
         poisonPart = Optional.of(partId);
     }
 
-    /** Returns whether a request has ended the runner. */
+    /**
+     * Makes the runner end like a killed process, without a byte of a response, when it has begun
+     * to run certain requests. Requests in progress lose their connections then.
+     */
+    public void setDeadlyRequests(Predicate<ExecutedRequest> deadly) {
+        deadlyRequests = Optional.of(deadly);
+    }
+
+    /** Ends the runner like a killed process. */
+    public void end() throws IOException {
+        ended = true;
+        close();
+    }
+
+    /** Returns whether the runner has ended. */
     public boolean hasEnded() {
         return ended;
     }
@@ -208,8 +224,14 @@
             return messages.writeRejection(writer, attempt, "2");
         }
         String text = new String(body, StandardCharsets.UTF_8);
-        executedRequests.add(new ExecutedRequest(attempt, request.getRequestUri(), fields, text));
+        ExecutedRequest executed =
+                new ExecutedRequest(attempt, request.getRequestUri(), fields, text);
+        executedRequests.add(executed);
         Tasks.sleep(eventDelay);
+        if (deadlyRequests.isPresent() && deadlyRequests.get().test(executed)) {
+            end();
+            return false;
+        }
         boolean hangs = currentFault == RunnerFault.HANG;
         if (!hangs && poisonPart.isPresent() && promptContains(fields, poisonPart.get())) {
             return endWhileResponding(writer, attempt);
@@ -282,8 +304,7 @@
         writer.endHead();
         writer.flush();
         Tasks.sleep(eventDelay);
-        ended = true;
-        close();
+        end();
         return false;
     }
 
