--- a/dispatch/src/main/java/org/godwithoist/dispatch/CrashDetector.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/CrashDetector.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.quarantine.Quarantine;
-import org.godwithoist.targets.PromptPartId;
+import org.godwithoist.quarantine.SuspectId;
 import org.godwithoist.targets.Target;
 
 /**
@@ -35,30 +35,30 @@
      * @param startedAt start of the attempt, in nanoseconds of the ticker
      */
     void attemptEnded(Request request, Target target, AttemptResult result, long startedAt) {
-        List<PromptPartId> prompt = request.head().promptParts();
-        if (prompt.isEmpty()) {
+        List<SuspectId> suspects = request.suspectIds();
+        if (suspects.isEmpty()) {
             return;
         }
         if (result.progress() == ResponseProgress.ESTABLISHED) {
             long respondedAt = startedAt + result.timeToFirstByte().orElseThrow().toNanos();
-            quarantine.recordResponse(prompt, respondedAt);
+            quarantine.recordResponse(suspects, respondedAt);
         }
         if (result.progress() == ResponseProgress.BEGUN && result.outcome().isConnectionLoss()) {
             if (gateway.acceptsConnections(target)) {
-                Tasks.start("crash-check-" + target, () -> checkAgain(target, prompt));
+                Tasks.start("crash-check-" + target, () -> checkAgain(target, suspects));
             } else {
-                recordCrash(target, prompt);
+                recordCrash(target, suspects);
             }
         }
     }
 
-    private void checkAgain(Target target, List<PromptPartId> prompt) {
+    private void checkAgain(Target target, List<SuspectId> suspects) {
         if (Tasks.sleep(SECOND_CHECK_DELAY) && !gateway.findPresence(target).mayBeAlive()) {
-            recordCrash(target, prompt);
+            recordCrash(target, suspects);
         }
     }
 
-    private void recordCrash(Target target, List<PromptPartId> prompt) {
-        quarantine.recordCrash(target.entry().incarnation(), prompt);
+    private void recordCrash(Target target, List<SuspectId> suspects) {
+        quarantine.recordCrash(target.entry().incarnation(), suspects);
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -105,7 +105,7 @@
     private void run(Request request, Admission.AdmittedRequest admitted, CallerResponse response)
             throws IOException {
         Route route = admitted.route();
-        Optional<Duration> quarantined = quarantine.remaining(request.head().promptParts());
+        Optional<Duration> quarantined = quarantine.remaining(request.suspectIds());
         if (quarantined.isPresent()) {
             requestEnd.refuse(request, route, Refusal.QUARANTINED, quarantined.get(), response);
             return;
@@ -149,7 +149,7 @@
             return true;
         }
         return policy.permitsAttempt()
-                && quarantine.remaining(request.head().promptParts()).isEmpty()
+                && quarantine.remaining(request.suspectIds()).isEmpty()
                 && takeRetry(policy, retryShare);
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
@@ -1,11 +1,14 @@
 package org.godwithoist.dispatch;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.godwithoist.core.id.WorkspaceId;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.quarantine.RequestFingerprint;
+import org.godwithoist.quarantine.SuspectId;
 
 /**
  * A request that was read completely.
@@ -37,10 +40,20 @@
                         head.host(),
                         head.uri(),
                         workspace.map(WorkspaceId::value).orElse(""),
-                        head.prefix().map(p -> p.wholePrompt().value()).orElse(""));
+                        head.prefix()
+                                .map(p -> Long.toHexString(p.wholePrompt().hash()))
+                                .orElse(""));
         return new Request(head, body, hasBody, arrivedAt, Optional.of(computed));
     }
 
+    /** Returns what may be to blame if targets crash under this request. */
+    public List<SuspectId> suspectIds() {
+        List<SuspectId> ids = new ArrayList<>();
+        head.sharedParts().forEach(p -> ids.add(SuspectId.of(p)));
+        fingerprint.ifPresent(f -> ids.add(SuspectId.of(f)));
+        return ids;
+    }
+
     /** Returns the earlier of the caller's deadline and the route's timeout. */
     Deadline deadline(Duration timeout, Ticker ticker) {
         return new Deadline(arrivedAt + head.timeLimit(timeout).toNanos(), ticker);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestHead.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestHead.java
@@ -1,7 +1,6 @@
 package org.godwithoist.dispatch;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -36,17 +35,10 @@
         OptionalLong resumeAfter,
         List<HeaderField> fields) {
     /**
-     * Returns the parts that the prompt shares with others, and the whole prompt; empty for
-     * requests without a prompt.
+     * Returns the parts that the prompt shares with others; empty for requests without a prompt.
      */
-    public List<PromptPartId> promptParts() {
-        return prefix.map(RequestHead::promptParts).orElse(List.of());
-    }
-
-    private static List<PromptPartId> promptParts(PromptPrefix prefix) {
-        List<PromptPartId> parts = new ArrayList<>(prefix.parts());
-        parts.add(prefix.wholePrompt());
-        return parts;
+    public List<PromptPartId> sharedParts() {
+        return prefix.map(PromptPrefix::parts).orElse(List.of());
     }
 
     /** Returns the shorter of the caller's timeout and the given one of the route. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -18,8 +18,8 @@
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.TargetGateway;
 import org.godwithoist.dispatch.TargetPresence;
+import org.godwithoist.quarantine.SuspectId;
 import org.godwithoist.quarantine.WaitingRequests;
-import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.Target;
 
 /** Sends requests to targets over HTTP/1.1 and pools the connections. Thread-safe. */
@@ -109,8 +109,8 @@
         TargetExchange exchange =
                 new TargetExchange(
                         attempt, response, lease, dialect, onLeaving, endConfirmation, ticker);
-        List<PromptPartId> prompt = attempt.request().head().promptParts();
-        WaitingRequests.Entry waiting = waitingRequests.add(prompt, exchange::withdraw);
+        List<SuspectId> suspects = attempt.request().suspectIds();
+        WaitingRequests.Entry waiting = waitingRequests.add(suspects, exchange::withdraw);
         try {
             response.onDisconnect(lease::close);
             exchanges.add(exchange);
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -99,7 +99,7 @@
      * may be more than a line can show, and the fingerprint, by which repeats are recognized.
      */
     private static void addIdentity(Request request, LogLine line) {
-        List<PromptPartId> parts = request.head().promptParts();
+        List<PromptPartId> parts = request.head().sharedParts();
         if (!parts.isEmpty()) {
             String ids =
                     parts.stream()
--- a/peers/src/main/java/org/godwithoist/peers/EvidenceSender.java
+++ b/peers/src/main/java/org/godwithoist/peers/EvidenceSender.java
@@ -7,12 +7,12 @@
 import java.util.function.Supplier;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.log.EventLog;
-import org.godwithoist.quarantine.PartEvidence;
 import org.godwithoist.quarantine.Quarantine;
+import org.godwithoist.quarantine.SuspectEvidence;
 
 /**
- * Sends the evidence against prompt parts to other daemons: at once when this daemon has observed
- * something, and at intervals as long as a part is suspected, for daemons that have restarted or
+ * Sends the evidence against suspects to other daemons: at once when this daemon has observed
+ * something, and at intervals as long as there is a suspect, for daemons that have restarted or
  * have missed a message. All known evidence is sent, also that of others, so that it reaches
  * daemons to which its observer has no path. Thread-safe.
  */
@@ -55,7 +55,7 @@
 
     /** Sends what is known now. */
     void send() {
-        List<PartEvidence> evidence = quarantine.evidence();
+        List<SuspectEvidence> evidence = quarantine.evidence();
         if (evidence.isEmpty()) {
             return;
         }
@@ -64,11 +64,11 @@
         }
     }
 
-    private void send(List<PartEvidence> evidence, Endpoint receiver) {
-        int end = Math.min(evidence.size(), MAX_MESSAGES * EvidenceMessage.MAX_PARTS);
+    private void send(List<SuspectEvidence> evidence, Endpoint receiver) {
+        int end = Math.min(evidence.size(), MAX_MESSAGES * EvidenceMessage.MAX_SUSPECTS);
         try {
-            for (int i = 0; i < end; i += EvidenceMessage.MAX_PARTS) {
-                int next = Math.min(end, i + EvidenceMessage.MAX_PARTS);
+            for (int i = 0; i < end; i += EvidenceMessage.MAX_SUSPECTS) {
+                int next = Math.min(end, i + EvidenceMessage.MAX_SUSPECTS);
                 transport.send(
                         new EvidenceMessage(self.host(), self.domain(), evidence.subList(i, next)),
                         receiver);
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -22,9 +22,9 @@
 
 /**
  * Reports this daemon's requests in progress, the prompt prefixes that engines have cached for it
- * and the evidence against prompt parts to other daemons, and applies what they send. Uses one
- * sending task for each receiving daemon, one for evidence, one receiving task, and one task that
- * refreshes the plan. Thread-safe.
+ * and the evidence against suspects to other daemons, and applies what they send. Uses one sending
+ * task for each receiving daemon, one for evidence, one receiving task, and one task that refreshes
+ * the plan. Thread-safe.
  */
 public final class LoadExchange implements Closeable {
     private static final Duration PLAN_REFRESH_INTERVAL = Duration.ofSeconds(1);
--- a/peers/src/main/java/org/godwithoist/peers/wire/PeerCodec.java
+++ b/peers/src/main/java/org/godwithoist/peers/wire/PeerCodec.java
@@ -13,7 +13,7 @@
 import org.godwithoist.peers.LoadMessage;
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.peers.PeerMessage;
-import org.godwithoist.quarantine.PartEvidence;
+import org.godwithoist.quarantine.SuspectEvidence;
 import org.godwithoist.quarantine.wire.EvidenceCodec;
 
 /**
@@ -42,7 +42,7 @@
         out.writeUTF(message.sender().value());
         out.writeUTF(message.domain().value());
         out.writeByte(message.evidence().size());
-        for (PartEvidence e : message.evidence()) {
+        for (SuspectEvidence e : message.evidence()) {
             EvidenceCodec.write(e, out);
         }
         return bytes.toByteArray();
@@ -65,7 +65,7 @@
                     new DataInputStream(new ByteArrayInputStream(bytes, 1, length - 1));
             HostId sender = new HostId(in.readUTF());
             FailureDomainId domain = new FailureDomainId(in.readUTF());
-            List<PartEvidence> evidence = new ArrayList<>();
+            List<SuspectEvidence> evidence = new ArrayList<>();
             for (int remaining = in.readUnsignedByte(); remaining > 0; remaining--) {
                 evidence.add(EvidenceCodec.read(in));
             }
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -28,13 +28,13 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.quarantine.Quarantine;
+import org.godwithoist.quarantine.SuspectId;
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.FleetShare;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PlacementRequest;
 import org.godwithoist.targets.PrefixKey;
-import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.RateLimit;
 import org.godwithoist.targets.RateStatement;
 import org.godwithoist.targets.Target;
@@ -228,8 +228,8 @@
 
     @Nested
     final class PromptEvidence {
-        private static final List<PromptPartId> POISON =
-                List.of(new PromptPartId("a1"), new PromptPartId("dead"));
+        private static final List<SuspectId> POISON =
+                List.of(new SuspectId("a1"), new SuspectId("dead"));
 
         private static void crash(Daemon observer, int number) {
             observer.quarantine()
--- a/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecFuzzTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecFuzzTest.java
@@ -19,11 +19,11 @@
 import org.godwithoist.peers.PeerMessage;
 import org.godwithoist.quarantine.CrashId;
 import org.godwithoist.quarantine.CrashReport;
-import org.godwithoist.quarantine.PartEvidence;
+import org.godwithoist.quarantine.SuspectEvidence;
+import org.godwithoist.quarantine.SuspectId;
 import org.godwithoist.targets.CachedPrefix;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.PrefixKey;
-import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -46,9 +46,9 @@
                     new CrashId(random.nextLong()),
                     new CrashReport(age, new PrefixKey(random.nextLong())));
         }
-        PartEvidence part =
-                new PartEvidence(
-                        new PromptPartId("part"),
+        SuspectEvidence part =
+                new SuspectEvidence(
+                        new SuspectId("part"),
                         random.nextBoolean(),
                         crashes,
                         Set.of(new CrashId(random.nextLong())));
--- a/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecTest.java
@@ -19,30 +19,30 @@
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.quarantine.CrashId;
 import org.godwithoist.quarantine.CrashReport;
-import org.godwithoist.quarantine.PartEvidence;
+import org.godwithoist.quarantine.SuspectEvidence;
+import org.godwithoist.quarantine.SuspectId;
 import org.godwithoist.targets.PrefixKey;
-import org.godwithoist.targets.PromptPartId;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 /** Tests {@link PeerCodec}; load messages have tests of their own. */
 final class PeerCodecTest {
-    private static EvidenceMessage message(PartEvidence evidence) {
+    private static EvidenceMessage message(SuspectEvidence evidence) {
         return new EvidenceMessage(
                 new HostId("h".repeat(HostId.MAX_LENGTH)),
                 new FailureDomainId("d".repeat(FailureDomainId.MAX_LENGTH)),
-                Collections.nCopies(EvidenceMessage.MAX_PARTS, evidence));
+                Collections.nCopies(EvidenceMessage.MAX_SUSPECTS, evidence));
     }
 
-    private static PartEvidence largestEvidence() {
+    private static SuspectEvidence largestEvidence() {
         Map<CrashId, CrashReport> crashes = new HashMap<>();
         Set<CrashId> cleared = new HashSet<>();
         for (int i = 0; i < 40; i++) {
             crashes.put(new CrashId(i), new CrashReport(Duration.ofMinutes(i), new PrefixKey(i)));
             cleared.add(new CrashId(-i));
         }
-        PromptPartId part = new PromptPartId("p".repeat(PromptPartId.MAX_LENGTH));
-        return new PartEvidence(part, true, crashes, cleared);
+        SuspectId part = new SuspectId("p".repeat(SuspectId.MAX_LENGTH));
+        return new SuspectEvidence(part, true, crashes, cleared);
     }
 
     @Nested
@@ -52,8 +52,8 @@
         void evidenceIsDecodedAsItWasEncoded() throws Exception {
             EvidenceMessage sent =
                     message(
-                            new PartEvidence(
-                                    new PromptPartId("dead"),
+                            new SuspectEvidence(
+                                    new SuspectId("dead"),
                                     false,
                                     Map.of(
                                             new CrashId(5),
--- a/quarantine/src/main/java/org/godwithoist/quarantine/CheckReason.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/CheckReason.java
@@ -11,7 +11,7 @@
     RESTORE(Duration.ZERO),
     /**
      * A call got no response and may take effect some seconds later, or a check has written a row
-     * while another daemon may have released its part.
+     * while another daemon may have released that suspect.
      */
     CONFIRMATION(Duration.ofSeconds(10));
 
--- a/quarantine/src/main/java/org/godwithoist/quarantine/CrashReport.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/CrashReport.java
@@ -4,7 +4,7 @@
 import org.godwithoist.targets.PrefixKey;
 
 /**
- * A crash that counts against a prompt part.
+ * A crash that counts against a suspect.
  *
  * @param age time since the crash
  * @param prompt hash of all shared parts of the prompt
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -17,22 +17,21 @@
 import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.targets.PrefixKey;
-import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
 
 /**
- * Prompts that must not reach a target, because targets crash when they begin to respond to them.
- * Each crash counts against all shared parts of the prompt and against the whole prompt, because a
- * caller may repeat a request that crashes targets by itself; a response that goes on clears them.
- * Parts that are left with too many crashes are quarantined. Thread-safe.
+ * Requests that must not reach a target, because targets crash under them. Each crash counts
+ * against all shared parts of the prompt and against the request itself, because a caller may
+ * repeat a request that crashes targets by itself; a response that goes on clears them. Suspects
+ * that are left with too many crashes are quarantined. Thread-safe.
  */
 public final class Quarantine {
     private static final Duration MIN_QUARANTINE = Duration.ofMinutes(10);
     private static final Duration MAX_QUARANTINE = Duration.ofHours(1);
 
-    private record QuarantinedParts(Blame blame, long endsAt) {
-        boolean contains(Collection<PromptPartId> prompt, long now) {
-            return endsAt - now > 0 && prompt.containsAll(blame.parts());
+    private record QuarantinedSet(Blame blame, long endsAt) {
+        boolean contains(Collection<SuspectId> suspectIds, long now) {
+            return endsAt - now > 0 && suspectIds.containsAll(blame.suspectIds());
         }
     }
 
@@ -44,22 +43,22 @@
     /** Has a permit if the task that saves evidence may have something to do. */
     private final Semaphore saves = new Semaphore(0);
 
-    private volatile List<QuarantinedParts> quarantined = List.of();
+    private volatile List<QuarantinedSet> quarantined = List.of();
 
     /**
-     * Parts that an observation of this daemon has quarantined or released, and parts whose row it
-     * has written and that another daemon's evidence has released.
+     * Suspects that an observation of this daemon has quarantined or released, and those whose row
+     * it has written and that another daemon's evidence has released.
      */
-    private final Set<PromptPartId> unsaved = new HashSet<>();
+    private final Set<SuspectId> unsaved = new HashSet<>();
 
     /** Parts whose row this daemon has written and not removed. */
-    private final Set<PromptPartId> ownRows = new HashSet<>();
+    private final Set<SuspectId> ownRows = new HashSet<>();
 
     /** Has a permit if this daemon has observed something since the last one was taken. */
     private final Semaphore observations = new Semaphore(0);
 
     private final WaitingRequests waitingRequests =
-            new WaitingRequests(prompt -> remaining(prompt).isPresent());
+            new WaitingRequests(ids -> remaining(ids).isPresent());
 
     /** Creates an instance without suspects. */
     public Quarantine(EventLog log, Ticker ticker) {
@@ -68,24 +67,24 @@
     }
 
     /**
-     * Returns the time for which requests with a prompt must not be sent to a target.
+     * Returns the time for which a request must not be sent to a target.
      *
-     * @param prompt shared parts of the prompt, and the whole prompt
+     * @param suspectIds shared parts of the prompt, and the request itself
      * @return empty if the request may be sent
      */
-    public Optional<Duration> remaining(Collection<PromptPartId> prompt) {
-        List<QuarantinedParts> current = quarantined;
+    public Optional<Duration> remaining(Collection<SuspectId> suspectIds) {
+        List<QuarantinedSet> current = quarantined;
         if (current.isEmpty()) {
             return Optional.empty();
         }
         long now = ticker.nanos();
         return current.stream()
-                .filter(q -> q.contains(prompt, now))
+                .filter(q -> q.contains(suspectIds, now))
                 .map(q -> Duration.ofNanos(q.endsAt() - now))
                 .max(Comparator.naturalOrder());
     }
 
-    /** Returns the requests to withdraw when their prompt is quarantined. */
+    /** Returns the requests to withdraw when they are quarantined. */
     public WaitingRequests waitingRequests() {
         return waitingRequests;
     }
@@ -95,7 +94,7 @@
         return observedCrashes.sum();
     }
 
-    /** Returns the number of sets of parts that are quarantined. */
+    /** Returns the number of sets of suspects that are quarantined. */
     public int size() {
         long now = ticker.nanos();
         return (int) quarantined.stream().filter(q -> q.endsAt() - now > 0).count();
@@ -106,78 +105,78 @@
     /**
      * Records that a target crashed when it began to respond to a request.
      *
-     * @param prompt shared parts of the request's prompt, and the whole prompt
+     * @param suspectIds shared parts of the request's prompt, and the request itself
      */
-    public synchronized void recordCrash(TargetIncarnation target, List<PromptPartId> prompt) {
+    public synchronized void recordCrash(TargetIncarnation target, List<SuspectId> suspectIds) {
         log.event("target_crashed")
                 .with("target", target.id().value())
-                .with("parts", joined(prompt))
+                .with("parts", joined(suspectIds))
                 .write();
         observedCrashes.increment();
         long now = ticker.nanos();
         CrashId crash = CrashId.of(target);
-        PrefixKey promptKey = PrefixKey.of(joined(sharedParts(prompt)));
+        PrefixKey promptKey = PrefixKey.of(joined(sharedParts(suspectIds)));
         boolean changed = false;
-        for (PromptPartId part : prompt) {
-            changed |= suspects.findOrAdd(part, now).addCrash(crash, promptKey, now, now);
+        for (SuspectId suspectId : suspectIds) {
+            changed |= suspects.findOrAdd(suspectId, now).addCrash(crash, promptKey, now, now);
         }
-        applyObservation(changed, prompt, now);
+        applyObservation(changed, suspectIds, now);
     }
 
     /**
      * Records that a target survived the beginning of its response to a request.
      *
-     * @param prompt shared parts of the request's prompt, and the whole prompt
+     * @param suspectIds shared parts of the request's prompt, and the request itself
      * @param respondedAt time of the head of the response, in nanoseconds of the ticker
      */
-    public synchronized void recordResponse(List<PromptPartId> prompt, long respondedAt) {
+    public synchronized void recordResponse(List<SuspectId> suspectIds, long respondedAt) {
         long now = ticker.nanos();
         boolean changed = false;
-        for (PromptPartId part : prompt) {
-            if (!part.isWholePrompt()) {
-                suspects.addAnswered(part);
+        for (SuspectId suspectId : suspectIds) {
+            if (!suspectId.isRequest()) {
+                suspects.addAnswered(suspectId);
             }
-            Optional<Suspect> suspect = suspects.find(part);
+            Optional<Suspect> suspect = suspects.find(suspectId);
             if (suspect.isPresent()) {
                 changed |= suspect.get().setAnswered(now);
                 changed |= suspect.get().clearKnownAt(respondedAt, now);
             }
         }
-        applyObservation(changed, prompt, now);
+        applyObservation(changed, suspectIds, now);
     }
 
-    private static List<PromptPartId> sharedParts(List<PromptPartId> prompt) {
-        return prompt.stream().filter(p -> !p.isWholePrompt()).toList();
+    private static List<SuspectId> sharedParts(List<SuspectId> suspectIds) {
+        return suspectIds.stream().filter(p -> !p.isRequest()).toList();
     }
 
-    private void applyObservation(boolean changed, List<PromptPartId> prompt, long now) {
+    private void applyObservation(boolean changed, List<SuspectId> suspectIds, long now) {
         if (!changed) {
             return;
         }
-        Set<PromptPartId> before = quarantinedParts();
+        Set<SuspectId> before = quarantinedIds();
         update(true, now);
-        Set<PromptPartId> after = quarantinedParts();
+        Set<SuspectId> after = quarantinedIds();
         before.removeAll(after);
-        after.retainAll(prompt);
+        after.retainAll(suspectIds);
         unsaved.addAll(before);
         unsaved.addAll(after);
         saves.release();
         observations.release();
     }
 
-    private Set<PromptPartId> quarantinedParts() {
-        Set<PromptPartId> parts = new HashSet<>();
-        quarantined.forEach(q -> parts.addAll(q.blame().parts()));
-        return parts;
+    private Set<SuspectId> quarantinedIds() {
+        Set<SuspectId> suspectIds = new HashSet<>();
+        quarantined.forEach(q -> suspectIds.addAll(q.blame().suspectIds()));
+        return suspectIds;
     }
 
     // ---- exchange with the other daemons
 
     /**
      * Returns what the other daemons need to know, the strongest evidence first; empty unless a
-     * part is suspected.
+     * there is a suspect.
      */
-    public synchronized List<PartEvidence> evidence() {
+    public synchronized List<SuspectEvidence> evidence() {
         long now = ticker.nanos();
         update(suspects.removeExpired(now), now);
         return suspects.evidence(now);
@@ -205,10 +204,10 @@
     }
 
     /** Adds what another daemon knows; returns whether something was new. */
-    public synchronized boolean merge(Collection<PartEvidence> evidence) {
+    public synchronized boolean merge(Collection<SuspectEvidence> evidence) {
         long now = ticker.nanos();
         boolean changed = false;
-        for (PartEvidence e : evidence) {
+        for (SuspectEvidence e : evidence) {
             changed |= merge(e, now);
         }
         update(changed, now);
@@ -218,8 +217,8 @@
         return changed;
     }
 
-    private boolean merge(PartEvidence evidence, long now) {
-        Suspect suspect = suspects.findOrAdd(evidence.part(), now);
+    private boolean merge(SuspectEvidence evidence, long now) {
+        Suspect suspect = suspects.findOrAdd(evidence.suspectId(), now);
         boolean changed = evidence.answered() && suspect.setAnswered(now);
         changed |= suspect.clear(evidence.cleared(), now);
         if (suspect.hasCleared(evidence.crashes().keySet())) {
@@ -236,10 +235,10 @@
         return changed;
     }
 
-    /** Makes the saving task remove own rows whose parts another daemon's evidence released. */
+    /** Makes the saving task remove own rows whose suspects another daemon's evidence released. */
     private void saveReleasedRows() {
-        Set<PromptPartId> released = new HashSet<>(ownRows);
-        released.removeAll(quarantinedParts());
+        Set<SuspectId> released = new HashSet<>(ownRows);
+        released.removeAll(quarantinedIds());
         if (unsaved.addAll(released)) {
             saves.release();
         }
@@ -247,17 +246,17 @@
 
     // ---- store
 
-    /** Records that this daemon has written or removed the row of a part. */
-    synchronized void recordRow(PromptPartId part, boolean exists) {
+    /** Records that this daemon has written or removed the row of a suspect. */
+    synchronized void recordRow(SuspectId suspectId, boolean exists) {
         if (exists) {
-            ownRows.add(part);
+            ownRows.add(suspectId);
         } else {
-            ownRows.remove(part);
+            ownRows.remove(suspectId);
         }
     }
 
     /**
-     * Waits until there are parts whose stored evidence this daemon must write or remove, until
+     * Waits until there are suspects whose stored evidence this daemon must write or remove, until
      * {@link #wakeSavingTask()} is called, or for a time.
      *
      * @return false if the task was interrupted and should end; its interrupt status is set
@@ -271,23 +270,23 @@
         saves.release();
     }
 
-    /** Returns the parts whose stored evidence this daemon must write or remove, once. */
-    synchronized Set<PromptPartId> takeUnsaved() {
-        Set<PromptPartId> taken = Set.copyOf(unsaved);
+    /** Returns the suspects whose stored evidence this daemon must write or remove, once. */
+    synchronized Set<SuspectId> takeUnsaved() {
+        Set<SuspectId> taken = Set.copyOf(unsaved);
         unsaved.clear();
         return taken;
     }
 
-    /** Returns the evidence against a part; empty unless it is quarantined. */
-    synchronized Optional<PartEvidence> quarantinedEvidence(PromptPartId part) {
-        return suspects.find(part)
-                .filter(s -> quarantinedParts().contains(part))
+    /** Returns the evidence against a suspect; empty unless it is quarantined. */
+    synchronized Optional<SuspectEvidence> quarantinedEvidence(SuspectId suspectId) {
+        return suspects.find(suspectId)
+                .filter(s -> quarantinedIds().contains(suspectId))
                 .map(s -> s.evidence(ticker.nanos()));
     }
 
-    /** Returns the evidence against all quarantined parts. */
-    synchronized List<PartEvidence> quarantinedEvidence() {
-        return quarantinedParts().stream()
+    /** Returns the evidence against all quarantined suspects. */
+    synchronized List<SuspectEvidence> quarantinedEvidence() {
+        return quarantinedIds().stream()
                 .map(this::quarantinedEvidence)
                 .flatMap(Optional::stream)
                 .toList();
@@ -299,13 +298,13 @@
     }
 
     /**
-     * Returns whether the stored evidence against a part that is not quarantined contains crashes
-     * that do not count any more; false for a part that this daemon does not know or has no room to
-     * remember.
+     * Returns whether the stored evidence against a suspect that is not quarantined contains
+     * crashes that do not count any more; false for a suspect that this daemon does not know or has
+     * no room to remember.
      */
-    synchronized boolean isOutdated(PartEvidence stored) {
-        return suspects.find(stored.part())
-                .filter(s -> !quarantinedParts().contains(s.part()))
+    synchronized boolean isOutdated(SuspectEvidence stored) {
+        return suspects.find(stored.suspectId())
+                .filter(s -> !quarantinedIds().contains(s.suspectId()))
                 .filter(s -> !s.hasCrashes() || s.hasCleared(stored.crashes().keySet()))
                 .isPresent();
     }
@@ -316,10 +315,10 @@
         if (!changed) {
             return;
         }
-        List<QuarantinedParts> before = quarantined;
+        List<QuarantinedSet> before = quarantined;
         quarantined =
                 Blame.assign(suspects.all()).stream()
-                        .map(b -> new QuarantinedParts(b, b.lastCrashAt() + duration(b).toNanos()))
+                        .map(b -> new QuarantinedSet(b, b.lastCrashAt() + duration(b).toNanos()))
                         .toList();
         logChanges(before, now);
         waitingRequests.withdrawQuarantined();
@@ -333,30 +332,32 @@
         return Durations.min(doubled, MAX_QUARANTINE);
     }
 
-    private void logChanges(List<QuarantinedParts> before, long now) {
-        Set<Set<PromptPartId>> partsBefore = parts(before);
-        Set<Set<PromptPartId>> partsNow = parts(quarantined);
-        for (QuarantinedParts q : quarantined) {
-            if (!partsBefore.contains(q.blame().parts())) {
+    private void logChanges(List<QuarantinedSet> before, long now) {
+        Set<Set<SuspectId>> idsBefore = suspectIds(before);
+        Set<Set<SuspectId>> idsNow = suspectIds(quarantined);
+        for (QuarantinedSet q : quarantined) {
+            if (!idsBefore.contains(q.blame().suspectIds())) {
                 log.event("prompt_quarantined")
-                        .with("parts", joined(new TreeSet<>(q.blame().parts())))
+                        .with("parts", joined(new TreeSet<>(q.blame().suspectIds())))
                         .with("crashes", q.blame().crashes())
                         .with("for_s", Duration.ofNanos(q.endsAt() - now).toSeconds())
                         .write();
             }
         }
-        for (Set<PromptPartId> parts : partsBefore) {
-            if (!partsNow.contains(parts)) {
-                log.event("prompt_released").with("parts", joined(new TreeSet<>(parts))).write();
+        for (Set<SuspectId> suspectIds : idsBefore) {
+            if (!idsNow.contains(suspectIds)) {
+                log.event("prompt_released")
+                        .with("parts", joined(new TreeSet<>(suspectIds)))
+                        .write();
             }
         }
     }
 
-    private static Set<Set<PromptPartId>> parts(List<QuarantinedParts> quarantined) {
-        return quarantined.stream().map(q -> q.blame().parts()).collect(Collectors.toSet());
+    private static Set<Set<SuspectId>> suspectIds(List<QuarantinedSet> quarantined) {
+        return quarantined.stream().map(q -> q.blame().suspectIds()).collect(Collectors.toSet());
     }
 
-    private static String joined(Collection<PromptPartId> parts) {
-        return parts.stream().map(PromptPartId::value).collect(Collectors.joining(","));
+    private static String joined(Collection<SuspectId> suspectIds) {
+        return suspectIds.stream().map(SuspectId::value).collect(Collectors.joining(","));
     }
 }
--- a/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/QuarantineTable.java
@@ -25,14 +25,13 @@
 import org.godwithoist.quarantine.wire.EvidenceCodec;
 import org.godwithoist.store.feed.FeedRow;
 import org.godwithoist.store.feed.WritableTable;
-import org.godwithoist.targets.PromptPartId;
 
 /**
- * Keeps the evidence against quarantined prompt parts in the store, so that it outlives a restart
- * of all daemons. Each row has the id of a part as its key. A row is written or removed by the
- * daemon whose observation quarantined or released the part. After the store was restored from an
- * older copy, each daemon that knows of crashes compares the rows with what it knows. Used by one
- * task, except for {@link #storeRestored()}.
+ * Keeps the evidence against quarantined suspects in the store, so that it outlives a restart of
+ * all daemons. Each row has the id of a suspect as its key. A row is written or removed by the
+ * daemon whose observation quarantined or released the suspect. After the store was restored from
+ * an older copy, each daemon that knows of crashes compares the rows with what it knows. Used by
+ * one task, except for {@link #storeRestored()}.
  */
 public final class QuarantineTable {
     /** Delay of the first read, because the daemon needs the other tables first. */
@@ -64,7 +63,7 @@
     private final Map<CheckReason, Long> checks = new EnumMap<>(CheckReason.class);
 
     /** Parts whose rows must be written or removed. */
-    private final SequencedSet<PromptPartId> unsaved = new LinkedHashSet<>();
+    private final SequencedSet<SuspectId> unsaved = new LinkedHashSet<>();
 
     /**
      * Creates an instance that has read nothing yet.
@@ -162,9 +161,9 @@
     boolean load() {
         long startedAt = ticker.nanos();
         try {
-            Map<PromptPartId, PartEvidence> stored = new HashMap<>();
+            Map<SuspectId, SuspectEvidence> stored = new HashMap<>();
             for (FeedRow row : table.readAll().rows()) {
-                decode(row).ifPresent(e -> stored.put(e.part(), e));
+                decode(row).ifPresent(e -> stored.put(e.suspectId(), e));
             }
             quarantine.merge(stored.values());
             removeOutdated(stored.values());
@@ -178,10 +177,10 @@
         }
     }
 
-    /** Writes the rows of quarantined parts that are missing or contain other crashes. */
-    private void writeMissing(Map<PromptPartId, PartEvidence> stored) throws IOException {
-        for (PartEvidence known : quarantine.quarantinedEvidence()) {
-            PartEvidence row = stored.get(known.part());
+    /** Writes the rows of quarantined suspects that are missing or contain other crashes. */
+    private void writeMissing(Map<SuspectId, SuspectEvidence> stored) throws IOException {
+        for (SuspectEvidence known : quarantine.quarantinedEvidence()) {
+            SuspectEvidence row = stored.get(known.suspectId());
             if (row == null || !row.crashes().keySet().equals(known.crashes().keySet())) {
                 write(known);
                 schedule(CheckReason.CONFIRMATION);
@@ -189,11 +188,11 @@
         }
     }
 
-    /** Removes the rows of parts whose crashes were cleared or are too old to count. */
-    private void removeOutdated(Collection<PartEvidence> evidence) throws IOException {
-        for (PartEvidence e : evidence) {
+    /** Removes the rows of suspects whose crashes were cleared or are too old to count. */
+    private void removeOutdated(Collection<SuspectEvidence> evidence) throws IOException {
+        for (SuspectEvidence e : evidence) {
             if (quarantine.isOutdated(e)) {
-                remove(e.part());
+                remove(e.suspectId());
             }
         }
     }
@@ -213,34 +212,34 @@
         }
     }
 
-    private void save(PromptPartId part) throws IOException {
-        Optional<PartEvidence> evidence = quarantine.quarantinedEvidence(part);
+    private void save(SuspectId suspectId) throws IOException {
+        Optional<SuspectEvidence> evidence = quarantine.quarantinedEvidence(suspectId);
         if (evidence.isPresent()) {
             write(evidence.get());
         } else {
-            remove(part);
+            remove(suspectId);
         }
     }
 
-    private void write(PartEvidence evidence) throws IOException {
+    private void write(SuspectEvidence evidence) throws IOException {
         byte[] value = encode(evidence);
-        quarantine.recordRow(evidence.part(), true);
-        change("write", evidence.part(), key -> table.write(key, value));
+        quarantine.recordRow(evidence.suspectId(), true);
+        change("write", evidence.suspectId(), key -> table.write(key, value));
     }
 
-    private void remove(PromptPartId part) throws IOException {
-        change("remove", part, table::remove);
-        quarantine.recordRow(part, false);
+    private void remove(SuspectId suspectId) throws IOException {
+        change("remove", suspectId, table::remove);
+        quarantine.recordRow(suspectId, false);
     }
 
-    private void change(String action, PromptPartId part, RowChange change) throws IOException {
+    private void change(String action, SuspectId suspectId, RowChange change) throws IOException {
         try {
-            change.apply(part.value());
+            change.apply(suspectId.value());
         } catch (IOException e) {
             schedule(CheckReason.CONFIRMATION);
             throw e;
         }
-        log.event("quarantine_row").with("action", action).with("part", part.value()).write();
+        log.event("quarantine_row").with("action", action).with("part", suspectId.value()).write();
     }
 
     private void logFailure(String action, IOException failure) {
@@ -253,7 +252,7 @@
     // ---- rows
 
     /** Encodes the value of a row: the time of day in milliseconds, and the evidence. */
-    private byte[] encode(PartEvidence evidence) throws IOException {
+    private byte[] encode(SuspectEvidence evidence) throws IOException {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
         out.writeLong(clock.millis());
@@ -262,7 +261,7 @@
     }
 
     /** Decodes a row; empty if it is malformed, for example because another program wrote it. */
-    private Optional<PartEvidence> decode(FeedRow row) {
+    private Optional<SuspectEvidence> decode(FeedRow row) {
         try {
             DataInputStream in = new DataInputStream(new ByteArrayInputStream(row.value()));
             Duration age = Duration.ofMillis(Math.max(0, clock.millis() - in.readLong()));
@@ -277,11 +276,12 @@
         }
     }
 
-    private static PartEvidence older(PartEvidence evidence, Duration age) {
+    private static SuspectEvidence older(SuspectEvidence evidence, Duration age) {
         Map<CrashId, CrashReport> crashes = new HashMap<>();
         evidence.crashes()
                 .forEach(
                         (id, c) -> crashes.put(id, new CrashReport(c.age().plus(age), c.prompt())));
-        return new PartEvidence(evidence.part(), evidence.answered(), crashes, evidence.cleared());
+        return new SuspectEvidence(
+                evidence.suspectId(), evidence.answered(), crashes, evidence.cleared());
     }
 }
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Reputation.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Reputation.java
@@ -1,6 +1,6 @@
 package org.godwithoist.quarantine;
 
-/** How likely a prompt part that is present in several crashes is their cause. */
+/** How likely a suspect that is present in several crashes is their cause. */
 enum Reputation {
     /**
      * No response to the part is known, and all crashes came from the same prompt. Only this prompt
@@ -14,9 +14,9 @@
      */
     COMMON(5),
     /**
-     * The whole prompt of a request to which no response is known. Its quarantine affects only this
-     * request. It comes last, because a part that is to blame explains the crashes of each request
-     * that contains it.
+     * A request to which no response is known. Its quarantine affects only this request and its
+     * repeats. It comes after the parts, because a part that is to blame explains the crashes of
+     * each request that contains it.
      */
     SINGLE_REQUEST(2);
 
@@ -26,7 +26,7 @@
         this.crashesToQuarantine = crashesToQuarantine;
     }
 
-    /** Returns the number of crashes from which a part is quarantined. */
+    /** Returns the number of crashes from which a suspect is quarantined. */
     int crashesToQuarantine() {
         return crashesToQuarantine;
     }
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Suspect.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Suspect.java
@@ -10,11 +10,10 @@
 import java.util.SequencedSet;
 import java.util.Set;
 import org.godwithoist.targets.PrefixKey;
-import org.godwithoist.targets.PromptPartId;
 
 /**
- * A prompt part that was in the prompt of a request at whose beginning a target crashed. Instants
- * are in nanoseconds of the ticker. Not thread-safe.
+ * A part of the prompt of a request under which a target crashed, or that request. Instants are in
+ * nanoseconds of the ticker. Not thread-safe.
  */
 final class Suspect {
     /** Maximum number of crashes that are kept, the latest ones. */
@@ -24,7 +23,7 @@
     private static final int MAX_CLEARED = 16;
 
     /**
-     * A crash that counts against the part.
+     * A crash that counts against the suspect.
      *
      * @param occurredAt time of the crash
      * @param learnedAt time at which this daemon learned of it
@@ -32,19 +31,19 @@
      */
     private record Crash(long occurredAt, long learnedAt, PrefixKey prompt) {}
 
-    private final PromptPartId part;
+    private final SuspectId suspectId;
     private final Map<CrashId, Crash> crashes = new HashMap<>();
     private final SequencedSet<CrashId> cleared = new LinkedHashSet<>();
     private boolean answered;
     private long changedAt;
 
-    Suspect(PromptPartId part, long now) {
-        this.part = part;
+    Suspect(SuspectId suspectId, long now) {
+        this.suspectId = suspectId;
         changedAt = now;
     }
 
-    PromptPartId part() {
-        return part;
+    SuspectId suspectId() {
+        return suspectId;
     }
 
     Reputation reputation() {
@@ -52,10 +51,10 @@
         if (answered || !onePrompt) {
             return Reputation.COMMON;
         }
-        return part.isWholePrompt() ? Reputation.SINGLE_REQUEST : Reputation.SUSPICIOUS;
+        return suspectId.isRequest() ? Reputation.SINGLE_REQUEST : Reputation.SUSPICIOUS;
     }
 
-    /** Returns the crashes that count against the part. */
+    /** Returns the crashes that count against the suspect. */
     Set<CrashId> crashIds() {
         return crashes.keySet();
     }
@@ -98,7 +97,7 @@
                 .orElseThrow();
     }
 
-    /** Records that targets have responded to the part; returns whether it was unknown. */
+    /** Records that targets have responded to the suspect; returns whether it was unknown. */
     boolean setAnswered(long now) {
         if (answered) {
             return false;
@@ -154,13 +153,13 @@
         return crashes.values().removeIf(c -> now - c.occurredAt() >= age.toNanos());
     }
 
-    PartEvidence evidence(long now) {
+    SuspectEvidence evidence(long now) {
         Map<CrashId, CrashReport> reports = new HashMap<>();
         crashes.forEach(
                 (id, c) -> {
                     Duration age = Duration.ofNanos(now - c.occurredAt());
                     reports.put(id, new CrashReport(age, c.prompt()));
                 });
-        return new PartEvidence(part, answered, reports, cleared);
+        return new SuspectEvidence(suspectId, answered, reports, cleared);
     }
 }
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Suspects.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Suspects.java
@@ -10,17 +10,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SequencedSet;
-import org.godwithoist.targets.PromptPartId;
 
 /**
- * The suspected prompt parts, and the parts that targets have responded to. Both are limited in
- * number, because callers choose the parts. Instants are in nanoseconds of the ticker. Not
- * thread-safe.
+ * The suspects, and the prompt parts that targets have responded to. Both are limited in number,
+ * because callers choose what they are. Instants are in nanoseconds of the ticker. Not thread-safe.
  */
 final class Suspects {
     /**
      * Time for which a crash counts. It is longer than a quarantine, so that the first crash after
-     * one quarantines the part again.
+     * one quarantines the suspect again.
      */
     static final Duration CRASH_RETENTION = Duration.ofHours(2);
 
@@ -34,7 +32,7 @@
     private static final Duration CLEARED_RETENTION = Duration.ofMinutes(10);
 
     private static final int MAX_SUSPECTS = 256;
-    private static final int MAX_ANSWERED_PARTS = 2000;
+    private static final int MAX_ANSWERED = 2000;
 
     /** Among suspects with equally many crashes, the one that changed last comes first. */
     private static final Comparator<Suspect> MOST_CRASHES_FIRST =
@@ -42,44 +40,44 @@
                     .thenComparingLong(Suspect::changedAt)
                     .reversed();
 
-    private final Map<PromptPartId, Suspect> byPart = new HashMap<>();
+    private final Map<SuspectId, Suspect> byId = new HashMap<>();
 
     /** Parts that targets have responded to, the least recently used one first. */
-    private final SequencedSet<PromptPartId> answeredParts = new LinkedHashSet<>();
+    private final SequencedSet<SuspectId> answeredParts = new LinkedHashSet<>();
 
     Collection<Suspect> all() {
-        return Collections.unmodifiableCollection(byPart.values());
+        return Collections.unmodifiableCollection(byId.values());
     }
 
-    Optional<Suspect> find(PromptPartId part) {
-        return Optional.ofNullable(byPart.get(part));
+    Optional<Suspect> find(SuspectId suspectId) {
+        return Optional.ofNullable(byId.get(suspectId));
     }
 
-    /** Returns the suspect for a part, which is added if it is unknown. */
-    Suspect findOrAdd(PromptPartId part, long now) {
-        Suspect known = byPart.get(part);
+    /** Returns the suspect with an id; it is added if it is unknown. */
+    Suspect findOrAdd(SuspectId suspectId, long now) {
+        Suspect known = byId.get(suspectId);
         if (known != null) {
             return known;
         }
-        if (byPart.size() >= MAX_SUSPECTS) {
+        if (byId.size() >= MAX_SUSPECTS) {
             removeLeastSuspicious();
         }
-        Suspect suspect = new Suspect(part, now);
-        if (answeredParts.contains(part)) {
+        Suspect suspect = new Suspect(suspectId, now);
+        if (answeredParts.contains(suspectId)) {
             suspect.setAnswered(now);
         }
-        byPart.put(part, suspect);
+        byId.put(suspectId, suspect);
         return suspect;
     }
 
     private void removeLeastSuspicious() {
-        byPart.values().stream().max(MOST_CRASHES_FIRST).ifPresent(s -> byPart.remove(s.part()));
+        byId.values().stream().max(MOST_CRASHES_FIRST).ifPresent(s -> byId.remove(s.suspectId()));
     }
 
-    /** Records that a target has responded to a part. */
-    void addAnswered(PromptPartId part) {
-        answeredParts.addLast(part);
-        if (answeredParts.size() > MAX_ANSWERED_PARTS) {
+    /** Records that a target has responded to a suspect. */
+    void addAnswered(SuspectId suspectId) {
+        answeredParts.addLast(suspectId);
+        if (answeredParts.size() > MAX_ANSWERED) {
             answeredParts.removeFirst();
         }
     }
@@ -87,16 +85,16 @@
     /** Removes what no longer counts; returns whether a crash was removed. */
     boolean removeExpired(long now) {
         boolean changed = false;
-        for (Suspect s : byPart.values()) {
+        for (Suspect s : byId.values()) {
             changed |= s.removeOlderThan(CRASH_RETENTION, now);
         }
-        byPart.values().removeIf(s -> !s.hasCrashes() && !isYoungerThan(CLEARED_RETENTION, s, now));
+        byId.values().removeIf(s -> !s.hasCrashes() && !isYoungerThan(CLEARED_RETENTION, s, now));
         return changed;
     }
 
     /** Returns the evidence to announce, the strongest first. */
-    List<PartEvidence> evidence(long now) {
-        return byPart.values().stream()
+    List<SuspectEvidence> evidence(long now) {
+        return byId.values().stream()
                 .filter(s -> s.hasCrashes() || isYoungerThan(CLEARED_ANNOUNCEMENT, s, now))
                 .sorted(MOST_CRASHES_FIRST)
                 .map(s -> s.evidence(now))
--- a/quarantine/src/main/java/org/godwithoist/quarantine/package-info.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/package-info.java
@@ -1,5 +1,5 @@
 /**
- * Poison prompts: finds the prompt parts under which targets crash and keeps requests with them
+ * Poison requests: finds the prompt parts and requests under which targets crash and keeps them
  * away from all targets.
  */
 package org.godwithoist.quarantine;
--- a/quarantine/src/main/java/org/godwithoist/quarantine/wire/EvidenceCodec.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/wire/EvidenceCodec.java
@@ -10,12 +10,12 @@
 import java.util.Set;
 import org.godwithoist.quarantine.CrashId;
 import org.godwithoist.quarantine.CrashReport;
-import org.godwithoist.quarantine.PartEvidence;
+import org.godwithoist.quarantine.SuspectEvidence;
+import org.godwithoist.quarantine.SuspectId;
 import org.godwithoist.targets.PrefixKey;
-import org.godwithoist.targets.PromptPartId;
 
 /**
- * Encodes the evidence against one prompt part: the id, whether the part was answered, the crashes
+ * Encodes the evidence against one suspect: the id, whether the suspect was answered, the crashes
  * with their ages in milliseconds and the hashes of their prompts, and the cleared crashes.
  */
 public final class EvidenceCodec {
@@ -24,9 +24,9 @@
 
     private EvidenceCodec() {}
 
-    /** Writes the evidence against one part; crashes beyond the maximum number are left out. */
-    public static void write(PartEvidence evidence, DataOutputStream out) throws IOException {
-        out.writeUTF(evidence.part().value());
+    /** Writes the evidence against one suspect; crashes beyond the maximum number are left out. */
+    public static void write(SuspectEvidence evidence, DataOutputStream out) throws IOException {
+        out.writeUTF(evidence.suspectId().value());
         out.writeBoolean(evidence.answered());
         out.writeByte(Math.min(MAX_CRASHES, evidence.crashes().size()));
         int crashes = 0;
@@ -48,12 +48,12 @@
     }
 
     /**
-     * Reads the evidence against one part.
+     * Reads the evidence against one suspect.
      *
      * @throws IOException if the bytes end early or a value is out of its range
      */
-    public static PartEvidence read(DataInputStream in) throws IOException {
-        PromptPartId part = PromptPartId.decode(in.readUTF());
+    public static SuspectEvidence read(DataInputStream in) throws IOException {
+        SuspectId suspectId = SuspectId.decode(in.readUTF());
         boolean answered = in.readBoolean();
         Map<CrashId, CrashReport> crashes = new HashMap<>();
         for (int remaining = readCount(in, MAX_CRASHES); remaining > 0; remaining--) {
@@ -69,14 +69,14 @@
         for (int remaining = readCount(in, MAX_CLEARED); remaining > 0; remaining--) {
             cleared.add(new CrashId(in.readLong()));
         }
-        return new PartEvidence(part, answered, crashes, cleared);
+        return new SuspectEvidence(suspectId, answered, crashes, cleared);
     }
 
     private static int readCount(DataInputStream in, int max) throws IOException {
         int count = in.readUnsignedByte();
         if (count > max) {
             throw new IOException(
-                    "expected at most " + max + " crashes of a prompt part, found " + count);
+                    "expected at most " + max + " crashes of a suspect, found " + count);
         }
         return count;
     }
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableRestoreTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableRestoreTest.java
@@ -23,7 +23,6 @@
 import org.godwithoist.store.feed.StoreEra;
 import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.WritableTable;
-import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -156,8 +155,8 @@
 
     private final VirtualTicker ticker = new VirtualTicker();
 
-    private static List<PromptPartId> prompt(String part) {
-        return List.of(new PromptPartId(part));
+    private static List<SuspectId> prompt(String part) {
+        return List.of(new SuspectId(part));
     }
 
     /**
@@ -196,7 +195,7 @@
 
         private void addEvent() {
             Daemon daemon = fleet.get(random.nextInt(DAEMONS));
-            List<PromptPartId> part = prompt(PARTS.get(random.nextInt(PARTS.size())));
+            List<SuspectId> part = prompt(PARTS.get(random.nextInt(PARTS.size())));
             switch (random.nextInt(8)) {
                 case 0, 1, 2 -> {
                     for (int i = 0; i < 3; i++) {
@@ -225,7 +224,7 @@
         }
 
         private void exchangeEvidence() {
-            List<Collection<PartEvidence>> messages = new ArrayList<>();
+            List<Collection<SuspectEvidence>> messages = new ArrayList<>();
             fleet.forEach(d -> messages.add(d.quarantine.evidence()));
             fleet.forEach(d -> messages.forEach(d.quarantine::merge));
         }
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTableTest.java
@@ -25,7 +25,6 @@
 import org.godwithoist.store.feed.StoreEra;
 import org.godwithoist.store.feed.StoreVersion;
 import org.godwithoist.store.feed.WritableTable;
-import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -33,7 +32,7 @@
 
 /** Tests {@link QuarantineTable} with an in-memory table. */
 final class QuarantineTableTest {
-    private static final List<PromptPartId> POISON = List.of(new PromptPartId("dead"));
+    private static final List<SuspectId> POISON = List.of(new SuspectId("dead"));
 
     /** A table that can be unavailable. */
     private static final class Table implements WritableTable {
@@ -411,7 +410,7 @@
         void rowsBeyondTheLimitOfSuspectsAreKept() {
             for (int i = 0; i < 300; i++) {
                 Daemon daemon = new Daemon();
-                List<PromptPartId> prompt = List.of(new PromptPartId("part-" + i));
+                List<SuspectId> prompt = List.of(new SuspectId("part-" + i));
                 for (int j = 0; j < 3; j++) {
                     TargetId target = new TargetId("t-" + i + "-" + j);
                     daemon.quarantine.recordCrash(new TargetIncarnation(target, 1), prompt);
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
@@ -20,7 +20,6 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.VirtualTicker;
 import org.godwithoist.quarantine.wire.EvidenceCodec;
-import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -28,36 +27,40 @@
 /** Tests {@link Quarantine} in virtual time. */
 final class QuarantineTest {
     private static final Duration STEP = Duration.ofMillis(100);
-    private static final List<PromptPartId> SOUND = prompt("a1", "b2");
-    private static final List<PromptPartId> POISON = prompt("a1", "b2", "dead");
+    private static final List<SuspectId> SOUND = prompt("a1", "b2");
+    private static final List<SuspectId> POISON = prompt("a1", "b2", "dead");
 
     private final VirtualTicker ticker = new VirtualTicker();
     private final Quarantine quarantine = newQuarantine();
     private int crashes;
 
-    private static List<PromptPartId> prompt(String... parts) {
-        return Stream.of(parts).map(PromptPartId::new).toList();
+    private static List<SuspectId> prompt(String... parts) {
+        return Stream.of(parts).map(SuspectId::new).toList();
+    }
+
+    private static SuspectId requestId(String name) {
+        return SuspectId.of(RequestFingerprint.of(new byte[0], name));
     }
 
     private Quarantine newQuarantine() {
         return new Quarantine(EventLog.start(OutputStream.nullOutputStream()), ticker);
     }
 
-    private void crash(Quarantine at, List<PromptPartId> prompt) {
+    private void crash(Quarantine at, List<SuspectId> prompt) {
         ticker.advance(STEP);
         at.recordCrash(new TargetIncarnation(new TargetId("i-" + crashes++), 1), prompt);
     }
 
-    private void crash(List<PromptPartId> prompt) {
+    private void crash(List<SuspectId> prompt) {
         crash(quarantine, prompt);
     }
 
-    private void respond(Quarantine at, List<PromptPartId> prompt) {
+    private void respond(Quarantine at, List<SuspectId> prompt) {
         ticker.advance(STEP);
         at.recordResponse(prompt, ticker.nanos());
     }
 
-    private boolean blocks(List<PromptPartId> prompt) {
+    private boolean blocks(List<SuspectId> prompt) {
         return quarantine.remaining(prompt).isPresent();
     }
 
@@ -98,7 +101,7 @@
         /** Guards against a part that is found only at one place of a prompt. */
         @Test
         void partIsFoundAtAnyPlace() {
-            for (List<PromptPartId> poison :
+            for (List<SuspectId> poison :
                     List.of(prompt("first", "a1", "b2"), prompt("a1", "second", "b2"))) {
                 respond(quarantine, SOUND);
                 crash(poison);
@@ -122,9 +125,9 @@
     /** Scenario: requests crash targets by themselves; sound ones share all their other parts. */
     @Nested
     final class PoisonRequest {
-        private static List<PromptPartId> request(String name) {
-            List<PromptPartId> prompt = new ArrayList<>(SOUND);
-            prompt.add(PromptPartId.ofWholePrompt(name));
+        private static List<SuspectId> request(String name) {
+            List<SuspectId> prompt = new ArrayList<>(SOUND);
+            prompt.add(requestId(name));
             return prompt;
         }
 
@@ -157,8 +160,8 @@
         void partOfDifferentRequestsIsStillBlamed() {
             for (int i = 0; i < 3; i++) {
                 respond(quarantine, prompt("other-" + i));
-                List<PromptPartId> poison = new ArrayList<>(prompt("other-" + i, "dead"));
-                poison.add(PromptPartId.ofWholePrompt("poison-" + i));
+                List<SuspectId> poison = new ArrayList<>(prompt("other-" + i, "dead"));
+                poison.add(requestId("poison-" + i));
                 crash(poison);
                 crash(poison);
             }
@@ -176,10 +179,10 @@
             assertTrue(other.remaining(request("deadly")).isPresent());
         }
 
-        private static List<PartEvidence> encodedAndDecoded(List<PartEvidence> evidence)
+        private static List<SuspectEvidence> encodedAndDecoded(List<SuspectEvidence> evidence)
                 throws IOException {
-            List<PartEvidence> decoded = new ArrayList<>();
-            for (PartEvidence e : evidence) {
+            List<SuspectEvidence> decoded = new ArrayList<>();
+            for (SuspectEvidence e : evidence) {
                 ByteArrayOutputStream bytes = new ByteArrayOutputStream();
                 EvidenceCodec.write(e, new DataOutputStream(bytes));
                 ByteArrayInputStream in = new ByteArrayInputStream(bytes.toByteArray());
@@ -260,7 +263,7 @@
     final class Waiting {
         private final AtomicInteger withdrawn = new AtomicInteger();
 
-        private WaitingRequests.Entry add(List<PromptPartId> prompt) {
+        private WaitingRequests.Entry add(List<SuspectId> prompt) {
             return quarantine.waitingRequests().add(prompt, withdrawn::incrementAndGet);
         }
 
--- a/targets/src/main/java/org/godwithoist/targets/PromptPartId.java
+++ b/targets/src/main/java/org/godwithoist/targets/PromptPartId.java
@@ -2,7 +2,7 @@
 
 /**
  * Identifies one part of a prompt. Requests whose prompts contain the same text at the same place
- * name the same part. The whole prompt of a request has an id of this kind too.
+ * name the same part.
  *
  * @param value printable ASCII text without spaces, 1 to {@value #MAX_LENGTH} characters
  */
@@ -10,8 +10,8 @@
     /** Maximum length, in characters. */
     public static final int MAX_LENGTH = 32;
 
-    /** Begins the id of a whole prompt, and no id of a part that a caller names. */
-    private static final char WHOLE_PROMPT_MARK = '=';
+    /** Begins no id of a part that a caller names, so that other ids can begin with it. */
+    public static final char RESERVED_MARK = '=';
 
     /**
      * Validates the value.
@@ -32,34 +32,16 @@
      * accepted; the hash of the text takes the place of one that is too long or not printable.
      */
     public static PromptPartId of(String text) {
-        boolean usable = isValid(text) && text.charAt(0) != WHOLE_PROMPT_MARK;
+        boolean usable = isValid(text) && text.charAt(0) != RESERVED_MARK;
         return new PromptPartId(usable ? text : '#' + hash(text));
     }
 
-    /**
-     * Returns the id of a whole prompt, with the part that belongs to its request.
-     *
-     * @param prompt names and sizes of all parts
-     */
-    public static PromptPartId ofWholePrompt(String prompt) {
-        return new PromptPartId(WHOLE_PROMPT_MARK + hash(prompt));
-    }
-
-    /** Returns the id with a value that another daemon has sent; any text is accepted. */
-    public static PromptPartId decode(String value) {
-        return isValid(value) ? new PromptPartId(value) : of(value);
-    }
-
     private static String hash(String text) {
         return Long.toHexString(PrefixKey.of(text).hash());
     }
 
-    /** Returns whether this identifies a whole prompt, and not a part of several prompts. */
-    public boolean isWholePrompt() {
-        return value.charAt(0) == WHOLE_PROMPT_MARK;
-    }
-
-    private static boolean isValid(String text) {
+    /** Returns whether a text can be the value of an id. */
+    public static boolean isValid(String text) {
         if (text.isEmpty() || text.length() > MAX_LENGTH) {
             return false;
         }
--- a/targets/src/main/java/org/godwithoist/targets/PromptPrefix.java
+++ b/targets/src/main/java/org/godwithoist/targets/PromptPrefix.java
@@ -9,10 +9,10 @@
  * @param tokens length of the prefix, in tokens
  * @param parts parts of the prefix in their order, without the last part of the prompt, which
  *     belongs to the request or its session
- * @param wholePrompt identifies the whole prompt; a caller that repeats a request repeats it
+ * @param wholePrompt hash of the whole prompt, with the part that belongs to the request
  */
 public record PromptPrefix(
-        PrefixKey key, int tokens, List<PromptPartId> parts, PromptPartId wholePrompt) {
+        PrefixKey key, int tokens, List<PromptPartId> parts, PrefixKey wholePrompt) {
     /** Copies the list. */
     public PromptPrefix {
         parts = List.copyOf(parts);
--- a/targets/src/test/java/org/godwithoist/targets/PlacementFleetTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementFleetTest.java
@@ -134,7 +134,7 @@
                             PrefixKey.of("thing-" + prefixNumber),
                             1000,
                             List.of(),
-                            PromptPartId.ofWholePrompt("thing-" + prefixNumber)),
+                            PrefixKey.of("thing-" + prefixNumber)),
                     outOfService);
         }
     }
--- a/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
@@ -41,8 +41,7 @@
     }
 
     private static PromptPrefix prefix(String text) {
-        return new PromptPrefix(
-                PrefixKey.of(text), 1000, List.of(), PromptPartId.ofWholePrompt(text));
+        return new PromptPrefix(PrefixKey.of(text), 1000, List.of(), PrefixKey.of(text));
     }
 
     private Optional<Placement.Decision> place(
