Tell requests that crash targets apart from requests beside them

A target that crashes breaks off all requests that it runs. Once crashes count before the first byte of a response, each of these requests is a suspect, and two crashes would keep a sound one from all targets.

* A request to which targets have responded needs five crashes, however long ago the response was, as long as one daemon remembers it; daemons that know of the response tell the others at once.
Polls that all callers send are such requests.
* Of two requests that were present in the same crashes, or in as many with one in common, none is refused before a response or another crash tells them apart, up to four crashes.
* A crash within 150 ms of the end of another target, at which the request did not run, may have a common cause, such as the loss of a host.
One crash more is needed then.
* Requests that were at one crash are announced for 5 s only, because each crash leaves as many of them as its target was running.

--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -115,6 +115,7 @@
         observedCrashes.increment();
         long now = ticker.nanos();
         CrashId crash = CrashId.of(target);
+        suspects.history().add(crash, now);
         PrefixKey promptKey = PrefixKey.of(joined(sharedParts(suspectIds)));
         boolean changed = false;
         for (SuspectId suspectId : suspectIds) {
@@ -133,9 +134,7 @@
         long now = ticker.nanos();
         boolean changed = false;
         for (SuspectId suspectId : suspectIds) {
-            if (!suspectId.isRequest()) {
-                suspects.addAnswered(suspectId);
-            }
+            suspects.addAnswered(suspectId);
             Optional<Suspect> suspect = suspects.find(suspectId);
             if (suspect.isPresent()) {
                 changed |= suspect.get().setAnswered(now);
@@ -225,10 +224,16 @@
             // The sender may have read them from a row that the store has brought back.
             suspect.announceAgain(now);
         }
+        if (suspect.isAnswered() && !evidence.answered()) {
+            // The sender may be about to refuse a request that targets have responded to.
+            suspect.announceAgain(now);
+            observations.release();
+        }
         for (Map.Entry<CrashId, CrashReport> e : evidence.crashes().entrySet()) {
             CrashReport crash = e.getValue();
             if (crash.age().compareTo(Suspects.CRASH_RETENTION) < 0) {
                 long occurredAt = now - crash.age().toNanos();
+                suspects.history().add(e.getKey(), occurredAt);
                 changed |= suspect.addCrash(e.getKey(), crash.prompt(), occurredAt, now);
             }
         }
@@ -317,7 +322,7 @@
         }
         List<QuarantinedSet> before = quarantined;
         quarantined =
-                Blame.assign(suspects.all()).stream()
+                Blame.assign(suspects.all(), suspects.history()).stream()
                         .map(b -> new QuarantinedSet(b, b.lastCrashAt() + duration(b).toNanos()))
                         .toList();
         logChanges(before, now);
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Reputation.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Reputation.java
@@ -18,7 +18,15 @@
      * repeats. It comes after the parts, because a part that is to blame explains the crashes of
      * each request that contains it.
      */
-    SINGLE_REQUEST(2);
+    SINGLE_REQUEST(2),
+    /**
+     * A request to which targets have responded, for example a poll that all callers of a workspace
+     * send. It is likely to run wherever a target crashes.
+     */
+    ANSWERED_REQUEST(5);
+
+    /** A sound request is hardly present in so many crashes without one response in between. */
+    private static final int CERTAINTY_FACTOR = 2;
 
     private final int crashesToQuarantine;
 
@@ -30,4 +38,12 @@
     int crashesToQuarantine() {
         return crashesToQuarantine;
     }
+
+    /**
+     * Returns the number of crashes from which a request is quarantined even if another one was
+     * present in as many of them.
+     */
+    int certainCrashes() {
+        return CERTAINTY_FACTOR * crashesToQuarantine;
+    }
 }
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Suspect.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Suspect.java
@@ -47,11 +47,11 @@
     }
 
     Reputation reputation() {
-        boolean onePrompt = crashes.values().stream().map(Crash::prompt).distinct().count() <= 1;
-        if (answered || !onePrompt) {
-            return Reputation.COMMON;
+        if (suspectId.isRequest()) {
+            return answered ? Reputation.ANSWERED_REQUEST : Reputation.SINGLE_REQUEST;
         }
-        return suspectId.isRequest() ? Reputation.SINGLE_REQUEST : Reputation.SUSPICIOUS;
+        boolean onePrompt = crashes.values().stream().map(Crash::prompt).distinct().count() <= 1;
+        return answered || !onePrompt ? Reputation.COMMON : Reputation.SUSPICIOUS;
     }
 
     /** Returns the crashes that count against the suspect. */
@@ -97,6 +97,11 @@
                 .orElseThrow();
     }
 
+    /** Returns whether targets have responded to the suspect. */
+    boolean isAnswered() {
+        return answered;
+    }
+
     /** Records that targets have responded to the suspect; returns whether it was unknown. */
     boolean setAnswered(long now) {
         if (answered) {
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Suspects.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Suspects.java
@@ -12,8 +12,9 @@
 import java.util.SequencedSet;
 
 /**
- * The suspects, and the prompt parts that targets have responded to. Both are limited in number,
- * because callers choose what they are. Instants are in nanoseconds of the ticker. Not thread-safe.
+ * The suspects, and the prompt parts and requests that targets have responded to. All are limited
+ * in number, because callers choose what they are. Instants are in nanoseconds of the ticker. Not
+ * thread-safe.
  */
 final class Suspects {
     /**
@@ -22,8 +23,12 @@
      */
     static final Duration CRASH_RETENTION = Duration.ofHours(2);
 
-    /** Time for which the clearing of crashes is announced to the other daemons. */
-    private static final Duration CLEARED_ANNOUNCEMENT = Duration.ofSeconds(5);
+    /**
+     * Time for which the clearing of crashes is announced to the other daemons, and a crash under
+     * which single requests ran that are not suspicious yet. Each crash leaves as many of these as
+     * its target was running.
+     */
+    private static final Duration SHORT_ANNOUNCEMENT = Duration.ofSeconds(5);
 
     /**
      * Time for which cleared crashes are remembered, in case that a daemon which was paused
@@ -41,10 +46,19 @@
                     .reversed();
 
     private final Map<SuspectId, Suspect> byId = new HashMap<>();
+    private final CrashHistory history = new CrashHistory();
 
     /** Parts that targets have responded to, the least recently used one first. */
     private final SequencedSet<SuspectId> answeredParts = new LinkedHashSet<>();
 
+    /** Requests that targets have responded to. Most are never repeated, so they have own room. */
+    private final SequencedSet<SuspectId> answeredRequests = new LinkedHashSet<>();
+
+    /** Returns the times of the crashes. */
+    CrashHistory history() {
+        return history;
+    }
+
     Collection<Suspect> all() {
         return Collections.unmodifiableCollection(byId.values());
     }
@@ -63,7 +77,7 @@
             removeLeastSuspicious();
         }
         Suspect suspect = new Suspect(suspectId, now);
-        if (answeredParts.contains(suspectId)) {
+        if (answered(suspectId).contains(suspectId)) {
             suspect.setAnswered(now);
         }
         byId.put(suspectId, suspect);
@@ -76,12 +90,17 @@
 
     /** Records that a target has responded to a suspect. */
     void addAnswered(SuspectId suspectId) {
-        answeredParts.addLast(suspectId);
-        if (answeredParts.size() > MAX_ANSWERED) {
-            answeredParts.removeFirst();
+        SequencedSet<SuspectId> answered = answered(suspectId);
+        answered.addLast(suspectId);
+        if (answered.size() > MAX_ANSWERED) {
+            answered.removeFirst();
         }
     }
 
+    private SequencedSet<SuspectId> answered(SuspectId suspectId) {
+        return suspectId.isRequest() ? answeredRequests : answeredParts;
+    }
+
     /** Removes what no longer counts; returns whether a crash was removed. */
     boolean removeExpired(long now) {
         boolean changed = false;
@@ -95,12 +114,18 @@
     /** Returns the evidence to announce, the strongest first. */
     List<SuspectEvidence> evidence(long now) {
         return byId.values().stream()
-                .filter(s -> s.hasCrashes() || isYoungerThan(CLEARED_ANNOUNCEMENT, s, now))
+                .filter(s -> isSuspicious(s) || isYoungerThan(SHORT_ANNOUNCEMENT, s, now))
                 .sorted(MOST_CRASHES_FIRST)
                 .map(s -> s.evidence(now))
                 .toList();
     }
 
+    private static boolean isSuspicious(Suspect suspect) {
+        int crashesNeeded =
+                suspect.suspectId().isRequest() ? suspect.reputation().crashesToQuarantine() : 1;
+        return suspect.crashIds().size() >= crashesNeeded;
+    }
+
     private static boolean isYoungerThan(Duration age, Suspect suspect, long now) {
         return now - suspect.changedAt() < age.toNanos();
     }
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
@@ -192,6 +192,127 @@
         }
     }
 
+    /** Scenario: sound requests run at the targets that a request crashes. */
+    @Nested
+    final class RequestsBesideCrashes {
+        private static final List<SuspectId> DEADLY = List.of(requestId("deadly"));
+        private static final List<SuspectId> BESIDE = List.of(requestId("beside"));
+        private static final List<SuspectId> POLL = List.of(requestId("poll"));
+
+        private void crashBoth(List<SuspectId> first, List<SuspectId> second) {
+            crash(first);
+            crashes--;
+            crash(second);
+        }
+
+        /** Guards against a sound request that is refused for the crashes of another one. */
+        @Test
+        void requestsWithTheSameCrashesAreNotRefused() {
+            crashBoth(DEADLY, BESIDE);
+            crashBoth(DEADLY, BESIDE);
+            assertFalse(blocks(BESIDE));
+            assertFalse(blocks(DEADLY));
+            respond(quarantine, BESIDE);
+            assertTrue(blocks(DEADLY));
+            assertFalse(blocks(BESIDE));
+        }
+
+        /** Guards against a sound request that is blamed because it ran beside two deadly ones. */
+        @Test
+        void requestThatSharesItsCrashesWithOthersIsNotRefused() {
+            crash(DEADLY);
+            crashBoth(DEADLY, BESIDE);
+            crashBoth(List.of(requestId("another")), BESIDE);
+            assertFalse(blocks(BESIDE));
+            crash(DEADLY);
+            assertTrue(blocks(DEADLY));
+            assertFalse(blocks(BESIDE));
+        }
+
+        /**
+         * Guards against a request that is refused because hosts were lost with all their targets.
+         */
+        @Test
+        void requestOfTargetsThatAreLostTogetherIsNotRefused() {
+            for (int loss = 0; loss < 2; loss++) {
+                crash(BESIDE);
+                crash(List.of(requestId("at another target " + loss)));
+                ticker.advance(Duration.ofSeconds(10));
+            }
+            assertFalse(blocks(BESIDE));
+            crash(BESIDE);
+            assertTrue(blocks(BESIDE));
+        }
+
+        /** Guards against two requests that always crash targets together. */
+        @Test
+        void requestsThatAlwaysCrashTogetherAreRefusedInTheEnd() {
+            for (int i = 0; i < 4; i++) {
+                assertFalse(blocks(DEADLY));
+                crashBoth(DEADLY, BESIDE);
+            }
+            assertTrue(blocks(DEADLY));
+            assertTrue(blocks(BESIDE));
+        }
+
+        /** Guards against a poll that is refused although targets respond to it between crashes. */
+        @Test
+        void pollThatIsAnsweredBetweenCrashesIsNeverRefused() {
+            for (int i = 0; i < 20; i++) {
+                crashBoth(List.of(requestId("deadly-" + i)), POLL);
+                assertFalse(blocks(POLL));
+                respond(quarantine, POLL);
+            }
+        }
+
+        /** Guards against a poll that is refused while the service has no target left. */
+        @Test
+        void pollThatWasAnsweredBeforeIsNotRefusedForAFewCrashes() {
+            respond(quarantine, POLL);
+            for (int i = 0; i < 4; i++) {
+                crashBoth(List.of(requestId("deadly-" + i)), POLL);
+                assertFalse(blocks(POLL));
+            }
+        }
+
+        /** Guards against a request that was sound once and is never refused again. */
+        @Test
+        void requestThatBecomesDeadlyIsRefused() {
+            respond(quarantine, POLL);
+            for (int i = 0; i < 5; i++) {
+                assertFalse(blocks(POLL));
+                crash(POLL);
+            }
+            assertTrue(blocks(POLL));
+        }
+
+        /** Guards against a daemon that refuses a poll to which others got responses. */
+        @Test
+        void daemonsTellEachOtherOfResponsesAtOnce() {
+            Quarantine other = newQuarantine();
+            respond(other, POLL);
+            for (int i = 0; i < 2; i++) {
+                crash(POLL);
+                other.merge(quarantine.evidence());
+            }
+            assertTrue(other.awaitObservation(Duration.ofSeconds(1)));
+            quarantine.merge(other.evidence());
+            assertFalse(blocks(POLL));
+        }
+
+        /** Guards against messages without end about requests that were at one crash only. */
+        @Test
+        void requestsOfOneCrashAreAnnouncedForAShortTime() {
+            crash(BESIDE);
+            assertEquals(1, quarantine.evidence().size());
+            ticker.advance(Duration.ofSeconds(6));
+            assertTrue(quarantine.evidence().isEmpty());
+            crash(BESIDE);
+            ticker.advance(Duration.ofSeconds(6));
+            assertEquals(1, quarantine.evidence().size());
+        }
+    }
+
     @Nested
     final class SoundParts {
         /** Guards against sound requests that are refused because they share other parts. */
