--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
@@ -35,8 +35,8 @@
     /** The response broke off after a part of it was sent to the caller. */
     BROKEN(Verdict.FAILED, true, true),
     /**
-     * The request was taken back, because its prompt is quarantined and its response had not begun,
-     * or because the daemon ends.
+     * The request was taken back, because it is quarantined and its response had not begun, or
+     * because the daemon ends.
      */
     WITHDRAWN(Verdict.NEUTRAL, true, false),
     /** The deadline of the request passed. */
--- a/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
@@ -180,11 +180,11 @@
                                         taskFailures.sum()),
                                 counter(
                                         "godwithoist_target_crashes",
-                                        "Requests at whose beginning a target crashed",
+                                        "Requests under which a target crashed",
                                         quarantine.observedCrashes()),
                                 gauge(
                                         "godwithoist_quarantined_prompts",
-                                        "Sets of prompt parts that are kept away from targets",
+                                        "Requests and sets of prompt parts that are kept away from targets",
                                         quarantine.size()),
                                 gauge(
                                         "godwithoist_request_memory_bytes",
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -235,7 +235,7 @@
     }
 
     /** Returns whether the target is going away, so that it never gets a new request. */
-    boolean isGoingAway() {
+    public boolean isGoingAway() {
         return removed || leaving || entry.draining();
     }
 
