--- a/quarantine/src/main/java/org/godwithoist/quarantine/Reputation.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Reputation.java
@@ -1,6 +1,6 @@
 package org.godwithoist.quarantine;
 
-/** How likely a prompt part that is present in several crashes is their cause. */
+/** How likely a suspect that is present in several crashes is their cause. */
 enum Reputation {
     /**
      * No response to the part is known, and all crashes came from the same prompt. Only this prompt
@@ -14,11 +14,19 @@
      */
     COMMON(5),
     /**
-     * The whole prompt of a request to which no response is known. Its quarantine affects only this
-     * request. It comes last, because a part that is to blame explains the crashes of each request
-     * that contains it.
+     * A request to which no response is known. Its quarantine affects only this request and its
+     * repeats. It comes after the parts, because a part that is to blame explains the crashes of
+     * each request that contains it.
      */
-    SINGLE_REQUEST(2);
+    SINGLE_REQUEST(2),
+    /**
+     * A request to which targets have responded, for example a poll that all callers of a workspace
+     * send. It is likely to run wherever a target crashes.
+     */
+    ANSWERED_REQUEST(5);
+
+    /** A sound request is hardly present in so many crashes without one response in between. */
+    private static final int CERTAINTY_FACTOR = 2;
 
     private final int crashesToQuarantine;
 
@@ -26,8 +34,16 @@
         this.crashesToQuarantine = crashesToQuarantine;
     }
 
-    /** Returns the number of crashes from which a part is quarantined. */
+    /** Returns the number of crashes from which a suspect is quarantined. */
     int crashesToQuarantine() {
         return crashesToQuarantine;
     }
+
+    /**
+     * Returns the number of crashes from which a request is quarantined even if another one was
+     * present in as many of them.
+     */
+    int certainCrashes() {
+        return CERTAINTY_FACTOR * crashesToQuarantine;
+    }
 }
