Let failure responses of targets clear a request of its crashes

A request to which targets always respond with a failure, such as a poll of something that does not exist, was never cleared: two crashes beside it would keep it from all targets, although targets survive it. A failure response clears the request now. It does not clear the parts of its prompt, which the target may not have read.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/CrashDetector.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/CrashDetector.java
@@ -48,6 +48,10 @@
             long respondedAt = startedAt + result.timeToFirstByte().orElseThrow().toNanos();
             quarantine.recordResponse(request.suspectIds(), respondedAt);
         }
+        if (result.outcome() == AttemptOutcome.FAILURE_ANSWER) {
+            // The target has survived the request, but may not have read all parts of its prompt.
+            quarantine.recordResponse(requestId(request), startedAt);
+        }
         // The end of a target that is going away is planned, whatever it runs.
         if (!result.outcome().isConnectionLoss() || target.isGoingAway()) {
             return;
@@ -70,12 +74,16 @@
      */
     private static List<SuspectId> suspects(Request request, ResponseProgress progress) {
         return switch (progress) {
-            case NONE -> request.fingerprint().map(SuspectId::of).stream().toList();
+            case NONE -> requestId(request);
             case BEGUN -> request.suspectIds();
             case PARTIAL, ESTABLISHED -> List.of();
         };
     }
 
+    private static List<SuspectId> requestId(Request request) {
+        return request.fingerprint().map(SuspectId::of).stream().toList();
+    }
+
     private void checkLater(Target target, List<SuspectId> suspects) {
         synchronized (awaitingCheck) {
             List<List<SuspectId>> lost = awaitingCheck.get(target);
--- a/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
@@ -137,6 +137,21 @@
         }
     }
 
+    @Nested
+    final class FailureResponses {
+        /** Guards against a request that is refused although targets have survived it. */
+        @Test
+        void failureResponseClearsTheRequest() {
+            lose(request("/missing"), newTarget(false));
+            ticker.advance(Duration.ofMillis(10));
+            ResponseHead head = new ResponseHead(404, List.of(), BodyEnd.LENGTH, 0);
+            AttemptResult failure = AttemptResult.failure(new BufferedResponse(head, new byte[0]));
+            detector.attemptEnded(request("/missing"), newTarget(false), failure, ticker.nanos());
+            lose(request("/missing"), newTarget(false));
+            assertFalse(isRefused(request("/missing")));
+        }
+    }
+
     @Nested
     final class PlannedEnds {
         /** Guards against requests that are blamed for the planned end of targets. */
