Time crashes by the earliest message that tells of them

A daemon that was paused receives all messages of that time at once.

The age of a crash counts from the sending of its message, so the earliest of several times is the most accurate one; later messages repeat the evidence with a greater age and correct the time.

--- a/quarantine/src/main/java/org/godwithoist/quarantine/CrashHistory.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/CrashHistory.java
@@ -15,16 +15,29 @@
     /** Crashes within this time of each other may have a common cause. */
     private static final Duration COMMON_CAUSE_WINDOW = Duration.ofMillis(150);
 
+    private static final Duration MESSAGE_JITTER = Duration.ofMillis(20);
     private static final int MAX_CRASHES = 256;
 
     private final SequencedMap<CrashId, Long> times = new LinkedHashMap<>();
 
-    /** Adds a crash; the time of a known one stays. */
-    void add(CrashId crash, long occurredAt) {
-        times.putIfAbsent(crash, occurredAt);
+    /**
+     * Adds a crash. Its age in a message counts from the sending of the message, so that the
+     * earliest of several times is the most accurate one: a daemon that was paused receives all
+     * messages of that time at once.
+     *
+     * @return whether the crash was known with a time that is later by more than the jitter of
+     *     messages
+     */
+    boolean add(CrashId crash, long occurredAt) {
+        Long known = times.get(crash);
+        if (known != null && known - occurredAt <= MESSAGE_JITTER.toNanos()) {
+            return false;
+        }
+        times.put(crash, occurredAt);
         if (times.size() > MAX_CRASHES) {
             times.pollFirstEntry();
         }
+        return known != null;
     }
 
     /**
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -233,7 +233,7 @@
             CrashReport crash = e.getValue();
             if (crash.age().compareTo(Suspects.CRASH_RETENTION) < 0) {
                 long occurredAt = now - crash.age().toNanos();
-                suspects.history().add(e.getKey(), occurredAt);
+                changed |= suspects.history().add(e.getKey(), occurredAt);
                 changed |= suspect.addCrash(e.getKey(), crash.prompt(), occurredAt, now);
             }
         }
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
@@ -244,6 +244,21 @@
             assertTrue(blocks(BESIDE));
         }
 
+        /** Guards against crashes that look simultaneous because their messages were delayed. */
+        @Test
+        void messagesThatArriveTogetherAreNoCommonCause() {
+            List<List<SuspectEvidence>> delayed = new ArrayList<>();
+            for (List<SuspectId> request : List.of(DEADLY, BESIDE, DEADLY)) {
+                crash(request);
+                delayed.add(quarantine.evidence());
+                ticker.advance(Duration.ofSeconds(1));
+            }
+            Quarantine paused = newQuarantine();
+            delayed.forEach(paused::merge);
+            assertTrue(paused.remaining(DEADLY).isPresent());
+            assertFalse(paused.remaining(BESIDE).isPresent());
+        }
+
         /** Guards against two requests that always crash targets together. */
         @Test
         void requestsThatAlwaysCrashTogetherAreRefusedInTheEnd() {
