--- a/quarantine/src/main/java/org/godwithoist/quarantine/wire/package-info.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/wire/package-info.java
@@ -1,2 +1,2 @@
-/** Encoding of the evidence against prompt parts, for messages and for the store. */
+/** Encoding of the evidence against requests and prompt parts, for messages and for the store. */
 package org.godwithoist.quarantine.wire;
