Send unstated ends of services on as unstated in godwithoistd

Callers of /services took a part of a body for whole: a living target closed its connection inside a body with neither length nor chunks, and the daemon sent the part in chunks with a last chunk, and kept that of a keyed call as its response.

Cause: ServiceProxy ended each body in the same way, whether or not the target had stated its end.

The server demands chunks or a length, so the field is removed as the head is sent.

The entry of the existing test is unchanged; the stand-in's body became variable.

--- a/services/src/main/java/org/godwithoist/services/ResponseSink.java
+++ b/services/src/main/java/org/godwithoist/services/ResponseSink.java
@@ -16,4 +16,19 @@
 
     /** Ends a complete response. */
     void end();
+
+    /**
+     * Sends a response whose target has not stated where its body ends, in place of all other
+     * methods. It tells the caller no more than the target did.
+     */
+    default void unstated(ResponseHead head, RunState runState, byte[] body) {
+        head(head, runState);
+        body(body);
+        end();
+    }
+
+    /** Ends a response whose end the target has not stated, after its head was sent. */
+    default void endUnstated() {
+        end();
+    }
 }
--- a/services/src/main/java/org/godwithoist/services/ServiceProxy.java
+++ b/services/src/main/java/org/godwithoist/services/ServiceProxy.java
@@ -202,7 +202,8 @@
                                                 ErrorCode.CONFLICT,
                                                 response.head().runState(),
                                                 "the request has already run; its response was"
-                                                        + " too long to retain"));
+                                                        + " not retained, because it was too long"
+                                                        + " or its end was not stated"));
         sink.head(response.head(), response.head().runState());
         sink.body(body);
         sink.end();
@@ -328,10 +329,33 @@
         try (UnstatedEndBody body =
                 new UnstatedEndBody(
                         response.body(), bufferBudget, () -> isRunning(request, target))) {
-            return forwardBody(request, response.head(), body, progress, keyed);
+            return forwardUnstated(request, response.head(), body, progress);
         }
     }
 
+    /**
+     * Forwards a body without a stated end. It may be a part, so it is not retained. A body that
+     * ends within the bytes that are held back is sent without a stated end, too.
+     */
+    private static StoredResponse forwardUnstated(
+            ServiceRequest request,
+            ResponseHead head,
+            UnstatedEndBody body,
+            ResponseProgress progress) {
+        Optional<byte[]> chunk = nextChunk(request, body);
+        if (body.hasEnded()) {
+            progress.unstated(head, chunk.orElse(new byte[0]));
+            return StoredResponse.withoutBody(head);
+        }
+        progress.head(head);
+        while (chunk.isPresent() && !progress.callerDisconnected) {
+            progress.body(chunk.get());
+            chunk = nextChunk(request, body);
+        }
+        progress.endUnstated();
+        return StoredResponse.withoutBody(head);
+    }
+
     private boolean isRunning(ServiceRequest request, Target target) {
         return client.isRunning(target, request.deadline().cap(PRESENCE_TIMEOUT));
     }
@@ -454,6 +478,18 @@
                 sink.end();
             }
         }
+
+        /** Sends a response whose target has not stated its end. */
+        void unstated(ResponseHead head, byte[] body) {
+            started = true;
+            sink.unstated(head, head.runState(), body);
+        }
+
+        void endUnstated() {
+            if (!callerDisconnected) {
+                sink.endUnstated();
+            }
+        }
     }
 
     /**
--- a/services/src/main/java/org/godwithoist/services/UnstatedEndBody.java
+++ b/services/src/main/java/org/godwithoist/services/UnstatedEndBody.java
@@ -54,6 +54,11 @@
         return beginning.length == 0 ? Optional.empty() : Optional.of(beginning);
     }
 
+    /** Returns whether the body was read to the end of its connection. */
+    boolean hasEnded() {
+        return ended;
+    }
+
     /** Returns whether there is room for more bytes after these. */
     private boolean reserve(int bytes) {
         if (held.size() >= MAX_HELD_BYTES || !budget.tryReserve(bytes)) {
--- a/services/src/main/java/org/godwithoist/services/http/ServiceRoutes.java
+++ b/services/src/main/java/org/godwithoist/services/http/ServiceRoutes.java
@@ -246,6 +246,24 @@
             response.end();
         }
 
+        /** Ends the body with the connection, as the target did. */
+        @Override
+        public void unstated(ResponseHead head, RunState runState, byte[] body) {
+            head(head, runState);
+            response.putHeader("Connection", "close");
+            // The server takes a body only with a length or in chunks, and would send it so.
+            response.headersEndHandler(v -> response.headers().remove("Transfer-Encoding"));
+            if (body(body)) {
+                response.end().onComplete(r -> request.connection().close());
+            }
+        }
+
+        /** Breaks the response off: what was sent in chunks cannot end without a statement. */
+        @Override
+        public void endUnstated() {
+            response.reset();
+        }
+
         void fail(RequestException e) {
             if (response.headWritten()) {
                 // The reset shows the caller that the response is incomplete.
--- a/services/src/test/java/org/godwithoist/services/http/UnstatedEndRoutesTest.java
+++ b/services/src/test/java/org/godwithoist/services/http/UnstatedEndRoutesTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.services.Fixture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +24,10 @@
 /** What a caller is told of a body that its target ends only by closing the connection. */
 final class UnstatedEndRoutesTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
+
+    /** Time in which the daemon reads a long body, before its connection ends. */
+    private static final Duration READ_TIME = Duration.ofMillis(500);
+
     private static final String LAST_CHUNK = "0\r\n\r\n";
 
     /** A part of a body; the process that sent it lives on. */
@@ -31,11 +36,12 @@
     private final Vertx vertx = Vertx.vertx();
     private final Fixture fixture = new Fixture();
     private ScriptedTarget target;
+    private volatile String sent = PART;
     private int port;
 
     @BeforeEach
     void listen() throws IOException {
-        target = new ScriptedTarget(UnstatedEndRoutesTest::respond);
+        target = new ScriptedTarget(this::respond);
         fixture.addTarget("t1", new Endpoint("127.0.0.1", target.port()));
         var daemon = fixture.daemon("a", 1, fixture.tables(), new HttpServiceClient(vertx));
         Router router = Router.router(vertx);
@@ -56,14 +62,23 @@
     }
 
     /** Questions about the target itself have no id. */
-    private static boolean respond(ScriptedTarget.Exchange e) throws IOException {
+    private boolean respond(ScriptedTarget.Exchange e) throws IOException {
         boolean aboutItself = e.id().isEmpty();
         String head = aboutItself ? "Content-Length: 2\r\n" : "";
-        e.write("HTTP/1.1 200 OK\r\n" + head + "\r\n" + (aboutItself ? "{}" : PART));
+        e.write("HTTP/1.1 200 OK\r\n" + head + "\r\n" + (aboutItself ? "{}" : sent));
+        if (!aboutItself && sent.length() > PART.length()) {
+            // The client loses what it has not read when the connection ends.
+            Tasks.sleep(READ_TIME);
+        }
         return aboutItself;
     }
 
     private String receive() throws IOException {
+        return receive("");
+    }
+
+    /** Sends a call and returns all that its connection carries until its end. */
+    private String receive(String fields) throws IOException {
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
             caller.setSoTimeout((int) TIMEOUT.toMillis());
             String request =
@@ -73,8 +88,8 @@
                     Authorization: Bearer secret\r
                     Content-Length: 0\r
                     Connection: close\r
-                    \r
                     """;
+            request += fields + "\r\n";
             caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             byte[] received = caller.getInputStream().readAllBytes();
             return new String(received, StandardCharsets.US_ASCII);
@@ -93,5 +108,36 @@
             boolean hasLength = received.toLowerCase(Locale.ROOT).contains("content-length");
             assertFalse(isPart && (hasLength || received.endsWith(LAST_CHUNK)), received);
         }
+
+        /** Guards against a last chunk behind a part that is too long to be held back. */
+        @Test
+        void longPartIsNotToldAsWhole() throws IOException {
+            sent = PART.repeat(400);
+            String received = receive();
+            assertTrue(received.contains(PART), received);
+            assertFalse(received.endsWith(LAST_CHUNK));
+        }
+
+        /** Guards against a part that is told as whole when its call is repeated with its key. */
+        @Test
+        void partIsNotRetainedAsTheResponseOfAKey() throws IOException {
+            String key = "Idempotency-Key: k\r\n";
+            receive(key);
+            String repeated = receive(key);
+            assertFalse(repeated.contains(PART), repeated);
+            assertTrue(repeated.contains("X-Run-State: ran"), repeated);
+        }
+    }
+
+    /** Scenario: the target ends a whole body by closing the connection. */
+    @Nested
+    final class WholeBody {
+        /** Guards against a sound response that is lost because its end is not stated. */
+        @Test
+        void arrivesAsItWasSent() throws IOException {
+            String received = receive();
+            assertTrue(received.startsWith("HTTP/1.1 200"), received);
+            assertTrue(received.endsWith("\r\n\r\n" + PART), received);
+        }
     }
 }
