Do not discard the only response to a request by the sizes of another route

Callers of a route whose requests may run only once got 502 for each long response without a stated end, although the request had run and the response was whole: 36 of 36 bookings of 200 KB, where only reads of the same service were known.

Cause: a body that passes 64 KB was compared with those of its service if too few of its route were known. A route that never states an end stays unknown, so all its long responses were discarded for good.

Change: only requests that may run again are compared with the bodies of another route. Junk behind a booking of an unknown route is passed on again, as at a daemon that knows no body of the service.

PartTakenForWholeTest wholeBookingIsDeliveredWhereOnlyAnotherRouteIsKnown failed before (502, 36 of 36) and passes. The check on reads, isNotTakenWhereBodiesOfAnotherRouteAreKnown, passes unchanged.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.godwithoist.catalog.Route;
+import org.godwithoist.catalog.ServiceId;
 import org.godwithoist.core.id.WorkspaceId;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.targets.Target;
@@ -73,10 +74,14 @@
 
     /**
      * Returns whether a successful body without a stated end, of which more may come, is longer
-     * than the known ones of its route or service.
+     * than the known ones of its route, or of its service if the request may run again. The bodies
+     * of another route do not suffice to discard the only response to a request.
      */
     public boolean isTooLong(long bytes) {
-        return statedEnds.isTooLong(target.entry().service(), route.id(), bytes);
+        ServiceId service = target.entry().service();
+        return route.allowsReexecution()
+                ? statedEnds.isTooLong(service, route.id(), bytes)
+                : statedEnds.sizes(service, route.id()).isTooLong(bytes);
     }
 
     /** Returns whether no successful body of the route has such a size. */
--- a/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
@@ -131,6 +131,14 @@
             assertNoneTaken(send(kind, unstated(Cut.IN_THE_MIDDLE, Copy.NONE, 200, Size.LONG)));
         }
 
+        /** Guards against a run that is lost because another route's bodies are shorter. */
+        @Test
+        void wholeBookingIsDeliveredWhereOnlyAnotherRouteIsKnown() throws Exception {
+            sendStated(RouteKind.READ, Size.SHORT);
+            assertAllDelivered(
+                    send(RouteKind.BOOKING, unstated(Cut.NONE, Copy.NONE, 200, Size.LONG)));
+        }
+
         /** Guards against a body that is broken off by a reset and taken for whole. */
         @ParameterizedTest
         @EnumSource(names = {"BOOKING", "READ"})
