Take no empty body without a stated end for whole where none is empty

Callers of bookings got a success with an empty body, closed in order, when a target had closed its connection behind the head: 36 of 36 on a route whose 36 known bodies have 120 to 820 bytes.

Cause: a size is refuted from four ranges below the smallest one. Where sizes vary by more than a fifth of the smallest, that is below zero, so no part is refuted, not even an empty one.

Change: an empty body is far from the known ones if none of them is empty.

PartTakenForWholeTest.BodiesCutToNothing (booking) and BodySizesTest.EmptyBody failed before and pass; the read passed before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/BodySizes.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/BodySizes.java
@@ -53,7 +53,8 @@
         if (!areKnown()) {
             return Match.UNKNOWN;
         }
-        if (bytes < min - tolerance() || isTooLong(bytes)) {
+        boolean isOnlyEmptyOne = bytes == 0 && min > 0;
+        if (isOnlyEmptyOne || bytes < min - tolerance() || isTooLong(bytes)) {
             return Match.FAR;
         }
         return max == min ? Match.EXACT : Match.NEAR;
--- a/dispatch/src/test/java/org/godwithoist/dispatch/BodySizesTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/BodySizesTest.java
@@ -67,6 +67,26 @@
         }
     }
 
+    /** Scenario: the connection ends behind the head of a response. */
+    @Nested
+    final class EmptyBody {
+        /** Guards against a body that is cut to nothing where sizes vary too much to refute it. */
+        @Test
+        void isRefutedWhereNoneIsEmpty() {
+            BodySizes sizes = sizes(120, 300, 410, 505, 690, 795, 885, 900);
+            assertEquals(BodySizes.Match.FAR, sizes.match(0));
+            assertEquals(BodySizes.Match.NEAR, sizes.match(1));
+        }
+
+        /** Guards against sound empty bodies that are refused. */
+        @Test
+        void isNotRefutedWhereOthersAreEmpty() {
+            assertEquals(
+                    BodySizes.Match.NEAR, sizes(0, 300, 410, 505, 690, 795, 885, 900).match(0));
+            assertEquals(BodySizes.Match.EXACT, sizes(0, 0, 0, 0, 0, 0, 0, 0).match(0));
+        }
+    }
+
     /** Scenario: the sizes are remembered for a route and its service. */
     @Nested
     final class Memory {
--- a/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
@@ -147,6 +147,18 @@
         }
     }
 
+    /** Scenario: the connection ends behind the head of a success. */
+    @Nested
+    final class BodiesCutToNothing {
+        /** Guards against an empty body on a route whose bodies vary, but are never empty. */
+        @ParameterizedTest
+        @EnumSource(names = {"BOOKING", "READ"})
+        void areNotTaken(RouteKind kind) throws Exception {
+            sendStated(kind, Size.SHORT);
+            assertNoneTaken(send(kind, unstated(Cut.BEFORE_THE_BODY, Copy.NONE, 200, Size.SHORT)));
+        }
+    }
+
     /** Scenario: a failure's body is cut. */
     @Nested
     final class PartsOfFailures {
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
@@ -61,6 +61,13 @@
                 return whole;
             }
         },
+        /** Nothing of the body is sent. */
+        BEFORE_THE_BODY {
+            @Override
+            int length(int whole, int event, int run) {
+                return 0;
+            }
+        },
         /** In the middle; in a stream, between two events. */
         IN_THE_MIDDLE {
             @Override
