Forget the sizes of bodies after ten minutes on rarely used routes, too

A whole body without a stated end could be refuted by sizes from twenty minutes before.

Cause: sizes are collected for five minutes and used for five more, but the time of the earlier ones was counted from the first size of the later ones. On a route whose ends are rarely stated these begin up to five minutes late.

Change: each period has its own start and ends ten minutes after it.

BodySizesTest sizesOfARareRouteAreForgottenInTime failed before and passes; sizesAreForgotten passes unchanged.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
@@ -22,35 +22,43 @@
     private record Key(ServiceId service, RouteId route) {}
 
     /**
-     * What is known of the responses of a route or service. Instants are in nanoseconds of the
-     * ticker.
+     * Sizes that were collected in a period.
      *
-     * @param periodStart when the current sizes were begun
-     * @param previous sizes of the period before
+     * @param start instant of the ticker, in nanoseconds
      */
-    private record Known(
-            long lastStatedAt, long periodStart, BodySizes current, BodySizes previous) {
+    private record Period(long start, BodySizes sizes) {
+        Period with(long bytes) {
+            return new Period(start, sizes.with(bytes));
+        }
+
+        /** Returns the sizes unless they are outdated. */
+        BodySizes sizesAt(long now) {
+            return now - start < 2 * SIZES_PERIOD.toNanos() ? sizes : BodySizes.NONE;
+        }
+    }
+
+    /**
+     * What is known of the responses of a route or service.
+     *
+     * @param lastStatedAt instant of the ticker, in nanoseconds
+     */
+    private record Known(long lastStatedAt, Period current, Period previous) {
         /** Adds a size to what is known of a route or service; null for nothing. */
         static Known add(Known known, long bytes, long now) {
+            Period empty = new Period(now, BodySizes.NONE);
             return known == null
-                    ? new Known(now, now, BodySizes.NONE.with(bytes), BodySizes.NONE)
+                    ? new Known(now, empty.with(bytes), empty)
                     : known.with(bytes, now);
         }
 
         private Known with(long bytes, long now) {
-            if (now - periodStart < SIZES_PERIOD.toNanos()) {
-                return new Known(now, periodStart, current.with(bytes), previous);
-            }
-            BodySizes last = isOutdated(now) ? BodySizes.NONE : current;
-            return new Known(now, now, BodySizes.NONE.with(bytes), last);
+            return now - current.start() < SIZES_PERIOD.toNanos()
+                    ? new Known(now, current.with(bytes), previous)
+                    : new Known(now, new Period(now, BodySizes.NONE).with(bytes), current);
         }
 
         BodySizes sizes(long now) {
-            return isOutdated(now) ? BodySizes.NONE : current.merge(previous);
-        }
-
-        private boolean isOutdated(long now) {
-            return now - periodStart >= 2 * SIZES_PERIOD.toNanos();
+            return current.sizesAt(now).merge(previous.sizesAt(now));
         }
     }
 
--- a/dispatch/src/test/java/org/godwithoist/dispatch/BodySizesTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/BodySizesTest.java
@@ -111,6 +111,17 @@
             assertEquals(BodySizes.Match.UNKNOWN, ends.sizes(SERVICE, RARE).match(1));
         }
 
+        /** Guards against sizes that are used for twice their time because few others follow. */
+        @Test
+        void sizesOfARareRouteAreForgottenInTime() {
+            recordBodies();
+            ticker.advance(Duration.ofMinutes(9));
+            ends.record(SERVICE, ROUTE, 100);
+            assertTrue(ends.sizes(SERVICE, ROUTE).areKnown());
+            ticker.advance(Duration.ofMinutes(2));
+            assertFalse(ends.sizes(SERVICE, ROUTE).areKnown());
+        }
+
         /** Guards against a route whose bodies have grown and are refused for good. */
         @Test
         void sizesAreForgotten() {
