--- a/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/PartTakenForWholeTest.java
@@ -131,6 +131,14 @@
             assertNoneTaken(send(kind, unstated(Cut.IN_THE_MIDDLE, Copy.NONE, 200, Size.LONG)));
         }
 
+        /** Guards against a run that is lost because another route's bodies are shorter. */
+        @Test
+        void wholeBookingIsDeliveredWhereOnlyAnotherRouteIsKnown() throws Exception {
+            sendStated(RouteKind.READ, Size.SHORT);
+            assertAllDelivered(
+                    send(RouteKind.BOOKING, unstated(Cut.NONE, Copy.NONE, 200, Size.LONG)));
+        }
+
         /** Guards against a body that is broken off by a reset and taken for whole. */
         @ParameterizedTest
         @EnumSource(names = {"BOOKING", "READ"})
@@ -139,6 +147,18 @@
         }
     }
 
+    /** Scenario: the connection ends behind the head of a success. */
+    @Nested
+    final class BodiesCutToNothing {
+        /** Guards against an empty body on a route whose bodies vary, but are never empty. */
+        @ParameterizedTest
+        @EnumSource(names = {"BOOKING", "READ"})
+        void areNotTaken(RouteKind kind) throws Exception {
+            sendStated(kind, Size.SHORT);
+            assertNoneTaken(send(kind, unstated(Cut.BEFORE_THE_BODY, Copy.NONE, 200, Size.SHORT)));
+        }
+    }
+
     /** Scenario: a failure's body is cut. */
     @Nested
     final class PartsOfFailures {
