Send copies in SecondCopyTest only once all targets have been asked

The first 24 requests with copies did not reach each of the three targets of the plain service, because one whose first response was slow ranked behind the others.

The test now sends sound requests until each target has run 12 of them, within 60 s, and then copies until each has sent 8, within 10 s, because the daemon remembers for 15 s that a target sends copies. Both bounds are checks: a target that the placement never asks fails the test, which the fixed number of requests did not notice. The checks of the responses are the same.

--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
@@ -39,6 +40,7 @@
     private static final String ATTEMPT_ID = "X-Godwithoist-Attempt-Id";
     private static final int TARGETS = 3;
     private static final int FIRST_REQUESTS = 12;
+    private static final Duration FIRST_REQUESTS_TIME = Duration.ofSeconds(60);
 
     /** A route, by what it permits. */
     enum RouteKind {
@@ -176,6 +178,29 @@
         }
     }
 
+    private Stream<ScriptedRunner> targetsOf(RouteKind kind) {
+        return targets.stream().filter(t -> t.streams() == kind.streams);
+    }
+
+    /** Returns whether each target of a route has sent a number of copies. */
+    boolean allHaveSentCopies(RouteKind kind, int copies) {
+        return targetsOf(kind).allMatch(t -> t.copies() >= copies);
+    }
+
+    /**
+     * Sends sound requests until each target of a route has run some. It takes as long as one that
+     * responded slowly at first ranks behind the others.
+     */
+    void sendSoundRequestsToAll(RouteKind kind) {
+        long start = System.nanoTime();
+        while (!targetsOf(kind).allMatch(t -> t.runs() >= FIRST_REQUESTS)) {
+            assertTrue(
+                    System.nanoTime() - start < FIRST_REQUESTS_TIME.toNanos(),
+                    () -> "a target was not asked: " + targets);
+            sendSoundRequests(kind);
+        }
+    }
+
     /** Makes the daemon know that its targets state the ends of sound responses. */
     void sendSoundRequests(RouteKind kind) {
         ScriptedResponse sound =
--- a/edge/src/test/java/org/godwithoist/edge/SecondCopyTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/SecondCopyTest.java
@@ -34,7 +34,11 @@
 final class SecondCopyTest {
     private static final int CALLERS = 12;
     private static final int REQUESTS_OF_EACH_KIND = 3;
-    private static final int FIRST_COPIES = 24;
+
+    private static final int FIRST_COPIES_OF_EACH = 8;
+
+    /** Time for the first copies; the daemon remembers for 15 s that a target sends copies. */
+    private static final Duration FIRST_COPIES_TIME = Duration.ofSeconds(10);
 
     /** Time after which the daemon finds a copy on a connection that it keeps. */
     private static final Duration COPY_ARRIVAL = Duration.ofMillis(10);
@@ -53,14 +57,18 @@
     }
 
     /**
-     * Makes the daemon know that its targets send copies. What the first one costs on a connection
-     * in use is a matter of {@link RepeatedResponsesTest}.
+     * Makes the daemon know that all of its targets send copies. What the first one costs on a
+     * connection in use is a matter of {@link RepeatedResponsesTest}.
      */
     private void sendCopies(RouteKind kind) {
         ScriptedResponse copied =
                 new ScriptedResponse(
                         Framing.LENGTH, Cut.NONE, Copy.WITH_LENGTH, Moment.AT_ONCE, 200);
-        for (int i = 0; i < FIRST_COPIES; i++) {
+        long start = System.nanoTime();
+        while (!fleet.allHaveSentCopies(kind, FIRST_COPIES_OF_EACH)) {
+            assertTrue(
+                    System.nanoTime() - start < FIRST_COPIES_TIME.toNanos(),
+                    () -> "a target was not asked: " + fleet.targets());
             fleet.send(kind, copied);
             Tasks.sleep(COPY_ARRIVAL);
         }
@@ -91,7 +99,7 @@
         @ParameterizedTest
         @EnumSource
         void copyNeitherReachesTheCallerNorCostsTheResponse(RouteKind kind) throws Exception {
-            fleet.sendSoundRequests(kind);
+            fleet.sendSoundRequestsToAll(kind);
             sendCopies(kind);
             List<ScriptedResponse> scripts =
                     scripts(List.of(Framing.values()), List.of(Cut.NONE), COMPARABLE, List.of(200))
@@ -106,7 +114,7 @@
         @ParameterizedTest
         @EnumSource
         void partOfACopyDoesNotReachTheCaller(RouteKind kind) throws Exception {
-            fleet.sendSoundRequests(kind);
+            fleet.sendSoundRequestsToAll(kind);
             sendCopies(kind);
             List<ScriptedResponse> scripts =
                     scripts(List.of(Framing.values()), List.of(Cut.NONE), INCOMPLETE, List.of(200))
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -59,6 +59,7 @@
     private final Map<String, Queue<String>> bodies = new ConcurrentHashMap<>();
     private final Map<MessageServer.Connection, Answered> answered = new ConcurrentHashMap<>();
     private final AtomicInteger earlierCopies = new AtomicInteger();
+    private final AtomicInteger copies = new AtomicInteger();
     private final AtomicInteger runs = new AtomicInteger();
 
     /**
@@ -92,6 +93,21 @@
         return earlierCopies.get();
     }
 
+    /** Returns the number of responses. */
+    public int runs() {
+        return runs.get();
+    }
+
+    /** Returns how often a response was sent a second time. */
+    public int copies() {
+        return copies.get();
+    }
+
+    /** Returns whether the bodies are streams of events. */
+    public boolean streams() {
+        return streams;
+    }
+
     /** Returns the runner id. */
     public String id() {
         return id;
@@ -187,6 +203,9 @@
             writeCopy(writer, script, current);
         }
         writer.flush();
+        if (script.copy() != Copy.NONE) {
+            copies.incrementAndGet();
+        }
         answered.put(connection, current);
         return script.connectionStaysOpen();
     }
@@ -269,6 +288,11 @@
         writer.bytes(body, first, length - first);
     }
 
+    @Override
+    public String toString() {
+        return id + " with " + runs + " runs and " + copies + " copies";
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
