Wait for the daemon's readiness before tests send requests

LeavingCallersTest, the tests of endless bytes and of too many callers in EdgeProcessTest, and ScriptedFleet waited for the event "start", which says that the listeners are open. The catalog and the targets may come seconds later on a busy machine, and a request that has waited for a second, or for a fourth of its time, is then refused as not run (NO_CATALOG), as designed: seen in LeavingCallersTest on at load average 25 to 36. Requests before the catalog are a matter of EdgeTest.StartUnderLoad.

The tests wait until the readiness endpoint responds with 200, for 5 s at most as before; no check is changed.

--- a/edge/src/test/java/org/godwithoist/edge/DaemonProcess.java
+++ b/edge/src/test/java/org/godwithoist/edge/DaemonProcess.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import org.godwithoist.core.id.Endpoint;
 
 /** An edge daemon that runs as a process of its own, with its settings and log in a directory. */
 final class DaemonProcess implements Closeable {
@@ -16,6 +17,8 @@
     static final List<String> DEPLOYED_MEMORY =
             List.of("-Xmx40m", "-Xss256k", "-XX:+UseSerialGC", "-XX:+ExitOnOutOfMemoryError");
 
+    private static final int HTTP_OK = 200;
+
     private final Path logFile;
     private final Process process;
 
@@ -70,6 +73,19 @@
         return process.waitFor(time.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Waits until the daemon has read its catalog and its targets. Before, it refuses requests that
+     * have waited for a second, or for a fourth of their time.
+     *
+     * @param readyPort port of the readiness endpoint
+     */
+    void awaitReadiness(int readyPort) {
+        Endpoint address = new Endpoint("127.0.0.1", readyPort);
+        EdgeFixture.await(
+                "readiness", () -> EdgeFixture.statusAt(address, "/readiness") == HTTP_OK);
+    }
+
+    /** Waits until the daemon has opened its listeners; it may not be ready yet. */
     void awaitStart() {
         EdgeFixture.await("start", () -> logContains("\"event\":\"start\""));
     }
--- a/edge/src/test/java/org/godwithoist/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeFixture.java
@@ -110,6 +110,11 @@
     }
 
     int status(Endpoint address, String path) {
+        return statusAt(address, path);
+    }
+
+    /** Returns the status of a page of a daemon; 0 if it does not respond. */
+    static int statusAt(Endpoint address, String path) {
         try (ClientStandin client = new ClientStandin(address)) {
             client.send("GET", path, Map.of("Host", "daemon"), "");
             return client.receive().status();
--- a/edge/src/test/java/org/godwithoist/edge/EdgeProcessTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeProcessTest.java
@@ -211,7 +211,7 @@
             startDaemon(
                     EdgeSettingsText.of("edge-1", port, readyPort, store.endpoint()),
                     DaemonProcess.DEPLOYED_MEMORY);
-            daemon.awaitStart();
+            daemon.awaitReadiness(readyPort);
             for (int i = 0; i < CALLERS; i++) {
                 send(ConfigText.BOOKING, "booking-" + i);
             }
@@ -268,7 +268,7 @@
             startDaemon(
                     EdgeSettingsText.of("edge-1", port, readyPort, store.endpoint()),
                     DaemonProcess.DEPLOYED_MEMORY);
-            daemon.awaitStart();
+            daemon.awaitReadiness(readyPort);
         }
 
         @AfterEach
--- a/edge/src/test/java/org/godwithoist/edge/LeavingCallersTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/LeavingCallersTest.java
@@ -103,7 +103,7 @@
                         dir,
                         EdgeSettingsText.of("edge-1", port, readyPort, store.endpoint()),
                         DaemonProcess.DEPLOYED_MEMORY);
-        daemon.awaitStart();
+        daemon.awaitReadiness(readyPort);
     }
 
     @AfterEach
--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -87,6 +87,7 @@
     }
 
     private final int port = LoopbackPorts.next();
+    private final int readyPort = LoopbackPorts.next();
     private final AtomicInteger ids = new AtomicInteger();
     private final List<ScriptedRunner> targets = new ArrayList<>();
     private final RowStoreStandin store = new RowStoreStandin();
@@ -106,9 +107,9 @@
         daemon =
                 new DaemonProcess(
                         dir,
-                        EdgeSettingsText.of("edge-1", port, LoopbackPorts.next(), store.endpoint()),
+                        EdgeSettingsText.of("edge-1", port, readyPort, store.endpoint()),
                         DaemonProcess.DEPLOYED_MEMORY);
-        daemon.awaitStart();
+        daemon.awaitReadiness(readyPort);
     }
 
     @Override
