--- a/edge/src/test/java/org/godwithoist/edge/EdgeProcessTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeProcessTest.java
@@ -258,6 +258,7 @@
         private final int port = LoopbackPorts.next();
         private final int readyPort = LoopbackPorts.next();
         private final Queue<Socket> idle = new ConcurrentLinkedQueue<>();
+        private final Queue<String> refusals = new ConcurrentLinkedQueue<>();
         private RunnerStandin engine;
 
         @BeforeEach
@@ -312,7 +313,8 @@
             }
             Map<String, String> results = sendAll(OTHER_REQUESTS);
             assertTrue(daemon.process().isAlive(), () -> "the daemon has ended: " + daemon.log());
-            assertEquals(Set.of("complete"), Set.copyOf(results.values()));
+            assertEquals(
+                    Set.of("complete"), Set.copyOf(results.values()), () -> "refused: " + refusals);
         }
 
         /** Sends requests one after the other and returns their results by id. */
@@ -343,6 +345,7 @@
                 client.send("POST", ConfigText.NON_RESUMABLE + "x", fields, "x".repeat(800));
                 ClientStandin.Response response = client.receive();
                 if (response.status() == 503 && !response.field("Retry-After").isEmpty()) {
+                    refusals.add(response.body().strip());
                     return "not run";
                 }
                 boolean complete = response.body().contains("data: piece " + EVENTS + "\n");
