--- a/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
@@ -16,7 +16,7 @@
     /** Time for which one stated end makes others expected. */
     private static final Duration MEMORY = Duration.ofSeconds(60);
 
-    /** Time for which sizes are collected; they are used for as long again. */
+    /** Time for which sizes are collected; they are used for as long again, since bodies change. */
     private static final Duration SIZES_PERIOD = Duration.ofMinutes(5);
 
     private record Key(ServiceId service, RouteId route) {}
--- a/quarantine/src/main/java/org/godwithoist/quarantine/CrashHistory.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/CrashHistory.java
@@ -15,7 +15,9 @@
     /** Crashes within this time of each other may have a common cause. */
     private static final Duration COMMON_CAUSE_WINDOW = Duration.ofMillis(150);
 
+    /** Differences of the delays of messages, which change no decision. */
     private static final Duration MESSAGE_JITTER = Duration.ofMillis(20);
+
     private static final int MAX_CRASHES = 256;
 
     private final SequencedMap<CrashId, Long> times = new LinkedHashMap<>();
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -51,7 +51,7 @@
      */
     private final Set<SuspectId> unsaved = new HashSet<>();
 
-    /** Parts whose row this daemon has written and not removed. */
+    /** Suspects whose row this daemon has written and not removed. */
     private final Set<SuspectId> ownRows = new HashSet<>();
 
     /** Has a permit if this daemon has observed something since the last one was taken. */
@@ -172,8 +172,8 @@
     // ---- exchange with the other daemons
 
     /**
-     * Returns what the other daemons need to know, the strongest evidence first; empty unless a
-     * there is a suspect.
+     * Returns what the other daemons need to know, the strongest evidence first; empty unless there
+     * is a suspect.
      */
     public synchronized List<SuspectEvidence> evidence() {
         long now = ticker.nanos();
