Limit a head by its bytes, and count what it holds

Callers saw: 431 for heads within maxHeaderBytes of more than 200 lines, and for ten empty lines before a request, which the docs permit; ordinary requests refused for seconds beside bodies in one-byte chunks. Cause: a limit of lines stood beside that of bytes. The memory of a head counted the lines of the body that came in the same read (170 in 512 bytes, 400 bytes each), and not the parts of a prompt. Related: readers of targets, of the store and of the status ports keep their limit of lines.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
@@ -15,6 +15,7 @@
     private final int freeHeadMemoryBytes;
     private final int headMemoryFactor;
     private final int headerFieldMemoryBytes;
+    private final int promptPartMemoryBytes;
     private final int progressBytes;
     private final Duration maxReceiveStall;
     private final Duration maxSendStall;
@@ -26,6 +27,7 @@
         freeHeadMemoryBytes = builder.freeHeadMemoryBytes;
         headMemoryFactor = builder.headMemoryFactor;
         headerFieldMemoryBytes = builder.headerFieldMemoryBytes;
+        promptPartMemoryBytes = builder.promptPartMemoryBytes;
         progressBytes = builder.progressBytes;
         maxReceiveStall = builder.maxReceiveStall;
         maxSendStall = builder.maxSendStall;
@@ -37,7 +39,10 @@
         return new Builder();
     }
 
-    /** Returns the maximum number of header fields of a message. */
+    /**
+     * Returns the maximum number of header fields of messages other than callers' requests, whose
+     * heads are limited by their bytes.
+     */
     public int maxHeaderFields() {
         return maxHeaderFields;
     }
@@ -62,6 +67,11 @@
         return headerFieldMemoryBytes;
     }
 
+    /** Returns the memory of a part of a prompt that a head names, in bytes. */
+    public int promptPartMemoryBytes() {
+        return promptPartMemoryBytes;
+    }
+
     /** Returns how many bytes a caller has to send to make progress with its request. */
     public int progressBytes() {
         return progressBytes;
@@ -102,6 +112,9 @@
         /** Two objects, two strings and the initial buffer of a line, which holds 64 characters. */
         private int headerFieldMemoryBytes = 400;
 
+        /** An id, its text and its places in the lists of the request and of the quarantine. */
+        private int promptPartMemoryBytes = 160;
+
         private int progressBytes = 1024;
         private Duration maxReceiveStall = Duration.ofSeconds(1);
         private Duration maxSendStall = Duration.ofSeconds(2);
@@ -111,7 +124,7 @@
 
         private Builder() {}
 
-        /** Sets the maximum number of header fields of a message. */
+        /** Sets the maximum number of header fields of messages other than callers' requests. */
         public Builder maxHeaderFields(int value) {
             maxHeaderFields = value;
             return this;
@@ -141,6 +154,12 @@
             return this;
         }
 
+        /** Sets the memory of a part of a prompt that a head names, in bytes. */
+        public Builder promptPartMemoryBytes(int value) {
+            promptPartMemoryBytes = value;
+            return this;
+        }
+
         /** Sets how many bytes a caller has to send to make progress with its request. */
         public Builder progressBytes(int value) {
             progressBytes = value;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -71,9 +71,9 @@
     private CallerConnection(Dependencies dependencies, ReadAheadSocket socket) {
         this.dependencies = dependencies;
         this.socket = socket;
-        int maxLineBytes = dependencies.limits().get().maxHeaderBytes();
+        int maxHeaderBytes = dependencies.limits().get().maxHeaderBytes();
         activity = new ConnectionActivity(socket, CONSTRAINTS, dependencies.ticker());
-        reader = new MessageReader(activity.input(), maxLineBytes);
+        reader = MessageReader.ofCaller(activity.input(), maxHeaderBytes);
         writer = new MessageWriter(activity.output());
     }
 
@@ -162,7 +162,7 @@
             if (httpRequest == null) {
                 return false;
             }
-            return serveRequest(httpRequest, limits, response);
+            return serveRequest(httpRequest, head, limits, response);
         } catch (HeadMemory.NoMemoryException e) {
             return refuseAndClose(response, Refusal.NO_MEMORY);
         } catch (MessageConstraintException | RequestHeaderFieldsTooLargeException e) {
@@ -181,7 +181,10 @@
     }
 
     private boolean serveRequest(
-            ClassicHttpRequest httpRequest, RequestLimits limits, HttpCallerResponse response)
+            ClassicHttpRequest httpRequest,
+            HeadMemory memory,
+            RequestLimits limits,
+            HttpCallerResponse response)
             throws IOException, HttpException, RefusedException {
         Header[] headers = httpRequest.getHeaders();
         boolean isCurrent = !httpRequest.getVersion().lessEquals(HttpVersion.HTTP_1_0);
@@ -193,6 +196,7 @@
                 dependencies
                         .dialect()
                         .readRequest(httpRequest.getMethod(), httpRequest.getRequestUri(), headers);
+        memory.holdPromptParts(head.sharedParts().size());
         if (framing.length() > limits.maxBodyBytes()) {
             throw new RefusedException(
                     Refusal.BODY_TOO_LARGE,
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HeadMemory.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HeadMemory.java
@@ -27,9 +27,22 @@
 
     @Override
     public void received(int bytes, int lines) throws IOException {
-        usedBytes +=
+        use(
                 (long) constraints.headMemoryFactor() * bytes
-                        + (long) constraints.headerFieldMemoryBytes() * lines;
+                        + (long) constraints.headerFieldMemoryBytes() * lines);
+    }
+
+    /**
+     * Reserves the memory of the parts of a prompt, of which a head may name thousands.
+     *
+     * @throws NoMemoryException if the limit would be exceeded
+     */
+    void holdPromptParts(int count) throws NoMemoryException {
+        use((long) constraints.promptPartMemoryBytes() * count);
+    }
+
+    private void use(long bytes) throws NoMemoryException {
+        usedBytes += bytes;
         long missing = usedBytes - constraints.freeHeadMemoryBytes() - reservation.bytes();
         if (missing <= 0) {
             return;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
@@ -53,36 +53,62 @@
     private final MessageInput input;
     private final int maxLineBytes;
     private final int maxHeadBytes;
-    private final SessionInputBufferImpl buffer;
     private final Http1Config config;
 
+    /** Null while it holds no bytes, because most connections wait for most of the time. */
+    private SessionInputBufferImpl buffer;
+
     /**
      * Creates a reader.
      *
      * @param maxLineBytes maximum length of a line in the message head, in bytes
      */
     public MessageReader(InputStream input, int maxLineBytes) {
+        this(input, maxLineBytes, RequestConstraints.DEFAULT.maxHeaderFields());
+    }
+
+    private MessageReader(InputStream input, int maxLineBytes, int maxFields) {
         this.input = new MessageInput(input);
         this.maxLineBytes = maxLineBytes;
         maxHeadBytes = HEAD_LINES_FACTOR * maxLineBytes + BUFFER_BYTES;
         config =
                 Http1Config.custom()
                         .setMaxLineLength(maxLineBytes)
-                        .setMaxHeaderCount(RequestConstraints.DEFAULT.maxHeaderFields())
-                        .setMaxEmptyLineCount(RequestConstraints.DEFAULT.maxEmptyLines())
+                        .setMaxHeaderCount(maxFields)
+                        .setMaxEmptyLineCount(RequestConstraints.DEFAULT.maxEmptyLines() + 1)
                         .build();
-        buffer =
-                new SessionInputBufferImpl(
-                        new BasicHttpTransportMetrics(),
-                        BUFFER_BYTES,
-                        BUFFER_BYTES,
-                        maxLineBytes,
-                        null);
+    }
+
+    /**
+     * Returns a reader of requests whose heads are limited by their bytes alone, however they are
+     * cut into lines. Its listener of a head must limit what the fields take.
+     *
+     * @param maxHeaderBytes maximum size of a head, in bytes
+     */
+    public static MessageReader ofCaller(InputStream input, int maxHeaderBytes) {
+        return new MessageReader(input, maxHeaderBytes, HEAD_LINES_FACTOR * maxHeaderBytes);
+    }
+
+    private SessionInputBufferImpl buffer() {
+        if (buffer == null) {
+            buffer =
+                    new SessionInputBufferImpl(
+                            new BasicHttpTransportMetrics(),
+                            BUFFER_BYTES,
+                            BUFFER_BYTES,
+                            maxLineBytes,
+                            null);
+        }
+        return buffer;
+    }
+
+    private boolean hasBufferedBytes() {
+        return buffer != null && buffer.hasBufferedData();
     }
 
     /** Returns whether buffered bytes are left that belong to no message read so far. */
     public boolean hasUnreadBytes() {
-        return buffer.hasBufferedData() || input.hasUnreadBytes();
+        return hasBufferedBytes() || input.hasUnreadBytes();
     }
 
     /**
@@ -103,6 +129,7 @@
     ClassicHttpRequest readRequest(HeadListener listener) throws IOException, HttpException {
         input.startHead(maxHeadBytes, hasUnreadBytes());
         input.setHeadListener(listener);
+        input.countBegunHead();
         ClassicHttpRequest request = parse(new DefaultHttpRequestParser(config));
         input.endHead();
         if (request != null) {
@@ -147,7 +174,7 @@
     private <T extends HttpMessage> T parse(HttpMessageParser<T> parser)
             throws IOException, HttpException {
         try {
-            return parser.parse(buffer, input);
+            return parser.parse(buffer(), input);
         } catch (IllegalArgumentException e) {
             // The library checks some values, such as a negative version, as it would arguments.
             throw new ProtocolException("malformed message head: " + e.getMessage(), e);
@@ -161,8 +188,8 @@
         }
         return switch (framing.kind()) {
             case NONE -> InputStream.nullInputStream();
-            case LENGTH -> new ContentLengthInputStream(buffer, input, framing.length());
-            case CHUNKED -> new ChunkedBody(buffer, input, maxLineBytes);
+            case LENGTH -> new ContentLengthInputStream(buffer(), input, framing.length());
+            case CHUNKED -> new ChunkedBody(buffer(), input, maxLineBytes);
             case UNTIL_CLOSE -> new UntilCloseInputStream();
         };
     }
@@ -194,7 +221,7 @@
     void unreadAfter(BytesBeforeResponse body) throws IOException {
         ByteArrayOutputStream unread = new ByteArrayOutputStream();
         unread.writeBytes(body.remainingBytes());
-        while (buffer.hasBufferedData()) {
+        while (hasBufferedBytes()) {
             unread.write(buffer.read(input));
         }
         input.unread(unread.toByteArray());
@@ -288,6 +315,11 @@
         private Part part = Part.OTHER;
         private boolean headBegun;
         private int remaining;
+        private HeadEnd headEnd = new HeadEnd();
+
+        /** Line ends in the last read behind a head, which may belong to the next one. */
+        private int linesAfterHead;
+
         private HeadListener headListener = (bytes, lines) -> {};
         private ByteArrayInputStream unread = new ByteArrayInputStream(new byte[0]);
 
@@ -315,9 +347,17 @@
         void startHead(int maxBytes, boolean begun) {
             part = Part.HEAD;
             headBegun = begun;
+            headEnd = new HeadEnd();
             remaining = maxBytes;
         }
 
+        /** Tells the listener what was read of a head together with the message before it. */
+        void countBegunHead() throws IOException {
+            if (headBegun) {
+                headListener.received(BUFFER_BYTES, linesAfterHead);
+            }
+        }
+
         void setHeadListener(HeadListener listener) {
             headListener = listener;
         }
@@ -362,7 +402,9 @@
             }
             headBegun = true;
             remaining -= Math.max(0, n);
-            headListener.received(Math.max(0, n), lineEnds(destination, from, n));
+            int end = headEnd.find(destination, from, Math.max(0, n));
+            headListener.received(end, lineEnds(destination, from, end));
+            linesAfterHead = lineEnds(destination, from + end, Math.max(0, n) - end);
             return n;
         }
 
@@ -381,6 +423,8 @@
             if (n < 0) {
                 throw new ConnectionClosedException("the connection ended within a chunked body");
             }
+            // Only a short read may leave bytes in the buffer that belong to the next head.
+            linesAfterHead = n <= BUFFER_BYTES ? lineEnds(destination, from, n) : 0;
             return n;
         }
     }
@@ -389,12 +433,12 @@
     private final class UntilCloseInputStream extends InputStream {
         @Override
         public int read() throws IOException {
-            return buffer.read(input);
+            return buffer().read(input);
         }
 
         @Override
         public int read(byte[] destination, int from, int length) throws IOException {
-            return buffer.read(destination, from, length, input);
+            return buffer().read(destination, from, length, input);
         }
     }
 }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HeadMemoryTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HeadMemoryTest.java
@@ -64,6 +64,39 @@
         }
     }
 
+    /** Load: callers whose body arrives together with their head. */
+    @Nested
+    final class BytesBehindAHead {
+        private static final String CHUNKS = "1\r\nx\r\n".repeat(100);
+
+        /** Guards against callers with small heads that take the memory for heads. */
+        @Test
+        void areNotCounted() throws Exception {
+            try (HeadMemory memory = memory(budget)) {
+                read(START + "\r\n" + CHUNKS, memory);
+                assertEquals(0, budget.reservedBytes());
+            }
+        }
+
+        /** Guards against heads that are read with the request before them and not counted. */
+        @Test
+        void areCountedIfTheyBeginTheNextHead() throws Exception {
+            byte[] bytes =
+                    (START + "\r\n" + START + "a:\n".repeat(100) + "\r\n")
+                            .getBytes(StandardCharsets.US_ASCII);
+            MessageReader reader =
+                    new MessageReader(new ByteArrayInputStream(bytes), MAX_LINE_BYTES);
+            try (HeadMemory first = memory(budget)) {
+                reader.readRequest(first);
+                assertEquals(0, budget.reservedBytes());
+            }
+            try (HeadMemory second = memory(budget)) {
+                reader.readRequest(second);
+                assertTrue(budget.reservedBytes() >= 30_000, () -> "" + budget.reservedBytes());
+            }
+        }
+    }
+
     @Nested
     final class LargeHeads {
         private static final String MANY_FIELDS = START + "a: b\r\n".repeat(190) + "\r\n";
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
@@ -7,6 +7,8 @@
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.standins.edge.ConfigText;
 import org.godwithoist.standins.edge.LargeResponseRunner;
@@ -101,6 +103,24 @@
             sendSlowly(output, over);
         }
     },
+    /** Sends the shortest header fields that there are, and does not end the head. */
+    SHORTEST_HEADER_LINES {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, head("GET", ConfigText.STATUS + "x"));
+            write(output, "a:\r\n".repeat(SHORTEST_LINES));
+        }
+    },
+    /** Names thousands of parts of a prompt and does not read the stream that it has asked for. */
+    MANY_PROMPT_PARTS {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            String path = ConfigText.RESUMABLE + LargeResponseRunner.LARGE_STREAM;
+            write(output, head("POST", path) + "Content-Length: 4\r\n");
+            write(output, "X-Godwithoist-Prompt-Prefix: " + promptParts() + "\r\n\r\ntext");
+            awaitEnd(over);
+        }
+    },
     /** Sends chunk extensions of the longest permitted line, and does not end the second one. */
     LONG_CHUNK_EXTENSIONS {
         @Override
@@ -137,9 +157,15 @@
 
     private static final int LARGE_CHUNK_COUNT = 3;
 
+    /** Lines of four bytes that a head of legal size holds beside its other fields. */
+    private static final int SHORTEST_LINES = 4000;
+
     /** Trailers that the daemon accepts. */
     private static final int TRAILERS = 19;
 
+    /** Distinct names of prompt parts that a head of legal size holds. */
+    private static final int PROMPT_PARTS = 3200;
+
     private static final Duration BYTE_INTERVAL = Duration.ofMillis(100);
 
     private static String head(String method, String path) {
@@ -163,6 +189,12 @@
         output.write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    private static String promptParts() {
+        return IntStream.range(0, PROMPT_PARTS)
+                .mapToObj(i -> Integer.toString(i, Character.MAX_RADIX))
+                .collect(Collectors.joining(",", "", ",z"));
+    }
+
     private static void sendSlowly(OutputStream output, BooleanSupplier over) throws IOException {
         while (!over.getAsBoolean()) {
             Tasks.sleep(BYTE_INTERVAL);
--- a/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/MessageServer.java
@@ -84,7 +84,7 @@
     private void serveConnection(Socket raw) {
         try (ReadAheadSocket socket = new ReadAheadSocket(raw, "standin", Ticker.SYSTEM)) {
             openSockets.add(socket);
-            MessageReader reader = new MessageReader(socket.input(), MAX_LINE_BYTES);
+            MessageReader reader = MessageReader.ofCaller(socket.input(), MAX_LINE_BYTES);
             MessageWriter writer = new MessageWriter(socket.output());
             Connection connection = new Connection(socket, writer);
             boolean keepOpen = true;
