Release the buffers of connections that wait

Callers saw: nothing yet; the daemon counts 17 KB for such a connection. Cause: the parser's line buffer keeps the size of the longest line (up to 16 KB), and a socket reads into 8 KB again after a long message, with the buffer before it still referenced. Evidence: by reading; the crowd IDLE_AFTER_LONG_LINE was not run on the code before. Why it works: a parser's buffer is made for a message and dropped when it is empty; a socket reads into 8 KB only if more has arrived already. Related: pooled connections to targets, which are released the same way.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -131,6 +131,7 @@
     }
 
     private boolean awaitAndServe() throws IOException {
+        reader.releaseBuffer();
         Duration limit = dependencies.limits().get().idleTimeout().plus(IDLE_MARGIN);
         dependencies.idleConnections().add(socket);
         boolean arrived = socket.awaitInput(dependencies.ticker().nanos() + limit.toNanos());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
@@ -102,6 +102,15 @@
         return buffer;
     }
 
+    /**
+     * Releases the buffer, which keeps the size of the longest line, if no bytes are left in it.
+     */
+    void releaseBuffer() {
+        if (!hasBufferedBytes()) {
+            buffer = null;
+        }
+    }
+
     private boolean hasBufferedBytes() {
         return buffer != null && buffer.hasBufferedData();
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -22,12 +22,14 @@
  * peer. Thread-safe, except for the streams.
  */
 public final class ReadAheadSocket implements Closeable {
-    /** Size of the buffer while the peer sends nothing or short messages. */
+    /** Size of the buffer while nothing has arrived. */
     private static final int SMALL_BUFFER_BYTES = 2048;
 
-    /** Size of the buffer while the peer sends more than fits into the small one. */
+    /** Size of the buffer while more has arrived than fits into the small one. */
     private static final int LARGE_BUFFER_BYTES = 8192;
 
+    private static final byte[] EMPTY = new byte[0];
+
     private static final int PROBE_IDLE_S = 1;
     private static final int PROBE_INTERVAL_S = 1;
     private static final int PROBE_COUNT = 2;
@@ -38,7 +40,7 @@
     private final Condition stateChanged = lock.newCondition();
     private final InputStream input = new BufferedBytes();
     private final OutputStream output;
-    private byte[] buffer = new byte[0];
+    private byte[] buffer = EMPTY;
     private int position;
     private int limit;
     private boolean ended;
@@ -233,7 +235,7 @@
             while (n >= 0) {
                 bufferFilled(next, n);
                 awaitRoom();
-                next = resized(next, n);
+                next = next(n == next.length && raw.available() > 0);
                 n = raw.read(next, 0, next.length);
             }
             recordEnd(null);
@@ -261,10 +263,22 @@
         }
     }
 
-    /** Returns a buffer for the next read, after a read of the given number of bytes. */
-    private static byte[] resized(byte[] previous, int lastRead) {
-        int size = lastRead < SMALL_BUFFER_BYTES ? SMALL_BUFFER_BYTES : LARGE_BUFFER_BYTES;
-        return size == previous.length ? previous : new byte[size];
+    /**
+     * Returns a buffer for the next read. A read that may have to wait gets a small one, so that a
+     * peer that stops in the middle of a long message costs no more memory than an idle one.
+     */
+    private byte[] next(boolean moreHasArrived) {
+        int size = moreHasArrived ? LARGE_BUFFER_BYTES : SMALL_BUFFER_BYTES;
+        lock.lock();
+        try {
+            byte[] used = buffer;
+            buffer = EMPTY;
+            position = 0;
+            limit = 0;
+            return used.length == size ? used : new byte[size];
+        } finally {
+            lock.unlock();
+        }
     }
 
     private void bufferFilled(byte[] bytes, int n) {
@@ -309,6 +323,9 @@
 
         @Override
         public int read(byte[] destination, int from, int length) throws IOException {
+            if (length == 0) {
+                return 0;
+            }
             lock.lock();
             try {
                 while (position == limit) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetConnection.java
@@ -75,6 +75,7 @@
     /** Records that the connection is idle, and the time until which the target keeps it open. */
     void setIdleUntil(long nanos) {
         idleUntil = nanos;
+        reader.releaseBuffer();
     }
 
     /** Returns whether the next request may use the connection. */
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
@@ -111,6 +111,14 @@
             write(output, "a:\r\n".repeat(SHORTEST_LINES));
         }
     },
+    /** Has a request with a long line answered and keeps the connection without using it. */
+    IDLE_AFTER_LONG_LINE {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, head("GET", ConfigText.STATUS + "x"));
+            write(output, "X-Filler: " + "v".repeat(15_000) + "\r\n\r\n");
+        }
+    },
     /** Names thousands of parts of a prompt and does not read the stream that it has asked for. */
     MANY_PROMPT_PARTS {
         @Override
