Reserve the memory of a body as it arrives

Callers saw: ordinary bookings refused (NO_MEMORY) while others announce bodies of 4 MB and send nothing, or stop short of their end; the process ended when prompts short of their end followed unread streams. Cause: an announced length was reserved and allocated before a byte of it had come; large bodies left nothing to small ones and held back all claims behind them; claims of callers that had left waited on. Why it works: BodyMemory reserves nothing for an announcement, all of a small body with its first byte, so that it does not stop half-way, and at most twice what has come of a large one. Large bodies have a share of their own, in which the one that holds most goes first, and keep no memory from others. A claim ends with its caller. RequestBody keeps blocks to the end, without a copy. Related: heads and requests end their claims with the caller too; bodies of responses are reserved as before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -107,7 +107,8 @@
                 throw new RefusedException(Refusal.NO_CATALOG, "the daemon is starting");
             }
             Admission.AdmittedRequest admitted = admission.admit(request.head());
-            memory.requestStarted(admitted.priority(), request.body().length);
+            memory.requestStarted(
+                    admitted.priority(), request.body().length(), response::callerDisconnected);
             try {
                 run(request.identified(admitted.workspace()), admitted, response);
             } finally {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/MemoryBudget.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/MemoryBudget.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
 
 /**
  * Limits the memory of the requests in progress, so that a daemon refuses requests long before its
@@ -31,6 +32,11 @@
      */
     private static final double BODY_SHARE = 0.75;
 
+    /**
+     * Share of the budget for large bodies, which holds one of the largest on the smallest heap.
+     */
+    private static final double LARGE_BODY_SHARE = 0.6;
+
     /**
      * Heap that a request in progress uses besides its caller's connection and its body, in bytes:
      * its header fields, its task and its connection to a target.
@@ -65,13 +71,23 @@
         HEAD(0.5),
         /** Bodies of requests. */
         BODY(BODY_SHARE),
+        /** Large bodies, which leave a part of the memory for bodies to the small ones. */
+        LARGE_BODY(LARGE_BODY_SHARE, BODY),
         /** Parts of responses that wait for their end or for their caller. */
         RESPONSE(0.75);
 
         private final double share;
 
+        /** The use that this one is a part of; null if there is none. */
+        private final Use whole;
+
         Use(double share) {
+            this(share, null);
+        }
+
+        Use(double share, Use whole) {
             this.share = share;
+            this.whole = whole;
         }
     }
 
@@ -91,32 +107,56 @@
     private final class Claim {
         private final Use use;
         private final long bytes;
+        private final long held;
         private final double share;
         private final boolean isFirst;
+        private final BooleanSupplier isAbandoned;
         private final CountDownLatch granted = new CountDownLatch(1);
 
         /**
          * Creates a claim.
          *
+         * @param held bytes that the reservation holds already
          * @param share share of the budget that may be in use afterwards
          * @param isFirst whether it precedes the claims of requests that hold less than they ask
          *     for
+         * @param isAbandoned whether the caller has left, so that nobody needs the memory
          */
-        Claim(Use use, long bytes, double share, boolean isFirst) {
+        Claim(
+                Use use,
+                long bytes,
+                long held,
+                double share,
+                boolean isFirst,
+                BooleanSupplier isAbandoned) {
             this.use = use;
             this.bytes = bytes;
+            this.held = held;
             this.share = share;
             this.isFirst = isFirst;
+            this.isAbandoned = isAbandoned;
+        }
+
+        /**
+         * Returns whether the claim is met before another one that has waited for longer. Of large
+         * bodies, the one that holds most is nearest to its end.
+         */
+        boolean precedes(Claim other) {
+            boolean areLarge = use == Use.LARGE_BODY && other.use == Use.LARGE_BODY;
+            return isFirst && (!other.isFirst || (areLarge && held > other.held));
         }
 
         /** Returns whether the claim could be met if nothing else was reserved. */
-        boolean canFit(long held) {
+        boolean canFit() {
             return held + bytes <= limit * Math.min(share, use.share);
         }
 
         boolean fits() {
-            return reserved + bytes <= limit * share
-                    && reservedByUse.get(use) + bytes <= limit * use.share;
+            boolean fits = reserved + bytes <= limit * share;
+            for (Use u = use; u != null; u = u.whole) {
+                fits &= reservedByUse.get(u) + bytes <= limit * u.share;
+            }
+            return fits;
         }
 
         /** Returns whether it waits for memory that claims for all uses compete for. */
@@ -165,11 +205,13 @@
 
     /** Memory reserved for one use; released by {@link #close}. Used by one task. */
     public final class Reservation implements AutoCloseable {
-        private final Use use;
+        private final BooleanSupplier isAbandoned;
+        private Use use;
         private long bytes;
 
-        private Reservation(Use use) {
+        private Reservation(Use use, BooleanSupplier isAbandoned) {
             this.use = use;
+            this.isAbandoned = isAbandoned;
         }
 
         /** Returns the bytes that are reserved. */
@@ -188,11 +230,25 @@
             }
             // What a running response needs is released soon, if its request can go on.
             boolean isFirst = use == Use.RESPONSE || bytes >= more;
-            Duration maxWait = bytes == 0 && use == Use.BODY ? MAX_START_WAIT : MAX_GROWTH_WAIT;
-            take(new Claim(use, more, 1, isFirst), bytes, maxWait);
+            boolean mayWait = use == Use.LARGE_BODY || (use == Use.BODY && bytes == 0);
+            Duration maxWait = mayWait ? MAX_START_WAIT : MAX_GROWTH_WAIT;
+            take(new Claim(use, more, bytes, 1, isFirst, isAbandoned), maxWait);
             bytes += more;
         }
 
+        /**
+         * Moves what is reserved to another use and reserves more bytes for it.
+         *
+         * @throws RefusedException if the limit would be exceeded; the reservation stays as it was
+         */
+        public void growAs(Use next, long more) throws RefusedException {
+            Reservation moved = new Reservation(next, isAbandoned);
+            moved.grow(bytes + more);
+            release(use, bytes);
+            use = next;
+            bytes = moved.bytes;
+        }
+
         /** Releases the bytes beyond the given number. */
         public void shrinkTo(long remaining) {
             release(use, bytes - remaining);
@@ -207,7 +263,16 @@
 
     /** Returns a reservation of no bytes, which can grow. */
     public Reservation emptyReservation(Use use) {
-        return new Reservation(use);
+        return emptyReservation(use, () -> false);
+    }
+
+    /**
+     * Returns a reservation of no bytes, which can grow.
+     *
+     * @param isAbandoned whether the caller has left, so that the reservation no longer waits
+     */
+    public Reservation emptyReservation(Use use, BooleanSupplier isAbandoned) {
+        return new Reservation(use, isAbandoned);
     }
 
     /**
@@ -216,7 +281,7 @@
      * @throws RefusedException if the limit would be exceeded
      */
     public Reservation reserveBody(long bytes) throws RefusedException {
-        Reservation reservation = new Reservation(Use.BODY);
+        Reservation reservation = emptyReservation(Use.BODY);
         reservation.grow(bytes);
         return reservation;
     }
@@ -228,13 +293,16 @@
      *     more urgent requests
      * @param bodyBytes size of the body that the request holds; a request with a large one precedes
      *     those that hold less than they ask for
+     * @param isAbandoned whether the caller has left, so that the request no longer waits
      * @throws RefusedException if the limit would be exceeded
      */
-    void requestStarted(int priority, long bodyBytes) throws RefusedException {
+    void requestStarted(int priority, long bodyBytes, BooleanSupplier isAbandoned)
+            throws RefusedException {
         int level = Math.clamp(priority, 0, MAX_PRIORITY);
         double share = 1 - level * PRIORITY_STEP;
         boolean isFirst = bodyBytes >= REQUEST_BYTES;
-        take(new Claim(Use.REQUEST, REQUEST_BYTES, share, isFirst), 0, MAX_START_WAIT);
+        Claim claim = new Claim(Use.REQUEST, REQUEST_BYTES, 0, share, isFirst, isAbandoned);
+        take(claim, MAX_START_WAIT);
     }
 
     /** Releases the memory of a request. */
@@ -275,11 +343,9 @@
     /**
      * Takes memory, if necessary after a wait for other requests or for connections that were
      * closed.
-     *
-     * @param held bytes that the reservation holds already
      */
-    private void take(Claim claim, long held, Duration maxWait) throws RefusedException {
-        boolean taken = claim.canFit(held) && (tryTake(claim) || awaitGrant(claim, maxWait));
+    private void take(Claim claim, Duration maxWait) throws RefusedException {
+        boolean taken = claim.canFit() && (tryTake(claim) || awaitGrant(claim, maxWait));
         if (!taken) {
             refusals.increment();
             throw new RefusedException(
@@ -291,7 +357,7 @@
     private boolean tryTake(Claim claim) {
         lock.lock();
         try {
-            waiting.add(claim.isFirst ? numberOfFirstClaims() : waiting.size(), claim);
+            waiting.add(placeOf(claim), claim);
             grant();
             return !waiting.contains(claim);
         } finally {
@@ -299,21 +365,18 @@
         }
     }
 
-    private int numberOfFirstClaims() {
-        int n = 0;
-        for (Claim c : waiting) {
-            if (!c.isFirst) {
-                break;
-            }
-            n++;
+    private int placeOf(Claim claim) {
+        int place = 0;
+        while (place < waiting.size() && !claim.precedes(waiting.get(place))) {
+            place++;
         }
-        return n;
+        return place;
     }
 
     /**
      * Grants the waiting claims that fit, in their order. A claim that lacks memory that all uses
-     * compete for keeps it from those behind it; one beyond the share of its use keeps it from
-     * those of its use.
+     * compete for keeps it from those behind it, unless it is that of a large body; one beyond the
+     * share of its use keeps it from those of its use.
      */
     private void grant() {
         Set<Use> exhausted = EnumSet.noneOf(Use.class);
@@ -321,10 +384,12 @@
         while (claims.hasNext()) {
             Claim c = claims.next();
             if (!exhausted.contains(c.use) && c.fits()) {
-                reserved += c.bytes;
-                reservedByUse.merge(c.use, c.bytes, Long::sum);
+                add(c.use, c.bytes);
                 claims.remove();
                 c.granted.countDown();
+            } else if (c.use == Use.LARGE_BODY) {
+                // A large body waits for as much as many others need together.
+                exhausted.add(c.use);
             } else if (c.lacksTotal()) {
                 return;
             } else if (c.use != Use.REQUEST) {
@@ -372,6 +437,7 @@
             mayWait =
                     now - start < maxWait.toNanos()
                             && hasRelief
+                            && !claim.isAbandoned.getAsBoolean()
                             && !Thread.currentThread().isInterrupted();
             granted = mayWait ? awaitGrant(claim) : withdraw(claim);
         }
@@ -421,11 +487,17 @@
         }
     }
 
+    private void add(Use use, long bytes) {
+        reserved += bytes;
+        for (Use u = use; u != null; u = u.whole) {
+            reservedByUse.merge(u, bytes, Long::sum);
+        }
+    }
+
     private void release(Use use, long bytes) {
         lock.lock();
         try {
-            reserved -= bytes;
-            reservedByUse.merge(use, -bytes, Long::sum);
+            add(use, -bytes);
             grant();
         } finally {
             lock.unlock();
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
@@ -19,15 +19,14 @@
  * @param arrivedAt time at which the last byte was read, in nanoseconds of the ticker
  * @param fingerprint identifies the request and its repeats; empty until its workspace is known
  */
-@SuppressWarnings("ArrayRecordComponent")
 public record Request(
         RequestHead head,
-        byte[] body,
+        RequestBody body,
         boolean hasBody,
         long arrivedAt,
         Optional<RequestFingerprint> fingerprint) {
     /** Creates a request whose workspace is not known yet. */
-    public Request(RequestHead head, byte[] body, boolean hasBody, long arrivedAt) {
+    public Request(RequestHead head, RequestBody body, boolean hasBody, long arrivedAt) {
         this(head, body, hasBody, arrivedAt, Optional.empty());
     }
 
@@ -35,7 +34,7 @@
     Request identified(Optional<WorkspaceId> workspace) {
         RequestFingerprint computed =
                 RequestFingerprint.of(
-                        body,
+                        digest -> body.write(0, body.length(), digest::update),
                         head.method(),
                         head.host(),
                         head.uri(),
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
@@ -16,6 +16,8 @@
     private final int headMemoryFactor;
     private final int headerFieldMemoryBytes;
     private final int promptPartMemoryBytes;
+    private final int smallBodyBytes;
+    private final int receiveBufferBytes;
     private final int progressBytes;
     private final Duration maxReceiveStall;
     private final Duration maxSendStall;
@@ -28,6 +30,8 @@
         headMemoryFactor = builder.headMemoryFactor;
         headerFieldMemoryBytes = builder.headerFieldMemoryBytes;
         promptPartMemoryBytes = builder.promptPartMemoryBytes;
+        smallBodyBytes = builder.smallBodyBytes;
+        receiveBufferBytes = builder.receiveBufferBytes;
         progressBytes = builder.progressBytes;
         maxReceiveStall = builder.maxReceiveStall;
         maxSendStall = builder.maxSendStall;
@@ -72,6 +76,16 @@
         return promptPartMemoryBytes;
     }
 
+    /** Returns the size up to which a body may use the memory that is kept for small ones. */
+    public int smallBodyBytes() {
+        return smallBodyBytes;
+    }
+
+    /** Returns the memory of the buffers of a connection while it receives a body, in bytes. */
+    public int receiveBufferBytes() {
+        return receiveBufferBytes;
+    }
+
     /** Returns how many bytes a caller has to send to make progress with its request. */
     public int progressBytes() {
         return progressBytes;
@@ -115,6 +129,11 @@
         /** An id, its text and its places in the lists of the request and of the quarantine. */
         private int promptPartMemoryBytes = 160;
 
+        private int smallBodyBytes = 131_072;
+
+        /** The bytes that were read ahead, of which an idle connection holds none. */
+        private int receiveBufferBytes = 8192;
+
         private int progressBytes = 1024;
         private Duration maxReceiveStall = Duration.ofSeconds(1);
         private Duration maxSendStall = Duration.ofSeconds(2);
@@ -160,6 +179,18 @@
             return this;
         }
 
+        /** Sets the size up to which a body may use the memory that is kept for small ones. */
+        public Builder smallBodyBytes(int value) {
+            smallBodyBytes = value;
+            return this;
+        }
+
+        /** Sets the memory of the buffers of a connection while it receives a body, in bytes. */
+        public Builder receiveBufferBytes(int value) {
+            receiveBufferBytes = value;
+            return this;
+        }
+
         /** Sets how many bytes a caller has to send to make progress with its request. */
         public Builder progressBytes(int value) {
             progressBytes = value;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -1,9 +1,11 @@
 package org.godwithoist.dispatch.http;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.OptionalInt;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
@@ -19,6 +21,7 @@
 import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.RefusedException;
 import org.godwithoist.dispatch.Request;
+import org.godwithoist.dispatch.RequestBody;
 import org.godwithoist.dispatch.RequestConstraints;
 import org.godwithoist.dispatch.RequestHead;
 import org.godwithoist.dispatch.ServingStatus;
@@ -39,18 +42,9 @@
 
     private static final RequestConstraints CONSTRAINTS = RequestConstraints.DEFAULT;
 
-    private static final int READ_BUFFER_BYTES = 8192;
-    private static final int RESERVATION_STEP_BYTES = 4096;
-
     private static final int MAX_CHUNK_EXPANSION = 6;
     private static final long CLOSE_WAIT_MS = 500;
 
-    /**
-     * Bytes that are held for each byte of a chunked body while it is read: its blocks, and the
-     * array to which they are copied at the end.
-     */
-    private static final int CHUNKED_BODY_FACTOR = 2;
-
     /** Collaborators and settings that all connections share. */
     public record Dependencies(
             Dispatcher dispatcher,
@@ -176,7 +170,6 @@
             return refuseAndClose(response, e.refusal());
         } finally {
             response.release();
-            activity.holdBody(0);
             activity.enter(ConnectionActivity.Phase.OTHER);
         }
     }
@@ -203,12 +196,8 @@
                     Refusal.BODY_TOO_LARGE,
                     "request body exceeds maxBodyBytes: Content-Length " + framing.length());
         }
-        // A request that waits for memory does not wait for its caller.
-        activity.enter(ConnectionActivity.Phase.OTHER);
-        try (MemoryBudget.Reservation reservation =
-                dependencies.memory().reserveBody(declaredLength(framing))) {
-            activity.holdBody(reservation.bytes());
-            byte[] body = readBody(framing, limits, headers, reservation);
+        try (BodyMemory bodyMemory = bodyMemory(framing)) {
+            RequestBody body = readBody(framing, limits, headers, bodyMemory);
             activity.enter(ConnectionActivity.Phase.OTHER);
             boolean hasBody = framing.kind() != Framing.Kind.NONE;
             Request request = new Request(head, body, hasBody, dependencies.ticker().nanos());
@@ -221,18 +210,19 @@
         return response.staysOpen();
     }
 
-    private static int declaredLength(Framing framing) {
-        return (int) framing.length();
+    private BodyMemory bodyMemory(Framing framing) {
+        OptionalInt announced =
+                framing.kind() == Framing.Kind.LENGTH
+                        ? OptionalInt.of((int) framing.length())
+                        : OptionalInt.empty();
+        return new BodyMemory(dependencies.memory(), CONSTRAINTS, activity, announced);
     }
 
-    private byte[] readBody(
-            Framing framing,
-            RequestLimits limits,
-            Header[] headers,
-            MemoryBudget.Reservation reservation)
+    private RequestBody readBody(
+            Framing framing, RequestLimits limits, Header[] headers, BodyMemory memory)
             throws IOException, RefusedException {
         if (framing.kind() == Framing.Kind.NONE) {
-            return new byte[0];
+            return RequestBody.EMPTY;
         }
         if ("100-continue".equalsIgnoreCase(HeaderFields.value(headers, "Expect"))) {
             writer.startLine("HTTP/1.1 100 Continue");
@@ -241,43 +231,37 @@
         }
         setReadTimeout(BODY_TIMEOUT);
         activity.enter(ConnectionActivity.Phase.RECEIVING);
-        InputStream body = reader.body(framing);
-        if (framing.kind() == Framing.Kind.LENGTH) {
-            byte[] bytes = new byte[declaredLength(framing)];
-            if (body.readNBytes(bytes, 0, bytes.length) < bytes.length) {
-                throw new IOException("the caller disconnected before the end of the request body");
-            }
-            return bytes;
-        }
-        return readChunked(body, limits.maxBodyBytes(), reservation);
+        return readBody(framing, limits.maxBodyBytes(), memory);
     }
 
-    /** Reserves memory for each piece as it is read, because the length is not known before. */
-    private byte[] readChunked(InputStream body, int maxBytes, MemoryBudget.Reservation reservation)
+    private RequestBody readBody(Framing framing, int maxBytes, BodyMemory memory)
             throws IOException, RefusedException {
-        BodyBlocks bytes = new BodyBlocks();
-        byte[] piece = new byte[READ_BUFFER_BYTES];
-        int n = body.read(piece, 0, piece.length);
-        while (n >= 0) {
-            if (bytes.size() + n > maxBytes) {
+        InputStream input = reader.body(framing);
+        int first = input.read();
+        RequestBody.Builder body = new RequestBody.Builder((int) framing.length());
+        boolean ended = first < 0;
+        if (!ended) {
+            // Nothing is reserved for a body of which nothing has arrived.
+            memory.arrived(body.room());
+            body.readFrom(new ByteArrayInputStream(new byte[] {(byte) first}));
+        }
+        while (!ended && !isComplete(body, framing)) {
+            memory.arrived(body.size() + body.room());
+            ended = body.readFrom(input) < 0;
+            if (body.size() > maxBytes) {
                 throw new RefusedException(
                         Refusal.BODY_TOO_LARGE, "chunked request body exceeds maxBodyBytes");
             }
-            long needed = (long) CHUNKED_BODY_FACTOR * (bytes.size() + n);
-            if (needed > reservation.bytes()) {
-                // Chunks may be as small as a byte; not each of them takes the lock of the budget.
-                activity.enter(ConnectionActivity.Phase.OTHER);
-                reservation.grow(Math.max(needed - reservation.bytes(), RESERVATION_STEP_BYTES));
-                activity.holdBody(reservation.bytes());
-                activity.enter(ConnectionActivity.Phase.RECEIVING);
-            }
-            bytes.add(piece, n);
-            n = body.read(piece, 0, piece.length);
         }
-        byte[] copy = bytes.toByteArray();
-        reservation.shrinkTo(copy.length);
-        activity.holdBody(reservation.bytes());
-        return copy;
+        if (framing.kind() == Framing.Kind.LENGTH && !isComplete(body, framing)) {
+            throw new IOException("the caller disconnected before the end of the request body");
+        }
+        memory.completed(body.size());
+        return body.build();
+    }
+
+    private static boolean isComplete(RequestBody.Builder body, Framing framing) {
+        return framing.kind() == Framing.Kind.LENGTH && body.size() == framing.length();
     }
 
     /** Chunks of a byte take six bytes on the connection. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HeadMemory.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HeadMemory.java
@@ -20,7 +20,7 @@
     private long usedBytes;
 
     HeadMemory(MemoryBudget budget, RequestConstraints constraints, ConnectionActivity activity) {
-        reservation = budget.emptyReservation(MemoryBudget.Use.HEAD);
+        reservation = budget.emptyReservation(MemoryBudget.Use.HEAD, activity::hasEnded);
         this.constraints = constraints;
         this.activity = activity;
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/RequestSender.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/RequestSender.java
@@ -4,6 +4,7 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.Request;
+import org.godwithoist.dispatch.RequestBody;
 
 /**
  * Sends the request of an attempt. A target that does not read blocks the writer without a limit,
@@ -42,7 +43,7 @@
      *     of the request may have been sent
      */
     void send() throws IOException {
-        if (attempt.request().body().length <= MAX_UNGUARDED_BODY_BYTES) {
+        if (attempt.request().body().length() <= MAX_UNGUARDED_BODY_BYTES) {
             write();
             return;
         }
@@ -92,7 +93,7 @@
         writer.startLine(request.head().method() + " " + request.head().uri() + " HTTP/1.1");
         writer.fields(dialect.targetFields(attempt));
         if (request.hasBody()) {
-            writer.field("Content-Length", Integer.toString(request.body().length));
+            writer.field("Content-Length", Integer.toString(request.body().length()));
         }
         writer.endHead();
         writeBody(request.body(), writer);
@@ -103,15 +104,16 @@
      * Holds back the last byte of a long body for a moment: what has arrived before it is sent is
      * no response to the complete request.
      */
-    private void writeBody(byte[] body, MessageWriter writer) throws IOException {
-        if (body.length < MIN_HELD_BACK_BODY_BYTES) {
-            writer.bytes(body, 0, body.length);
+    private void writeBody(RequestBody body, MessageWriter writer) throws IOException {
+        int length = body.length();
+        if (length < MIN_HELD_BACK_BODY_BYTES) {
+            body.write(0, length, writer::bytes);
             return;
         }
         lease.connection().socket().limitSendBuffer(UPLOAD_SEND_BUFFER_BYTES);
-        writer.bytes(body, 0, body.length - 1);
+        body.write(0, length - 1, writer::bytes);
         writer.flush();
         answeredEarly = !lease.connection().socket().isIdle();
-        writer.bytes(body, body.length - 1, 1);
+        body.write(length - 1, length, writer::bytes);
     }
 }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
@@ -95,7 +95,7 @@
                         Optional.empty(),
                         OptionalLong.empty(),
                         List.of());
-        return new Request(head, new byte[0], false, 0).identified(WORKSPACE);
+        return new Request(head, RequestBody.EMPTY, false, 0).identified(WORKSPACE);
     }
 
     private static Request request(String uri) {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -269,7 +269,7 @@
                         Optional.empty(),
                         OptionalLong.empty(),
                         List.of());
-        Request request = new Request(head, new byte[0], false, Ticker.SYSTEM.nanos());
+        Request request = new Request(head, RequestBody.EMPTY, false, Ticker.SYSTEM.nanos());
         Tasks.start(
                 "request",
                 () -> {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/MemoryBudgetTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/MemoryBudgetTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.godwithoist.core.task.Tasks;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -26,7 +28,7 @@
         int admitted = 0;
         while (true) {
             try {
-                budget.requestStarted(priority, 0);
+                budget.requestStarted(priority, 0, () -> false);
                 admitted++;
             } catch (RefusedException e) {
                 assertEquals(Refusal.NO_MEMORY, e.refusal());
@@ -58,7 +60,7 @@
         /** Guards against memory that stays reserved after the end of a request. */
         @Test
         void releaseTheirMemoryAtTheirEnd() throws RefusedException {
-            budget.requestStarted(HIGHEST_PRIORITY, 0);
+            budget.requestStarted(HIGHEST_PRIORITY, 0, () -> false);
             budget.requestEnded();
             assertEquals(0, budget.reservedBytes());
         }
@@ -79,7 +81,7 @@
         @Test
         void doNotCountWhatOtherRequestsUse() throws RefusedException {
             while (budget.reservedBytes() < budget.limitBytes() * 0.9) {
-                budget.requestStarted(HIGHEST_PRIORITY, 0);
+                budget.requestStarted(HIGHEST_PRIORITY, 0, () -> false);
             }
             assertDoesNotThrow(() -> budget.reserveBody(1000));
         }
@@ -236,7 +238,7 @@
                     "request",
                     () -> {
                         try {
-                            waited.requestStarted(HIGHEST_PRIORITY, LARGE_BYTES);
+                            waited.requestStarted(HIGHEST_PRIORITY, LARGE_BYTES, () -> false);
                             request.complete(true);
                         } catch (RefusedException e) {
                             request.completeExceptionally(e);
@@ -254,6 +256,69 @@
             assertEquals(STEP_BYTES, other.get().bytes());
         }
 
+        /** Guards against uploads that all stop half-way, while none is completed. */
+        @Test
+        void largeBodiesThatHoldMostGoFirst() throws Exception {
+            MemoryBudget.Reservation less = waited.emptyReservation(MemoryBudget.Use.LARGE_BODY);
+            MemoryBudget.Reservation more = waited.emptyReservation(MemoryBudget.Use.LARGE_BODY);
+            MemoryBudget.Reservation rest = waited.emptyReservation(MemoryBudget.Use.LARGE_BODY);
+            less.grow(LARGE_BYTES);
+            more.grow(2 * LARGE_BYTES);
+            rest.grow((long) (waited.limitBytes() * 0.6) - 3 * LARGE_BYTES);
+            CompletableFuture<MemoryBudget.Reservation> second = grow(less, 1);
+            CompletableFuture<MemoryBudget.Reservation> first = grow(more, 2);
+            rest.shrinkTo(rest.bytes() - STEP_BYTES);
+            assertEquals(2 * LARGE_BYTES + STEP_BYTES, first.get().bytes());
+            assertFalse(second.isDone());
+        }
+
+        private CompletableFuture<MemoryBudget.Reservation> grow(
+                MemoryBudget.Reservation reservation, int nowWaiting) {
+            CompletableFuture<MemoryBudget.Reservation> grown = new CompletableFuture<>();
+            Tasks.start(
+                    "grow",
+                    () -> {
+                        try {
+                            reservation.grow(STEP_BYTES);
+                            grown.complete(reservation);
+                        } catch (RefusedException e) {
+                            grown.completeExceptionally(e);
+                        }
+                    });
+            while (waited.waiting() < nowWaiting && !grown.isDone()) {
+                Tasks.sleep(Duration.ofMillis(1));
+            }
+            return grown;
+        }
+
+        /** Guards against a caller that has left and keeps its place before those that wait. */
+        @Test
+        void endWithTheirCaller() throws Exception {
+            fillBodies();
+            AtomicBoolean hasLeft = new AtomicBoolean();
+            MemoryBudget.Reservation leaving =
+                    waited.emptyReservation(MemoryBudget.Use.BODY, hasLeft::get);
+            CompletableFuture<MemoryBudget.Reservation> left = new CompletableFuture<>();
+            Tasks.start(
+                    "leave",
+                    () -> {
+                        try {
+                            leaving.grow(LARGE_BYTES);
+                        } catch (RefusedException e) {
+                            left.completeExceptionally(e);
+                        }
+                    });
+            while (waited.waiting() == 0) {
+                Tasks.sleep(Duration.ofMillis(1));
+            }
+            CompletableFuture<MemoryBudget.Reservation> staying = reserve(STEP_BYTES, 2);
+            hasLeft.set(true);
+            assertThrows(ExecutionException.class, left::get);
+            assertEquals(1, waited.waiting());
+            held.remove().close();
+            assertEquals(STEP_BYTES, staying.get().bytes());
+        }
+
         /** Guards against requests that wait although all memory is used by running ones. */
         @Test
         void areRefusedAtOnceWithoutRelief() throws RefusedException {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -30,6 +30,7 @@
 import org.godwithoist.dispatch.AttemptOutcome;
 import org.godwithoist.dispatch.AttemptResult;
 import org.godwithoist.dispatch.Request;
+import org.godwithoist.dispatch.RequestBody;
 import org.godwithoist.dispatch.RequestHead;
 import org.godwithoist.dispatch.StatedEnds;
 import org.godwithoist.dispatch.TargetPresence;
@@ -116,7 +117,8 @@
                         Optional.empty(),
                         OptionalLong.empty(),
                         List.of());
-        Request request = new Request(head, new byte[bodyBytes], true, ticker.nanos());
+        Request request =
+                new Request(head, RequestBody.of(new byte[bodyBytes]), true, ticker.nanos());
         return gateway.attempt(
                 new Attempt(
                         request,
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
@@ -155,6 +155,81 @@
             write(output, chunkedHead() + "1\r\nx\r\n0\r\n");
             write(output, ("T: " + "v".repeat(16_000) + "\r\n").repeat(TRAILERS));
         }
+    },
+    /** Announces the largest body, asks whether it may send it, and sends nothing. */
+    ANNOUNCED_BODY {
+        @Override
+        int maxBodyBytes() {
+            return LARGE_BODY_BYTES;
+        }
+
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, largeHead(LARGE_BODY_BYTES) + "Expect: 100-continue\r\n\r\n");
+        }
+    },
+    /** Sends the largest body but for its last byte. */
+    LARGE_BODY_SHORT_OF_ITS_END {
+        @Override
+        int maxBodyBytes() {
+            return LARGE_BODY_BYTES;
+        }
+
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, largeHead(LARGE_BODY_BYTES) + "\r\n");
+            writeBody(output, LARGE_BODY_BYTES - 1);
+        }
+    },
+    /** Sends the largest body in chunks of a megabyte, without the last chunk. */
+    MEGABYTE_CHUNKS {
+        @Override
+        int maxBodyBytes() {
+            return LARGE_BODY_BYTES;
+        }
+
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, chunkedHead());
+            for (int i = 0; i < LARGE_BODY_BYTES / MEGABYTE; i++) {
+                write(output, Integer.toHexString(MEGABYTE) + "\r\n");
+                writeBody(output, MEGABYTE);
+                write(output, "\r\n");
+            }
+        }
+    },
+    /** Sends whole bodies of three to four megabytes, which is legal. */
+    WHOLE_LARGE_BODY {
+        @Override
+        int maxBodyBytes() {
+            return LARGE_BODY_BYTES;
+        }
+
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            int size = 3 * MEGABYTE + ThreadLocalRandom.current().nextInt(MEGABYTE);
+            write(output, largeHead(size) + "Connection: close\r\n\r\n");
+            writeBody(output, size);
+        }
+    },
+    /** Leaves in the middle of its body, and comes back. */
+    LEAVING_WRITER {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, head("POST", ConfigText.BOOKING + "x"));
+            write(output, "Content-Length: 90000\r\n\r\n");
+            writeBody(output, 10_000);
+            throw new IOException("the client leaves");
+        }
+    },
+    /** Sends a request to an engine but for the last byte of its prompt. */
+    PROMPT_SHORT_OF_ITS_END {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, head("POST", ConfigText.RESUMABLE + "x"));
+            write(output, "Content-Length: " + PROMPT_BODY_BYTES + "\r\n\r\n");
+            writeBody(output, PROMPT_BODY_BYTES - 1);
+        }
     };
 
     /** Lines of a head that is within the limit of its size and of its number of fields. */
@@ -174,8 +249,22 @@
     /** Distinct names of prompt parts that a head of legal size holds. */
     private static final int PROMPT_PARTS = 3200;
 
+    private static final int MEGABYTE = 1 << 20;
+    private static final int PIECE_BYTES = 16_384;
+
+    /** Limit of a body on the users' platform. */
+    static final int LARGE_BODY_BYTES = 4 * MEGABYTE;
+
+    /** Size of a prompt that a legal client sends with its request. */
+    private static final int PROMPT_BODY_BYTES = 20_000;
+
     private static final Duration BYTE_INTERVAL = Duration.ofMillis(100);
 
+    /** Returns the limit of a body in the catalog of the daemon. */
+    int maxBodyBytes() {
+        return ConfigText.MAX_BODY_BYTES;
+    }
+
     private static String head(String method, String path) {
         return method
                 + " "
@@ -189,6 +278,10 @@
                 + "\r\nX-Godwithoist-Deadline-Ms: 30000\r\n";
     }
 
+    private static String largeHead(int bodyBytes) {
+        return head("POST", ConfigText.BOOKING + "x") + "Content-Length: " + bodyBytes + "\r\n";
+    }
+
     private static String chunkedHead() {
         return head("POST", ConfigText.BOOKING + "x") + "Transfer-Encoding: chunked\r\n\r\n";
     }
@@ -203,6 +296,13 @@
                 .collect(Collectors.joining(",", "", ",z"));
     }
 
+    private static void writeBody(OutputStream output, int bytes) throws IOException {
+        byte[] piece = new byte[Math.min(bytes, PIECE_BYTES)];
+        for (int left = bytes; left > 0; left -= piece.length) {
+            output.write(piece, 0, Math.min(left, piece.length));
+        }
+    }
+
     private static void sendSlowly(OutputStream output, BooleanSupplier over) throws IOException {
         while (!over.getAsBoolean()) {
             Tasks.sleep(BYTE_INTERVAL);
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClientsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClientsTest.java
@@ -23,6 +23,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -94,6 +95,7 @@
         @ParameterizedTest
         @EnumSource
         void daemonLivesAndAnswersAnOrdinaryRequest(AbusiveClient client) throws Exception {
+            allowBodies(client.maxBodyBytes());
             try (Crowd crowd = Crowd.start(client, CLIENTS, port)) {
                 boolean allArrived = crowd.awaitArrival();
                 checkProcess();
@@ -106,6 +108,43 @@
         }
     }
 
+    /** Load: a crowd that follows another one, whose requests the targets may still serve. */
+    @Nested
+    final class CrowdAfterACrowd {
+        /** More clients than fit into the daemon by a factor of three. */
+        private static final int MANY_CLIENTS = 1500;
+
+        private static final Duration CROWD_TIME = Duration.ofSeconds(7);
+        private static final Duration QUIET_TIME = Duration.ofMillis(2500);
+
+        /** Guards against a daemon that does not count what the first crowd has left behind. */
+        @Test
+        void daemonLivesAndAnswersAnOrdinaryRequest() throws Exception {
+            act(AbusiveClient.SLOW_READER_OF_STREAM);
+            Tasks.sleep(QUIET_TIME);
+            act(AbusiveClient.PROMPT_SHORT_OF_ITS_END);
+            new OrdinaryCaller(port).awaitAnswer();
+            checkProcess();
+        }
+
+        private void act(AbusiveClient client) throws Exception {
+            try (Crowd crowd = Crowd.start(client, MANY_CLIENTS, port)) {
+                boolean allArrived = crowd.awaitArrival();
+                checkProcess();
+                assertTrue(allArrived, "the daemon does not accept connections");
+                Tasks.sleep(CROWD_TIME);
+                checkProcess();
+            }
+        }
+    }
+
+    private void allowBodies(int maxBytes) {
+        if (maxBytes != ConfigText.MAX_BODY_BYTES) {
+            store.put("op", "config", ConfigText.of(2, 30_000, maxBytes));
+            EdgeFixture.await("the limit", () -> daemon.logContains("\"version\":2"));
+        }
+    }
+
     private void checkProcess() throws IOException {
         assertTrue(daemon.process().isAlive(), () -> "the daemon ended: " + daemon.endOfLog());
         long residentKb = residentKb();
--- a/edge/src/test/java/org/godwithoist/edge/LargestRequest.java
+++ b/edge/src/test/java/org/godwithoist/edge/LargestRequest.java
@@ -89,6 +89,15 @@
             output.write(body(MAX_BODY_BYTES));
         }
     },
+    /** A body of the maximum size that is sent after the interim response. */
+    BODY_AFTER_CONTINUE {
+        @Override
+        void send(OutputStream output) throws IOException {
+            write(output, upload("Expect: 100-continue\r\nContent-Length: " + MAX_BODY_BYTES));
+            Tasks.sleep(Duration.ofMillis(500));
+            output.write(body(MAX_BODY_BYTES));
+        }
+    },
     /** A body of the maximum size in one chunk. */
     BODY_IN_ONE_CHUNK {
         @Override
--- a/quarantine/src/main/java/org/godwithoist/quarantine/RequestFingerprint.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/RequestFingerprint.java
@@ -5,6 +5,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.function.Consumer;
 
 /**
  * Identifies a request and its repeats, which differ in their request ids only. Callers choose most
@@ -22,18 +23,18 @@
     /**
      * Returns the fingerprint of a request.
      *
-     * @param body body of the request; empty if it has none
+     * @param body adds the body of the request to a digest
      * @param texts what else identifies the request: its method, its address, its caller and the
      *     prompt that it names, always in the same order
      */
-    public static RequestFingerprint of(byte[] body, String... texts) {
+    public static RequestFingerprint of(Consumer<MessageDigest> body, String... texts) {
         MessageDigest digest = sha256();
         for (String t : texts) {
             byte[] bytes = t.getBytes(StandardCharsets.UTF_8);
             updateLength(digest, bytes.length);
             digest.update(bytes);
         }
-        digest.update(body);
+        body.accept(digest);
         byte[] hash = Arrays.copyOf(digest.digest(), HASH_BYTES);
         return new RequestFingerprint(HexFormat.of().formatHex(hash));
     }
--- a/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/QuarantineTest.java
@@ -39,7 +39,7 @@
     }
 
     private static SuspectId requestId(String name) {
-        return SuspectId.of(RequestFingerprint.of(new byte[0], name));
+        return SuspectId.of(RequestFingerprint.of(digest -> {}, name));
     }
 
     private Quarantine newQuarantine() {
--- a/quarantine/src/test/java/org/godwithoist/quarantine/RequestFingerprintTest.java
+++ b/quarantine/src/test/java/org/godwithoist/quarantine/RequestFingerprintTest.java
@@ -9,7 +9,8 @@
 
 final class RequestFingerprintTest {
     private static RequestFingerprint of(String body, String... texts) {
-        return RequestFingerprint.of(body.getBytes(StandardCharsets.UTF_8), texts);
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        return RequestFingerprint.of(digest -> digest.update(bytes), texts);
     }
 
     @Nested
