Measure the progress of a connection by its rate

Callers saw: ordinary requests refused beside clients that send or read just enough to count as making progress. Cause: 1,024 bytes reset the time without progress, and each write of a response began anew, so that a client kept its memory as long as it liked. StalledConnectionsTest has the cases. Why it works: each byte counts for its time at minBytesPerSecond, and what a connection lags is kept across pauses. It is still closed only if others need the room. Tests: doNotGiveWay demanded that 1,024 bytes in 1 s suffice, which is the fault; it now sends at the rate that the limit states. A byte counts for 15 microseconds, so sendMoreThanAByteNowAndThen passes 2 ms in place of 1.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
@@ -18,7 +18,7 @@
     private final int promptPartMemoryBytes;
     private final int smallBodyBytes;
     private final int receiveBufferBytes;
-    private final int progressBytes;
+    private final int minBytesPerSecond;
     private final Duration maxReceiveStall;
     private final Duration maxSendStall;
     private final int sendBufferBytes;
@@ -32,7 +32,7 @@
         promptPartMemoryBytes = builder.promptPartMemoryBytes;
         smallBodyBytes = builder.smallBodyBytes;
         receiveBufferBytes = builder.receiveBufferBytes;
-        progressBytes = builder.progressBytes;
+        minBytesPerSecond = builder.minBytesPerSecond;
         maxReceiveStall = builder.maxReceiveStall;
         maxSendStall = builder.maxSendStall;
         sendBufferBytes = builder.sendBufferBytes;
@@ -86,9 +86,12 @@
         return receiveBufferBytes;
     }
 
-    /** Returns how many bytes a caller has to send to make progress with its request. */
-    public int progressBytes() {
-        return progressBytes;
+    /**
+     * Returns how many bytes a caller has to send or read in a second to make progress, while
+     * others need the room.
+     */
+    public int minBytesPerSecond() {
+        return minBytesPerSecond;
     }
 
     /**
@@ -134,7 +137,7 @@
         /** The bytes that were read ahead, of which an idle connection holds none. */
         private int receiveBufferBytes = 8192;
 
-        private int progressBytes = 1024;
+        private int minBytesPerSecond = 65_536;
         private Duration maxReceiveStall = Duration.ofSeconds(1);
         private Duration maxSendStall = Duration.ofSeconds(2);
 
@@ -191,9 +194,9 @@
             return this;
         }
 
-        /** Sets how many bytes a caller has to send to make progress with its request. */
-        public Builder progressBytes(int value) {
-            progressBytes = value;
+        /** Sets how many bytes a caller has to send or read in a second to make progress. */
+        public Builder minBytesPerSecond(int value) {
+            minBytesPerSecond = value;
             return this;
         }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -150,6 +150,7 @@
     private boolean serveNext() throws IOException {
         RequestLimits limits = dependencies.limits().get();
         setReadTimeout(limits.headerTimeout());
+        activity.startRequest();
         activity.enter(ConnectionActivity.Phase.RECEIVING);
         HttpCallerResponse response = newResponse();
         try (HeadMemory head = new HeadMemory(dependencies.memory(), CONSTRAINTS, activity)) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionActivity.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionActivity.java
@@ -10,13 +10,19 @@
 import org.godwithoist.dispatch.MemoryBudget;
 import org.godwithoist.dispatch.RequestConstraints;
 
-/** What a caller's connection does and since when it makes no progress. Thread-safe. */
-final class ConnectionActivity {
+/**
+ * What a connection does and for how long it has made too little progress. Each byte that its peer
+ * sends or reads counts as progress for a time, so that a peer that stays just above a bound holds
+ * no more than others. Thread-safe.
+ */
+public final class ConnectionActivity {
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
     /** Memory of a connection besides what it has reserved, in bytes. */
     private static final int CONNECTION_BYTES = 17_000;
 
     /** What a connection waits for. The later ones are closed only if no earlier one stalls. */
-    enum Phase {
+    public enum Phase {
         /** It receives a request, which has not run. */
         RECEIVING {
             @Override
@@ -61,24 +67,49 @@
     private final RequestConstraints constraints;
     private final Ticker ticker;
     private Phase phase = Phase.OTHER;
-    private long progressAt;
-    private int bytesSinceProgress;
+
+    /** Last phase in which the connection waited for its peer. */
+    private Phase lastWait = Phase.OTHER;
+
+    /** Time from which the connection lags, while it waits for its peer. */
+    private long lagsSince;
+
+    /** How long the connection had lagged when it last stopped to wait for its peer. */
+    private long lagNanos;
+
     private long headBytes;
     private long bodyBytes;
     private long responseBytes;
     private boolean closed;
 
-    ConnectionActivity(ReadAheadSocket socket, RequestConstraints constraints, Ticker ticker) {
+    /** Creates an instance for a connection that does not wait for its peer. */
+    public ConnectionActivity(
+            ReadAheadSocket socket, RequestConstraints constraints, Ticker ticker) {
         this.socket = socket;
         this.constraints = constraints;
         this.ticker = ticker;
     }
 
-    /** Enters a phase. */
-    synchronized void enter(Phase next) {
+    /**
+     * Enters a phase. A connection that goes on to wait for the same after a pause lags as before.
+     */
+    public synchronized void enter(Phase next) {
+        long now = ticker.nanos();
+        if (phase != Phase.OTHER) {
+            lagNanos = now - lagsSince;
+        }
         phase = next;
-        progressAt = ticker.nanos();
-        bytesSinceProgress = 0;
+        if (next == Phase.OTHER) {
+            return;
+        }
+        lagsSince = next == lastWait ? now - lagNanos : now;
+        lastWait = next;
+    }
+
+    /** Starts the next request, which does not lag. */
+    public synchronized void startRequest() {
+        phase = Phase.OTHER;
+        lastWait = Phase.OTHER;
     }
 
     /** Sets the bytes that are reserved for the head of the request. */
@@ -96,17 +127,14 @@
         responseBytes = bytes;
     }
 
-    private synchronized void received(int bytes) {
-        bytesSinceProgress += bytes;
-        if (bytesSinceProgress >= constraints.progressBytes()) {
-            progressAt = ticker.nanos();
-            bytesSinceProgress = 0;
-        }
+    private synchronized void progressed(int bytes) {
+        long nanos = NANOS_PER_SECOND * bytes / constraints.minBytesPerSecond();
+        lagsSince = Math.min(ticker.nanos(), lagsSince + nanos);
     }
 
     /** Returns how long the connection has made no progress. */
     synchronized Stall stall() {
-        long nanos = ticker.nanos() - progressAt;
+        long nanos = ticker.nanos() - lagsSince;
         double portion = (double) nanos / phase.maxStall(constraints).toNanos();
         // The daemon is late, not the caller, if it has not read what has arrived.
         boolean waits =
@@ -162,25 +190,26 @@
     }
 
     /** Returns the input of the connection, whose bytes are counted as progress. */
-    InputStream input() {
+    public InputStream input() {
         return new FilterInputStream(socket.input()) {
             @Override
             public int read(byte[] bytes, int from, int length) throws IOException {
                 int n = super.read(bytes, from, length);
-                received(Math.max(0, n));
+                progressed(Math.max(0, n));
                 return n;
             }
         };
     }
 
     /** Returns the output of the connection, whose waits for the caller are recorded. */
-    OutputStream output() {
+    public OutputStream output() {
         return new FilterOutputStream(socket.output()) {
             @Override
             public void write(byte[] bytes, int from, int length) throws IOException {
                 enter(Phase.SENDING);
                 try {
                     out.write(bytes, from, length);
+                    progressed(length);
                 } finally {
                     enter(Phase.OTHER);
                 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/StalledConnections.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/StalledConnections.java
@@ -49,12 +49,12 @@
     }
 
     /** Adds a connection that is served. */
-    void add(ConnectionActivity activity) {
+    public void add(ConnectionActivity activity) {
         activities.add(activity);
     }
 
     /** Removes a connection that has ended. */
-    void remove(ConnectionActivity activity) {
+    public void remove(ConnectionActivity activity) {
         activities.remove(activity);
     }
 
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/StalledConnectionsTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/StalledConnectionsTest.java
@@ -70,15 +70,50 @@
             open(ConnectionActivity.Phase.OTHER);
             pass(CONSTRAINTS.maxReceiveStall().minusMillis(1));
             assertFalse(connections.makeRoom());
-            peers.getFirst().getOutputStream().write(new byte[CONSTRAINTS.progressBytes()]);
-            for (int i = 0; i < CONSTRAINTS.progressBytes(); i++) {
-                assertEquals(1, receiving.input().read(new byte[1], 0, 1));
-            }
+            receive(receiving, CONSTRAINTS.minBytesPerSecond());
             pass(CONSTRAINTS.maxReceiveStall().minusMillis(1));
             assertFalse(connections.makeRoom());
             assertEquals(List.of(false, false), closed());
         }
 
+        private void receive(ConnectionActivity receiving, int bytes) throws IOException {
+            peers.getFirst().getOutputStream().write(new byte[bytes]);
+            assertEquals(bytes, receiving.input().readNBytes(bytes).length);
+        }
+
+        /** Guards against a caller that keeps its memory by staying just above a bound. */
+        @Test
+        void sendAtARateThatOtherCallersWouldSend() throws IOException {
+            ConnectionActivity receiving = open(ConnectionActivity.Phase.RECEIVING);
+            Duration quarter = CONSTRAINTS.maxReceiveStall().dividedBy(4);
+            for (int i = 0; i < 20; i++) {
+                receive(receiving, CONSTRAINTS.minBytesPerSecond() / 4);
+                pass(quarter);
+                assertFalse(connections.makeRoom());
+            }
+            for (int i = 0; i < 8; i++) {
+                receive(receiving, CONSTRAINTS.minBytesPerSecond() / 16);
+                pass(quarter);
+            }
+            assertTrue(connections.makeRoom());
+        }
+
+        /** Guards against a caller that is measured anew with each write, or each growth. */
+        @Test
+        void areMeasuredAcrossPauses() throws IOException {
+            ConnectionActivity sending = open(ConnectionActivity.Phase.SENDING);
+            Duration half = CONSTRAINTS.maxSendStall().dividedBy(2);
+            pass(half);
+            sending.enter(ConnectionActivity.Phase.OTHER);
+            pass(CONSTRAINTS.maxSendStall());
+            assertFalse(connections.makeRoom());
+            sending.enter(ConnectionActivity.Phase.SENDING);
+            pass(half.minusMillis(1));
+            assertFalse(connections.makeRoom());
+            pass(Duration.ofMillis(1));
+            assertTrue(connections.makeRoom());
+        }
+
         /** Guards against a caller that keeps its memory by a byte now and then. */
         @Test
         void sendMoreThanAByteNowAndThen() throws IOException {
@@ -86,7 +121,7 @@
             peers.getFirst().getOutputStream().write('x');
             pass(CONSTRAINTS.maxReceiveStall().minusMillis(1));
             assertEquals(1, receiving.input().read(new byte[1], 0, 1));
-            pass(Duration.ofMillis(1));
+            pass(Duration.ofMillis(2));
             assertTrue(connections.makeRoom());
             assertEquals(List.of(true), closed());
         }
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
@@ -212,6 +212,37 @@
             writeBody(output, size);
         }
     },
+    /** Announces the largest body and sends two or three bytes in a millisecond. */
+    LARGE_BODY_AT_A_TRICKLE {
+        @Override
+        int maxBodyBytes() {
+            return LARGE_BODY_BYTES;
+        }
+
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, largeHead(LARGE_BODY_BYTES) + "\r\n");
+            sendSteadily(output, 250, BYTE_INTERVAL, over);
+        }
+    },
+    /** Sends a body of ordinary size just faster than what counts as a stall of a crowd. */
+    STEADY_WRITER {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, head("POST", ConfigText.BOOKING + "x"));
+            write(output, "Content-Length: 90000\r\n\r\n");
+            sendSteadily(output, 1100, STEADY_INTERVAL, over);
+        }
+    },
+    /** Sends a body of ordinary size at the rate of a slow link. */
+    STEADY_WRITER_AT_A_SLOW_LINK {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, head("POST", ConfigText.BOOKING + "x"));
+            write(output, "Content-Length: 90000\r\n\r\n");
+            sendSteadily(output, 14_000, STEADY_INTERVAL, over);
+        }
+    },
     /** Leaves in the middle of its body, and comes back. */
     LEAVING_WRITER {
         @Override
@@ -260,6 +291,9 @@
 
     private static final Duration BYTE_INTERVAL = Duration.ofMillis(100);
 
+    /** Less than a quarter of the shortest stall. */
+    private static final Duration STEADY_INTERVAL = Duration.ofMillis(200);
+
     /** Returns the limit of a body in the catalog of the daemon. */
     int maxBodyBytes() {
         return ConfigText.MAX_BODY_BYTES;
@@ -303,6 +337,15 @@
         }
     }
 
+    private static void sendSteadily(
+            OutputStream output, int bytes, Duration interval, BooleanSupplier over)
+            throws IOException {
+        while (!over.getAsBoolean()) {
+            Tasks.sleep(interval);
+            writeBody(output, bytes);
+        }
+    }
+
     private static void sendSlowly(OutputStream output, BooleanSupplier over) throws IOException {
         while (!over.getAsBoolean()) {
             Tasks.sleep(BYTE_INTERVAL);
