Give a body the time that its caller waits

Callers saw: a connection closed without a response 10 s after the head, although the caller waits for 30 s; none either for a deadline below the range of a time (an exception ended the task). Cause: a fixed time for each body; a negative number that no duration holds. Why it works: the body has its caller's time, at least 10 s and at most maxBodyTime, also if bytes never pause; a body that is late is refused as not run, which is true, because nothing was sent to a target. A negative deadline is a bad request.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestConstraints.java
@@ -18,6 +18,7 @@
     private final int promptPartMemoryBytes;
     private final int smallBodyBytes;
     private final int receiveBufferBytes;
+    private final Duration maxBodyTime;
     private final int minBytesPerSecond;
     private final Duration maxReceiveStall;
     private final Duration maxSendStall;
@@ -32,6 +33,7 @@
         promptPartMemoryBytes = builder.promptPartMemoryBytes;
         smallBodyBytes = builder.smallBodyBytes;
         receiveBufferBytes = builder.receiveBufferBytes;
+        maxBodyTime = builder.maxBodyTime;
         minBytesPerSecond = builder.minBytesPerSecond;
         maxReceiveStall = builder.maxReceiveStall;
         maxSendStall = builder.maxSendStall;
@@ -86,6 +88,11 @@
         return receiveBufferBytes;
     }
 
+    /** Returns the longest time for a body, also if its caller waits for longer. */
+    public Duration maxBodyTime() {
+        return maxBodyTime;
+    }
+
     /**
      * Returns how many bytes a caller has to send or read in a second to make progress, while
      * others need the room.
@@ -137,6 +144,7 @@
         /** The bytes that were read ahead, of which an idle connection holds none. */
         private int receiveBufferBytes = 8192;
 
+        private Duration maxBodyTime = Duration.ofMinutes(2);
         private int minBytesPerSecond = 65_536;
         private Duration maxReceiveStall = Duration.ofSeconds(1);
         private Duration maxSendStall = Duration.ofSeconds(2);
@@ -194,6 +202,12 @@
             return this;
         }
 
+        /** Sets the longest time for a body. */
+        public Builder maxBodyTime(Duration value) {
+            maxBodyTime = value;
+            return this;
+        }
+
         /** Sets how many bytes a caller has to send or read in a second to make progress. */
         public Builder minBytesPerSecond(int value) {
             minBytesPerSecond = value;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.OptionalInt;
 import java.util.function.Supplier;
@@ -15,6 +16,7 @@
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.godwithoist.catalog.RequestLimits;
+import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.Dispatcher;
 import org.godwithoist.dispatch.MemoryBudget;
@@ -34,8 +36,8 @@
      */
     private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
 
-    /** Timeout for the body of a request. */
-    private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
+    /** Time for the body of a request, unless its caller waits for longer. */
+    private static final Duration MIN_BODY_TIME = Duration.ofSeconds(10);
 
     /** Time in which the caller of a new connection sends its request. */
     private static final Duration REFUSAL_WAIT = Duration.ofSeconds(1);
@@ -198,7 +200,7 @@
                     "request body exceeds maxBodyBytes: Content-Length " + framing.length());
         }
         try (BodyMemory bodyMemory = bodyMemory(framing)) {
-            RequestBody body = readBody(framing, limits, headers, bodyMemory);
+            RequestBody body = readBody(framing, head, limits, headers, bodyMemory);
             activity.enter(ConnectionActivity.Phase.OTHER);
             boolean hasBody = framing.kind() != Framing.Kind.NONE;
             Request request = new Request(head, body, hasBody, dependencies.ticker().nanos());
@@ -220,7 +222,11 @@
     }
 
     private RequestBody readBody(
-            Framing framing, RequestLimits limits, Header[] headers, BodyMemory memory)
+            Framing framing,
+            RequestHead head,
+            RequestLimits limits,
+            Header[] headers,
+            BodyMemory memory)
             throws IOException, RefusedException {
         if (framing.kind() == Framing.Kind.NONE) {
             return RequestBody.EMPTY;
@@ -230,9 +236,20 @@
             writer.endHead();
             writer.flush();
         }
-        setReadTimeout(BODY_TIMEOUT);
+        long until = dependencies.ticker().nanos() + bodyTime(head).toNanos();
+        socket.setReadDeadline(until);
+        socket.setOverallDeadline(until);
         activity.enter(ConnectionActivity.Phase.RECEIVING);
-        return readBody(framing, limits.maxBodyBytes(), memory);
+        try {
+            return readBody(framing, limits.maxBodyBytes(), memory);
+        } catch (SocketTimeoutException e) {
+            throw new RefusedException(Refusal.EXPIRED, "the body did not arrive in time");
+        }
+    }
+
+    private static Duration bodyTime(RequestHead head) {
+        Duration time = head.callerTimeout().orElse(MIN_BODY_TIME);
+        return Durations.min(Durations.max(time, MIN_BODY_TIME), CONSTRAINTS.maxBodyTime());
     }
 
     private RequestBody readBody(Framing framing, int maxBytes, BodyMemory memory)
--- a/edge/src/test/java/org/godwithoist/edge/LargestRequest.java
+++ b/edge/src/test/java/org/godwithoist/edge/LargestRequest.java
@@ -129,6 +129,17 @@
             }
             write(output, "0\r\n" + ("T: " + "v".repeat(500) + "\r\n").repeat(19) + "\r\n");
         }
+    },
+    /** A body that takes longer than most, and less time than its caller waits. */
+    SLOW_BODY {
+        @Override
+        void send(OutputStream output) throws IOException {
+            write(output, upload("Content-Length: " + 13_000));
+            for (int i = 0; i < 13; i++) {
+                Tasks.sleep(Duration.ofSeconds(1));
+                output.write(body(1000));
+            }
+        }
     };
 
     /** Limit of a head in the catalog of the tests. */
--- a/edge/src/test/java/org/godwithoist/edge/MalformedRequestsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/MalformedRequestsTest.java
@@ -83,4 +83,14 @@
             assertEquals(TOO_LARGE, statusLine(request));
         }
     }
+
+    @Nested
+    final class Deadlines {
+        /** Guards against a number that ends the task of its connection with an exception. */
+        @ParameterizedTest
+        @ValueSource(strings = {"-9223372036854775808", "-1", "12x", "99999999999999999999"})
+        void areRefusedOutsideTheirRange(String deadline) throws IOException {
+            assertEquals(BAD_REQUEST, statusLine(head(deadline, "Content-Length: 0\r\n")));
+        }
+    }
 }
