Close kept connections while new ones wait for room

Callers saw: no ordinary request answered beside clients that send a hundred requests at once and read no response. Cause: such a connection is neither idle nor stalled between its requests, so that it keeps its place. Why it works: a response carries Connection: close while new connections wait for room; what was sent beyond it has not been read, so it may be repeated. The close is graceful if there are such bytes: a plain one would reset the response. Related: a daemon that stops closes connections the same way.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -7,6 +7,7 @@
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
@@ -47,7 +48,11 @@
     private static final int MAX_CHUNK_EXPANSION = 6;
     private static final long CLOSE_WAIT_MS = 500;
 
-    /** Collaborators and settings that all connections share. */
+    /**
+     * Collaborators and settings that all connections share.
+     *
+     * @param roomIsWanted whether new connections wait for the room of others
+     */
     public record Dependencies(
             Dispatcher dispatcher,
             Dialect dialect,
@@ -56,6 +61,7 @@
             IdleConnections idleConnections,
             StalledConnections stalledConnections,
             MemoryBudget memory,
+            BooleanSupplier roomIsWanted,
             Ticker ticker) {}
 
     private final Dependencies dependencies;
@@ -111,7 +117,12 @@
 
     private HttpCallerResponse newResponse() {
         return new HttpCallerResponse(
-                socket, writer, dependencies.status(), dependencies.memory(), activity);
+                socket,
+                writer,
+                dependencies.status(),
+                dependencies.roomIsWanted(),
+                dependencies.memory(),
+                activity);
     }
 
     private void serveAll() throws IOException {
@@ -206,13 +217,17 @@
             Request request = new Request(head, body, hasBody, dependencies.ticker().nanos());
             dependencies.dispatcher().serve(request, response);
         }
-        if (response.endsWithConnection()) {
+        if (response.endsWithConnection() || (!response.staysOpen() && hasUnreadInput())) {
             // Unread input of the caller would make a plain close a reset, which ends no body.
             socket.closeGracefully(CLOSE_WAIT_MS, maxDiscardedBytes());
         }
         return response.staysOpen();
     }
 
+    private boolean hasUnreadInput() {
+        return reader.hasUnreadBytes() || socket.hasUnreadInput();
+    }
+
     private BodyMemory bodyMemory(Framing framing) {
         OptionalInt announced =
                 framing.kind() == Framing.Kind.LENGTH
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
@@ -206,6 +206,11 @@
         return !waiting.isEmpty() && waiting.getFirst() == waiter;
     }
 
+    /** Returns whether new connections wait for the room of others. */
+    public boolean isWanted() {
+        return waiting() > 0;
+    }
+
     /** Returns the number of new connections that wait for room. */
     synchronized int waiting() {
         return waiting.size();
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
 import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.MemoryBudget;
@@ -19,6 +20,7 @@
     private final ReadAheadSocket socket;
     private final MessageWriter writer;
     private final ServingStatus status;
+    private final BooleanSupplier roomIsWanted;
     private final MemoryBudget.Reservation buffer;
     private final ConnectionActivity activity;
     private boolean keepOpen = true;
@@ -33,6 +35,7 @@
             ReadAheadSocket socket,
             MessageWriter writer,
             ServingStatus status,
+            BooleanSupplier roomIsWanted,
             MemoryBudget memory,
             ConnectionActivity activity) {
         this.socket = socket;
@@ -40,6 +43,7 @@
         this.writer = writer;
         this.activity = activity;
         this.status = status;
+        this.roomIsWanted = roomIsWanted;
     }
 
     /** Sets whether the caller permits the connection to stay open. */
@@ -124,7 +128,8 @@
     }
 
     private void endHead() throws IOException {
-        keepOpen &= status.state().keepsConnections();
+        // A caller that sends request after request would keep its place for as long as it likes.
+        keepOpen &= status.state().keepsConnections() && !roomIsWanted.getAsBoolean();
         if (!keepOpen) {
             writer.field("Connection", "close");
         }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpCallerResponseTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpCallerResponseTest.java
@@ -42,6 +42,7 @@
                         socket,
                         new MessageWriter(socket.output()),
                         new ServingStatus(),
+                        () -> false,
                         MemoryBudget.ofHeap(40L << 20),
                         new ConnectionActivity(socket, RequestConstraints.DEFAULT, Ticker.SYSTEM));
     }
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -165,6 +165,7 @@
                         listeners.idleCallers(),
                         stalledCallers,
                         memory,
+                        listeners.limits().get(ConnectionLimit.Kind.CALLER)::isWanted,
                         ticker));
         followers.start(new Leadership(exchange::leaderAddress, exchange::isLeader), supervisor);
         StatusServer statusServer =
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
@@ -253,6 +253,16 @@
             throw new IOException("the client leaves");
         }
     },
+    /** Asks for a hundred responses at once and reads none. */
+    PIPELINED_READS {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            for (int i = 0; i < 100; i++) {
+                write(output, head("GET", ConfigText.STATUS + "x") + "\r\n");
+            }
+            awaitEnd(over);
+        }
+    },
     /** Sends a request to an engine but for the last byte of its prompt. */
     PROMPT_SHORT_OF_ITS_END {
         @Override
