Let connections to the status ports give way

The platform saw: no answer of the readiness port while clients keep its connections by not reading what they ask for. Cause: only idle connections gave way, a response that is not read had no limit, and heads of 17 KB were not counted. Why it works: the ports use the same measure as the callers' port. Related: the relay's port is open (docs/design/client-matrix.md).

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/MessageReader.java
@@ -67,7 +67,13 @@
         this(input, maxLineBytes, RequestConstraints.DEFAULT.maxHeaderFields());
     }
 
-    private MessageReader(InputStream input, int maxLineBytes, int maxFields) {
+    /**
+     * Creates a reader.
+     *
+     * @param maxLineBytes maximum length of a line in the message head, in bytes
+     * @param maxFields maximum number of header fields
+     */
+    public MessageReader(InputStream input, int maxLineBytes, int maxFields) {
         this.input = new MessageInput(input);
         this.maxLineBytes = maxLineBytes;
         maxHeadBytes = HEAD_LINES_FACTOR * maxLineBytes + BUFFER_BYTES;
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -172,6 +172,7 @@
                 new StatusServer(
                         Map.of("/readiness", this::readiness, "/metrics", this::metricsResponse),
                         listeners.idleStatusConnections(),
+                        listeners.stalledStatusConnections(),
                         log,
                         ticker);
         listeners.openStatus(statusServer::serve, metricsAddress);
--- a/edge/src/main/java/org/godwithoist/edge/EdgeListeners.java
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeListeners.java
@@ -25,6 +25,7 @@
     private final Supervisor supervisor;
     private final IdleConnections idleCallers;
     private final IdleConnections idleStatusConnections;
+    private final StalledConnections stalledStatusConnections;
     private final Map<ConnectionLimit.Kind, ConnectionLimit> limits =
             new EnumMap<>(ConnectionLimit.Kind.class);
     private ConnectionListener callers;
@@ -48,16 +49,22 @@
         this.supervisor = supervisor;
         idleCallers = new IdleConnections(ticker);
         idleStatusConnections = new IdleConnections(ticker);
+        stalledStatusConnections = StalledConnections.ofHeap(maxHeapBytes);
         limits.put(
                 ConnectionLimit.Kind.CALLER,
                 ConnectionLimit.of(
                         ConnectionLimit.Kind.CALLER, maxHeapBytes, idleCallers, stalledCallers));
-        addLimit(ConnectionLimit.Kind.STATUS, maxHeapBytes, idleStatusConnections);
-        addLimit(ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker));
-    }
-
-    private void addLimit(ConnectionLimit.Kind kind, long maxHeapBytes, IdleConnections idle) {
-        limits.put(kind, ConnectionLimit.of(kind, maxHeapBytes, idle));
+        limits.put(
+                ConnectionLimit.Kind.STATUS,
+                ConnectionLimit.of(
+                        ConnectionLimit.Kind.STATUS,
+                        maxHeapBytes,
+                        idleStatusConnections,
+                        stalledStatusConnections));
+        limits.put(
+                ConnectionLimit.Kind.RELAY,
+                ConnectionLimit.of(
+                        ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker)));
     }
 
     /** Returns the limits of the connections, by kind. */
@@ -75,6 +82,11 @@
         return idleStatusConnections;
     }
 
+    /** Returns the connections to the status endpoints that may give way to new ones. */
+    StalledConnections stalledStatusConnections() {
+        return stalledStatusConnections;
+    }
+
     /**
      * Opens the listener for members of the daemon's group. They connect to the TCP port with the
      * same number as the UDP port. If the system chooses the ports, the two numbers differ and
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClientsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClientsTest.java
@@ -138,6 +138,29 @@
         }
     }
 
+    /** Load: clients that keep the connections of the status ports. */
+    @Nested
+    final class CrowdAtTheStatusPorts {
+        private static final int STATUS_CLIENTS = 100;
+        private static final Duration CROWD_TIME = Duration.ofSeconds(3);
+
+        /** Guards against a daemon that gets no callers because its platform finds it not ready. */
+        @ParameterizedTest
+        @EnumSource
+        void daemonLivesAndSaysThatItIsReady(AbusiveStatusClient client) throws Exception {
+            try (Crowd crowd = Crowd.start(client, STATUS_CLIENTS, readyPort)) {
+                boolean allArrived = crowd.awaitArrival();
+                checkProcess();
+                assertTrue(allArrived, "the daemon does not accept connections");
+                Tasks.sleep(CROWD_TIME);
+                checkProcess();
+                daemon.awaitReadiness(readyPort);
+                new OrdinaryCaller(port).awaitAnswer();
+                checkProcess();
+            }
+        }
+    }
+
     private void allowBodies(int maxBytes) {
         if (maxBytes != ConfigText.MAX_BODY_BYTES) {
             store.put("op", "config", ConfigText.of(2, 30_000, maxBytes));
