Reserve large reads of a response before they are made

Callers would see: the end of the process beside many callers that read a large response slowly. Cause: the first 8 KB of a response and 8 KB read ahead from its target were held without a reservation, also if that was refused. Why it works: connections of callers and targets read into 2 KB until the memory of larger reads is reserved. Related: the store's connections are few and read as before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/BodyMemory.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/BodyMemory.java
@@ -64,6 +64,7 @@
             reservation.grow(wanted);
         }
         activity.holdBody(reservation.bytes());
+        activity.permitLargeReads(true);
         activity.enter(ConnectionActivity.Phase.RECEIVING);
     }
 
@@ -77,12 +78,14 @@
 
     /** Releases what is not needed once the body is complete. */
     void completed(int size) {
+        activity.permitLargeReads(false);
         reservation.shrinkTo(Math.min(size, reservation.bytes()));
         activity.holdBody(reservation.bytes());
     }
 
     @Override
     public void close() {
+        activity.permitLargeReads(false);
         activity.holdBody(0);
         reservation.close();
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -83,6 +83,7 @@
     public static void serve(Socket raw, Dependencies dependencies) {
         try (ReadAheadSocket socket = new ReadAheadSocket(raw, "caller", dependencies.ticker())) {
             raw.setSendBufferSize(CONSTRAINTS.sendBufferBytes());
+            socket.permitLargeReads(false);
             new CallerConnection(dependencies, socket).serveAll();
         } catch (IOException e) {
             // The caller disconnected; the dispatcher has logged the requests in progress.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionActivity.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionActivity.java
@@ -112,6 +112,11 @@
         lastWait = Phase.OTHER;
     }
 
+    /** Sets whether large reads are permitted, because their memory is reserved. */
+    void permitLargeReads(boolean value) {
+        socket.permitLargeReads(value);
+    }
+
     /** Sets the bytes that are reserved for the head of the request. */
     synchronized void holdHead(long bytes) {
         headBytes = bytes;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -41,6 +41,7 @@
     private final InputStream input = new BufferedBytes();
     private final OutputStream output;
     private byte[] buffer = EMPTY;
+    private volatile boolean permitsLargeReads = true;
     private int position;
     private int limit;
     private boolean ended;
@@ -129,6 +130,14 @@
         }
     }
 
+    /**
+     * Sets whether a large buffer may be used while more has arrived than fits into a small one.
+     * Where memory is limited, its owner reserves the large one first.
+     */
+    void permitLargeReads(boolean value) {
+        permitsLargeReads = value;
+    }
+
     /** Returns whether the peer has closed the connection or it has failed. */
     public boolean isEnded() {
         lock.lock();
@@ -268,7 +277,7 @@
      * peer that stops in the middle of a long message costs no more memory than an idle one.
      */
     private byte[] next(boolean moreHasArrived) {
-        int size = moreHasArrived ? LARGE_BUFFER_BYTES : SMALL_BUFFER_BYTES;
+        int size = moreHasArrived && permitsLargeReads ? LARGE_BUFFER_BYTES : SMALL_BUFFER_BYTES;
         lock.lock();
         try {
             byte[] used = buffer;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -25,7 +25,10 @@
 
     private static final int READ_BUFFER_BYTES = 8192;
 
-    /** Size of the buffer of a stream, which is held while the stream waits for its next event. */
+    /**
+     * Size of the buffer of a stream, which is held while the stream waits for its next event, and
+     * of what is read of a body before memory is reserved for it.
+     */
     private static final int EVENT_BUFFER_BYTES = 2048;
 
     /** Bytes held for each byte of a short body while its buffer grows: old and new copies. */
@@ -51,6 +54,7 @@
 
     private final CallerResponse callerResponse;
     private final Runnable extendReadDeadline;
+    private final Runnable permitLargeReads;
     private final Ticker ticker;
     private final EventFramer framer = new EventFramer();
     private ResponseProgress progress = ResponseProgress.NONE;
@@ -62,10 +66,16 @@
      * Creates a forwarder.
      *
      * @param extendReadDeadline extends the time for which the target may send nothing
+     * @param permitLargeReads called when the memory of large reads from the target is reserved
      */
-    ResponseForwarder(CallerResponse callerResponse, Runnable extendReadDeadline, Ticker ticker) {
+    ResponseForwarder(
+            CallerResponse callerResponse,
+            Runnable extendReadDeadline,
+            Runnable permitLargeReads,
+            Ticker ticker) {
         this.callerResponse = callerResponse;
         this.extendReadDeadline = extendReadDeadline;
+        this.permitLargeReads = permitLargeReads;
         this.ticker = ticker;
     }
 
@@ -209,7 +219,7 @@
      * memory for.
      */
     private byte[] readFirstBytes(TargetBody body) throws IOException {
-        byte[] bytes = body.readNBytes(READ_BUFFER_BYTES);
+        byte[] bytes = body.readNBytes(EVENT_BUFFER_BYTES);
         while (!body.hasEnded()
                 && bytes.length < MAX_BUFFERED_BYTES
                 && callerResponse.reserveBuffer(BUFFER_GROWTH_FACTOR * bytes.length)) {
@@ -224,9 +234,11 @@
 
     /** Returns the size of the buffer of a body that is forwarded while it is read. */
     private int longBodyBufferBytes() {
-        return callerResponse.reserveBuffer(LONG_BODY_MEMORY_FACTOR * READ_BUFFER_BYTES)
-                ? READ_BUFFER_BYTES
-                : EVENT_BUFFER_BYTES;
+        if (!callerResponse.reserveBuffer(LONG_BODY_MEMORY_FACTOR * READ_BUFFER_BYTES)) {
+            return EVENT_BUFFER_BYTES;
+        }
+        permitLargeReads.run();
+        return READ_BUFFER_BYTES;
     }
 
     /**
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetConnection.java
@@ -30,6 +30,7 @@
     private TargetConnection(ReadAheadSocket socket) {
         this.socket = socket;
         reader = new MessageReader(socket.input(), MAX_LINE_BYTES);
+        socket.permitLargeReads(false);
         writer = new MessageWriter(socket.output());
     }
 
@@ -76,6 +77,7 @@
     void setIdleUntil(long nanos) {
         idleUntil = nanos;
         reader.releaseBuffer();
+        socket.permitLargeReads(false);
     }
 
     /** Returns whether the next request may use the connection. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -96,7 +96,12 @@
         this.onLeaving = onLeaving;
         this.ticker = ticker;
         this.endConfirmation = endConfirmation;
-        forwarder = new ResponseForwarder(callerResponse, this::setReadDeadline, ticker);
+        forwarder =
+                new ResponseForwarder(
+                        callerResponse,
+                        this::setReadDeadline,
+                        () -> connection.socket().permitLargeReads(true),
+                        ticker);
         sentAt = ticker.nanos();
         earlierRequests = connection.recordRequest(attempt.request().head().id());
         responseFinder =
--- a/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
+++ b/edge/src/test/java/org/godwithoist/edge/AbusiveClient.java
@@ -271,6 +271,21 @@
             write(output, "Content-Length: " + PROMPT_BODY_BYTES + "\r\n\r\n");
             writeBody(output, PROMPT_BODY_BYTES - 1);
         }
+    },
+    /** Reads four kilobytes of a large response in a second. */
+    STEADY_READER {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            write(output, head("GET", ConfigText.STATUS + LargeResponseRunner.LARGE) + "\r\n");
+        }
+
+        @Override
+        public void receive(InputStream input, BooleanSupplier over) throws IOException {
+            byte[] piece = new byte[800];
+            while (!over.getAsBoolean() && input.read(piece) >= 0) {
+                Tasks.sleep(STEADY_INTERVAL);
+            }
+        }
     };
 
     /** Lines of a head that is within the limit of its size and of its number of fields. */
