Let a single large body use all memory for bodies

Callers saw: 503 (NO_MEMORY) for a body of 9 MB that a catalog permits, in calm; served it. Cause: the share of large bodies held for one alone too. Why it works: a body that is the only large one has no others to leave room for, and small ones still have the rest of the budget. Related: chunked bodies that grow large take the same way.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/MemoryBudget.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/MemoryBudget.java
@@ -32,9 +32,7 @@
      */
     private static final double BODY_SHARE = 0.75;
 
-    /**
-     * Share of the budget for large bodies, which holds one of the largest on the smallest heap.
-     */
+    /** Share of the budget for large bodies, unless there is only one. */
     private static final double LARGE_BODY_SHARE = 0.6;
 
     /**
@@ -148,17 +146,23 @@
 
         /** Returns whether the claim could be met if nothing else was reserved. */
         boolean canFit() {
-            return held + bytes <= limit * Math.min(share, use.share);
+            Use largest = use.whole == null ? use : use.whole;
+            return held + bytes <= limit * Math.min(share, largest.share);
         }
 
         boolean fits() {
             boolean fits = reserved + bytes <= limit * share;
-            for (Use u = use; u != null; u = u.whole) {
+            for (Use u = isAlone() ? use.whole : use; u != null; u = u.whole) {
                 fits &= reservedByUse.get(u) + bytes <= limit * u.share;
             }
             return fits;
         }
 
+        /** Returns whether it is that of the only large body, which has no others to leave room. */
+        private boolean isAlone() {
+            return use.whole != null && reservedByUse.get(use) == held;
+        }
+
         /** Returns whether it waits for memory that claims for all uses compete for. */
         boolean lacksTotal() {
             return reserved + bytes > limit;
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/BodyMemoryTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/BodyMemoryTest.java
@@ -106,6 +106,22 @@
         }
     }
 
+    @Nested
+    final class OneLargeBody {
+        /** Guards against a body within the limit of a catalog that is refused in calm. */
+        @Test
+        void mayUseAllMemoryForBodies() throws RefusedException {
+            int size = (int) (budget.limitBytes() * 0.74);
+            try (BodyMemory announced = memory(OptionalInt.of(size))) {
+                arrive(announced, size, 2);
+            }
+            try (BodyMemory chunked = memory(OptionalInt.empty())) {
+                arrive(chunked, size, 1);
+            }
+            assertEquals(0, budget.reservedBytes());
+        }
+    }
+
     @Nested
     final class ChunkedBodies {
         /** Guards against chunked bodies that hold more than what has arrived. */
