Create a page of metrics once for all that wait for it

Callers saw: beside 100 clients that ask for /metrics without end and read nothing, a check of readiness got no response for 5 minutes, so that the platform would take the daemon for dead.

Cause: a page was created for each request until the system had buffered 2.8 MB of unread pages for each of the 35 connections. The writer of a virtual thread copies its buffer for each piece of text, which made a page cost some 10 MB of garbage by the source of the JDK. All carriers were busy with pages, the task that refuses a connection did not run, and the accepting task waited for its place.

Evidence: thread dumps and sockets of two daemons after a minute of the hang (docs/incidents/abusive-clients.md).

Now SharedPage creates at most one page in 50 ms, on a platform thread, and the system buffers 64 KB for a status connection. A page is created after its request came, so that no scrape sees old values.

Related paths: callers' connections have a limit of their own for the send buffer; readiness is cheap; the relay's pages stay open in the matrix.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -396,7 +396,7 @@
     }
 
     /** Limits what the system buffers of the output. */
-    void limitSendBuffer(int bytes) throws IOException {
+    public void limitSendBuffer(int bytes) throws IOException {
         socket.setSendBufferSize(bytes);
     }
 
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -170,7 +170,11 @@
         followers.start(new Leadership(exchange::leaderAddress, exchange::isLeader), supervisor);
         StatusServer statusServer =
                 new StatusServer(
-                        Map.of("/readiness", this::readiness, "/metrics", this::metricsResponse),
+                        Map.of(
+                                "/readiness",
+                                this::readiness,
+                                "/metrics",
+                                new SharedPage(this::metricsResponse, ticker)),
                         listeners.idleStatusConnections(),
                         listeners.stalledStatusConnections(),
                         log,
--- a/edge/src/main/java/org/godwithoist/edge/StatusServer.java
+++ b/edge/src/main/java/org/godwithoist/edge/StatusServer.java
@@ -22,6 +22,9 @@
     private static final int MAX_LINE_BYTES = 2048;
     private static final int MAX_FIELDS = 50;
 
+    /** What the system buffers of the responses to a client that does not read them. */
+    private static final int SEND_BUFFER_BYTES = 64 * 1024;
+
     /**
      * A request of the platform arrives in one piece, so that one that does not gives way at once
      * if others need the room.
@@ -81,6 +84,7 @@
 
     void serve(Socket connection) {
         try (ReadAheadSocket socket = new ReadAheadSocket(connection, "pages", ticker)) {
+            socket.limitSendBuffer(SEND_BUFFER_BYTES);
             ConnectionActivity activity = new ConnectionActivity(socket, CONSTRAINTS, ticker);
             stalled.add(activity);
             try {
