Close a relay connection whose peer does not read the response

Seen by reading: a peer that asks a leader for changes and does not read keeps its connection, its task and up to 2 MB of deflated rows as long as it likes; 6 % of the heap is all that connections of peers may use.

Cause: reads had a deadline, writes had none. A response that is not written after 10 s now closes the connection; the member reads from the store.

--- a/relay/src/main/java/org/godwithoist/relay/wire/Frames.java
+++ b/relay/src/main/java/org/godwithoist/relay/wire/Frames.java
@@ -8,6 +8,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
 
 /** Reads and writes messages with a length prefix of 4 bytes. */
@@ -25,6 +26,33 @@
         out.flush();
     }
 
+    /**
+     * Writes a message to a peer that may not read it.
+     *
+     * @param timeout time after which the socket is closed if the message is not written
+     * @throws IOException if it was closed
+     */
+    static void write(Socket socket, byte[] message, Duration timeout) throws IOException {
+        Thread timer = Tasks.start("frame-timeout", () -> closeAfter(socket, timeout));
+        try {
+            write(socket, message);
+        } finally {
+            timer.interrupt();
+        }
+    }
+
+    private static void closeAfter(Socket socket, Duration timeout) {
+        if (!Tasks.sleep(timeout)) {
+            return;
+        }
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The connection has failed already, which ends the write too.
+            return;
+        }
+    }
+
     /**
      * Reads a message.
      *
--- a/relay/src/main/java/org/godwithoist/relay/wire/RelayServer.java
+++ b/relay/src/main/java/org/godwithoist/relay/wire/RelayServer.java
@@ -27,6 +27,9 @@
      */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(20);
 
+    /** A member that takes longer to read a response reads from the store in the meantime. */
+    private static final Duration WRITE_TIMEOUT = Duration.ofSeconds(10);
+
     private final Map<TableName, RecentChanges> tables;
     private final Supplier<RelayTiming> timing;
     private final EventLog log;
@@ -56,7 +59,8 @@
             while (true) {
                 Deadline deadline = Deadline.after(IDLE_TIMEOUT, ticker);
                 byte[] request = Frames.read(member, RelayCodec.MAX_REQUEST_BYTES, deadline);
-                Frames.write(member, RelayCodec.encode(changes(RelayCodec.decodeRequest(request))));
+                byte[] response = RelayCodec.encode(changes(RelayCodec.decodeRequest(request)));
+                Frames.write(member, response, WRITE_TIMEOUT);
             }
         } catch (EOFException | SocketTimeoutException | SocketException e) {
             // The connection ended or was idle; a member that closed it logs the reason itself.
