Let announced chats that send nothing give way to others

Seen by reading: a request claims 4 KB before its body comes. Once such claims take all memory for bodies, others were refused, and only those that had begun to receive made room by closing the ones that lag.

A claim now takes its first memory like any other, by the same decision. BodyBudgetTest.ManyAnnouncedBodies covers it; not run on the code before.

--- a/chat/src/main/java/org/godwithoist/chat/http/BodyBudget.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/BodyBudget.java
@@ -47,6 +47,7 @@
     /** The memory of a request. Its fields are guarded by the budget. */
     final class Claim {
         private final Runnable onRevoked;
+        private long memory;
         private int bodyBytes;
         private long lagsSince = ticker.nanos();
         private boolean ended;
@@ -97,8 +98,8 @@
             return bodyBytes + moreBytes > LARGE_BODY_BYTES;
         }
 
-        private long memory() {
-            return REQUEST_BYTES + (long) MEMORY_FACTOR * bodyBytes;
+        private long memoryWith(int moreBytes) {
+            return REQUEST_BYTES + (long) MEMORY_FACTOR * (bodyBytes + moreBytes);
         }
 
         private long lagNanos() {
@@ -126,18 +127,13 @@
     }
 
     /**
-     * Returns a claim without received bytes.
+     * Returns a claim without received bytes; empty if there is no memory for it.
      *
      * @param onRevoked called when the memory was taken for others; the body must be dropped
      */
-    synchronized Optional<Claim> claim(Runnable onRevoked) {
-        if (used + REQUEST_BYTES > limit) {
-            return Optional.empty();
-        }
+    Optional<Claim> claim(Runnable onRevoked) {
         Claim claim = new Claim(onRevoked);
-        used += claim.memory();
-        receiving.add(claim);
-        return Optional.of(claim);
+        return claim.add(0) ? Optional.of(claim) : Optional.empty();
     }
 
     /** Returns the memory that is in use, in bytes. */
@@ -149,15 +145,19 @@
         if (claim.ended) {
             return false;
         }
-        long more = (long) MEMORY_FACTOR * bytes;
-        long largeBefore = claim.isLarge() ? claim.memory() : 0;
-        long largeAfter = claim.isLargeWith(bytes) ? claim.memory() + more : 0;
-        long newUsedByLarge = usedByLarge - largeBefore + largeAfter;
-        if (used + more > limit || newUsedByLarge > largeLimit) {
+        long memory = claim.memoryWith(bytes);
+        long newUsed = used - claim.memory + memory;
+        long newUsedByLarge =
+                usedByLarge
+                        - (claim.isLarge() ? claim.memory : 0)
+                        + (claim.isLargeWith(bytes) ? memory : 0);
+        if (newUsed > limit || newUsedByLarge > largeLimit) {
             return false;
         }
-        used += more;
+        receiving.add(claim);
+        used = newUsed;
         usedByLarge = newUsedByLarge;
+        claim.memory = memory;
         claim.bodyBytes += bytes;
         long progress = NANOS_PER_SECOND * bytes / MIN_BYTES_PER_SECOND;
         claim.lagsSince = Math.min(ticker.nanos(), claim.lagsSince + progress);
@@ -188,9 +188,9 @@
         }
         claim.ended = true;
         receiving.remove(claim);
-        used -= claim.memory();
+        used -= claim.memory;
         if (claim.isLarge()) {
-            usedByLarge -= claim.memory();
+            usedByLarge -= claim.memory;
         }
     }
 }
--- a/chat/src/test/java/org/godwithoist/chat/http/BodyBudgetTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/http/BodyBudgetTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.godwithoist.core.time.VirtualTicker;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -96,6 +97,21 @@
         }
     }
 
+    /** Load: more requests than there is memory for, of whose bodies nothing has come. */
+    @Nested
+    final class ManyAnnouncedBodies {
+        /** Guards against requests that are refused because of clients that send nothing. */
+        @Test
+        void giveWayIfTheyLag() {
+            Optional<BodyBudget.Claim> last = budget.claim(() -> {});
+            while (last.isPresent()) {
+                last = budget.claim(() -> {});
+            }
+            ticker.advance(Duration.ofSeconds(2));
+            assertTrue(budget.claim(() -> {}).isPresent());
+        }
+    }
+
     /** Load: more small bodies than there is memory for. */
     @Nested
     final class ManySmallBodies {
