Limit the number of JSON tokens of a chat

Cause: the memory of decoded values does not follow the length of their text; three bytes become an object and its map.

A body may now have 100,000 tokens. They are counted by the parser, with the features of the decoder that follows, before any value takes memory; beyond, the request gets 400 bad_request, not_run.

--- a/acceptance/src/test/java/org/godwithoist/acceptance/AbusiveChatClient.java
+++ b/acceptance/src/test/java/org/godwithoist/acceptance/AbusiveChatClient.java
@@ -80,6 +80,18 @@
         public void send(OutputStream output, BooleanSupplier over) {
             // Only the connection costs memory.
         }
+    },
+    /** Sends whole chats that consist of the smallest JSON objects. */
+    SMALLEST_VALUES("", 60) {
+        @Override
+        public void send(OutputStream output, BooleanSupplier over) throws IOException {
+            String start = "{\"model\":\"assistant\",\"messages\":[{}";
+            String end = "]}";
+            int count = (MAX_BODY_BYTES - start.length() - end.length()) / ",{}".length();
+            String body = start + ",{}".repeat(count) + end;
+            write(output, chatHead() + "Connection: close\r\n");
+            write(output, "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        }
     };
 
     private static final int MAX_BODY_BYTES = 4 << 20;
--- a/chat/src/main/java/org/godwithoist/chat/http/RequestDecoder.java
+++ b/chat/src/main/java/org/godwithoist/chat/http/RequestDecoder.java
@@ -1,10 +1,17 @@
 package org.godwithoist.chat.http;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -34,6 +41,17 @@
     private static final int BYTES_PER_TOKEN = 4;
     private static final int MAX_INTEGER_DIGITS = 15;
 
+    /** A decoded value takes many times the memory of its text if that is short. */
+    private static final int MAX_JSON_TOKENS = 100_000;
+
+    /** Reads what {@link JsonObject} reads, which permits comments. */
+    private static final JsonFactory LIMITED_JSON =
+            JsonFactory.builder()
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder().maxTokenCount(MAX_JSON_TOKENS).build())
+                    .build();
+
     private volatile KeyIndex currentIndex = new KeyIndex(null, Map.of());
 
     /** The workspaces of a bundle by the hash of their keys. */
@@ -117,6 +135,7 @@
         if (body == null || body.length() == 0) {
             throw badRequest("the body is empty");
         }
+        checkNumberOfTokens(body);
         try {
             return new JsonObject(body);
         } catch (DecodeException | ClassCastException e) {
@@ -124,6 +143,24 @@
         }
     }
 
+    /** Finds out whether a body has too many values, before they take memory. */
+    private static void checkNumberOfTokens(Buffer body) {
+        try (JsonParser parser = LIMITED_JSON.createParser(body.getBytes())) {
+            JsonToken token = parser.nextToken();
+            while (token != null) {
+                token = parser.nextToken();
+            }
+        } catch (StreamConstraintsException e) {
+            throw badRequest(
+                            "the body has more than "
+                                    + MAX_JSON_TOKENS
+                                    + " JSON tokens, or nests them too deeply")
+                    .withCause(e);
+        } catch (IOException e) {
+            throw badRequest("the body is not a JSON object").withCause(e);
+        }
+    }
+
     private static JsonArray messages(JsonObject json) {
         if (!(json.getValue("messages") instanceof JsonArray messages) || messages.isEmpty()) {
             throw badRequest("messages must be a list with at least one message");
--- a/chat/src/test/java/org/godwithoist/chat/http/ChatRoutesTest.java
+++ b/chat/src/test/java/org/godwithoist/chat/http/ChatRoutesTest.java
@@ -226,6 +226,20 @@
             assertBadRequest(post(body));
         }
 
+        /** Guards against a short text whose values take all memory. */
+        @Test
+        void veryManyValuesAreRejected() throws Exception {
+            String many = "\"tools\":[{}" + ",{}".repeat(100_000) + "],";
+            assertBadRequest(post("{\"model\":\"assistant\"," + many + MESSAGES + "}"));
+        }
+
+        @Test
+        void manyValuesAreServed() throws Exception {
+            String many = "\"tools\":[{}" + ",{}".repeat(40_000) + "],";
+            var response = send(post("{\"model\":\"assistant\"," + many + MESSAGES + "}"));
+            assertEquals(200, response.statusCode(), response.body());
+        }
+
         @Test
         void deeplyNestedBodyIsRejected() throws Exception {
             String body = "{\"model\":" + "[".repeat(100_000);
