--- a/edge/src/test/java/org/godwithoist/edge/LargestRequest.java
+++ b/edge/src/test/java/org/godwithoist/edge/LargestRequest.java
@@ -102,9 +102,7 @@
     BODY_IN_ONE_CHUNK {
         @Override
         void send(OutputStream output) throws IOException {
-            write(output, upload(CHUNKED) + Integer.toHexString(MAX_BODY_BYTES) + "\r\n");
-            output.write(body(MAX_BODY_BYTES));
-            write(output, "\r\n0\r\n\r\n");
+            sendWhole(output, ConfigText.BOOKING + "x");
         }
     },
     /** A body of the maximum size in chunks of a byte. */
@@ -130,6 +128,27 @@
             write(output, "0\r\n" + ("T: " + "v".repeat(500) + "\r\n").repeat(19) + "\r\n");
         }
     },
+    /** A body of the maximum size in one chunk, on the route for reads. */
+    BODY_OF_A_READ {
+        @Override
+        void send(OutputStream output) throws IOException {
+            sendWhole(output, ConfigText.STATUS + "x");
+        }
+    },
+    /** The same, to an engine, whose stream may be resumed. */
+    BODY_OF_A_RESUMABLE_STREAM {
+        @Override
+        void send(OutputStream output) throws IOException {
+            sendWhole(output, ConfigText.RESUMABLE + LargeResponseRunner.LARGE_STREAM);
+        }
+    },
+    /** The same, to an engine, whose stream runs at most once. */
+    BODY_OF_A_STREAM_THAT_RUNS_ONCE {
+        @Override
+        void send(OutputStream output) throws IOException {
+            sendWhole(output, ConfigText.NON_RESUMABLE + LargeResponseRunner.LARGE_STREAM);
+        }
+    },
     /** A body that takes longer than most, and less time than its caller waits. */
     SLOW_BODY {
         @Override
@@ -163,7 +182,18 @@
     }
 
     private static String upload(String framing) {
-        return head("POST", ConfigText.BOOKING + "x", framing + "\r\n") + "\r\n";
+        return upload(ConfigText.BOOKING + "x", framing);
+    }
+
+    private static String upload(String path, String framing) {
+        return head("POST", path, framing + "\r\n") + "\r\n";
+    }
+
+    /** Sends a body of the maximum size in one chunk. */
+    private static void sendWhole(OutputStream output, String path) throws IOException {
+        write(output, upload(path, CHUNKED) + Integer.toHexString(MAX_BODY_BYTES) + "\r\n");
+        output.write(body(MAX_BODY_BYTES));
+        write(output, "\r\n0\r\n\r\n");
     }
 
     private static String fullHead(String line) {
