Log the version of each attempt's target and the stream that it resumes

The log of an attempt named its target, not the version of its software, and nothing said that a request takes a stream up again. So a stream that goes on at another version within one response could not be told from one that its caller took up.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestHead.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestHead.java
@@ -24,6 +24,8 @@
  * @param tokens size of a request to an engine; empty if it is unknown
  * @param resumeAfter id of the last event that the caller received in an earlier attempt; empty for
  *     a new stream
+ * @param resumes id of the caller's attempt that brought the first event of the stream which the
+ *     request goes on with; empty for a new stream
  * @param fields header fields to forward to the target
  */
 public record RequestHead(
@@ -36,6 +38,7 @@
         Optional<PromptPrefix> prefix,
         Optional<TokenUsage> tokens,
         OptionalLong resumeAfter,
+        Optional<RequestId> resumes,
         List<HeaderField> fields) {
     /**
      * Returns the parts that the prompt shares with others; empty for requests without a prompt.
--- a/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
@@ -94,6 +94,7 @@
                         prefix,
                         Optional.empty(),
                         OptionalLong.empty(),
+                        Optional.empty(),
                         List.of());
         return new Request(head, RequestBody.EMPTY, false, 0).identified(WORKSPACE);
     }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -268,6 +268,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         OptionalLong.empty(),
+                        Optional.empty(),
                         List.of());
         Request request = new Request(head, RequestBody.EMPTY, false, Ticker.SYSTEM.nanos());
         Tasks.start(
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -116,6 +116,7 @@
                         Optional.empty(),
                         Optional.empty(),
                         OptionalLong.empty(),
+                        Optional.empty(),
                         List.of());
         Request request =
                 new Request(head, RequestBody.of(new byte[bodyBytes]), true, ticker.nanos());
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -17,6 +17,8 @@
 import org.godwithoist.dispatch.ToldEnd;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PromptPartId;
+import org.godwithoist.targets.SoftwareVersion;
+import org.godwithoist.targets.Target;
 
 /** Writes log events and metrics for each attempt and each request. Thread-safe. */
 final class RequestLog implements RequestObserver {
@@ -39,12 +41,14 @@
                 log.event("attempt")
                         .with("id", request.head().id().value())
                         .with("target", decision.target().id().value())
+                        .with("version", version(decision.target()))
                         .with("outcome", result.outcome().name())
                         .with("detail", String.valueOf(result.detail()))
                         .with("load", Math.round(reason.load()))
                         .with("first", reason.rankedFirst())
                         .with("peers_told", reason.peersComplete())
                         .with("health", decision.target().health().name());
+        request.head().resumes().ifPresent(r -> line.with("resumes", r.value()));
         if (reason.paused() > 0) {
             line.with("paused_targets", reason.paused());
         }
@@ -77,6 +81,10 @@
         line.with("ms", duration.toMillis()).write();
     }
 
+    private static String version(Target target) {
+        return target.entry().version().map(SoftwareVersion::value).orElse("");
+    }
+
     private static void addWork(Placement.WorkReason work, LogLine line) {
         line.with("expected_ms", Math.round(work.expectedMs()))
                 .with("work_time", work.workTimePercent())
