--- /dev/null
+++ b/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
@@ -0,0 +1,239 @@
+package org.godwithoist.edge;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.net.LoopbackPorts;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.standins.edge.ConfigText;
+import org.godwithoist.standins.edge.EdgeSettingsText;
+import org.godwithoist.standins.edge.RowStoreStandin;
+import org.godwithoist.standins.edge.RunnerStandin;
+import org.godwithoist.standins.edge.RunnerStandin.ExecutedRequest;
+import org.godwithoist.standins.edge.RunnerVersion;
+
+/**
+ * Two daemons in processes of their own, two targets of each of two software versions of an engine,
+ * and callers that take their streams up again.
+ */
+final class StreamFleet implements AutoCloseable {
+    static final String OLD = "v1.0";
+    static final String NEW = "v1.1";
+    static final int EVENTS = 24;
+
+    private static final int DAEMONS = 2;
+    private static final int TARGETS_OF_A_VERSION = 2;
+    private static final int STREAM_TIMEOUT_MS = 15_000;
+    private static final Duration EVENT_INTERVAL = Duration.ofMillis(60);
+
+    /** Time in which daemons learn of new targets and save which streams they have begun. */
+    private static final Duration SETTLING_TIME = Duration.ofMillis(1500);
+
+    /** A daemon that can be killed and started again at the same address. */
+    private final class Daemon {
+        private final String name;
+        private final Path dir;
+        private final int port = LoopbackPorts.next();
+        private final int readyPort = LoopbackPorts.next();
+        private Optional<DaemonProcess> process = Optional.empty();
+
+        Daemon(String name, Path parent) throws IOException {
+            this.name = name;
+            dir = Files.createDirectory(parent.resolve(name));
+        }
+
+        void start(boolean firstStart) throws IOException {
+            String settings = EdgeSettingsText.of(name, port, readyPort, store.endpoint());
+            process =
+                    Optional.of(
+                            new DaemonProcess(
+                                    dir,
+                                    settings + "firstStart=" + firstStart + "\n",
+                                    DaemonProcess.DEPLOYED_MEMORY));
+        }
+
+        void kill() {
+            process.ifPresent(DaemonProcess::close);
+        }
+    }
+
+    final RowStoreStandin store = new RowStoreStandin();
+    private final List<RunnerStandin> targets = new ArrayList<>();
+    private final Map<RunnerStandin, String> versions = new ConcurrentHashMap<>();
+    private final List<Daemon> daemons = new ArrayList<>();
+
+    /**
+     * Starts the daemons with targets of the old version.
+     *
+     * @param dir directory for the files of the daemons
+     */
+    StreamFleet(Path dir) throws IOException {
+        store.put("op", "config", ConfigText.of(1, STREAM_TIMEOUT_MS));
+        startTargets(OLD);
+        for (int i = 0; i < DAEMONS; i++) {
+            daemons.add(new Daemon("edge-" + i, dir));
+        }
+        startDaemons(true);
+    }
+
+    /** Starts targets of a version and waits until the daemons know them. */
+    void startTargets(String version) throws IOException {
+        for (int i = 0; i < TARGETS_OF_A_VERSION; i++) {
+            RunnerStandin target =
+                    new RunnerStandin(version + "-" + i, "models", EVENTS, EVENT_INTERVAL);
+            target.setVersion(RunnerVersion.good(version));
+            targets.add(target);
+            versions.put(target, version);
+            store.put("servers", target.id(), target.entry("zone-a", "ready"));
+        }
+        settle();
+    }
+
+    /** Removes the targets of a version from the store; they complete what they have begun. */
+    void removeTargets(String version) {
+        targetsOf(version).forEach(t -> store.delete("servers", t.id()));
+        Tasks.sleep(Duration.ofMillis(300));
+    }
+
+    /** Ends the targets of a version like killed processes. */
+    void endTargets(String version) {
+        for (RunnerStandin t : targetsOf(version)) {
+            try {
+                t.end();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    List<RunnerStandin> targetsOf(String version) {
+        return targets.stream().filter(t -> versions.get(t).equals(version)).toList();
+    }
+
+    /** Waits until what the daemons do in the background is done. */
+    void settle() {
+        Tasks.sleep(SETTLING_TIME);
+    }
+
+    /** Kills all daemons at once. */
+    void killDaemons() {
+        daemons.forEach(Daemon::kill);
+    }
+
+    /**
+     * Starts all daemons and waits until they are ready.
+     *
+     * @param firstStart whether the fleet starts for the first time
+     */
+    void startDaemons(boolean firstStart) throws IOException {
+        for (Daemon d : daemons) {
+            d.start(firstStart);
+        }
+        for (Daemon d : daemons) {
+            d.process.orElseThrow().awaitReadiness(d.readyPort);
+        }
+    }
+
+    /** Returns the address of a daemon for callers. */
+    Endpoint daemon(int index) {
+        return new Endpoint("127.0.0.1", daemons.get(index % DAEMONS).port);
+    }
+
+    /** Begins streams at all daemons and waits until some events of each have arrived. */
+    List<StreamCaller> beginStreams(int count) throws IOException {
+        return beginStreams("stream", count);
+    }
+
+    /**
+     * Begins streams like {@link #beginStreams(int)}.
+     *
+     * @param name begins the names of the streams
+     */
+    List<StreamCaller> beginStreams(String name, int count) throws IOException {
+        List<StreamCaller> streams = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            StreamCaller stream = new StreamCaller(name + "-" + i);
+            stream.begin(daemon(i));
+            streams.add(stream);
+        }
+        for (StreamCaller s : streams) {
+            s.receiveEvents(2);
+        }
+        return streams;
+    }
+
+    /** Takes streams up again, each at the next daemon, and receives their rest. */
+    void takeUp(List<StreamCaller> streams) throws IOException {
+        for (int i = 0; i < streams.size(); i++) {
+            streams.get(i).takeUp(daemon(i + 1));
+        }
+        for (StreamCaller s : streams) {
+            s.receiveRest();
+        }
+    }
+
+    /** Takes streams up again, each at the next daemon, and receives one more event of each. */
+    void takeUpPartly(List<StreamCaller> streams) throws IOException {
+        for (int i = 0; i < streams.size(); i++) {
+            streams.get(i).takeUp(daemon(i + 1));
+        }
+        for (StreamCaller s : streams) {
+            s.receiveOneMore();
+        }
+    }
+
+    /** Registers all targets again, as they do after the store was restored. */
+    void registerTargets() {
+        for (RunnerStandin t : targets) {
+            store.put("servers", t.id(), t.entry("zone-a", "ready"));
+        }
+    }
+
+    /** Returns the versions that have brought events of a stream. */
+    Set<String> versionsOf(StreamCaller stream) {
+        Set<String> found = new HashSet<>();
+        for (RunnerStandin t : targets) {
+            boolean hasRun =
+                    t.executedRequests().stream()
+                            .map(ExecutedRequest::attemptId)
+                            .anyMatch(stream.attempts()::contains);
+            if (hasRun) {
+                found.add(versions.get(t));
+            }
+        }
+        return found;
+    }
+
+    /** Returns the streams whose events come from more than one version. */
+    List<StreamCaller> joined(Collection<StreamCaller> streams) {
+        return streams.stream().filter(s -> versionsOf(s).size() > 1).toList();
+    }
+
+    String logs() {
+        return daemons.stream()
+                .flatMap(d -> d.process.stream())
+                .map(DaemonProcess::log)
+                .collect(Collectors.joining("\n"));
+    }
+
+    @Override
+    public void close() throws IOException {
+        killDaemons();
+        for (RunnerStandin t : targets) {
+            t.close();
+        }
+        store.close();
+    }
+}
