Let a stream go on only at the version that began it

Callers got streams whose first part one software version had written and whose rest another one: within one response, when a target broke off; over their attempts, when the old version had left; and after the loss of all daemons. Nothing owned the fact which version began a stream, and each way in which one goes on chose a target by prompt and load.

StreamOrigins (module streams) owns it now, and RequestVersions asks it for each attempt. The daemon that passes on the first event remembers the version; while several versions of a service count, it writes what it remembers to the store in batches (20 writes a second for 8 daemons, 125 for 300). Without a record, a stream began at the only version that has served for 30 s, if a row of the service in the store proves it. What is not known, or has no target of its version left, is refused at once as not run.

The same cause elsewhere: a retry during a roll-out went to the baseline also within a stream; it is bound now. godwithoistd's engines name no software version, so its chats cannot be bound.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.godwithoist.overload.Ticket;
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.rollout.Rollouts;
+import org.godwithoist.streams.StreamOrigins;
 import org.godwithoist.targets.FleetShare;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PlacementRequest;
@@ -45,6 +46,7 @@
     private final Supplier<FleetShare> fleetShare;
     private final RetryShares retryShares;
     private final Optional<Rollouts> rollouts;
+    private final StreamOrigins streamOrigins;
     private final RequestObserver observer;
     private final StatedEnds statedEnds;
     private final RequestEnd requestEnd;
@@ -56,6 +58,7 @@
      * Collaborators of a dispatcher.
      *
      * @param rollouts orders in progress; empty if the deployment rolls no versions out
+     * @param streamOrigins versions that began the streams of callers
      */
     public record Dependencies(
             StartupGate gate,
@@ -69,6 +72,7 @@
             Supplier<FleetShare> fleetShare,
             RetryShares retryShares,
             Optional<Rollouts> rollouts,
+            StreamOrigins streamOrigins,
             ServingStatus status,
             RequestObserver observer,
             Ticker ticker,
@@ -89,6 +93,7 @@
         fleetShare = dependencies.fleetShare();
         retryShares = dependencies.retryShares();
         rollouts = dependencies.rollouts();
+        streamOrigins = dependencies.streamOrigins();
         random = dependencies.random();
         observer = dependencies.observer();
         ticker = dependencies.ticker();
@@ -129,6 +134,21 @@
         }
         retryShares.of(admitted.service().id()).recordRequest();
         Deadline deadline = request.deadline(route.timeout(), ticker);
+        RequestVersions versions =
+                RequestVersions.of(
+                        rollouts,
+                        streamOrigins,
+                        admitted.service().id(),
+                        route,
+                        request,
+                        deadline,
+                        random);
+        Optional<Refusal> unavailable = findOrigin(versions, admitted);
+        if (unavailable.isPresent()) {
+            Refusal refusal = unavailable.get();
+            requestEnd.refuse(request, route, refusal, refusal.retryDelay(), response);
+            return;
+        }
         try (Ticket ticket = capacity.enter(admitted, deadline)) {
             boolean hasSlot = CapacityGate.await(ticket, response);
             if (ticket.refusal().isPresent() && !response.callerDisconnected()) {
@@ -140,12 +160,27 @@
             run(
                     request,
                     admitted,
+                    versions,
                     deadline,
                     hasSlot ? Optional.of(ticket) : Optional.empty(),
                     response);
         }
     }
 
+    /** Returns why a request cannot go on with the stream that it takes up; empty if it can. */
+    private Optional<Refusal> findOrigin(
+            RequestVersions versions, Admission.AdmittedRequest admitted) {
+        if (!versions.findOrigin()) {
+            return Optional.of(Refusal.UNKNOWN_ORIGIN);
+        }
+        VersionFilter filter = versions.fallback();
+        boolean hasTarget =
+                !versions.isBound()
+                        || directory.targets(admitted.service().id()).stream()
+                                .anyMatch(t -> filter.permits(t.entry().version()));
+        return hasTarget ? Optional.empty() : Optional.of(Refusal.NO_TARGET_OF_VERSION);
+    }
+
     /**
      * Handles a request that may be sent to targets.
      *
@@ -154,6 +189,7 @@
     private void run(
             Request request,
             Admission.AdmittedRequest admitted,
+            RequestVersions versions,
             Deadline deadline,
             Optional<Ticket> slot,
             CallerResponse response)
@@ -161,8 +197,6 @@
         Route route = admitted.route();
         RetryShare retryShare = retryShares.of(admitted.service().id());
         RetryPolicy policy = new RetryPolicy(route, request.head().resumeAfter());
-        RequestVersions versions =
-                RequestVersions.of(rollouts, admitted.service().id(), route, request, random);
         boolean responded = false;
         while (slot.isPresent()
                 && !responded
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
@@ -38,6 +38,10 @@
      * no request now.
      */
     TARGETS_PAUSED(503, true),
+    /** The request goes on with a stream, and it is not known which version began it. */
+    UNKNOWN_ORIGIN(503, true),
+    /** The request goes on with a stream, and no target runs the version that began it. */
+    NO_TARGET_OF_VERSION(503, true),
     /** Targets crash when they respond to a part of the request's prompt. */
     QUARANTINED(503, true),
     /** Every target that was tried rejected the request. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -127,7 +127,10 @@
                             buffer,
                             0,
                             n,
-                            (bytes, from, length) -> writeToCaller(head, bytes, from, length));
+                            (bytes, from, length) -> {
+                                attempt.evidence().eventArrived();
+                                writeToCaller(head, bytes, from, length);
+                            });
             reserveEvent();
             bytesWithoutEvent = hasEvent ? 0 : bytesWithoutEvent + n;
             if (hasEvent) {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -227,6 +227,7 @@
                                         Ticker.SYSTEM,
                                         () -> new RetryShare.Budget(1, Duration.ofSeconds(10), 9)),
                                 Optional.empty(),
+                                new UnknownOrigins(),
                                 new ServingStatus(),
                                 outcomes,
                                 Ticker.SYSTEM,
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -38,12 +38,15 @@
 import org.godwithoist.platform.HttpDialect;
 import org.godwithoist.platform.StoreCalls;
 import org.godwithoist.platform.StoreTable;
+import org.godwithoist.platform.StreamTable;
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.quarantine.QuarantineTable;
 import org.godwithoist.relay.Leadership;
 import org.godwithoist.settings.EdgeSettings;
 import org.godwithoist.settings.RolloutBounds;
 import org.godwithoist.store.feed.StoreEras;
+import org.godwithoist.streams.OriginTask;
+import org.godwithoist.streams.RecordedOrigins;
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.FleetShare;
 import org.godwithoist.targets.FleetWork;
@@ -82,6 +85,7 @@
     private final StoreEras eras;
     private final StoreCalls calls = new StoreCalls();
     private final Optional<VersionRollout> rollout;
+    private final RecordedOrigins streamOrigins;
     private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
     private final Supervisor supervisor;
@@ -125,6 +129,7 @@
         eraMonitor = new EraMonitor(log);
         eras = new StoreEras(eraMonitor, ticker);
         rollout = settings.bounds().rollout().map(this::createRollout);
+        streamOrigins = new RecordedOrigins(streamTable(), log, ticker);
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
@@ -133,6 +138,7 @@
                                 directory,
                                 this::applyCatalog,
                                 rollout,
+                                streamOrigins::setTargets,
                                 this::openGateIfReady,
                                 eras,
                                 calls,
@@ -193,6 +199,15 @@
         eraMonitor.addRestoreListener(fleet::storeRestored);
         eraMonitor.addRestoreListener(quarantineTable::storeRestored);
         rollout.ifPresent(r -> eraMonitor.addRestoreListener(r.fleet()::storeRestored));
+        eraMonitor.addRestoreListener(streamOrigins::storeRestored);
+        new OriginTask(
+                        streamOrigins,
+                        streamTable(),
+                        () -> fleet.share().members(),
+                        log,
+                        ticker,
+                        random)
+                .start(supervisor);
         supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
     }
@@ -260,9 +275,15 @@
                 random);
     }
 
+    /** Returns a client of its own for the rows of streams. */
+    private StreamTable streamTable() {
+        return new StreamTable(settings.store(), eras, calls, ticker);
+    }
+
     private List<MetricSnapshot> otherMetrics() {
         List<MetricSnapshot> others = new ArrayList<>();
         others.add(StoreMetrics.of(calls.counts()));
+        others.addAll(StreamMetrics.of(streamOrigins));
         rollout.ifPresent(r -> others.addAll(r.metrics(followers.rejectedOrders())));
         return others;
     }
@@ -351,6 +372,7 @@
                         fleet::share,
                         new RetryShares(ticker, this::retryBudget),
                         rollout.map(VersionRollout::rollouts),
+                        streamOrigins,
                         serving,
                         new RequestLog(log, metrics),
                         ticker,
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -144,6 +144,7 @@
                         .with("route", route.map(r -> r.id().value()).orElse(""))
                         .with("end", outcome.name());
         refusal.ifPresent(r -> line.with("refusal", r.name()));
+        request.head().resumes().ifPresent(r -> line.with("resumes", r.value()));
         told.ifPresent(t -> line.with("told", t.name()));
         if (refusal.equals(Optional.of(Refusal.QUARANTINED))) {
             addIdentity(request, line);
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -1,6 +1,7 @@
 package org.godwithoist.edge;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -29,6 +30,7 @@
 import org.godwithoist.store.feed.StoreEras;
 import org.godwithoist.store.feed.TableFollower;
 import org.godwithoist.targets.TargetDirectory;
+import org.godwithoist.targets.TargetEntry;
 
 /**
  * Follows the operator's table and the table of targets, at the store or at a leader, and relays
@@ -51,6 +53,7 @@
      *
      * @param applyCatalog receives each catalog that was read
      * @param rollout receives orders and targets; empty if no versions are rolled out
+     * @param onTargets receives all targets before a change of them applies
      * @param onTableRead called after a complete table was read
      * @param eras eras of the store, shared by all tables of this daemon
      * @param calls counts the requests to the store
@@ -61,6 +64,7 @@
             TargetDirectory directory,
             Consumer<Catalog> applyCatalog,
             Optional<VersionRollout> rollout,
+            Consumer<Collection<TargetEntry>> onTargets,
             Runnable onTableRead,
             StoreEras eras,
             StoreCalls calls,
@@ -140,13 +144,7 @@
         targetFollower =
                 new TableFollower(
                         targetRows,
-                        new RunnerRows(
-                                dependencies.directory(),
-                                targetFeed,
-                                entries ->
-                                        dependencies
-                                                .rollout()
-                                                .ifPresent(r -> r.setTargets(entries))),
+                        new RunnerRows(dependencies.directory(), targetFeed, this::announceTargets),
                         new TableFollower.Timing(
                                 TARGETS_MAX_WAIT, targetRows::pollDelay, this::restoreSpread),
                         dependencies.random());
@@ -167,6 +165,11 @@
         targetFollower.start("follow-targets", supervisor);
     }
 
+    private void announceTargets(Collection<TargetEntry> entries) {
+        dependencies.rollout().ifPresent(r -> r.setTargets(entries));
+        dependencies.onTargets().accept(entries);
+    }
+
     private RelayedFeed relayedFeed(
             TableName table,
             CatchUp catchUp,
--- a/edge/src/test/java/org/godwithoist/edge/StoreReader.java
+++ b/edge/src/test/java/org/godwithoist/edge/StoreReader.java
@@ -63,6 +63,7 @@
                                 directory,
                                 catalogs::updateIfNewer,
                                 Optional.empty(),
+                                entries -> {},
                                 () -> {},
                                 new StoreEras(new EraMonitor(log), Ticker.SYSTEM),
                                 new StoreCalls(),
--- /dev/null
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -0,0 +1,192 @@
+package org.godwithoist.streams;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
+import org.godwithoist.catalog.ServiceId;
+import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.Durations;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.targets.TargetEntry;
+
+/**
+ * The versions that began streams, as this daemon knows them or finds them in the store. A stream
+ * whose beginning is not recorded began at the only version that has served for as long as a stream
+ * may be taken up; if there were several, it is not known. Thread-safe.
+ */
+public final class RecordedOrigins implements StreamOrigins {
+    /**
+     * Shortest time for which a version counts that has lost its last target, since its streams may
+     * still be taken up.
+     */
+    private static final Duration MIN_STREAM_LIFE = Duration.ofSeconds(30);
+
+    /** Time after its caller's time limit for which a stream is remembered. */
+    private static final Duration EXPIRY_MARGIN = Duration.ofSeconds(5);
+
+    private final BegunStreams streams;
+    private final OriginLookup lookup;
+    private final Ticker ticker;
+    private final Map<ServiceId, ServedVersions> served = new HashMap<>();
+    private final Map<OriginSource, LongAdder> found = new EnumMap<>(OriginSource.class);
+
+    /** Longest time after which a stream of this daemon may be taken up. */
+    private volatile Duration streamLife = MIN_STREAM_LIFE;
+
+    /**
+     * Creates an instance that knows no stream.
+     *
+     * @param store used for the requests of callers only
+     */
+    public RecordedOrigins(OriginStore store, EventLog log, Ticker ticker) {
+        this.ticker = ticker;
+        lookup = new OriginLookup(store, log);
+        streams = new BegunStreams(ticker);
+        for (OriginSource s : OriginSource.values()) {
+            found.put(s, new LongAdder());
+        }
+    }
+
+    @Override
+    public void began(StreamId stream, StreamOrigin origin, Duration timeLeft) {
+        streams.add(stream, origin, life(timeLeft));
+    }
+
+    private Duration life(Duration timeLeft) {
+        Duration life = timeLeft.plus(EXPIRY_MARGIN);
+        streamLife = Durations.max(streamLife, life);
+        return life;
+    }
+
+    @Override
+    public Optional<StreamOrigin> find(StreamId stream, Duration timeLeft) {
+        Optional<StreamOrigin> known = streams.find(stream);
+        if (known.isPresent()) {
+            return count(OriginSource.MEMORY, known);
+        }
+        Optional<StreamOrigin> only = onlyOrigin(stream.service());
+        if (only.isPresent()) {
+            streams.add(stream, only.get(), life(timeLeft));
+            return count(OriginSource.ONLY_VERSION, only);
+        }
+        Optional<StreamOrigin> stored = lookup.find(stream);
+        stored.ifPresent(o -> streams.remember(stream, o, life(timeLeft)));
+        return count(stored.isPresent() ? OriginSource.STORE : OriginSource.UNKNOWN, stored);
+    }
+
+    private Optional<StreamOrigin> count(OriginSource source, Optional<StreamOrigin> origin) {
+        found.get(source).increment();
+        return origin;
+    }
+
+    @Override
+    public Optional<StreamOrigin> onlyOrigin(ServiceId service) {
+        if (!isRowRead(service)) {
+            lookup.readServed(service).ifPresent(row -> adopt(service, row));
+        }
+        synchronized (this) {
+            return served(service).only(streamLife, ticker.nanos());
+        }
+    }
+
+    private synchronized boolean isRowRead(ServiceId service) {
+        return served(service).isRowRead();
+    }
+
+    private synchronized void adopt(ServiceId service, ServedRow row) {
+        served(service).adopt(row, ticker.nanos());
+    }
+
+    private ServedVersions served(ServiceId service) {
+        return served.computeIfAbsent(service, s -> new ServedVersions(ticker.nanos()));
+    }
+
+    /** Replaces the targets of all services. */
+    public synchronized void setTargets(Collection<TargetEntry> entries) {
+        Map<ServiceId, Set<StreamOrigin>> present =
+                entries.stream()
+                        .collect(
+                                Collectors.groupingBy(
+                                        TargetEntry::service,
+                                        Collectors.mapping(
+                                                e -> new StreamOrigin(e.version()),
+                                                Collectors.toSet())));
+        long now = ticker.nanos();
+        Set<ServiceId> all = new HashSet<>(served.keySet());
+        all.addAll(present.keySet());
+        all.forEach(s -> served(s).setPresent(present.getOrDefault(s, Set.of()), now));
+    }
+
+    /** Makes all rows be written again, because the store was restored from an older copy. */
+    public synchronized void storeRestored() {
+        streams.saveAgain();
+        long now = ticker.nanos();
+        served.values().forEach(s -> s.requestSync(now));
+    }
+
+    /** Returns how often the version that began a stream was found, or not, in each place. */
+    public Map<OriginSource, Long> found() {
+        Map<OriginSource, Long> counts = new EnumMap<>(OriginSource.class);
+        found.forEach((source, count) -> counts.put(source, count.sum()));
+        return counts;
+    }
+
+    /** Returns the number of streams that this daemon remembers. */
+    public int remembered() {
+        return streams.size();
+    }
+
+    // ---- for the task that writes the rows
+
+    BegunStreams streams() {
+        return streams;
+    }
+
+    /** Returns whether streams of a service must be written, because it has several versions. */
+    synchronized boolean mustSave(ServiceId service) {
+        ServedVersions versions = served.get(service);
+        return versions != null && versions.areSeveral(streamLife, ticker.nanos());
+    }
+
+    /** Returns the services whose rows must be compared with what this daemon knows. */
+    synchronized List<ServiceId> servicesToSync() {
+        long now = ticker.nanos();
+        return served.entrySet().stream()
+                .filter(e -> e.getValue().isSyncDue(now))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /**
+     * Compares the row of a service with what this daemon knows, and writes it if it differs.
+     *
+     * @throws IOException if the store did not respond
+     */
+    void sync(ServiceId service, OriginStore store) throws IOException {
+        ServedRow row = store.readServed(service);
+        ServedRecord next;
+        synchronized (this) {
+            long now = ticker.nanos();
+            ServedVersions versions = served(service);
+            versions.adopt(row, now);
+            next = versions.next(row, streamLife, now);
+        }
+        boolean agrees =
+                row.record().equals(Optional.of(next))
+                        || store.writeServed(service, next, row.version());
+        if (agrees) {
+            synchronized (this) {
+                served(service).synced(next);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
@@ -0,0 +1,277 @@
+package org.godwithoist.streams;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.godwithoist.catalog.ServiceId;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.id.FailureDomainId;
+import org.godwithoist.core.id.RequestId;
+import org.godwithoist.core.id.TargetId;
+import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.targets.SoftwareVersion;
+import org.godwithoist.targets.TargetEntry;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class RecordedOriginsTest {
+    private static final ServiceId SERVICE = new ServiceId("models");
+    private static final Duration TIME_LEFT = Duration.ofSeconds(15);
+
+    private final VirtualTicker ticker = new VirtualTicker();
+    private final FakeOriginStore store = new FakeOriginStore(ticker);
+    private final EventLog log = EventLog.start(OutputStream.nullOutputStream());
+
+    /** A daemon with its task. */
+    private final class Daemon {
+        private final RecordedOrigins origins = new RecordedOrigins(store, log, ticker);
+        private final OriginTask task =
+                new OriginTask(origins, store, () -> 8, log, ticker, new SplittableRandom(1));
+
+        /** Creates a daemon that sees targets of some versions. */
+        Daemon(String... versions) {
+            see(versions);
+        }
+
+        void see(String... versions) {
+            List<TargetEntry> entries = new ArrayList<>();
+            for (String v : versions) {
+                entries.add(entry(v));
+            }
+            origins.setTargets(entries);
+        }
+
+        void begin(String id, String version) {
+            origins.began(stream(id), origin(version), TIME_LEFT);
+        }
+
+        Optional<StreamOrigin> find(String id) {
+            return origins.find(stream(id), TIME_LEFT);
+        }
+    }
+
+    private static StreamId stream(String id) {
+        return new StreamId(SERVICE, new RequestId(id));
+    }
+
+    private static StreamOrigin origin(String version) {
+        return new StreamOrigin(Optional.of(new SoftwareVersion(version)));
+    }
+
+    private static TargetEntry entry(String version) {
+        return new TargetEntry(
+                new TargetId("target-" + version),
+                SERVICE,
+                new Endpoint("127.0.0.1", 1),
+                new FailureDomainId("zone"),
+                8,
+                false,
+                Duration.ZERO,
+                1,
+                Optional.of(new SoftwareVersion(version)));
+    }
+
+    private void pass(Duration time, Daemon... daemons) {
+        ticker.advance(time);
+        for (Daemon d : daemons) {
+            d.task.step();
+        }
+    }
+
+    @Nested
+    final class OneVersion {
+        /** Guards against take-ups that are refused although only one version has ever served. */
+        @Test
+        void beganEachStream() {
+            assertEquals(Optional.of(origin("v1")), new Daemon("v1").find("unknown"));
+        }
+
+        /** Guards against calls to the store for each stream where there is nothing to tell. */
+        @Test
+        void costsNoWritesOfStreams() {
+            Daemon daemon = new Daemon("v1");
+            daemon.task.step();
+            int writes = store.writes;
+            for (int i = 0; i < 500; i++) {
+                daemon.begin("s" + i, "v1");
+                pass(Duration.ofMillis(400), daemon);
+            }
+            assertEquals(writes, store.writes);
+            assertEquals(0, store.rowCount());
+        }
+
+        /** Guards against a refusal of all take-ups after the loss of all daemons. */
+        @Test
+        void isKnownToDaemonsThatStartLater() {
+            new Daemon("v1").task.step();
+            ticker.advance(Duration.ofSeconds(1));
+            assertEquals(Optional.of(origin("v1")), new Daemon("v1").find("unknown"));
+        }
+
+        /** Guards against a version that is taken for the only one because the store is down. */
+        @Test
+        void isNotKnownWithoutTheStore() {
+            store.down = true;
+            assertEquals(Optional.empty(), new Daemon("v1").find("unknown"));
+        }
+    }
+
+    @Nested
+    final class SeveralVersions {
+        /** Guards against a stream that goes on at another daemon's guess. */
+        @Test
+        void streamIsFoundByAnotherDaemon() {
+            Daemon first = new Daemon("v1", "v2");
+            Daemon second = new Daemon("v1", "v2");
+            first.begin("s", "v2");
+            pass(Duration.ofMillis(400), first, second);
+            assertEquals(Optional.of(origin("v2")), second.find("s"));
+            assertEquals(Optional.empty(), second.find("other"));
+        }
+
+        /** Guards against a beginning that is lost with all daemons. */
+        @Test
+        void streamIsFoundByDaemonsThatStartLater() {
+            Daemon first = new Daemon("v1", "v2");
+            first.begin("s", "v1");
+            pass(Duration.ofMillis(400), first);
+            assertEquals(Optional.of(origin("v1")), new Daemon("v1", "v2").find("s"));
+            assertEquals(Optional.of(origin("v1")), new Daemon("v2").find("s"));
+        }
+
+        /** Guards against streams that began before the second version and are not stored. */
+        @Test
+        void earlierStreamsAreStoredWhenAnotherVersionComes() {
+            Daemon first = new Daemon("v1");
+            pass(Duration.ofMillis(400), first);
+            first.begin("s", "v1");
+            first.see("v1", "v2");
+            pass(Duration.ofMillis(400), first);
+            assertEquals(Optional.of(origin("v1")), new Daemon("v1", "v2").find("s"));
+        }
+
+        /** Guards against a daemon that starts after a version has left and knows one only. */
+        @Test
+        void versionThatLeftStillCounts() {
+            Daemon first = new Daemon("v1", "v2");
+            pass(Duration.ofMillis(400), first);
+            first.see("v2");
+            pass(Duration.ofMillis(400), first);
+            Daemon later = new Daemon("v2");
+            assertEquals(Optional.empty(), later.find("unsaved"));
+            pass(Duration.ofSeconds(40), first);
+            assertEquals(Optional.of(origin("v2")), new Daemon("v2").find("new"));
+        }
+
+        /** Guards against a version that counts for ever because its last daemon was killed. */
+        @Test
+        void versionThatLeftDuringAnOutageIsForgotten() {
+            pass(Duration.ofMillis(400), new Daemon("v1", "v2"));
+            Daemon later = new Daemon("v2");
+            pass(Duration.ofMillis(400), later);
+            assertEquals(Optional.empty(), later.find("unsaved"));
+            pass(Duration.ofSeconds(6), later);
+            pass(Duration.ofSeconds(40), later);
+            assertEquals(Optional.of(origin("v2")), new Daemon("v2").find("new"));
+        }
+
+        /** Guards against targets without a version that count as any version. */
+        @Test
+        void noVersionIsOneOfItsOwn() {
+            Daemon daemon = new Daemon("v1");
+            List<TargetEntry> entries = new ArrayList<>(List.of(entry("v1")));
+            entries.add(
+                    new TargetEntry(
+                            new TargetId("unversioned"),
+                            SERVICE,
+                            new Endpoint("127.0.0.1", 2),
+                            new FailureDomainId("zone"),
+                            8,
+                            false,
+                            Duration.ZERO,
+                            1));
+            daemon.origins.setTargets(entries);
+            assertEquals(Optional.empty(), daemon.find("unknown"));
+        }
+    }
+
+    @Nested
+    final class Store {
+        /** Guards against a beginning that is guessed after the store has forgotten it. */
+        @Test
+        void restoredOneKnowsNothing() {
+            Daemon daemon = new Daemon("v1");
+            pass(Duration.ofMillis(400), daemon);
+            store.restore();
+            assertEquals(Optional.empty(), new Daemon("v1").find("unknown"));
+        }
+
+        /** Guards against a new daemon whose ignorance outweighs what the others know. */
+        @Test
+        void restoredOneLearnsFromTheDaemonsThatKnowMore() {
+            Daemon daemon = new Daemon("v1");
+            pass(Duration.ofMillis(400), daemon);
+            store.restore();
+            pass(Duration.ofMillis(400), new Daemon("v1"));
+            assertEquals(Optional.empty(), new Daemon("v1").find("unknown"));
+            daemon.origins.storeRestored();
+            pass(Duration.ofMillis(400), daemon);
+            assertEquals(Optional.of(origin("v1")), new Daemon("v1").find("unknown"));
+        }
+
+        /** Guards against beginnings that stay lost although a daemon knows them. */
+        @Test
+        void restoredOneIsWrittenAgain() {
+            Daemon daemon = new Daemon("v1", "v2");
+            daemon.begin("s", "v1");
+            pass(Duration.ofMillis(400), daemon);
+            store.restore();
+            daemon.origins.storeRestored();
+            pass(Duration.ofMillis(400), daemon);
+            assertEquals(Optional.of(origin("v1")), new Daemon("v1", "v2").find("s"));
+        }
+
+        /** Guards against beginnings that are never written because the store was down. */
+        @Test
+        void getsLaterWhatItDidNotAccept() {
+            Daemon daemon = new Daemon("v1", "v2");
+            store.down = true;
+            daemon.begin("s", "v1");
+            pass(Duration.ofMillis(400), daemon);
+            store.down = false;
+            pass(Duration.ofMillis(400), daemon);
+            assertEquals(Optional.of(origin("v1")), new Daemon("v1", "v2").find("s"));
+        }
+
+        /** Guards against transactions with more changes than the store accepts. */
+        @Test
+        void getsBatchesItAccepts() {
+            Daemon daemon = new Daemon("v1", "v2");
+            for (int i = 0; i < 250; i++) {
+                daemon.begin("s" + i, "v1");
+            }
+            pass(Duration.ofMillis(400), daemon);
+            assertEquals(250, store.rowCount());
+            assertTrue(store.changes.stream().allMatch(n -> n <= OriginStore.MAX_CHANGES));
+        }
+
+        /** Guards against rows that are kept for ever. */
+        @Test
+        void losesTheRowsThatNobodyNeeds() {
+            Daemon daemon = new Daemon("v1", "v2");
+            daemon.begin("s", "v1");
+            pass(Duration.ofMillis(400), daemon);
+            assertEquals(1, store.rowCount());
+            pass(Duration.ofSeconds(30), daemon);
+            assertEquals(0, store.rowCount());
+            assertEquals(0, daemon.origins.remembered());
+        }
+    }
+}
