Log what a doubtful end could be compared with

The attempt line said what showed the end of a body, but not whether the daemon knew any other response of its route, so a part that was passed on because nothing was known looked like one that another target had been asked about in vain. Attempts whose end their target has not stated log ends_usual and known_bodies now.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -86,6 +86,11 @@
                 : statedEnds.sizes(service, route.id()).isTooLong(bytes);
     }
 
+    /** Returns what the daemon knows of the route's other responses. */
+    public RouteResponses knownResponses() {
+        return statedEnds.known(target.entry().service(), route.id());
+    }
+
     /** Returns whether no successful body of the route has such a size. */
     public boolean hasUnusualSize(long bytes) {
         BodySizes known = statedEnds.sizes(target.entry().service(), route.id());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
@@ -88,6 +88,11 @@
         return k != null && ticker.nanos() - k.lastStatedAt() < MEMORY.toNanos();
     }
 
+    /** Returns what is known of a route, for the log. */
+    RouteResponses known(ServiceId service, RouteId route) {
+        return new RouteResponses(areUsual(service, route), sizes(service, route).count());
+    }
+
     /** Returns the known sizes of the successful bodies of a route. */
     BodySizes sizes(ServiceId service, RouteId route) {
         return sizes(routes.get(new Key(service, route)));
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -181,7 +181,10 @@
                         b ->
                                 result.withBody(
                                         new ResponseBody(
-                                                b.end(), b.checksum().length(), endEvidence)))
+                                                b.end(),
+                                                b.checksum().length(),
+                                                endEvidence,
+                                                attempt.knownResponses())))
                 .orElse(result);
     }
 
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
@@ -66,7 +66,10 @@
                 AttemptResult.of(AttemptOutcome.UNCONFIRMED, OptionalLong.empty(), "")
                         .withBody(
                                 new ResponseBody(
-                                        BodyEnd.CONNECTION, bytes.length, Optional.of(evidence)))
+                                        BodyEnd.CONNECTION,
+                                        bytes.length,
+                                        Optional.of(evidence),
+                                        RouteResponses.NONE))
                         .withUnsent(new BufferedResponse(head, bytes)));
     }
 
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -9,11 +9,13 @@
 import org.godwithoist.core.log.LogLine;
 import org.godwithoist.dispatch.AttemptResult;
 import org.godwithoist.dispatch.ConnectionRecord;
+import org.godwithoist.dispatch.EndEvidence;
 import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.Request;
 import org.godwithoist.dispatch.RequestObserver;
 import org.godwithoist.dispatch.RequestOutcome;
 import org.godwithoist.dispatch.ResponseBody;
+import org.godwithoist.dispatch.RouteResponses;
 import org.godwithoist.dispatch.ToldEnd;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PromptPartId;
@@ -87,7 +89,15 @@
 
     private static void addBody(ResponseBody body, LogLine line) {
         line.with("body_bytes", body.bytes());
-        body.evidence().ifPresent(e -> line.with("end_evidence", e.name()));
+        body.evidence().ifPresent(e -> addEvidence(e, body.known(), line));
+    }
+
+    /** Adds what showed the end, and what it could be compared with if that was not its target. */
+    private static void addEvidence(EndEvidence evidence, RouteResponses known, LogLine line) {
+        line.with("end_evidence", evidence.name());
+        if (evidence != EndEvidence.STATED) {
+            line.with("ends_usual", known.endsAreUsual()).with("known_bodies", known.bodies());
+        }
     }
 
     /** Adds what differs from an attempt on a new connection that the target keeps open. */
