--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -38,6 +38,7 @@
  */
 final class ScriptedFleet implements AutoCloseable {
     private static final String ATTEMPT_ID = "X-Godwithoist-Attempt-Id";
+    private static final String EVENT_ID = "id: ";
     private static final int TARGETS = 3;
     private static final int FIRST_REQUESTS = 12;
     private static final Duration FIRST_REQUESTS_TIME = Duration.ofSeconds(60);
@@ -179,6 +180,13 @@
         }
     }
 
+    /** Makes all targets of each service sound but one. */
+    void keepOneFaultyTarget() {
+        for (RouteKind kind : List.of(RouteKind.READ, RouteKind.STREAM)) {
+            targetsOf(kind).skip(1).forEach(ScriptedRunner::becomeSound);
+        }
+    }
+
     private Stream<ScriptedRunner> targetsOf(RouteKind kind) {
         return targets.stream().filter(t -> t.streams() == kind.streams);
     }
@@ -258,8 +266,26 @@
         return targets.stream().anyMatch(t -> t.bodiesOf(result.id()).contains(result.body()));
     }
 
+    /** Returns whether the id of an event is not higher than that of the event before. */
+    static boolean repeatsAnEvent(Result result) {
+        int last = 0;
+        for (String line : result.body().split("\n", -1)) {
+            if (line.startsWith(EVENT_ID)) {
+                int id = Integer.parseInt(line.substring(EVENT_ID.length()).trim());
+                if (id <= last) {
+                    return true;
+                }
+                last = id;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether a stream consists of the last run, after parts of earlier runs. */
     private boolean isStreamOfRuns(Result result) {
+        if (repeatsAnEvent(result)) {
+            return false;
+        }
         List<String> whole =
                 targets.stream().flatMap(t -> t.bodiesOf(result.id()).stream()).toList();
         return whole.contains(result.body())
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
@@ -139,7 +139,9 @@
         /** Bytes that are no part of a response, more than a daemon buffers. */
         JUNK(Framing.CONNECTION, false, false),
         /** A reset of the connection. */
-        RESET(Framing.CONNECTION, false, false);
+        RESET(Framing.CONNECTION, false, false),
+        /** The whole body once more, inside the framing of the response. */
+        BODY_INSIDE_FRAMING(Framing.CHUNKS, false, false);
 
         final Framing framing;
         final boolean hasId;
@@ -206,6 +208,12 @@
                 Size.valueOf(names[5]));
     }
 
+    /** Returns the whole response with a length and nothing behind it. */
+    ScriptedResponse sound() {
+        return new ScriptedResponse(
+                Framing.LENGTH, Cut.NONE, Copy.NONE, Moment.AT_ONCE, status, size);
+    }
+
     /** Returns whether the connection can carry another request afterwards. */
     boolean connectionStaysOpen() {
         return framing != Framing.CONNECTION && cut == Cut.NONE && copy == Copy.NONE;
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -61,6 +61,7 @@
     private final AtomicInteger earlierCopies = new AtomicInteger();
     private final AtomicInteger copies = new AtomicInteger();
     private final AtomicInteger runs = new AtomicInteger();
+    private volatile boolean sound;
 
     /**
      * Starts a runner on a free port.
@@ -78,6 +79,11 @@
         server = new MessageServer("runner-" + id, this::serve);
     }
 
+    /** Makes the runner send whole responses with a length, whatever a path says. */
+    public void becomeSound() {
+        sound = true;
+    }
+
     /** Returns the whole bodies of all runs of a request. */
     public Set<String> bodiesOf(String attemptId) {
         return Set.copyOf(bodies.getOrDefault(attemptId, new ConcurrentLinkedQueue<>()));
@@ -142,7 +148,8 @@
             return messages.writeOwnState(connection.writer(), path);
         }
         int first = 1 + Integer.parseInt(fields.getOrDefault("last-event-id", "0"));
-        ScriptedResponse script = ScriptedResponse.ofPath(path);
+        ScriptedResponse stated = ScriptedResponse.ofPath(path);
+        ScriptedResponse script = sound ? stated.sound() : stated;
         byte[] whole = nextBody(first, script.size());
         String text = new String(whole, StandardCharsets.US_ASCII);
         bodies.computeIfAbsent(attempt, key -> new ConcurrentLinkedQueue<>()).add(text);
@@ -186,6 +193,11 @@
         int length = script.cut().length(whole.length, event, runs.getAndIncrement());
         Answered earlier = answered.get(connection);
         Answered current = new Answered(attempt, signature, whole);
+        if (script.copy() == Copy.BODY_INSIDE_FRAMING) {
+            writeTwice(writer, script, current);
+            answered.put(connection, current);
+            return false;
+        }
         writeHead(writer, script.status(), script.framing(), true, current);
         writeBody(writer, script.framing(), whole, length);
         if (script.moment() != ScriptedResponse.Moment.AT_ONCE) {
@@ -226,6 +238,30 @@
         writer.bytes(whole, length, whole.length - length);
     }
 
+    /** Writes a response whose body is the whole one twice, with a stated end. */
+    private void writeTwice(MessageWriter writer, ScriptedResponse script, Answered current)
+            throws IOException {
+        byte[] whole = current.body();
+        boolean inChunks = script.framing() == Framing.CHUNKS;
+        writeHead(writer, script.status(), script.framing(), true, current, 2 * whole.length);
+        for (int i = 0; i < 2; i++) {
+            if (i > 0) {
+                writer.flush();
+                Tasks.sleep(script.moment().delay);
+            }
+            if (inChunks) {
+                writer.chunk(whole, 0, whole.length);
+            } else {
+                writer.bytes(whole, 0, whole.length);
+            }
+        }
+        if (inChunks) {
+            writer.lastChunk();
+        }
+        writer.flush();
+        copies.incrementAndGet();
+    }
+
     private void writeJunk(MessageWriter writer) throws IOException {
         for (int i = 0; i < JUNK_PIECES; i++) {
             byte[] junk = new byte[JUNK_PIECE_BYTES];
@@ -251,6 +287,17 @@
     private void writeHead(
             MessageWriter writer, int status, Framing framing, boolean hasId, Answered answer)
             throws IOException {
+        writeHead(writer, status, framing, hasId, answer, answer.body().length);
+    }
+
+    private void writeHead(
+            MessageWriter writer,
+            int status,
+            Framing framing,
+            boolean hasId,
+            Answered answer,
+            int length)
+            throws IOException {
         writer.startLine("HTTP/1.1 " + status + " Status");
         if (hasId) {
             writer.field("X-Godwithoist-Attempt-Id", answer.id());
@@ -258,7 +305,7 @@
         }
         writer.field("Content-Type", streams ? "text/event-stream" : "text/plain");
         switch (framing) {
-            case LENGTH -> writer.field("Content-Length", Integer.toString(answer.body().length));
+            case LENGTH -> writer.field("Content-Length", Integer.toString(length));
             case CHUNKS -> writer.field("Transfer-Encoding", "chunked");
             case CONNECTION -> writer.field("Connection", "close");
         }
