Ask another target about a body that repeats itself

Callers of reads got a body twice, with a length: a target had written it twice between its chunks, or before the length that it had stated. The daemon believed the stated end without looking at the body. Sizes and digests cannot refuse such a body, but they need not: a read can be repeated, so a doubt costs one attempt. A successful body whose second half repeats its first (16 bytes or more) is in doubt now, at routes that permit a second attempt: another target is asked, and its response counts; two that agree on the same bytes are told, and without an agreement the caller gets 502. Bodies of requests that run once are told as before.

The same cause elsewhere: bodies beyond 64 KB, and those of bookings, are not compared. godwithoistd passes on what its services state.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -53,6 +53,11 @@
         return route.allowsReexecution() && !endInDoubt;
     }
 
+    /** Returns whether the route permits that two targets respond to the request. */
+    public boolean mayBeCompared() {
+        return route.allowsReexecution() && route.maxAttempts() > 1;
+    }
+
     /**
      * Returns how the caller is told an end that no other target is asked about.
      *
--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -6,9 +6,10 @@
 import org.godwithoist.targets.Target;
 
 /**
- * What the attempts of one request have shown of an end that no target has stated. A second
- * response without a stated end confirms nothing, because targets may be cut at the same place; it
- * only refutes a response that it begins with. Used by one task.
+ * What the attempts of one request have shown of an end that is in doubt. A second response without
+ * a stated end confirms nothing, because targets may be cut at the same place; it only refutes a
+ * response that it begins with. A body that repeats itself is confirmed by the same bytes of
+ * another target. Used by one task.
  */
 final class DoubtfulEnd {
     /** A response whose end is in doubt, or a stream that was forwarded up to such an end. */
@@ -18,6 +19,18 @@
             return unsent.map(r -> r.body().length).orElse(0);
         }
 
+        boolean isRepeated() {
+            return evidence == EndEvidence.REPEATED_BODY;
+        }
+
+        boolean hasSameBytes(Response other) {
+            return Arrays.equals(unsent.orElseThrow().body(), other.unsent.orElseThrow().body());
+        }
+
+        Response confirmed() {
+            return new Response(target, EndEvidence.EQUAL_RESPONSE, unsent);
+        }
+
         boolean beginsWith(Response other) {
             byte[] own = unsent.orElseThrow().body();
             byte[] start = other.unsent.orElseThrow().body();
@@ -39,6 +52,12 @@
     }
 
     private static Response better(Response first, Response second) {
+        if (first.isRepeated() && second.isRepeated()) {
+            return first.hasSameBytes(second) ? first.confirmed() : second;
+        }
+        if (first.isRepeated() || second.isRepeated()) {
+            return first.isRepeated() ? second : first;
+        }
         if (first.beginsWith(second)) {
             second.target().recordCutBody();
             return first;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
@@ -14,6 +14,13 @@
     EQUAL_COPY(Meaning.WHOLE, true),
     /** A copy of the response whose end is stated; it takes the place of the response. */
     WHOLE_COPY(Meaning.WHOLE, true),
+    /** Another target has stated the end of the same bytes. */
+    EQUAL_RESPONSE(Meaning.WHOLE, true),
+    /**
+     * The end is stated, but the second half of the body repeats the first: the target may have
+     * written its body twice.
+     */
+    REPEATED_BODY(Meaning.DOUBTFUL, false),
     /**
      * A copy that follows on the connection has the same bytes, but does not state its end either:
      * both may be cut at the same place.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
@@ -107,13 +107,17 @@
     }
 
     /** Returns how the caller is told the end of the response; empty if it gets none. */
-    private static Optional<ToldEnd> toldEnd(
+    private Optional<ToldEnd> toldEnd(
             RequestOutcome outcome,
             RetryPolicy policy,
             CallerResponse response,
             boolean responded) {
         return switch (outcome) {
-            case ANSWERED -> Optional.of(ToldEnd.of(responded && response.statesEnd()));
+            case ANSWERED ->
+                    Optional.of(
+                            responded
+                                    ? ToldEnd.of(response.statesEnd())
+                                    : policy.toldEnd(statedEnds));
             case FAILED -> policy.failure().map(f -> ToldEnd.of(f.head().end().isStated()));
             case BROKEN -> Optional.of(ToldEnd.BROKEN);
             case LEFT, CLOSED_FOR_MEMORY, REFUSED -> Optional.empty();
@@ -142,8 +146,7 @@
                     : RequestOutcome.LEFT;
         }
         boolean repeatBroke = response.started() && policy.unconfirmed().isPresent();
-        boolean toldUnstated = policy.toldEnd(statedEnds) == ToldEnd.UNSTATED;
-        if (toldUnstated && !repeatBroke && !response.statesEnd()) {
+        if (!repeatBroke && mayEnd(policy.toldEnd(statedEnds), response)) {
             return RequestOutcome.ANSWERED;
         }
         if (response.started()) {
@@ -152,6 +155,11 @@
         return policy.failure().isPresent() ? RequestOutcome.FAILED : RequestOutcome.REFUSED;
     }
 
+    /** Returns whether a response whose end was in doubt may be ended as this says. */
+    private static boolean mayEnd(ToldEnd told, CallerResponse response) {
+        return told == ToldEnd.STATED || (told == ToldEnd.UNSTATED && !response.statesEnd());
+    }
+
     private static Refusal refusal(
             RetryPolicy policy, Optional<Duration> pause, Deadline deadline) {
         if (policy.possibleRuns() == 0 && deadline.isExpired()) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -98,16 +98,26 @@
     }
 
     /**
-     * Judges the end of a body whose bytes were kept. Finds copies without an id inside it, too.
+     * Judges the end of a body whose bytes were kept. Finds copies without an id inside it, too,
+     * and, if another target can be asked, a body that was written twice.
      */
     Judgement judge(TargetBody body, byte[] bytes) throws IOException {
         if (SelfCopy.isIn(bytes)) {
             attempt.target().recordCutBody();
             throw new IncompleteBodyException(EndEvidence.RESPONSE_INSIDE);
         }
+        boolean comparable = attempt.mayBeCompared() && ResponseHead.isSuccess(status);
+        if (comparable && endsAsStated(body) && RepeatedBody.isIn(bytes)) {
+            return Judgement.of(EndEvidence.REPEATED_BODY);
+        }
         return judge(body, false);
     }
 
+    /** Returns whether the body ends where its target has stated, and not at another response. */
+    private static boolean endsAsStated(TargetBody body) {
+        return body.end().isStated() && !body.endsAtResponse() && !body.endsInsideHead();
+    }
+
     /** Judges the end of a stream like that of a body; no copy takes its place. */
     EndEvidence judgeStream(TargetBody body) throws IOException {
         return judge(body, true).evidence();
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -263,11 +263,13 @@
         EndJudge.Judgement end = judge.judge(body, bytes);
         endEvidence = Optional.of(end.evidence());
         byte[] whole = end.copy().orElse(bytes);
-        if (!end.evidence().isWhole() && attempt.route().allowsReexecution()) {
+        boolean isWhole = end.evidence().isWhole();
+        if (!isWhole && attempt.route().allowsReexecution()) {
             progress = ResponseProgress.ESTABLISHED;
-            return Optional.of(new BufferedResponse(head, whole));
+            boolean isStated = body.end().isStated();
+            ResponseHead kept = isStated ? head.withLength(whole.length) : head;
+            return Optional.of(new BufferedResponse(kept, whole));
         }
-        boolean isWhole = end.evidence().isWhole();
         judge.checkMayBeTold(end.evidence(), bytes.length, isWhole);
         finish(isWhole ? head.withLength(whole.length) : head, whole);
         return Optional.empty();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
@@ -198,6 +198,44 @@
         }
     }
 
+    @Nested
+    final class RepeatedBodies {
+        private static final String TWICE = "a body that stands here. a body that stands here. ";
+
+        /** Guards against a body written twice that is told because no target could be asked. */
+        @Test
+        void oneIsNotTold() {
+            record(first, TWICE, EndEvidence.REPEATED_BODY);
+            assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
+        }
+
+        /** Guards against sound bodies that repeat themselves and are lost at all targets. */
+        @Test
+        void sameBytesOfTwoTargetsAreTold() {
+            record(first, TWICE, EndEvidence.REPEATED_BODY);
+            record(second, TWICE, EndEvidence.REPEATED_BODY);
+            assertEquals(ToldEnd.STATED, toldEnd(RouteKind.IDEMPOTENT));
+            assertEquals(TWICE, unsent());
+        }
+
+        /** Guards against two bodies written twice that confirm each other. */
+        @Test
+        void otherBytesOfTwoTargetsAreNotTold() {
+            record(first, TWICE, EndEvidence.REPEATED_BODY);
+            record(second, TWICE.replace('a', 'b'), EndEvidence.REPEATED_BODY);
+            assertEquals(ToldEnd.BROKEN, toldEnd(RouteKind.IDEMPOTENT));
+        }
+
+        /** Guards against a body written twice that is preferred because it is longer. */
+        @Test
+        void otherResponseIsKept() {
+            record(first, TWICE, EndEvidence.REPEATED_BODY);
+            record(second, "a body that stands here. ");
+            assertEquals("a body that stands here. ", unsent());
+            assertFalse(second.isKnownToCutBodies());
+        }
+    }
+
     @Nested
     final class TwoResponses {
         /** Guards against two parts that were cut at the same place and confirm each other. */
