Pass on no event of a stream a second time

Callers of streams got events twice: a target had sent them again in valid chunks. The framer looked for the last id of what it forwarded and never compared it with those before, nor with the event after which a target was asked to resume. Ids of events rise; the first one that does not ends the response at the event before it, like a broken connection: a resumable stream goes on at another target, any other one is broken off.

An id beyond 18 digits was read as some other number; it counts as none.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
@@ -8,7 +8,8 @@
 /**
  * Splits a stream of server-sent events at event boundaries. A target may break off in the middle
  * of an event; only complete events are forwarded to the caller, so that another target can resume
- * after the last one. Not thread-safe.
+ * after the last one. The ids of events rise; an event whose id does not was sent before, and is
+ * not forwarded. Not thread-safe.
  */
 public final class EventFramer {
     /** Receives the complete events of a part of the stream. */
@@ -24,12 +25,24 @@
      */
     static final int MAX_EVENT_BYTES = 65_536;
 
+    /** Digits of the longest id that a number of 64 bits holds. */
+    private static final int MAX_ID_DIGITS = 18;
+
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
     private ByteArrayOutputStream incompleteBytes = new ByteArrayOutputStream();
     private OptionalLong lastId = OptionalLong.empty();
+
+    /** Id above which the next one must be; empty if it may be any. */
+    private OptionalLong floor = OptionalLong.empty();
+
     private boolean atLineStart = true;
 
+    /** Requires that the ids of all events are above that of an event which was sent before. */
+    public void startAfter(OptionalLong event) {
+        floor = event;
+    }
+
     /** Returns the id of the last complete event that was forwarded; empty if there was none. */
     public OptionalLong lastId() {
         return lastId;
@@ -50,6 +63,8 @@
      *
      * @return whether an event was completed
      * @throws EventTooLargeException if an event exceeds the limit
+     * @throws RepeatedEventException if the id of an event is not above those before; the events
+     *     before it have been forwarded
      */
     public boolean feed(byte[] bytes, int from, int length, Sink sink) throws IOException {
         int end = lastEventEnd(bytes, from, length);
@@ -78,8 +93,56 @@
     }
 
     private void forward(byte[] bytes, int from, int length, Sink sink) throws IOException {
-        sink.events(bytes, from, length);
-        lastIdIn(bytes, from, length).ifPresent(id -> lastId = OptionalLong.of(id));
+        int end = from + length;
+        int eventStart = from;
+        OptionalLong idBeforeEvent = lastId;
+        OptionalLong id = lastId;
+        for (int line = from; line < end; line = nextLine(bytes, line, end)) {
+            if (isEmptyLine(bytes, line, end)) {
+                eventStart = nextLine(bytes, line, end);
+                idBeforeEvent = id;
+                continue;
+            }
+            OptionalLong found = idAt(bytes, line, end);
+            if (found.isPresent() && !isAboveFloor(found.getAsLong())) {
+                forwardUnchecked(bytes, from, eventStart, idBeforeEvent, sink);
+                throw new RepeatedEventException(found.getAsLong(), floor.getAsLong());
+            }
+            if (found.isPresent()) {
+                id = found;
+                floor = found;
+            }
+        }
+        forwardUnchecked(bytes, from, end, id, sink);
+    }
+
+    private boolean isAboveFloor(long id) {
+        return floor.isEmpty() || id > floor.getAsLong();
+    }
+
+    private void forwardUnchecked(byte[] bytes, int from, int end, OptionalLong id, Sink sink)
+            throws IOException {
+        if (end > from) {
+            sink.events(bytes, from, end - from);
+            lastId = id;
+        }
+    }
+
+    private static boolean isEmptyLine(byte[] bytes, int line, int end) {
+        int i = line;
+        while (i < end && bytes[i] == '\r') {
+            i++;
+        }
+        return i < end && bytes[i] == '\n';
+    }
+
+    /** Returns the index after the end of a line. */
+    private static int nextLine(byte[] bytes, int line, int end) {
+        int i = line;
+        while (i < end && bytes[i] != '\n') {
+            i++;
+        }
+        return i + 1;
     }
 
     /** Returns the index after the last empty line, or -1 if no event ends in these bytes. */
@@ -102,30 +165,6 @@
         return end;
     }
 
-    private static OptionalLong lastIdIn(byte[] bytes, int from, int length) {
-        for (int line = lineStartBefore(bytes, from, from + length);
-                line >= from;
-                line = lineStartBefore(bytes, from, line - 1)) {
-            OptionalLong id = idAt(bytes, line, from + length);
-            if (id.isPresent()) {
-                return id;
-            }
-        }
-        return OptionalLong.empty();
-    }
-
-    /** Returns the start of the last line that begins before the index, or -1 if none does. */
-    private static int lineStartBefore(byte[] bytes, int from, int index) {
-        if (index <= from) {
-            return -1;
-        }
-        int i = index - 1;
-        while (i > from && bytes[i - 1] != '\n') {
-            i--;
-        }
-        return i;
-    }
-
     private static OptionalLong idAt(byte[] bytes, int line, int end) {
         if (line + ID_FIELD.length > end) {
             return OptionalLong.empty();
@@ -136,13 +175,14 @@
             }
         }
         long value = 0;
-        boolean hasDigits = false;
+        int digits = 0;
         for (int i = line + ID_FIELD.length; i < end && bytes[i] != '\n'; i++) {
             if (bytes[i] >= '0' && bytes[i] <= '9') {
                 value = value * 10 + (bytes[i] - '0');
-                hasDigits = true;
+                digits++;
             }
         }
-        return hasDigits ? OptionalLong.of(value) : OptionalLong.empty();
+        boolean isId = digits > 0 && digits <= MAX_ID_DIGITS;
+        return isId ? OptionalLong.of(value) : OptionalLong.empty();
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -112,11 +112,13 @@
      * @param attempt the attempt that the response belongs to
      * @return whether the stream was ended; otherwise its end is in doubt
      * @throws TruncatedStreamException if the stream ends before it is complete
+     * @throws org.godwithoist.dispatch.RepeatedEventException if the target sends an event again
      * @throws CallerDisconnectedException if the caller's connection fails
      * @throws IOException if the target's connection fails
      */
     boolean forwardEvents(ResponseHead head, TargetBody body, EndJudge judge, Attempt attempt)
             throws IOException {
+        framer.startAfter(attempt.resumeAfter());
         byte[] buffer = new byte[EVENT_BUFFER_BYTES];
         extendReadDeadline.run();
         int bytesWithoutEvent = 0;
