Ask another target before a long body of unknown length is sent

Just after its start a daemon passed on a read with 80 KB of junk behind it: the body was longer than the buffer, so its first bytes were sent, and its end was told by an orderly close, although nothing vouched for it and a sound target could have been asked. A read whose body is longer than the buffer, has no stated end, and whose route has no known bodies is asked for at another target first; nothing has been sent by then.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -91,6 +91,24 @@
                 : statedEnds.sizes(service, route.id()).isTooLong(bytes);
     }
 
+    /**
+     * Returns whether a body without a stated end that is longer than what is buffered must not be
+     * sent before another target was asked: nothing is known of the route's bodies, and none of the
+     * service has been so long lately.
+     */
+    public boolean mustAskBeforeLongBody() {
+        ServiceId service = target.entry().service();
+        return mayAskForMore()
+                && mayBeCompared()
+                && !statedEnds.sizes(service, route.id()).areKnown()
+                && !statedEnds.areLongBodiesKnown(service, route.id());
+    }
+
+    /** Records that a long body without a stated end was sent after two targets were asked. */
+    public void recordLongBody() {
+        statedEnds.recordLongBody(target.entry().service(), route.id());
+    }
+
     /** Returns what the daemon knows of the route's other responses. */
     public RouteResponses knownResponses() {
         return statedEnds.known(target.entry().service(), route.id());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
@@ -42,6 +42,12 @@
      * target may have given up on both.
      */
     EARLY_CLOSE(Meaning.CUT, false),
+    /**
+     * The body is longer than what is buffered, its end is not stated, and nothing is known of the
+     * other bodies of its route. The rest was not read, because nothing has been sent to the caller
+     * yet and another target can be asked.
+     */
+    UNKNOWN_LENGTH(Meaning.DOUBTFUL, false),
     /** The end is not stated, and no body of the route has such a size. */
     UNUSUAL_SIZE(Meaning.CUT, false),
     /** A copy that follows on the connection begins like the response and is longer. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/StatedEnds.java
@@ -66,6 +66,9 @@
     private final Map<Key, Known> routes = new ConcurrentHashMap<>();
     private final Map<ServiceId, Known> services = new ConcurrentHashMap<>();
 
+    /** Instants of the ticker at which long bodies without a stated end were seen. */
+    private final Map<Key, Long> longBodies = new ConcurrentHashMap<>();
+
     /** Creates a memory without any service. */
     public StatedEnds(Ticker ticker) {
         this.ticker = ticker;
@@ -88,6 +91,20 @@
         return k != null && ticker.nanos() - k.lastStatedAt() < MEMORY.toNanos();
     }
 
+    /**
+     * Records that two targets have sent long bodies without a stated end for the same request, so
+     * that such bodies are usual for the route.
+     */
+    void recordLongBody(ServiceId service, RouteId route) {
+        longBodies.put(new Key(service, route), ticker.nanos());
+    }
+
+    /** Returns whether long bodies without a stated end are usual for a route. */
+    boolean areLongBodiesKnown(ServiceId service, RouteId route) {
+        Long at = longBodies.get(new Key(service, route));
+        return at != null && ticker.nanos() - at < MEMORY.toNanos();
+    }
+
     /** Returns what is known of a route, for the log. */
     RouteResponses known(ServiceId service, RouteId route) {
         return new RouteResponses(areUsual(service, route), sizes(service, route).count());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -187,6 +187,7 @@
      * @param judge judges the end of the body
      * @param attempt the attempt that the response belongs to
      * @return the response if it was not sent, because its end is in doubt; otherwise empty
+     * @throws UnknownLengthException if another target must be asked before any of it is sent
      * @throws CallerDisconnectedException if the caller's connection fails
      * @throws IOException if the target's connection fails
      */
@@ -198,6 +199,10 @@
             return finishShort(head, firstBytes, body, judge, attempt);
         }
         judge.checkLength(body);
+        if (!body.end().isStated() && attempt.mustAskBeforeLongBody()) {
+            endEvidence = Optional.of(EndEvidence.UNKNOWN_LENGTH);
+            throw new UnknownLengthException();
+        }
         writeToCaller(head, firstBytes, 0, firstBytes.length);
         byte[] buffer = new byte[longBodyBufferBytes()];
         int n = body.read(buffer, 0, buffer.length);
@@ -212,6 +217,9 @@
             throw new EndJudge.IncompleteBodyException(EndEvidence.LONGER_COPY);
         }
         judge.checkMayBeTold(end.evidence(), body.checksum().length(), callerResponse.statesEnd());
+        if (attempt.endInDoubt() && !body.end().isStated()) {
+            attempt.recordLongBody();
+        }
         finish(head, new byte[0]);
         return Optional.empty();
     }
@@ -301,6 +309,15 @@
         }
     }
 
+    /** Nothing is known of the length of a body, and another target can be asked first. */
+    static final class UnknownLengthException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        UnknownLengthException() {
+            super("a long body without a stated end, on a route of which nothing is known");
+        }
+    }
+
     /** The target ended a stream before it was complete. */
     static final class TruncatedStreamException extends IOException {
         private static final long serialVersionUID = 1L;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -198,6 +198,9 @@
             return timedOut();
         } catch (EventTooLargeException e) {
             return result(brokenIfStarted(AttemptOutcome.INVALID), e.getMessage());
+        } catch (ResponseForwarder.UnknownLengthException e) {
+            endEvidence = forwarder.endEvidence();
+            return result(AttemptOutcome.UNCONFIRMED, e.getMessage());
         } catch (EndJudge.IncompleteBodyException e) {
             endEvidence = Optional.of(e.evidence());
             return lost(e);
