Ask another target about a stated body of an unusual size

A target wrote 20 KB of junk between its chunks and stated the end behind it; the daemon, which knew 32 and more bodies of the route of less than 1 KB, delivered it. A stated end is no reason for a refusal, since lists grow, but for a doubt: where another target can be asked, it is, and its response counts. If it has none, or if it agrees, the body is told as its target stated it, and its size is known from then on.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -58,6 +58,9 @@
         if (first.isRepeated() || second.isRepeated()) {
             return first.isRepeated() ? second : first;
         }
+        if (first.evidence() == EndEvidence.UNUSUAL_STATED_SIZE) {
+            return first;
+        }
         if (first.beginsWith(second)) {
             second.target().recordCutBody();
             return first;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
@@ -21,6 +21,11 @@
      * written its body twice.
      */
     REPEATED_BODY(Meaning.DOUBTFUL, false),
+    /**
+     * The end is stated, and no body of the route has such a size. Bodies such as lists may grow at
+     * once, so the response counts unless another target has a different one.
+     */
+    UNUSUAL_STATED_SIZE(Meaning.DOUBTFUL, true),
     /**
      * A copy that follows on the connection has the same bytes, but does not state its end either:
      * both may be cut at the same place.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/ToldEnd.java
@@ -32,7 +32,7 @@
      */
     public static ToldEnd of(
             EndEvidence evidence, Route route, Target target, long bytes, StatedEnds statedEnds) {
-        if (evidence.isWhole()) {
+        if (evidence.isWhole() || evidence == EndEvidence.UNUSUAL_STATED_SIZE) {
             return STATED;
         }
         if (!evidence.mayBeWhole()) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -107,8 +107,13 @@
             throw new IncompleteBodyException(EndEvidence.RESPONSE_INSIDE);
         }
         boolean comparable = attempt.mayBeCompared() && ResponseHead.isSuccess(status);
-        if (comparable && endsAsStated(body) && RepeatedBody.isIn(bytes)) {
-            return Judgement.of(EndEvidence.REPEATED_BODY);
+        if (comparable && endsAsStated(body)) {
+            if (RepeatedBody.isIn(bytes)) {
+                return Judgement.of(EndEvidence.REPEATED_BODY);
+            }
+            if (attempt.mayAskForMore() && attempt.hasUnusualSize(bytes.length)) {
+                return Judgement.of(EndEvidence.UNUSUAL_STATED_SIZE);
+            }
         }
         return judge(body, false);
     }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
@@ -236,6 +236,25 @@
         }
     }
 
+    @Nested
+    final class UnusualStatedSizes {
+        /** Guards against a list that has grown, and is lost because no target could be asked. */
+        @Test
+        void oneIsTold() {
+            recordStated(3);
+            record(first, "a long list", EndEvidence.UNUSUAL_STATED_SIZE);
+            assertEquals(ToldEnd.STATED, toldEnd(RouteKind.IDEMPOTENT));
+        }
+
+        /** Guards against a stated end that yields to one that nobody has stated. */
+        @Test
+        void oneIsKeptBesideAnUnstatedEnd() {
+            record(first, "a long list", EndEvidence.UNUSUAL_STATED_SIZE);
+            record(second, "a much longer list than that");
+            assertEquals("a long list", unsent());
+        }
+    }
+
     @Nested
     final class TwoResponses {
         /** Guards against two parts that were cut at the same place and confirm each other. */
--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -122,6 +122,14 @@
         store.close();
     }
 
+    /**
+     * Waits until the daemon knows that it is the only one. Before, it has a small part of the retry
+     * budget of a fleet of assumed size.
+     */
+    void awaitWholeRetryBudget() {
+        EdgeFixture.await("fleet list", () -> daemon.logContains("\"event\":\"fleet\""));
+    }
+
     /** Ends the daemon without a warning. */
     void killDaemon() {
         daemon.process().destroyForcibly();
--- a/edge/src/test/java/org/godwithoist/edge/UnsupportedEndTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/UnsupportedEndTest.java
@@ -38,6 +38,7 @@
     @BeforeEach
     void start() throws IOException {
         fleet = new ScriptedFleet(dir);
+        fleet.awaitWholeRetryBudget();
     }
 
     @AfterEach
@@ -98,6 +99,27 @@
         }
     }
 
+    /** Scenario: a target states the end of far more than its body. */
+    @Nested
+    final class JunkInsideTheFraming {
+        /** Guards against junk that is delivered although a sound target has another body. */
+        @ParameterizedTest
+        @EnumSource(names = {"LENGTH", "CHUNKS"})
+        void readIsAnsweredByASoundTarget(Framing framing) throws Exception {
+            fleet.sendAll(RouteKind.READ, List.of(stated()), REQUESTS, CALLERS);
+            fleet.keepOneFaultyTarget();
+            ScriptedResponse junk =
+                    new ScriptedResponse(
+                            framing,
+                            Cut.NONE,
+                            Copy.JUNK_INSIDE_FRAMING,
+                            Moment.AT_ONCE,
+                            200,
+                            Size.SHORT);
+            assertAllDelivered(send(RouteKind.READ, junk));
+        }
+    }
+
     /** Scenario: a target sends the events of its stream a second time. */
     @Nested
     final class EventsSentTwice {
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
@@ -141,7 +141,9 @@
         /** A reset of the connection. */
         RESET(Framing.CONNECTION, false, false),
         /** The whole body once more, inside the framing of the response. */
-        BODY_INSIDE_FRAMING(Framing.CHUNKS, false, false);
+        BODY_INSIDE_FRAMING(Framing.CHUNKS, false, false),
+        /** Bytes that are no part of the body, inside the framing of the response. */
+        JUNK_INSIDE_FRAMING(Framing.CHUNKS, false, false);
 
         final Framing framing;
         final boolean hasId;
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -33,6 +33,9 @@
     /** Part of the size of bodies that is the same in all runs, in place of the varied one. */
     private static final int FIXED_SPREAD = 680;
 
+    /** Less than a daemon buffers, and far more than any body. */
+    private static final int JUNK_INSIDE_BYTES = 20_000;
+
     private static final int JUNK_PIECES = 10;
     private static final int JUNK_PIECE_BYTES = 8192;
 
@@ -193,8 +196,10 @@
         int length = script.cut().length(whole.length, event, runs.getAndIncrement());
         Answered earlier = answered.get(connection);
         Answered current = new Answered(attempt, signature, whole);
-        if (script.copy() == Copy.BODY_INSIDE_FRAMING) {
-            writeTwice(writer, script, current);
+        if (script.copy() == Copy.BODY_INSIDE_FRAMING
+                || script.copy() == Copy.JUNK_INSIDE_FRAMING) {
+            boolean isBody = script.copy() == Copy.BODY_INSIDE_FRAMING;
+            writeWithMore(writer, script, current, isBody ? whole : letters(JUNK_INSIDE_BYTES));
             answered.put(connection, current);
             return false;
         }
@@ -238,23 +243,18 @@
         writer.bytes(whole, length, whole.length - length);
     }
 
-    /** Writes a response whose body is the whole one twice, with a stated end. */
-    private void writeTwice(MessageWriter writer, ScriptedResponse script, Answered current)
+    /** Writes a response whose body is the whole one and more, with a stated end. */
+    private void writeWithMore(
+            MessageWriter writer, ScriptedResponse script, Answered current, byte[] more)
             throws IOException {
         byte[] whole = current.body();
         boolean inChunks = script.framing() == Framing.CHUNKS;
-        writeHead(writer, script.status(), script.framing(), true, current, 2 * whole.length);
-        for (int i = 0; i < 2; i++) {
-            if (i > 0) {
-                writer.flush();
-                Tasks.sleep(script.moment().delay);
-            }
-            if (inChunks) {
-                writer.chunk(whole, 0, whole.length);
-            } else {
-                writer.bytes(whole, 0, whole.length);
-            }
-        }
+        int length = whole.length + more.length;
+        writeHead(writer, script.status(), script.framing(), true, current, length);
+        writePart(writer, inChunks, whole);
+        writer.flush();
+        Tasks.sleep(script.moment().delay);
+        writePart(writer, inChunks, more);
         if (inChunks) {
             writer.lastChunk();
         }
@@ -262,6 +262,15 @@
         copies.incrementAndGet();
     }
 
+    private static void writePart(MessageWriter writer, boolean inChunks, byte[] part)
+            throws IOException {
+        if (inChunks) {
+            writer.chunk(part, 0, part.length);
+        } else {
+            writer.bytes(part, 0, part.length);
+        }
+    }
+
     private void writeJunk(MessageWriter writer) throws IOException {
         for (int i = 0; i < JUNK_PIECES; i++) {
             byte[] junk = new byte[JUNK_PIECE_BYTES];
