--- a/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EndEvidence.java
@@ -14,6 +14,18 @@
     EQUAL_COPY(Meaning.WHOLE, true),
     /** A copy of the response whose end is stated; it takes the place of the response. */
     WHOLE_COPY(Meaning.WHOLE, true),
+    /** Another target has stated the end of the same bytes. */
+    EQUAL_RESPONSE(Meaning.WHOLE, true),
+    /**
+     * The end is stated, but the second half of the body repeats the first: the target may have
+     * written its body twice.
+     */
+    REPEATED_BODY(Meaning.DOUBTFUL, false),
+    /**
+     * The end is stated, and no body of the route has such a size. Bodies such as lists may grow at
+     * once, so the response counts unless another target has a different one.
+     */
+    UNUSUAL_STATED_SIZE(Meaning.DOUBTFUL, true),
     /**
      * A copy that follows on the connection has the same bytes, but does not state its end either:
      * both may be cut at the same place.
@@ -35,6 +47,12 @@
      * target may have given up on both.
      */
     EARLY_CLOSE(Meaning.CUT, false),
+    /**
+     * The body is longer than what is buffered, its end is not stated, and nothing is known of the
+     * other bodies of its route. The rest was not read, because nothing has been sent to the caller
+     * yet and another target can be asked.
+     */
+    UNKNOWN_LENGTH(Meaning.DOUBTFUL, false),
     /** The end is not stated, and no body of the route has such a size. */
     UNUSUAL_SIZE(Meaning.CUT, false),
     /** A copy that follows on the connection begins like the response and is longer. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -112,11 +112,13 @@
      * @param attempt the attempt that the response belongs to
      * @return whether the stream was ended; otherwise its end is in doubt
      * @throws TruncatedStreamException if the stream ends before it is complete
+     * @throws org.godwithoist.dispatch.RepeatedEventException if the target sends an event again
      * @throws CallerDisconnectedException if the caller's connection fails
      * @throws IOException if the target's connection fails
      */
     boolean forwardEvents(ResponseHead head, TargetBody body, EndJudge judge, Attempt attempt)
             throws IOException {
+        framer.startAfter(attempt.resumeAfter());
         byte[] buffer = new byte[EVENT_BUFFER_BYTES];
         extendReadDeadline.run();
         int bytesWithoutEvent = 0;
@@ -188,6 +190,7 @@
      * @param judge judges the end of the body
      * @param attempt the attempt that the response belongs to
      * @return the response if it was not sent, because its end is in doubt; otherwise empty
+     * @throws UnknownLengthException if another target must be asked before any of it is sent
      * @throws CallerDisconnectedException if the caller's connection fails
      * @throws IOException if the target's connection fails
      */
@@ -199,6 +202,10 @@
             return finishShort(head, firstBytes, body, judge, attempt);
         }
         judge.checkLength(body);
+        if (!body.end().isStated() && attempt.mustAskBeforeLongBody()) {
+            endEvidence = Optional.of(EndEvidence.UNKNOWN_LENGTH);
+            throw new UnknownLengthException();
+        }
         writeToCaller(head, firstBytes, 0, firstBytes.length);
         byte[] buffer = new byte[longBodyBufferBytes()];
         int n = body.read(buffer, 0, buffer.length);
@@ -213,6 +220,9 @@
             throw new EndJudge.IncompleteBodyException(EndEvidence.LONGER_COPY);
         }
         judge.checkMayBeTold(end.evidence(), body.checksum().length(), callerResponse.statesEnd());
+        if (attempt.endInDoubt() && !body.end().isStated()) {
+            attempt.recordLongBody();
+        }
         finish(head, new byte[0]);
         return Optional.empty();
     }
@@ -266,11 +276,13 @@
         EndJudge.Judgement end = judge.judge(body, bytes);
         endEvidence = Optional.of(end.evidence());
         byte[] whole = end.copy().orElse(bytes);
-        if (!end.evidence().isWhole() && attempt.route().allowsReexecution()) {
+        boolean isWhole = end.evidence().isWhole();
+        if (!isWhole && attempt.route().allowsReexecution()) {
             progress = ResponseProgress.ESTABLISHED;
-            return Optional.of(new BufferedResponse(head, whole));
+            boolean isStated = body.end().isStated();
+            ResponseHead kept = isStated ? head.withLength(whole.length) : head;
+            return Optional.of(new BufferedResponse(kept, whole));
         }
-        boolean isWhole = end.evidence().isWhole();
         judge.checkMayBeTold(end.evidence(), bytes.length, isWhole);
         finish(isWhole ? head.withLength(whole.length) : head, whole);
         return Optional.empty();
@@ -300,6 +312,15 @@
         }
     }
 
+    /** Nothing is known of the length of a body, and another target can be asked first. */
+    static final class UnknownLengthException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        UnknownLengthException() {
+            super("a long body without a stated end, on a route of which nothing is known");
+        }
+    }
+
     /** The target ended a stream before it was complete. */
     static final class TruncatedStreamException extends IOException {
         private static final long serialVersionUID = 1L;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -181,7 +181,10 @@
                         b ->
                                 result.withBody(
                                         new ResponseBody(
-                                                b.end(), b.checksum().length(), endEvidence)))
+                                                b.end(),
+                                                b.checksum().length(),
+                                                endEvidence,
+                                                attempt.knownResponses())))
                 .orElse(result);
     }
 
@@ -195,6 +198,9 @@
             return timedOut();
         } catch (EventTooLargeException e) {
             return result(brokenIfStarted(AttemptOutcome.INVALID), e.getMessage());
+        } catch (ResponseForwarder.UnknownLengthException e) {
+            endEvidence = forwarder.endEvidence();
+            return result(AttemptOutcome.UNCONFIRMED, e.getMessage());
         } catch (EndJudge.IncompleteBodyException e) {
             endEvidence = Optional.of(e.evidence());
             return lost(e);
