--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -143,10 +143,11 @@
                         request,
                         deadline,
                         random);
-        Optional<Refusal> unavailable = findOrigin(versions, admitted);
-        if (unavailable.isPresent()) {
-            Refusal refusal = unavailable.get();
-            requestEnd.refuse(request, route, refusal, refusal.retryDelay(), response);
+        Optional<Refusal> refusal =
+                versions.findOrigin(directory.targets(admitted.service().id()));
+        if (refusal.isPresent()) {
+            Duration retryAfter = refusal.get().retryDelay();
+            requestEnd.refuse(request, route, refusal.get(), retryAfter, response);
             return;
         }
         try (Ticket ticket = capacity.enter(admitted, deadline)) {
@@ -167,20 +168,6 @@
         }
     }
 
-    /** Returns why a request cannot go on with the stream that it takes up; empty if it can. */
-    private Optional<Refusal> findOrigin(
-            RequestVersions versions, Admission.AdmittedRequest admitted) {
-        if (!versions.findOrigin()) {
-            return Optional.of(Refusal.UNKNOWN_ORIGIN);
-        }
-        VersionFilter filter = versions.fallback();
-        boolean hasTarget =
-                !versions.isBound()
-                        || directory.targets(admitted.service().id()).stream()
-                                .anyMatch(t -> filter.permits(t.entry().version()));
-        return hasTarget ? Optional.empty() : Optional.of(Refusal.NO_TARGET_OF_VERSION);
-    }
-
     /**
      * Handles a request that may be sent to targets.
      *
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestVersions.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestVersions.java
@@ -1,5 +1,6 @@
 package org.godwithoist.dispatch;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.godwithoist.catalog.Route;
@@ -85,23 +86,24 @@
     /**
      * Finds the version that began the stream if the request takes one up again.
      *
-     * @return whether the request may be sent to a target
+     * @param targets targets of the service
+     * @return why the stream cannot go on; empty if it can, or if the request begins a new one
      */
-    boolean findOrigin() {
+    Optional<Refusal> findOrigin(List<Target> targets) {
         boolean takesUp = head.resumes().isPresent() || head.resumeAfter().isPresent();
         if (!takesUp || !route.kind().isEventStream()) {
-            return true;
+            return Optional.empty();
         }
         origin =
                 head.resumes()
                         .map(r -> origins.find(new StreamId(service, r), deadline.remaining()))
                         .orElseGet(() -> origins.onlyOrigin(service));
-        return origin.isPresent();
-    }
-
-    /** Returns whether the request goes on with a stream, and so may go to one version only. */
-    boolean isBound() {
-        return origin.isPresent();
+        if (origin.isEmpty()) {
+            return Optional.of(Refusal.UNKNOWN_ORIGIN);
+        }
+        boolean hasTarget =
+                targets.stream().anyMatch(t -> origin.get().permits(t.entry().version()));
+        return hasTarget ? Optional.empty() : Optional.of(Refusal.NO_TARGET_OF_VERSION);
     }
 
     /** Returns the versions to which the next attempt may go. */
