Prefer a body to the same one written twice without a stated end

Callers of services that never state an end could get a body twice although a second target had sent it once: of two responses without a stated end the longer one counted where it began with the other, and the target of the shorter one was recorded as one that cuts bodies. A response that is the other one twice, 16 bytes or more, yields to it now, and neither target is blamed.

RepeatedBody moves to the package of both its callers.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -8,8 +8,8 @@
 /**
  * What the attempts of one request have shown of an end that is in doubt. A second response without
  * a stated end confirms nothing, because targets may be cut at the same place; it only refutes a
- * response that it begins with. A body that repeats itself is confirmed by the same bytes of
- * another target. Used by one task.
+ * response that it begins with, unless it is that response written twice. A body that repeats
+ * itself is confirmed by the same bytes of another target. Used by one task.
  */
 final class DoubtfulEnd {
     /** A response whose end is in doubt, or a stream that was forwarded up to such an end. */
@@ -31,6 +31,13 @@
             return new Response(target, EndEvidence.EQUAL_RESPONSE, unsent);
         }
 
+        /** Returns whether this is the body of the other response, written twice. */
+        boolean isTwice(Response other) {
+            return length() == 2 * other.length()
+                    && RepeatedBody.isIn(unsent.orElseThrow().body())
+                    && beginsWith(other);
+        }
+
         boolean beginsWith(Response other) {
             byte[] own = unsent.orElseThrow().body();
             byte[] start = other.unsent.orElseThrow().body();
@@ -61,6 +68,9 @@
         if (first.evidence() == EndEvidence.UNUSUAL_STATED_SIZE) {
             return first;
         }
+        if (first.isTwice(second) || second.isTwice(first)) {
+            return first.isTwice(second) ? second : first;
+        }
         if (first.beginsWith(second)) {
             second.target().recordCutBody();
             return first;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -12,6 +12,7 @@
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.BodyChecksum;
 import org.godwithoist.dispatch.EndEvidence;
+import org.godwithoist.dispatch.RepeatedBody;
 import org.godwithoist.dispatch.ResponseHead;
 import org.godwithoist.dispatch.ToldEnd;
 
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DoubtfulEndTest.java
@@ -234,6 +234,19 @@
             assertEquals("a body that stands here. ", unsent());
             assertFalse(second.isKnownToCutBodies());
         }
+
+        /** Guards against the same at services that never state an end, in both orders. */
+        @Test
+        void otherResponseWithoutAStatedEndIsKept() {
+            String once = TWICE.substring(0, TWICE.length() / 2);
+            record(first, TWICE);
+            record(second, once);
+            assertEquals(once, unsent());
+            record(first, TWICE);
+            assertEquals(once, unsent());
+            assertFalse(first.isKnownToCutBodies());
+            assertFalse(second.isKnownToCutBodies());
+        }
     }
 
     @Nested
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/RepeatedBodyTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RepeatedBodyTest.java
@@ -1,4 +1,4 @@
-package org.godwithoist.dispatch.http;
+package org.godwithoist.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
