Compare only event ids that are numbers

Callers of services whose event ids are no plain numbers (run-1.10, uuids, negative numbers) got streams that were broken off at a sound event: the framer joined the digits of an id to a number and took one that was not above the last for a repeated event. Only ids of digits alone are compared now; what is read as the place to resume is as before.

EventFramerTest.idsThatAreNoNumbersAreNotCompared and numbersBetweenSuchIdsAreCompared failed before and pass now, with the fuzz test.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
@@ -8,8 +8,8 @@
 /**
  * Splits a stream of server-sent events at event boundaries. A target may break off in the middle
  * of an event; only complete events are forwarded to the caller, so that another target can resume
- * after the last one. The ids of events rise; an event whose id does not was sent before, and is
- * not forwarded. Not thread-safe.
+ * after the last one. Ids that are numbers rise; an event whose id does not was sent before, and is
+ * not forwarded. Other ids are not compared. Not thread-safe.
  */
 public final class EventFramer {
     /** Receives the complete events of a part of the stream. */
@@ -104,14 +104,16 @@
                 continue;
             }
             OptionalLong found = idAt(bytes, line, end);
-            if (found.isPresent() && !isAboveFloor(found.getAsLong())) {
+            if (found.isEmpty() || !isNumber(bytes, line, end)) {
+                id = found.isPresent() ? found : id;
+                continue;
+            }
+            if (!isAboveFloor(found.getAsLong())) {
                 forwardUnchecked(bytes, from, eventStart, idBeforeEvent, sink);
                 throw new RepeatedEventException(found.getAsLong(), floor.getAsLong());
             }
-            if (found.isPresent()) {
-                id = found;
-                floor = found;
-            }
+            id = found;
+            floor = found;
         }
         forwardUnchecked(bytes, from, end, id, sink);
     }
@@ -165,6 +167,18 @@
         return end;
     }
 
+    /** Returns whether an id has digits only, so that its order is known. */
+    private static boolean isNumber(byte[] bytes, int line, int end) {
+        int valueEnd = nextLine(bytes, line, end) - 1;
+        String value =
+                new String(
+                        bytes,
+                        line + ID_FIELD.length,
+                        valueEnd - line - ID_FIELD.length,
+                        StandardCharsets.ISO_8859_1);
+        return value.strip().chars().allMatch(c -> c >= '0' && c <= '9');
+    }
+
     private static OptionalLong idAt(byte[] bytes, int line, int end) {
         if (line + ID_FIELD.length > end) {
             return OptionalLong.empty();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/EventFramerTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/EventFramerTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -141,5 +142,26 @@
             feed(events);
             assertEquals(events, forwarded.toString());
         }
+
+        /** Guards against sound streams that are broken off because their ids are no numbers. */
+        @Test
+        void idsThatAreNoNumbersAreNotCompared() throws IOException {
+            StringBuilder stream = new StringBuilder();
+            for (String id : List.of("run-1.10", "run-2.0", "9f3c-77", "04ab-1", "-2", "-1")) {
+                stream.append("id: ").append(id).append("\ndata: a\n\n");
+            }
+            String events = stream.toString();
+            feed(events);
+            assertEquals(events, forwarded.toString());
+        }
+
+        /** Guards against a number among such ids that hides a repeated event. */
+        @Test
+        void numbersBetweenSuchIdsAreCompared() throws IOException {
+            String events = "id: 5\ndata: a\n\nid: b-1\ndata: b\n\n";
+            assertThrows(
+                    RepeatedEventException.class, () -> feed(events + "id: 5 \r\ndata: a\n\n"));
+            assertEquals(events, forwarded.toString());
+        }
     }
 }
