Do not compare responses without a body with the sizes of bodies

Responses to HEAD, and those with status 204, cost a second attempt and their connection each, on routes that permit one and whose bodies are never empty: their size of 0 counted as unusual. It was never learned, because an empty response records no size.

HttpTargetGatewayTest.isNotComparedWithTheSizesOfBodies failed before (UNCONFIRMED in place of ANSWERED) and passes now.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -107,7 +107,8 @@
             attempt.target().recordCutBody();
             throw new IncompleteBodyException(EndEvidence.RESPONSE_INSIDE);
         }
-        boolean comparable = attempt.mayBeCompared() && ResponseHead.isSuccess(status);
+        boolean comparable =
+                body.isPresent() && attempt.mayBeCompared() && ResponseHead.isSuccess(status);
         if (comparable && endsAsStated(body)) {
             if (RepeatedBody.isIn(bytes)) {
                 return Judgement.of(EndEvidence.REPEATED_BODY);
