Compare events with the caller's last one only where streams are resumed

Callers that named a last event on a route that is not resumable, as browsers do by themselves, got 502 when the service began its stream anew: its first events were taken for repeated ones. Such a route says nothing of where a stream begins, so its ids are compared with each other only.

HttpTargetGatewayTest.mayBeginBeforeTheEventOfTheCaller failed before (LOST, "event 1 follows event 7") and passes now.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -118,7 +118,9 @@
      */
     boolean forwardEvents(ResponseHead head, TargetBody body, EndJudge judge, Attempt attempt)
             throws IOException {
-        framer.startAfter(attempt.resumeAfter());
+        if (attempt.route().resumable()) {
+            framer.startAfter(attempt.resumeAfter());
+        }
         byte[] buffer = new byte[EVENT_BUFFER_BYTES];
         extendReadDeadline.run();
         int bytesWithoutEvent = 0;
