--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -143,8 +143,7 @@
                         request,
                         deadline,
                         random);
-        Optional<Refusal> refusal =
-                versions.findOrigin(directory.targets(admitted.service().id()));
+        Optional<Refusal> refusal = versions.findOrigin(directory.targets(admitted.service().id()));
         if (refusal.isPresent()) {
             Duration retryAfter = refusal.get().retryDelay();
             requestEnd.refuse(request, route, refusal.get(), retryAfter, response);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -12,6 +12,7 @@
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.BodyChecksum;
 import org.godwithoist.dispatch.EndEvidence;
+import org.godwithoist.dispatch.RepeatedBody;
 import org.godwithoist.dispatch.ResponseHead;
 import org.godwithoist.dispatch.ToldEnd;
 
@@ -106,7 +107,8 @@
             attempt.target().recordCutBody();
             throw new IncompleteBodyException(EndEvidence.RESPONSE_INSIDE);
         }
-        boolean comparable = attempt.mayBeCompared() && ResponseHead.isSuccess(status);
+        boolean comparable =
+                body.isPresent() && attempt.mayBeCompared() && ResponseHead.isSuccess(status);
         if (comparable && endsAsStated(body)) {
             if (RepeatedBody.isIn(bytes)) {
                 return Judgement.of(EndEvidence.REPEATED_BODY);
--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -123,8 +123,8 @@
     }
 
     /**
-     * Waits until the daemon knows that it is the only one. Before, it has a small part of the retry
-     * budget of a fleet of assumed size.
+     * Waits until the daemon knows that it is the only one. Before, it has a small part of the
+     * retry budget of a fleet of assumed size.
      */
     void awaitWholeRetryBudget() {
         EdgeFixture.await("fleet list", () -> daemon.logContains("\"event\":\"fleet\""));
