Serve a new stream whose caller names an older one

Browsers name their last event by themselves, also on routes whose streams cannot be resumed; while several versions served, they got 503. Such a request begins anew, so it is bound to no version. StreamVersionsTest.streamThatBeginsAnewIsServed guards it; not seen failing before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestVersions.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestVersions.java
@@ -90,7 +90,8 @@
      * @return why the stream cannot go on; empty if it can, or if the request begins a new one
      */
     Optional<Refusal> findOrigin(List<Target> targets) {
-        boolean takesUp = head.resumes().isPresent() || head.resumeAfter().isPresent();
+        boolean goesOn = route.resumable() && head.resumeAfter().isPresent();
+        boolean takesUp = head.resumes().isPresent() || goesOn;
         if (!takesUp || !route.kind().isEventStream()) {
             return Optional.empty();
         }
--- a/edge/src/test/java/org/godwithoist/edge/StreamCaller.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamCaller.java
@@ -64,7 +64,12 @@
 
     /** Sends a request for a new stream. */
     void begin(Endpoint daemon) throws IOException {
-        send(daemon, "");
+        send(daemon, ConfigText.RESUMABLE, "");
+    }
+
+    /** Names its last event on a route whose streams begin anew each time, as a browser does. */
+    void beginAnew(Endpoint daemon, int lastEvent) throws IOException {
+        send(daemon, ConfigText.NON_RESUMABLE, "Last-Event-Id: " + lastEvent + "\r\n");
     }
 
     /** Takes the stream up again after the events that have arrived. */
@@ -78,10 +83,13 @@
      * @param resumes id that the request names as the one that began the stream
      */
     void takeUp(Endpoint daemon, String resumes) throws IOException {
-        send(daemon, "Resumes: " + resumes + "\r\nLast-Event-Id: " + events.size() + "\r\n");
+        send(
+                daemon,
+                ConfigText.RESUMABLE,
+                "Resumes: " + resumes + "\r\nLast-Event-Id: " + events.size() + "\r\n");
     }
 
-    private void send(Endpoint daemon, String moreFields) throws IOException {
+    private void send(Endpoint daemon, String prefix, String moreFields) throws IOException {
         close();
         String attempt = name + "-try-" + attempts.size();
         attempts.add(attempt);
@@ -93,7 +101,7 @@
                                 socket.getInputStream(), StandardCharsets.ISO_8859_1));
         String request =
                 "POST "
-                        + ConfigText.RESUMABLE
+                        + prefix
                         + "x HTTP/1.1\r\n"
                         + ("Host: " + ConfigText.HOST + "\r\n")
                         + ("X-Godwithoist-Attempt-Id: " + attempt + "\r\n")
--- a/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
@@ -149,6 +149,17 @@
             assertRefusedAsNotRun(callers.subList(0, 1));
         }
 
+        /** Guards against the refusal of a new stream because its caller names an older one. */
+        @Test
+        void streamThatBeginsAnewIsServed() throws Exception {
+            fleet.startTargets(StreamFleet.NEW);
+            begin();
+            leaveAll();
+            callers.get(0).beginAnew(fleet.daemon(0), 7);
+            callers.get(0).receiveRest();
+            assertEquals(200, callers.get(0).status());
+        }
+
         /** Guards against a take-up whose beginning cannot be read and that is taken for new. */
         @Test
         void malformedBeginningIsRefused() throws Exception {
