Ask no third target about a body that two have confirmed

Where a route permits three attempts, a sound body that repeats itself was asked for a third time after two targets had sent the same bytes: one attempt of the retry budget more for each such read, and a third response that broke off late would have cost the caller the confirmed one.

RetryPolicyTest.confirmedResponseIsNotAskedForAgain failed before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -87,6 +87,11 @@
         kept = Optional.empty();
     }
 
+    /** Returns whether two targets have agreed, so that no other needs to be asked. */
+    boolean isConfirmed() {
+        return kept.map(r -> r.evidence().isWhole()).orElse(false);
+    }
+
     /** Returns whether an end is in doubt. */
     boolean isPresent() {
         return kept.isPresent();
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
@@ -77,7 +77,7 @@
 
     /** Returns whether the route permits another attempt. */
     boolean permitsAttempt() {
-        if (!lastOutcome.isRetryable()) {
+        if (!lastOutcome.isRetryable() || doubtfulEnd.isConfirmed()) {
             return false;
         }
         if (possibleRuns == 0) {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.godwithoist.catalog.Route;
 import org.godwithoist.catalog.RouteId;
@@ -50,6 +52,24 @@
 
     private static void endAttempt(
             RetryPolicy policy, int number, AttemptOutcome outcome, OptionalLong lastEvent) {
+        policy.recordAttempt(target(number), AttemptResult.of(outcome, lastEvent, ""));
+    }
+
+    private static void endWithBody(
+            RetryPolicy policy, int number, AttemptResult result, EndEvidence evidence) {
+        ResponseBody body =
+                new ResponseBody(BodyEnd.CONNECTION, 0, Optional.of(evidence), RouteResponses.NONE);
+        policy.recordAttempt(target(number), result.withBody(body));
+    }
+
+    private static AttemptResult unsent(String body) {
+        ResponseHead head = ResponseHead.of(200, List.of(), BodyEnd.MARK);
+        byte[] bytes = body.getBytes(StandardCharsets.US_ASCII);
+        return AttemptResult.of(AttemptOutcome.UNCONFIRMED, OptionalLong.empty(), "")
+                .withUnsent(new BufferedResponse(head, bytes));
+    }
+
+    private static Target target(int number) {
         TargetEntry entry =
                 new TargetEntry(
                         new TargetId("t" + number),
@@ -62,8 +82,7 @@
                         0);
         TargetDirectory directory = new TargetDirectory(new VirtualTicker());
         directory.put(entry);
-        Target target = directory.targets(SERVICE).get(0);
-        policy.recordAttempt(target, AttemptResult.of(outcome, lastEvent, ""));
+        return directory.targets(SERVICE).get(0);
     }
 
     @Nested
@@ -114,6 +133,21 @@
         }
     }
 
+    @Nested
+    final class EndsInDoubt {
+        private static final String BODY = "a body that repeats itself";
+
+        /** Guards against a third target that is asked although two have agreed. */
+        @Test
+        void confirmedResponseIsNotAskedForAgain() {
+            RetryPolicy policy = policy(RouteKind.IDEMPOTENT, false, 3);
+            endWithBody(policy, 1, unsent(BODY), EndEvidence.REPEATED_BODY);
+            assertTrue(policy.permitsAttempt());
+            endWithBody(policy, 2, unsent(BODY), EndEvidence.REPEATED_BODY);
+            assertFalse(policy.permitsAttempt());
+        }
+    }
+
     @Nested
     final class Streams {
         /** Guards against ending a stream as complete although a later target sent more events. */
