Hold a response back only where another target can be asked

Callers of a service with one target that never states ends got 502 for each body longer than the buffer, on routes that permit two attempts: nothing was sent until another target had been asked, and there is none. Where such a service states ends and its bodies change their size, each read waited for a second target, for an eighth of the latency objective, and cost its connection. Both are passed on at once now if the service has no target that was not asked yet. A body that repeats itself is still refused there.

HttpTargetGatewayTest.isPassedOnWhereNoOtherTargetCanBeAsked and isPassedOnAtOnceWhereNoOtherTargetCanBeAsked failed before (UNCONFIRMED in place of ANSWERED), with the new component of Attempt in place and unused; both pass now.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -24,6 +24,7 @@
  * @param resumeAfter id of the event after which the target resumes the stream; empty for the start
  * @param endInDoubt whether an earlier target has ended its response without stating the end, so
  *     that this attempt only asks for more
+ * @param hasOtherTarget whether the service has another target that was not asked yet
  * @param newConnection whether the request is sent on a new connection, because an earlier attempt
  *     was made and another failure like that one must not end this one too
  * @param statedEnds remembers which services state the ends of their responses
@@ -41,6 +42,7 @@
         Optional<Duration> responseTimeout,
         OptionalLong resumeAfter,
         boolean endInDoubt,
+        boolean hasOtherTarget,
         boolean newConnection,
         StatedEnds statedEnds,
         Target.PendingResponse pendingResponse,
@@ -53,6 +55,11 @@
         return route.allowsReexecution() && !endInDoubt;
     }
 
+    /** Returns whether a doubtful response can wait for that of another target. */
+    public boolean mayAskOtherTarget() {
+        return mayAskForMore() && mayBeCompared() && hasOtherTarget;
+    }
+
     /** Returns whether the route permits that two targets respond to the request. */
     public boolean mayBeCompared() {
         return route.allowsReexecution() && route.maxAttempts() > 1;
@@ -98,8 +105,7 @@
      */
     public boolean mustAskBeforeLongBody() {
         ServiceId service = target.entry().service();
-        return mayAskForMore()
-                && mayBeCompared()
+        return mayAskOtherTarget()
                 && !statedEnds.sizes(service, route.id()).areKnown()
                 && !statedEnds.areLongBodiesKnown(service, route.id());
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -273,6 +273,12 @@
                 Optional.of(admitted.route().targetLatency()));
     }
 
+    private boolean hasOtherTarget(Target target, RetryPolicy policy) {
+        return directory.targets(target.entry().service()).stream()
+                .map(Target::id)
+                .anyMatch(id -> !id.equals(target.id()) && !policy.tried().contains(id));
+    }
+
     private boolean attempt(
             Request request,
             Admission.AdmittedRequest admitted,
@@ -300,6 +306,7 @@
                         responseTimeout,
                         policy.lastEvent(),
                         policy.endInDoubt(),
+                        hasOtherTarget(target, policy),
                         policy.needsNewConnection(),
                         statedEnds,
                         target.startWaiting(decision.work()),
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/EndJudge.java
@@ -113,7 +113,7 @@
             if (RepeatedBody.isIn(bytes)) {
                 return Judgement.of(EndEvidence.REPEATED_BODY);
             }
-            if (attempt.mayAskForMore() && attempt.hasUnusualSize(bytes.length)) {
+            if (attempt.mayAskOtherTarget() && attempt.hasUnusualSize(bytes.length)) {
                 return Judgement.of(EndEvidence.UNUSUAL_STATED_SIZE);
             }
         }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -71,10 +71,12 @@
     private static final class StubGateway implements TargetGateway {
         private final Semaphore responses = new Semaphore(0);
         private final AtomicInteger attempts = new AtomicInteger();
+        private volatile Attempt last;
 
         @Override
         public AttemptResult attempt(Attempt attempt, CallerResponse response) {
             attempts.incrementAndGet();
+            last = attempt;
             responses.acquireUninterruptibly();
             return AttemptResult.of(AttemptOutcome.ANSWERED, OptionalLong.empty(), "");
         }
@@ -306,6 +308,18 @@
         assertTrue(condition.getAsBoolean());
     }
 
+    /** Scenario: a target is the only one of its service. */
+    @Nested
+    final class OnlyTarget {
+        /** Guards against responses that are held back for a comparison that cannot be made. */
+        @Test
+        void attemptKnowsThatThereIsNoOther() {
+            send(TIMEOUT);
+            await(() -> gateway.last != null);
+            assertFalse(gateway.last.hasOtherTarget());
+        }
+    }
+
     @Nested
     final class FullTargets {
         @BeforeEach
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -44,6 +44,9 @@
 import org.junit.jupiter.api.Test;
 
 final class HttpTargetGatewayTest {
+    /** Number of bodies from which the sizes of a route are known. */
+    private static final int KNOWN_BODIES = 32;
+
     private static final Duration TEST_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration TIME_LIMIT = Duration.ofSeconds(5);
     private static final ServiceId SERVICE = new ServiceId("desk");
@@ -58,6 +61,7 @@
     private final EventLog log = EventLog.start(new ByteArrayOutputStream());
     private final StatedEnds statedEnds = new StatedEnds(ticker);
     private OptionalLong resumeAfter = OptionalLong.empty();
+    private boolean hasOtherTarget = true;
     private TargetServer server;
     private Target target;
     private HttpTargetGateway gateway;
@@ -148,6 +152,7 @@
                         Optional.empty(),
                         resumeAfter,
                         false,
+                        hasOtherTarget,
                         false,
                         statedEnds,
                         target.startWaiting(),
@@ -481,9 +486,6 @@
     /** Scenario: the status says that there is no body. */
     @Nested
     final class ResponseWithoutABody {
-        /** Number of bodies from which the sizes of a route are known. */
-        private static final int KNOWN_BODIES = 32;
-
         /** Guards against whole bodies that are refused because an empty response has no body. */
         @Test
         void doesNotCountAsAStatedEnd() {
@@ -512,6 +514,48 @@
         }
     }
 
+    /** Scenario: nothing is known of a route, and a target sends a long body without its end. */
+    @Nested
+    final class LongBodyOfUnknownLength {
+        private AttemptOutcome read() {
+            TestResponse caller = new TestResponse(() -> {});
+            return attempt(READ_ROUTE, "GET", TargetServer.LARGE_UNFRAMED, 0, TIME_LIMIT, caller)
+                    .outcome();
+        }
+
+        /** Guards against sound bodies that a service with one target can never deliver. */
+        @Test
+        void isPassedOnWhereNoOtherTargetCanBeAsked() {
+            hasOtherTarget = false;
+            assertEquals(AttemptOutcome.ANSWERED, read());
+        }
+    }
+
+    /** Scenario: the bodies of a service have changed their size. */
+    @Nested
+    final class BodyOfAnUnusualSize {
+        private AttemptOutcome read() {
+            for (int i = 0; i < KNOWN_BODIES; i++) {
+                statedEnds.record(SERVICE, READ_ROUTE.id(), 100);
+            }
+            TestResponse caller = new TestResponse(() -> {});
+            return attempt(READ_ROUTE, "GET", "/stated", 0, TIME_LIMIT, caller).outcome();
+        }
+
+        /** Guards against junk that is delivered although another target can be asked. */
+        @Test
+        void isComparedWithThatOfAnotherTarget() {
+            assertEquals(AttemptOutcome.UNCONFIRMED, read());
+        }
+
+        /** Guards against a delay and a new connection for each read where there is none. */
+        @Test
+        void isPassedOnAtOnceWhereNoOtherTargetCanBeAsked() {
+            hasOtherTarget = false;
+            assertEquals(AttemptOutcome.ANSWERED, read());
+        }
+    }
+
     /** Scenario: a caller names its last event on a route whose streams begin anew each time. */
     @Nested
     final class StreamThatCannotBeResumed {
