Take long bodies for usual only after two of them

Junk beyond the buffer could reach callers without a question for 60 s, at services that never state ends: a long body was recorded as usual whenever it followed any doubt, also that about a short body of a sound target. It is recorded now only if the first target's body was held back because it was long, too.

HttpTargetGatewayTest.isAskedForAgainAfterAnotherDoubt failed before (ANSWERED in place of UNCONFIRMED). It and the cases of RetryPolicyTest pass.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -110,11 +110,6 @@
                 && !statedEnds.areLongBodiesKnown(service, route.id());
     }
 
-    /** Records that a long body without a stated end was sent after two targets were asked. */
-    public void recordLongBody() {
-        statedEnds.recordLongBody(target.entry().service(), route.id());
-    }
-
     /** Returns what the daemon knows of the route's other responses. */
     public RouteResponses knownResponses() {
         return statedEnds.known(target.entry().service(), route.id());
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -317,6 +317,9 @@
             AttemptResult result = gateway.attempt(attempt, response);
             outcome = result.outcome();
             policy.recordAttempt(target, result);
+            if (policy.confirmsLongBody(result)) {
+                statedEnds.recordLongBody(target.entry().service(), route.id());
+            }
             CapacityGate.record(result, slot);
             crashDetector.attemptEnded(request, target, result, startedAt);
             Duration took = Duration.ofNanos(ticker.nanos() - startedAt);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -92,6 +92,11 @@
         return kept.map(r -> r.evidence().isWhole()).orElse(false);
     }
 
+    /** Returns whether a long body was not read to its end, because nothing was known of it. */
+    boolean isOfUnknownLength() {
+        return kept.map(r -> r.evidence() == EndEvidence.UNKNOWN_LENGTH).orElse(false);
+    }
+
     /** Returns whether an end is in doubt. */
     boolean isPresent() {
         return kept.isPresent();
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
@@ -75,6 +75,20 @@
         return doubtfulEnd.unsent();
     }
 
+    /**
+     * Returns whether a body of which no end was stated is the second long one of the request. A
+     * short one is not sent without a stated end as long as another attempt is possible.
+     */
+    boolean confirmsLongBody(AttemptResult result) {
+        boolean isSentUnstated =
+                result.outcome() == AttemptOutcome.ANSWERED
+                        && result.body()
+                                .flatMap(ResponseBody::evidence)
+                                .filter(e -> !e.isWhole())
+                                .isPresent();
+        return isSentUnstated && doubtfulEnd.isOfUnknownLength();
+    }
+
     /** Returns whether the route permits another attempt. */
     boolean permitsAttempt() {
         if (!lastOutcome.isRetryable() || doubtfulEnd.isConfirmed()) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -219,9 +219,6 @@
             throw new EndJudge.IncompleteBodyException(EndEvidence.LONGER_COPY);
         }
         judge.checkMayBeTold(end.evidence(), body.checksum().length(), callerResponse.statesEnd());
-        if (attempt.endInDoubt() && !body.end().isStated()) {
-            attempt.recordLongBody();
-        }
         finish(head, new byte[0]);
         return Optional.empty();
     }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
@@ -57,9 +57,11 @@
 
     private static void endWithBody(
             RetryPolicy policy, int number, AttemptResult result, EndEvidence evidence) {
-        ResponseBody body =
-                new ResponseBody(BodyEnd.CONNECTION, 0, Optional.of(evidence), RouteResponses.NONE);
-        policy.recordAttempt(target(number), result.withBody(body));
+        policy.recordAttempt(target(number), result.withBody(body(evidence)));
+    }
+
+    private static ResponseBody body(EndEvidence evidence) {
+        return new ResponseBody(BodyEnd.CONNECTION, 0, Optional.of(evidence), RouteResponses.NONE);
     }
 
     private static AttemptResult unsent(String body) {
@@ -137,6 +139,32 @@
     final class EndsInDoubt {
         private static final String BODY = "a body that repeats itself";
 
+        private static AttemptResult result(AttemptOutcome outcome) {
+            return AttemptResult.of(outcome, OptionalLong.empty(), "");
+        }
+
+        private static boolean confirmsLongBody(AttemptResult first, EndEvidence evidence) {
+            RetryPolicy policy = policy(RouteKind.IDEMPOTENT, false, 2);
+            endWithBody(policy, 1, first, evidence);
+            AttemptResult second =
+                    result(AttemptOutcome.ANSWERED).withBody(body(EndEvidence.ORDERLY_CLOSE));
+            policy.recordAttempt(target(2), second);
+            return policy.confirmsLongBody(second);
+        }
+
+        /** Guards against a question about each long body of a service that states no ends. */
+        @Test
+        void longBodyAfterAnotherLongOneIsUsual() {
+            AttemptResult unread = result(AttemptOutcome.UNCONFIRMED);
+            assertTrue(confirmsLongBody(unread, EndEvidence.UNKNOWN_LENGTH));
+        }
+
+        /** Guards against junk that counts as usual because it follows a short body in doubt. */
+        @Test
+        void longBodyAfterAShortOneIsNotUsual() {
+            assertFalse(confirmsLongBody(unsent(BODY), EndEvidence.ORDERLY_CLOSE));
+        }
+
         /** Guards against a third target that is asked although two have agreed. */
         @Test
         void confirmedResponseIsNotAskedForAgain() {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -61,6 +61,7 @@
     private final EventLog log = EventLog.start(new ByteArrayOutputStream());
     private final StatedEnds statedEnds = new StatedEnds(ticker);
     private OptionalLong resumeAfter = OptionalLong.empty();
+    private boolean endInDoubt;
     private boolean hasOtherTarget = true;
     private TargetServer server;
     private Target target;
@@ -151,7 +152,7 @@
                         Deadline.after(limit, ticker),
                         Optional.empty(),
                         resumeAfter,
-                        false,
+                        endInDoubt,
                         hasOtherTarget,
                         false,
                         statedEnds,
@@ -523,6 +524,15 @@
                     .outcome();
         }
 
+        /** Guards against junk that is passed on because it followed another doubt once. */
+        @Test
+        void isAskedForAgainAfterAnotherDoubt() {
+            endInDoubt = true;
+            assertEquals(AttemptOutcome.ANSWERED, read());
+            endInDoubt = false;
+            assertEquals(AttemptOutcome.UNCONFIRMED, read());
+        }
+
         /** Guards against sound bodies that a service with one target can never deliver. */
         @Test
         void isPassedOnWhereNoOtherTargetCanBeAsked() {
