--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -293,6 +293,12 @@
                 Optional.of(admitted.route().targetLatency()));
     }
 
+    private boolean hasOtherTarget(Target target, RetryPolicy policy) {
+        return directory.targets(target.entry().service()).stream()
+                .map(Target::id)
+                .anyMatch(id -> !id.equals(target.id()) && !policy.tried().contains(id));
+    }
+
     private boolean attempt(
             Request request,
             Admission.AdmittedRequest admitted,
@@ -320,6 +326,7 @@
                         responseTimeout,
                         policy.lastEvent(),
                         policy.endInDoubt(),
+                        hasOtherTarget(target, policy),
                         policy.needsNewConnection(),
                         statedEnds,
                         target.startWaiting(decision.work()),
@@ -330,6 +337,9 @@
             AttemptResult result = gateway.attempt(attempt, response);
             outcome = result.outcome();
             policy.recordAttempt(target, result);
+            if (policy.confirmsLongBody(result)) {
+                statedEnds.recordLongBody(target.entry().service(), route.id());
+            }
             CapacityGate.record(result, slot);
             crashDetector.attemptEnded(request, target, result, startedAt);
             Duration took = Duration.ofNanos(ticker.nanos() - startedAt);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/DoubtfulEnd.java
@@ -87,6 +87,16 @@
         kept = Optional.empty();
     }
 
+    /** Returns whether two targets have agreed, so that no other needs to be asked. */
+    boolean isConfirmed() {
+        return kept.map(r -> r.evidence().isWhole()).orElse(false);
+    }
+
+    /** Returns whether a long body was not read to its end, because nothing was known of it. */
+    boolean isOfUnknownLength() {
+        return kept.map(r -> r.evidence() == EndEvidence.UNKNOWN_LENGTH).orElse(false);
+    }
+
     /** Returns whether an end is in doubt. */
     boolean isPresent() {
         return kept.isPresent();
