--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -143,10 +143,11 @@
                         request,
                         deadline,
                         random);
-        Optional<Refusal> refusal = versions.findOrigin(directory.targets(admitted.service().id()));
-        if (refusal.isPresent()) {
-            Duration retryAfter = refusal.get().retryDelay();
-            requestEnd.refuse(request, route, refusal.get(), retryAfter, response);
+        Optional<Refusal> obstacle =
+                versions.findOrigin(directory.targets(admitted.service().id()));
+        if (obstacle.isPresent()) {
+            Duration retryAfter = obstacle.get().retryDelay();
+            requestEnd.refuse(request, route, obstacle.get(), retryAfter, response);
             return;
         }
         try (Ticket ticket = capacity.enter(admitted, deadline)) {
