Take a repeat from the whole budget where a doubt alone loses the read

Reads that get 502 without a second response (a body written twice, a long one of unknown length, an unstated end where ends are stated) were repeated only from the 0.6 of the retry budget that is for confirmations, so they failed while retries for failed requests were left. A response in doubt that the caller gets anyway is still confirmed from that part only.

RetryPolicyTest.responseThatIsNotToldAloneCountsAsFailed failed before, with the decision moved to RetryPolicy unchanged; 267 tests of the packages below dispatch pass.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -215,7 +215,7 @@
     }
 
     private boolean takeRetry(RetryPolicy policy, RetryShare retryShare) {
-        return policy.endInDoubt()
+        return policy.nextOnlyConfirms(statedEnds)
                 ? retryShare.tryConfirmation(fleetShare.get())
                 : retryShare.tryRetry(fleetShare.get());
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
@@ -65,6 +65,14 @@
         return doubtfulEnd.isPresent();
     }
 
+    /**
+     * Returns whether the next attempt only confirms a response, which the caller gets without it,
+     * too.
+     */
+    boolean nextOnlyConfirms(StatedEnds statedEnds) {
+        return toldEnd(statedEnds) != ToldEnd.BROKEN;
+    }
+
     /** Returns how an end in doubt is told; {@link ToldEnd#BROKEN} if there is none. */
     ToldEnd toldEnd(StatedEnds statedEnds) {
         return doubtfulEnd.toldEnd(route, statedEnds);
--- a/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
@@ -165,6 +165,27 @@
             assertFalse(confirmsLongBody(unsent(BODY), EndEvidence.ORDERLY_CLOSE));
         }
 
+        private static boolean nextOnlyConfirms(AttemptResult first, EndEvidence evidence) {
+            RetryPolicy policy = policy(RouteKind.IDEMPOTENT, false, 2);
+            endWithBody(policy, 1, first, evidence);
+            return policy.nextOnlyConfirms(new StatedEnds(new VirtualTicker()));
+        }
+
+        /** Guards against reads that are lost while retries of failed requests are left. */
+        @Test
+        void responseThatIsNotToldAloneCountsAsFailed() {
+            AttemptResult unread = result(AttemptOutcome.UNCONFIRMED);
+            assertFalse(nextOnlyConfirms(unread, EndEvidence.UNKNOWN_LENGTH));
+            assertFalse(nextOnlyConfirms(unsent(BODY), EndEvidence.REPEATED_BODY));
+        }
+
+        /** Guards against confirmations that use up the retries of failed requests. */
+        @Test
+        void responseThatIsToldAloneIsOnlyConfirmed() {
+            assertTrue(nextOnlyConfirms(unsent(BODY), EndEvidence.UNUSUAL_STATED_SIZE));
+            assertTrue(nextOnlyConfirms(unsent(BODY), EndEvidence.ORDERLY_CLOSE));
+        }
+
         /** Guards against a third target that is asked although two have agreed. */
         @Test
         void confirmedResponseIsNotAskedForAgain() {
