Use one class for tasks that wait for a signal

Quarantine, FleetMembership, PeerTask and ShardTask each kept a semaphore and the same lines to wait on it, to drain it and to keep the interrupt status. Signal does this once. No behaviour changes.

SignalTest, QuarantineTest and FleetMembershipTest pass.

--- a/admission/src/main/java/org/godwithoist/admission/PeerTask.java
+++ b/admission/src/main/java/org/godwithoist/admission/PeerTask.java
@@ -5,10 +5,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.task.Await;
+import org.godwithoist.core.task.Signal;
 
 /**
  * Exchanges messages with one peer, one round trip at a time. Each exchange carries the reports and
@@ -35,7 +34,7 @@
     private final Collection<ShardTask> shards;
     private final AdmissionPeers peers;
     private final AdmissionTiming timing;
-    private final Semaphore wake = new Semaphore(0);
+    private final Signal wake = new Signal();
     private volatile boolean closed;
 
     PeerTask(
@@ -95,22 +94,17 @@
     }
 
     private void park(Duration timeout) {
-        try {
-            if (wake.tryAcquire(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
-                wake.drainPermits();
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        if (!wake.await(timeout)) {
             closed = true;
         }
     }
 
     void wake() {
-        wake.release();
+        wake.raise();
     }
 
     void close() {
         closed = true;
-        wake.release();
+        wake.raise();
     }
 }
--- a/admission/src/main/java/org/godwithoist/admission/ShardTask.java
+++ b/admission/src/main/java/org/godwithoist/admission/ShardTask.java
@@ -8,13 +8,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.task.AwaitTimeoutException;
+import org.godwithoist.core.task.Signal;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.ConditionFailedException;
 import org.godwithoist.store.OutcomeUnknownException;
@@ -44,7 +43,7 @@
     private final AdmissionPeers peers;
     private final Consumer<HostId> ownerListener;
     private final SlotCache cache;
-    private final Semaphore wake = new Semaphore(0);
+    private final Signal wake = new Signal();
 
     private final ReentrantLock lock = new ReentrantLock();
     private final ShardLease lease;
@@ -106,13 +105,7 @@
     }
 
     private void park() {
-        try {
-            long interval = timing.reportInterval().dividedBy(STEPS_PER_REPORT_INTERVAL).toNanos();
-            if (wake.tryAcquire(interval, TimeUnit.NANOSECONDS)) {
-                wake.drainPermits();
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+        if (!wake.await(timing.reportInterval().dividedBy(STEPS_PER_REPORT_INTERVAL))) {
             closed = true;
         }
     }
@@ -157,7 +150,7 @@
 
     void close() {
         closed = true;
-        wake.release();
+        wake.raise();
     }
 
     // ---- lease
@@ -367,7 +360,7 @@
         } finally {
             lock.unlock();
         }
-        wake.release();
+        wake.raise();
     }
 
     boolean holdsLease() {
@@ -439,7 +432,7 @@
         reportImmediately = true;
         Optional<HostId> peer = owner();
         if (peer.isEmpty()) {
-            wake.release();
+            wake.raise();
         }
         return peer;
     }
@@ -472,7 +465,7 @@
                 cache.setEpoch(response.epoch());
                 return;
             }
-            wake.release();
+            wake.raise();
             return;
         }
         cache.onResponse(report, response);
--- a/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
+++ b/membership/src/main/java/org/godwithoist/membership/FleetMembership.java
@@ -9,14 +9,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import org.godwithoist.core.error.ErrorCode;
 import org.godwithoist.core.error.RequestException;
 import org.godwithoist.core.error.RunState;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.OperatorName;
+import org.godwithoist.core.task.Signal;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
@@ -33,7 +32,7 @@
     /** Minimum delay between two rounds with a peer, unless an order wakes the task. */
     private static final Duration MIN_ROUND_DELAY = Duration.ofMillis(100);
 
-    private record PeerTask(Thread thread, Semaphore wakeup) {}
+    private record PeerTask(Thread thread, Signal wakeup) {}
 
     private final MembershipConfig config;
     private final OrderStore store;
@@ -45,7 +44,7 @@
     private final HostListRefresher hostListRefresher;
     private final Map<HostId, PeerTask> peerTasks = new ConcurrentHashMap<>();
     private final Map<HostId, ContactState> loggedContactStates = new HashMap<>();
-    private final Semaphore storeWakeup = new Semaphore(0);
+    private final Signal storeWakeup = new Signal();
     private volatile boolean storeAvailable = true;
     private volatile Set<HostId> exchangePartners = Set.of();
     private volatile boolean stopping;
@@ -167,8 +166,8 @@
         Order order = orders.issue(subject, state, operator);
         long revision = orders.snapshot().revision();
         LOG.atInfo().log("%s ordered %s %s", operator, subject, state.wireName());
-        peerTasks.values().forEach(t -> t.wakeup().release());
-        storeWakeup.release();
+        peerTasks.values().forEach(t -> t.wakeup().raise());
+        storeWakeup.raise();
         var pending = rounds.awaitAcknowledgements(revision, config.ackTimeout());
         var winner = orders.find(subject).filter(o -> o.supersedes(order));
         List<HostId> unacknowledged = pending.members().stream().sorted().toList();
@@ -194,7 +193,7 @@
      */
     private void wakePeerTasksOnChange() {
         if (members.layout().hasMultipleGroups()) {
-            peerTasks.values().forEach(t -> t.wakeup().release());
+            peerTasks.values().forEach(t -> t.wakeup().raise());
         }
     }
 
@@ -214,11 +213,11 @@
     }
 
     private PeerTask startPeerTask(HostId host) {
-        Semaphore wakeup = new Semaphore(0);
+        Signal wakeup = new Signal();
         return new PeerTask(Tasks.start("peer-" + host, () -> runPeerTask(host, wakeup)), wakeup);
     }
 
-    private void runPeerTask(HostId host, Semaphore wakeup) {
+    private void runPeerTask(HostId host, Signal wakeup) {
         // The first delay is random to spread the rounds of the peers evenly over time.
         Duration delay =
                 Duration.ofNanos(
@@ -270,7 +269,7 @@
      * Waits for the next round. A wakeup for a new order is ignored if the peer already holds the
      * order.
      */
-    private boolean awaitNextRound(Semaphore wakeup, Duration time, HostId host) {
+    private boolean awaitNextRound(Signal wakeup, Duration time, HostId host) {
         long deadline = System.nanoTime() + time.toNanos();
         while (true) {
             Duration remaining = Duration.ofNanos(Math.max(0, deadline - System.nanoTime()));
@@ -299,16 +298,8 @@
         }
     }
 
-    private boolean awaitNextRound(Semaphore wakeup, Duration time) {
-        try {
-            if (wakeup.tryAcquire(time.toNanos(), TimeUnit.NANOSECONDS)) {
-                wakeup.drainPermits();
-            }
-            return !stopping;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+    private boolean awaitNextRound(Signal wakeup, Duration time) {
+        return wakeup.await(time) && !stopping;
     }
 
     private void logContactChange(HostId host) {
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -9,11 +9,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.Collectors;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Signal;
 import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.targets.PrefixKey;
@@ -41,7 +40,7 @@
     private final LongAdder observedCrashes = new LongAdder();
 
     /** Has a permit if the task that saves evidence may have something to do. */
-    private final Semaphore saves = new Semaphore(0);
+    private final Signal saves = new Signal();
 
     private volatile List<QuarantinedSet> quarantined = List.of();
 
@@ -55,7 +54,7 @@
     private final Set<SuspectId> ownRows = new HashSet<>();
 
     /** Has a permit if this daemon has observed something since the last one was taken. */
-    private final Semaphore observations = new Semaphore(0);
+    private final Signal observations = new Signal();
 
     private final WaitingRequests waitingRequests =
             new WaitingRequests(ids -> remaining(ids).isPresent());
@@ -159,8 +158,8 @@
         after.retainAll(suspectIds);
         unsaved.addAll(before);
         unsaved.addAll(after);
-        saves.release();
-        observations.release();
+        saves.raise();
+        observations.raise();
     }
 
     private Set<SuspectId> quarantinedIds() {
@@ -187,19 +186,7 @@
      * @return false if the task was interrupted and should end; its interrupt status is set
      */
     public boolean awaitObservation(Duration timeout) {
-        return await(observations, timeout);
-    }
-
-    private static boolean await(Semaphore signal, Duration timeout) {
-        try {
-            if (signal.tryAcquire(timeout.toNanos(), TimeUnit.NANOSECONDS)) {
-                signal.drainPermits();
-            }
-            return true;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+        return observations.await(timeout);
     }
 
     /** Adds what another daemon knows; returns whether something was new. */
@@ -227,7 +214,7 @@
         if (suspect.isAnswered() && !evidence.answered()) {
             // The sender may be about to refuse a request that targets have responded to.
             suspect.announceAgain(now);
-            observations.release();
+            observations.raise();
         }
         for (Map.Entry<CrashId, CrashReport> e : evidence.crashes().entrySet()) {
             CrashReport crash = e.getValue();
@@ -245,7 +232,7 @@
         Set<SuspectId> released = new HashSet<>(ownRows);
         released.removeAll(quarantinedIds());
         if (unsaved.addAll(released)) {
-            saves.release();
+            saves.raise();
         }
     }
 
@@ -267,12 +254,12 @@
      * @return false if the task was interrupted and should end; its interrupt status is set
      */
     boolean awaitUnsaved(Duration timeout) {
-        return await(saves, timeout);
+        return saves.await(timeout);
     }
 
     /** Ends the wait of the task that saves evidence. */
     void wakeSavingTask() {
-        saves.release();
+        saves.raise();
     }
 
     /** Returns the suspects whose stored evidence this daemon must write or remove, once. */
