Reproduce take-ups at a daemon that does not know the second version

A daemon that loses the store before the second version of a service appears takes each stream for one of the only version that it knows. Its callers get 200 and a text of two versions.

--- a/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
 import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.net.BlackholeProxy;
 import org.godwithoist.core.net.LoopbackPorts;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.standins.edge.ConfigText;
@@ -47,6 +48,7 @@
         private final Path dir;
         private final int port = LoopbackPorts.next();
         private final int readyPort = LoopbackPorts.next();
+        private final BlackholeProxy storeLink = new BlackholeProxy(store.endpoint());
         private Optional<DaemonProcess> process = Optional.empty();
 
         Daemon(String name, Path parent) throws IOException {
@@ -55,7 +57,7 @@
         }
 
         void start(boolean firstStart) throws IOException {
-            String settings = EdgeSettingsText.of(name, port, readyPort, store.endpoint());
+            String settings = EdgeSettingsText.of(name, port, readyPort, storeLink.endpoint());
             process =
                     Optional.of(
                             new DaemonProcess(
@@ -67,6 +69,11 @@
         void kill() {
             process.ifPresent(DaemonProcess::close);
         }
+
+        void close() throws IOException {
+            kill();
+            storeLink.close();
+        }
     }
 
     final RowStoreStandin store = new RowStoreStandin();
@@ -127,6 +134,11 @@
         Tasks.sleep(SETTLING_TIME);
     }
 
+    /** Cuts a daemon off from the store, without a sign to either of them. */
+    void cutOffFromStore(int index) {
+        daemons.get(index).storeLink.setLinkDown(true);
+    }
+
     /** Kills all daemons at once. */
     void killDaemons() {
         daemons.forEach(Daemon::kill);
@@ -174,6 +186,24 @@
         return streams;
     }
 
+    /** Begins a stream at a daemon and waits until some events have arrived. */
+    StreamCaller beginStream(String name, int index) throws IOException {
+        StreamCaller stream = new StreamCaller(name);
+        stream.begin(daemon(index));
+        stream.receiveEvents(2);
+        return stream;
+    }
+
+    /** Takes streams up again at one daemon and receives their rest. */
+    void takeUpAt(int index, List<StreamCaller> streams) throws IOException {
+        for (StreamCaller s : streams) {
+            s.takeUp(daemon(index));
+        }
+        for (StreamCaller s : streams) {
+            s.receiveRest();
+        }
+    }
+
     /** Takes streams up again, each at the next daemon, and receives their rest. */
     void takeUp(List<StreamCaller> streams) throws IOException {
         for (int i = 0; i < streams.size(); i++) {
@@ -230,7 +260,9 @@
 
     @Override
     public void close() throws IOException {
-        killDaemons();
+        for (Daemon d : daemons) {
+            d.close();
+        }
         for (RunnerStandin t : targets) {
             t.close();
         }
--- a/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
@@ -171,6 +171,42 @@
         }
     }
 
+    /** Scenario: a daemon is cut off from the store before the second version appears. */
+    @Nested
+    final class DaemonCutOffFromTheStore {
+        /** Guards against the claim that there is one version by a daemon that cannot know. */
+        @Test
+        void takesNoStreamForOneOfTheVersionThatItKnows() throws Exception {
+            fleet.settle();
+            fleet.cutOffFromStore(1);
+            fleet.startTargets(StreamFleet.NEW);
+            for (int i = 0; i < STREAMS; i++) {
+                callers.add(fleet.beginStream("begun-" + i, 0));
+            }
+            fleet.settle();
+            leaveAll();
+            fleet.takeUpAt(1, callers);
+            assertNoneJoined();
+            assertTrue(
+                    callers.stream().anyMatch(c -> fleet.versionsOf(c).contains(StreamFleet.NEW)),
+                    "the second version has begun no stream");
+        }
+
+        /** Guards against take-ups that are refused because a daemon has lost the store. */
+        @Test
+        void streamsOfTheOnlyVersionGoOn() throws Exception {
+            fleet.settle();
+            fleet.cutOffFromStore(1);
+            fleet.settle();
+            for (int i = 0; i < STREAMS; i++) {
+                callers.add(fleet.beginStream("begun-" + i, 0));
+            }
+            leaveAll();
+            fleet.takeUpAt(1, callers);
+            assertMostAreWhole(callers);
+        }
+    }
+
     /** Scenario: the version that began the streams has left. */
     @Nested
     final class VersionThatLeft {
--- a/membership/src/test/java/org/godwithoist/membership/wire/GrpcPeerTransportTest.java
+++ b/membership/src/test/java/org/godwithoist/membership/wire/GrpcPeerTransportTest.java
@@ -32,6 +32,7 @@
 import java.util.function.UnaryOperator;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.HostId;
+import org.godwithoist.core.net.BlackholeProxy;
 import org.godwithoist.core.task.Await;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.membership.PeerTransport.Method;
