Tell daemons that lost the store of further versions

Callers of a daemon that had lost the store before a second version appeared got a text of two versions: the daemon took each stream for one of the only version that it knew, with no evidence of the time since.

Daemons tell each other which versions serve beside each other: at once when the versions of their targets change, and each second while a service has several (VersionSender, VersionMessage). Nothing is sent while each service has one version. A daemon that hears neither the store nor another daemon claims no only version; it refuses such take-ups as not run.

LoadExchangeTest shows the way over the leaders of two failure domains.

--- a/edge/src/main/java/org/godwithoist/edge/FeedLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/FeedLog.java
@@ -1,13 +1,17 @@
 package org.godwithoist.edge;
 
+import java.time.Duration;
 import java.util.LinkedHashMap;
+import java.util.OptionalLong;
 import java.util.SequencedMap;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.time.Ticker;
 import org.godwithoist.platform.FeedStatus;
 
 /**
  * Logs the status of one table's feed and notifies callbacks. Outages are logged once each. Used by
- * the task of the feed; {@link #isLoaded()} may be called by any task.
+ * the task of the feed; {@link #isLoaded()} and {@link #hasRespondedWithin} may be called by any
+ * task.
  */
 final class FeedLog implements FeedStatus {
     /** Maximum number of malformed rows whose last reason is remembered. */
@@ -17,21 +21,26 @@
     private final String table;
     private final Runnable onTableRead;
     private final Runnable onRecovered;
+    private final Ticker ticker;
     private volatile boolean loaded;
     private final SequencedMap<String, String> reportedRows = new LinkedHashMap<>();
     private volatile boolean unavailable;
 
+    /** Instant of the last response, in nanoseconds; empty before the first. */
+    private volatile OptionalLong respondedAt = OptionalLong.empty();
+
     /**
      * Creates a feed log.
      *
      * @param onTableRead called after the complete table was read
      * @param onRecovered called when the store responds again after an outage
      */
-    FeedLog(EventLog log, String table, Runnable onTableRead, Runnable onRecovered) {
+    FeedLog(EventLog log, String table, Runnable onTableRead, Runnable onRecovered, Ticker ticker) {
         this.log = log;
         this.table = table;
         this.onTableRead = onTableRead;
         this.onRecovered = onRecovered;
+        this.ticker = ticker;
     }
 
     /** Returns whether the complete table was read at least once. */
@@ -39,6 +48,12 @@
         return loaded;
     }
 
+    /** Returns whether the store, or the leader, has responded within a time. */
+    boolean hasRespondedWithin(Duration time) {
+        OptionalLong last = respondedAt;
+        return last.isPresent() && ticker.nanos() - last.getAsLong() <= time.toNanos();
+    }
+
     @Override
     public void tableRead() {
         loaded = true;
@@ -48,6 +63,7 @@
 
     @Override
     public void storeAvailable() {
+        respondedAt = OptionalLong.of(ticker.nanos());
         if (unavailable) {
             unavailable = false;
             log.event("store_back").with("table", table).write();
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -86,8 +86,19 @@
         this.dependencies = dependencies;
         EventLog log = dependencies.log();
         operatorFeed =
-                new FeedLog(log, "operator", dependencies.onTableRead(), this::refreshTargets);
-        targetFeed = new FeedLog(log, "targets", dependencies.onTableRead(), () -> {});
+                new FeedLog(
+                        log,
+                        "operator",
+                        dependencies.onTableRead(),
+                        this::refreshTargets,
+                        dependencies.ticker());
+        targetFeed =
+                new FeedLog(
+                        log,
+                        "targets",
+                        dependencies.onTableRead(),
+                        () -> {},
+                        dependencies.ticker());
         orders =
                 dependencies
                         .rollout()
@@ -103,6 +114,16 @@
         return targetFeed.isLoaded();
     }
 
+    /**
+     * Returns whether changes in the store reach this daemon. The operator's table shows it, since
+     * its requests wait for a short time only; the one for the targets may wait unnoticed on a link
+     * that is down.
+     */
+    boolean isInTouch() {
+        Duration maxAge = relayTiming().maxPropagationDelay().plus(OPERATOR_MAX_WAIT);
+        return operatorFeed.hasRespondedWithin(maxAge);
+    }
+
     /** Returns the number of orders to roll out a version that could not be used. */
     long rejectedOrders() {
         return orders.rejectedRows();
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -20,16 +20,17 @@
 import org.godwithoist.overload.OverloadControl;
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.rollout.fleet.RolloutReports;
+import org.godwithoist.streams.RecordedOrigins;
 import org.godwithoist.targets.FleetWork;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.TargetDirectory;
 
 /**
  * Reports this daemon's requests in progress, the prompt prefixes that engines have cached for it,
- * the evidence against suspects, the work of targets and the demand for full services to other
- * daemons, and applies what they send. Uses one sending task for each receiving daemon, one each
- * for evidence, work and demand, one receiving task, and one task that refreshes the plan.
- * Thread-safe.
+ * the evidence against suspects, the work of targets, the demand for full services and the versions
+ * of services to other daemons, and applies what they send. Uses one sending task for each
+ * receiving daemon, one each for evidence, work, demand and versions, one receiving task, and one
+ * task that refreshes the plan. Thread-safe.
  */
 public final class LoadExchange implements Closeable {
     private static final Duration PLAN_REFRESH_INTERVAL = Duration.ofSeconds(1);
@@ -53,6 +54,7 @@
             Quarantine quarantine,
             OverloadControl overload,
             Optional<RolloutReports> rollouts,
+            RecordedOrigins origins,
             Supervisor supervisor,
             EventLog log,
             Ticker ticker) {}
@@ -62,6 +64,7 @@
     private final EvidenceSender evidenceSender;
     private final WorkSender workSender;
     private final DemandSender demandSender;
+    private final VersionSender versionSender;
     private final AtomicLong sequence = new AtomicLong();
     private final Map<HostId, Peer> peers = new ConcurrentHashMap<>();
     private final Set<HostId> activeSenders = ConcurrentHashMap.newKeySet();
@@ -97,6 +100,13 @@
                         this::demandReceivers,
                         dependencies.transport(),
                         dependencies.log());
+        versionSender =
+                new VersionSender(
+                        dependencies.self(),
+                        dependencies.origins(),
+                        this::receiverAddresses,
+                        dependencies.transport(),
+                        dependencies.log());
     }
 
     /** Starts the tasks. */
@@ -106,6 +116,7 @@
         dependencies.supervisor().start("peers-evidence", evidenceSender::run);
         dependencies.supervisor().start("peers-work", workSender::run);
         dependencies.supervisor().start("peers-demand", demandSender::run);
+        dependencies.supervisor().start("peers-versions", versionSender::run);
         dependencies.rollouts().ifPresent(this::startRolloutSender);
     }
 
@@ -132,6 +143,12 @@
         updatePlan();
     }
 
+    /** Returns whether a message of another daemon has arrived within the last seconds. */
+    public boolean hearsOthers() {
+        long now = dependencies.ticker().nanos();
+        return peers.values().stream().anyMatch(p -> p.isRecentlyActive(now));
+    }
+
     /** Returns whether this daemon leads its failure domain. */
     public boolean isLeader() {
         return plan.isLeader();
@@ -301,6 +318,7 @@
             case WorkMessage work -> applyWork(work);
             case DemandMessage demand -> applyDemand(demand);
             case RolloutMessage rollout -> applyRollout(rollout);
+            case VersionMessage version -> applyVersion(version);
         }
     }
 
@@ -335,6 +353,14 @@
                 .ifPresent(r -> r.receive(message.sender(), message.domain(), message.report()));
     }
 
+    /** Adds a version that another daemon knows; a leader passes on what is new at once. */
+    private void applyVersion(VersionMessage message) {
+        boolean isNews = dependencies.origins().merge(message.sighting());
+        if (isNews && plan.isLeader()) {
+            versionSender.send();
+        }
+    }
+
     private void applyReport(LoadMessage message) {
         if (peers.get(message.sender()).recordIncarnation(message.report().incarnation())) {
             dependencies.directory().announceLeavingAgain();
--- a/peers/src/main/java/org/godwithoist/peers/PeerMessage.java
+++ b/peers/src/main/java/org/godwithoist/peers/PeerMessage.java
@@ -5,7 +5,12 @@
 
 /** A message between daemons. */
 public sealed interface PeerMessage
-        permits LoadMessage, EvidenceMessage, WorkMessage, DemandMessage, RolloutMessage {
+        permits LoadMessage,
+                EvidenceMessage,
+                WorkMessage,
+                DemandMessage,
+                RolloutMessage,
+                VersionMessage {
     /** Returns the host of the sending daemon. */
     HostId sender();
 
--- a/peers/src/main/java/org/godwithoist/peers/wire/PeerCodec.java
+++ b/peers/src/main/java/org/godwithoist/peers/wire/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.peers.PeerMessage;
 import org.godwithoist.peers.RolloutMessage;
+import org.godwithoist.peers.VersionMessage;
 import org.godwithoist.peers.WorkMessage;
 import org.godwithoist.quarantine.SuspectEvidence;
 import org.godwithoist.quarantine.wire.EvidenceCodec;
@@ -43,6 +44,7 @@
             case WorkMessage work -> WorkCodec.encode(work);
             case DemandMessage demand -> DemandCodec.encode(demand);
             case RolloutMessage rollout -> encodeRollout(rollout);
+            case VersionMessage version -> VersionCodec.encode(version);
         };
     }
 
@@ -81,6 +83,7 @@
             case WORK -> WorkCodec.decode(bytes, length);
             case DemandCodec.TYPE -> DemandCodec.decode(bytes, length);
             case ROLLOUT -> decodeRollout(bytes, length);
+            case VersionCodec.TYPE -> VersionCodec.decode(bytes, length);
             default -> LoadCodec.decode(bytes, length);
         };
     }
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -34,6 +34,12 @@
 import org.godwithoist.overload.ServiceStatus;
 import org.godwithoist.quarantine.Quarantine;
 import org.godwithoist.quarantine.SuspectId;
+import org.godwithoist.streams.OriginStore;
+import org.godwithoist.streams.RecordedOrigins;
+import org.godwithoist.streams.ServedRecord;
+import org.godwithoist.streams.ServedRow;
+import org.godwithoist.streams.StreamId;
+import org.godwithoist.streams.StreamOrigin;
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.FleetShare;
 import org.godwithoist.targets.FleetWork;
@@ -45,6 +51,7 @@
 import org.godwithoist.targets.RateLimit;
 import org.godwithoist.targets.RateStatement;
 import org.godwithoist.targets.RequestWork;
+import org.godwithoist.targets.SoftwareVersion;
 import org.godwithoist.targets.Target;
 import org.godwithoist.targets.TargetDirectory;
 import org.godwithoist.targets.TargetEntry;
@@ -130,9 +137,43 @@
             FleetWork work,
             Quarantine quarantine,
             OverloadControl overload,
+            RecordedOrigins origins,
             LoadExchange exchange,
             InMemoryTransport transport) {}
 
+    /** A store that no daemon reaches. */
+    private static final class UnreachableOriginStore implements OriginStore {
+        private static IOException failure() {
+            return new IOException("unreachable");
+        }
+
+        @Override
+        public void save(List<BegunStream> begun, List<StreamId> expired) throws IOException {
+            throw failure();
+        }
+
+        @Override
+        public Optional<StreamOrigin> find(StreamId stream) throws IOException {
+            throw failure();
+        }
+
+        @Override
+        public String removeExpired(String fromKey) throws IOException {
+            throw failure();
+        }
+
+        @Override
+        public ServedRow readServed(ServiceId service) throws IOException {
+            throw failure();
+        }
+
+        @Override
+        public boolean writeServed(ServiceId service, ServedRecord record, long expectedVersion)
+                throws IOException {
+            throw failure();
+        }
+    }
+
     private final Network network = new Network();
     private final Map<HostId, Daemon> daemons = new HashMap<>();
     private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
@@ -156,6 +197,8 @@
         }
         Quarantine quarantine = new Quarantine(log, Ticker.SYSTEM);
         OverloadControl overload = overloadControl(directory, loads);
+        RecordedOrigins origins =
+                new RecordedOrigins(new UnreachableOriginStore(), () -> true, log, Ticker.SYSTEM);
         InMemoryTransport transport = network.transport(address);
         LoadExchange exchange =
                 new LoadExchange(
@@ -169,6 +212,7 @@
                                 quarantine,
                                 overload,
                                 Optional.empty(),
+                                origins,
                                 new Supervisor((name, cause, backoff) -> {}, Ticker.SYSTEM),
                                 log,
                                 Ticker.SYSTEM));
@@ -182,6 +226,7 @@
                         work,
                         quarantine,
                         overload,
+                        origins,
                         exchange,
                         transport);
         daemons.put(host, daemon);
@@ -234,6 +279,48 @@
         }
     }
 
+    @Nested
+    final class SeveralVersions {
+        private static TargetEntry entry(String version) {
+            return new TargetEntry(
+                    new TargetId("target-" + version),
+                    SERVICE.id(),
+                    new Endpoint("10.0.1.2", 80),
+                    NORTH,
+                    64,
+                    false,
+                    Duration.ZERO,
+                    1,
+                    Optional.of(new SoftwareVersion(version)));
+        }
+
+        /** Guards against a daemon without the store that never hears of the second version. */
+        @Test
+        void reachDaemonsThatKnowOne() {
+            Daemon informed = startDaemon(1, 0);
+            Daemon other = startDaemon(2, 0);
+            distributeMemberList();
+            other.origins().setTargets(List.of(entry("v1")));
+            informed.origins().setTargets(List.of(entry("v1"), entry("v2")));
+            await(() -> other.origins().sightings().size() == 2);
+            assertTrue(other.exchange().hearsOthers());
+        }
+
+        /** Guards against versions that leaders do not pass on. */
+        @Test
+        void reachMembersOfAnotherDomain() {
+            Daemon informed = startDaemon(1, 0);
+            for (int i = 2; i < 20; i++) {
+                startDaemon(i, 0, i < 10 ? NORTH : SOUTH);
+            }
+            Daemon last = startDaemon(20, 0, SOUTH);
+            daemons.values().forEach(d -> d.origins().setTargets(List.of(entry("v1"))));
+            distributeMemberList();
+            informed.origins().setTargets(List.of(entry("v1"), entry("v2")));
+            await(() -> last.origins().sightings().size() == 2);
+        }
+    }
+
     @Nested
     final class FullServices {
         private boolean isLimitedByDemand(Daemon d) {
--- a/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecFuzzTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecFuzzTest.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.godwithoist.catalog.RouteId;
@@ -25,6 +26,7 @@
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.peers.PeerMessage;
 import org.godwithoist.peers.RolloutMessage;
+import org.godwithoist.peers.VersionMessage;
 import org.godwithoist.peers.WorkMessage;
 import org.godwithoist.quarantine.CrashId;
 import org.godwithoist.quarantine.CrashReport;
@@ -40,9 +42,12 @@
 import org.godwithoist.rollout.fleet.RolloutReport;
 import org.godwithoist.rollout.fleet.ServiceKey;
 import org.godwithoist.rollout.fleet.Statement;
+import org.godwithoist.streams.StreamOrigin;
+import org.godwithoist.streams.VersionSighting;
 import org.godwithoist.targets.CachedPrefix;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.PrefixKey;
+import org.godwithoist.targets.SoftwareVersion;
 import org.godwithoist.targets.TargetIncarnation;
 import org.godwithoist.targets.TargetKey;
 import org.godwithoist.targets.TokenWork;
@@ -58,15 +63,28 @@
     private static final FailureDomainId DOMAIN = new FailureDomainId("north");
 
     private static PeerMessage message(SplittableRandom random) {
-        return switch (random.nextInt(6)) {
+        return switch (random.nextInt(7)) {
             case 0 -> evidence(random);
             case 1 -> work(random);
             case 2 -> demand(random);
             case 3 -> rollout(random);
+            case 4 -> version(random);
             default -> load(random);
         };
     }
 
+    private static VersionMessage version(SplittableRandom random) {
+        Optional<SoftwareVersion> version =
+                random.nextBoolean()
+                        ? Optional.empty()
+                        : Optional.of(new SoftwareVersion("v" + random.nextInt(100)));
+        Duration age = Duration.ofMillis(random.nextInt(1_000_000));
+        return new VersionMessage(
+                SENDER,
+                DOMAIN,
+                new VersionSighting(new ServiceId("s"), new StreamOrigin(version), age));
+    }
+
     private static RolloutMessage rollout(SplittableRandom random) {
         Evidence evidence = Evidence.NONE;
         for (int i = random.nextInt(Evidence.MAX_ROUTES); i > 0; i--) {
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -11,9 +12,11 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.godwithoist.catalog.ServiceId;
 import org.godwithoist.core.log.EventLog;
+import org.godwithoist.core.task.Signal;
 import org.godwithoist.core.time.Durations;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.targets.TargetEntry;
@@ -35,7 +38,9 @@
 
     private final BegunStreams streams;
     private final OriginLookup lookup;
+    private final BooleanSupplier hearsOfVersions;
     private final Ticker ticker;
+    private final Signal versionChanges = new Signal();
     private final Map<ServiceId, ServedVersions> served = new HashMap<>();
     private final Map<OriginSource, LongAdder> found = new EnumMap<>(OriginSource.class);
 
@@ -46,8 +51,12 @@
      * Creates an instance that knows no stream.
      *
      * @param store used for the requests of callers only
+     * @param hearsOfVersions whether this daemon would hear of a new version now, from the store or
+     *     from another daemon
      */
-    public RecordedOrigins(OriginStore store, EventLog log, Ticker ticker) {
+    public RecordedOrigins(
+            OriginStore store, BooleanSupplier hearsOfVersions, EventLog log, Ticker ticker) {
+        this.hearsOfVersions = hearsOfVersions;
         this.ticker = ticker;
         lookup = new OriginLookup(store, log);
         streams = new BegunStreams(ticker);
@@ -93,6 +102,9 @@
         if (!isRowRead(service)) {
             lookup.readServed(service).ifPresent(row -> adopt(service, row));
         }
+        if (!hearsOfVersions.getAsBoolean()) {
+            return Optional.empty();
+        }
         synchronized (this) {
             return served(service).only(streamLife, ticker.nanos());
         }
@@ -123,7 +135,58 @@
         long now = ticker.nanos();
         Set<ServiceId> all = new HashSet<>(served.keySet());
         all.addAll(present.keySet());
-        all.forEach(s -> served(s).setPresent(present.getOrDefault(s, Set.of()), now));
+        boolean changed = false;
+        for (ServiceId s : all) {
+            changed |= served(s).setPresent(present.getOrDefault(s, Set.of()), now);
+        }
+        if (changed) {
+            versionChanges.raise();
+        }
+    }
+
+    // ---- exchange with the other daemons
+
+    /**
+     * Waits until the versions of this daemon's targets change, or for a time.
+     *
+     * @return false if the task was interrupted and should end; its interrupt status is set
+     */
+    public boolean awaitVersionChange(Duration timeout) {
+        return versionChanges.await(timeout);
+    }
+
+    /**
+     * Returns what the other daemons need to know, which may be cut off from the store: the
+     * versions of the services that have several.
+     */
+    public synchronized List<VersionSighting> sightings() {
+        long now = ticker.nanos();
+        List<VersionSighting> sightings = new ArrayList<>();
+        served.forEach(
+                (service, versions) -> {
+                    versions.removeExpiredReports(streamLife, now);
+                    if (versions.areSeveral(streamLife, now)) {
+                        versions.ages(streamLife, now)
+                                .forEach(
+                                        (v, age) ->
+                                                sightings.add(
+                                                        new VersionSighting(service, v, age)));
+                    }
+                });
+        return sightings;
+    }
+
+    /**
+     * Adds what another daemon knows. A service of which this daemon knows no target is left out.
+     *
+     * @return whether the version was not known to this daemon
+     */
+    public synchronized boolean merge(VersionSighting sighting) {
+        ServedVersions versions = served.get(sighting.service());
+        if (versions == null || sighting.age().compareTo(streamLife) > 0) {
+            return false;
+        }
+        return versions.report(sighting.version(), ticker.nanos() - sighting.age().toNanos());
     }
 
     /** Makes all rows be written again, because the store was restored from an older copy. */
--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -29,13 +29,16 @@
     /** A row is not written again for a smaller difference of converted times. */
     private static final long CLOCK_TOLERANCE_MS = 1000;
 
+    /** Maximum number of versions that others have reported; any process can send reports. */
+    private static final int MAX_REPORTED = 100;
+
     private final long discoveredAt;
     private Set<StreamOrigin> present = Set.of();
 
     /** When each version lost the last target that this daemon saw. */
     private final Map<StreamOrigin, Long> leftAt = new HashMap<>();
 
-    /** When each version that this daemon has not seen last had targets, as the row says it. */
+    /** When each version last had targets, as the row or other daemons say. */
     private final Map<StreamOrigin, Long> reportedAt = new HashMap<>();
 
     /** Time from which on no version is missing. */
@@ -52,16 +55,17 @@
         syncAt = OptionalLong.of(now);
     }
 
-    /** Replaces the versions that have targets. */
-    void setPresent(Set<StreamOrigin> versions, long now) {
+    /** Replaces the versions that have targets; returns whether they have changed. */
+    boolean setPresent(Set<StreamOrigin> versions, long now) {
         if (versions.equals(present)) {
-            return;
+            return false;
         }
         present.forEach(v -> leftAt.put(v, now));
         leftAt.keySet().removeAll(versions);
         reportedAt.keySet().removeAll(versions);
         present = Set.copyOf(versions);
         syncAt = OptionalLong.of(now);
+        return true;
     }
 
     /** Makes the row be compared with this, because the store may have lost it. */
@@ -114,11 +118,42 @@
     /** Returns the versions without targets that had some within a time, and when. */
     private Map<StreamOrigin, Long> absent(Duration time, long now) {
         Map<StreamOrigin, Long> absent = new HashMap<>(reportedAt);
-        absent.putAll(leftAt);
+        leftAt.forEach((v, at) -> absent.merge(v, at, Math::max));
         absent.values().removeIf(at -> now - at > time.toNanos());
         return absent;
     }
 
+    /** Returns for each version that has had targets within a time how long ago that was. */
+    Map<StreamOrigin, Duration> ages(Duration time, long now) {
+        Map<StreamOrigin, Duration> ages = new HashMap<>();
+        absent(time, now).forEach((v, at) -> ages.put(v, Duration.ofNanos(now - at)));
+        present.forEach(v -> ages.put(v, Duration.ZERO));
+        return ages;
+    }
+
+    /**
+     * Takes over what another daemon says of a version.
+     *
+     * @param servedAt time at which the version last had targets
+     * @return whether the version was not known to this daemon
+     */
+    boolean report(StreamOrigin version, long servedAt) {
+        if (present.contains(version)) {
+            return false;
+        }
+        boolean isNew = !reportedAt.containsKey(version);
+        if (isNew && reportedAt.size() >= MAX_REPORTED) {
+            return false;
+        }
+        reportedAt.merge(version, servedAt, Math::max);
+        return isNew && !leftAt.containsKey(version);
+    }
+
+    /** Removes the reports of versions that no longer count. */
+    void removeExpiredReports(Duration time, long now) {
+        reportedAt.values().removeIf(at -> now - at > time.toNanos());
+    }
+
     /** Takes over what the row says of the time before this daemon started. */
     void adopt(ServedRow row, long now) {
         rowRead = true;
@@ -134,7 +169,7 @@
                 .forEach(
                         (v, until) -> {
                             if (!present.contains(v) && !leftAt.containsKey(v)) {
-                                reportedAt.put(v, servedAt(until, row, now));
+                                reportedAt.merge(v, servedAt(until, row, now), Math::max);
                             }
                         });
         if (record.era().equals(row.era())) {
--- a/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
+++ b/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
@@ -1,6 +1,7 @@
 package org.godwithoist.streams;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.OutputStream;
@@ -31,7 +32,9 @@
 
     /** A daemon with its task. */
     private final class Daemon {
-        private final RecordedOrigins origins = new RecordedOrigins(store, log, ticker);
+        private boolean hearsOfVersions = true;
+        private final RecordedOrigins origins =
+                new RecordedOrigins(store, () -> hearsOfVersions, log, ticker);
         private final OriginTask task =
                 new OriginTask(origins, store, () -> 8, log, ticker, new SplittableRandom(1));
 
@@ -202,6 +205,71 @@
         }
     }
 
+    /** Scenario: a daemon has lost the store, and others have not. */
+    @Nested
+    final class DaemonWithoutTheStore {
+        private final Daemon daemon = new Daemon("v1");
+        private final Daemon other = new Daemon("v1");
+
+        private void loseTheStore() {
+            pass(Duration.ofMillis(400), daemon, other);
+            store.down = true;
+        }
+
+        private void tell() {
+            other.origins.sightings().forEach(daemon.origins::merge);
+        }
+
+        /** Guards against the claim that there is one version although another daemon knows two. */
+        @Test
+        void believesAnotherDaemonThatThereAreSeveral() {
+            loseTheStore();
+            other.see("v1", "v2");
+            tell();
+            assertEquals(Optional.empty(), daemon.find("unknown"));
+        }
+
+        /** Guards against take-ups that are refused during an outage although nothing changes. */
+        @Test
+        void servesTheOnlyVersionThatAnyoneKnows() {
+            loseTheStore();
+            tell();
+            assertEquals(Optional.of(origin("v1")), daemon.find("unknown"));
+        }
+
+        /** Guards against the same claim by a daemon that nobody could tell. */
+        @Test
+        void doesNotKnowTheOnlyVersionIfItHearsNothing() {
+            loseTheStore();
+            daemon.hearsOfVersions = false;
+            assertEquals(Optional.empty(), daemon.find("unknown"));
+        }
+
+        /** Guards against a version that counts for ever because daemons remind each other. */
+        @Test
+        void forgetsAVersionThatHasLeft() {
+            loseTheStore();
+            other.see("v1", "v2");
+            tell();
+            other.see("v1");
+            for (int i = 0; i < 40; i++) {
+                tell();
+                daemon.origins.sightings().forEach(other.origins::merge);
+                ticker.advance(Duration.ofSeconds(1));
+            }
+            assertEquals(List.of(), daemon.origins.sightings());
+            assertEquals(Optional.of(origin("v1")), daemon.find("unknown"));
+        }
+
+        /** Guards against state for services that only a report knows. */
+        @Test
+        void ignoresServicesWithoutTargets() {
+            VersionSighting sighting =
+                    new VersionSighting(new ServiceId("other"), origin("v1"), Duration.ZERO);
+            assertFalse(daemon.origins.merge(sighting));
+        }
+    }
+
     @Nested
     final class Store {
         /** Guards against a beginning that is guessed after the store has forgotten it. */
