See an early response although the reading task runs late

A response that begins before the request was sent completely, and whose end is not stated, is no whole one. Whether one has begun was told by the buffer that the reading task fills.

hasArrivedInput() also asks the system. ReadAheadSocketTest$LateReadingTask shows it without chance: all threads that run tasks are busy when the bytes arrive. Left: a reading task that is suspended between its read and its buffer.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ReadAheadSocket.java
@@ -173,6 +173,15 @@
         }
     }
 
+    /**
+     * Returns whether bytes of the peer have arrived that were not read, or the connection has
+     * ended. Unlike {@link #isIdle()}, does not depend on how soon the reading task runs.
+     */
+    boolean hasArrivedInput() {
+        // In this order: the reading task moves bytes from the system to the buffer.
+        return hasQueuedInput() || !isIdle();
+    }
+
     /** Returns whether the peer has sent bytes that were not read. */
     public boolean hasUnreadInput() {
         lock.lock();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/ReadAheadSocketTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/ReadAheadSocketTest.java
@@ -57,6 +57,21 @@
         return Ticker.SYSTEM.nanos() + time.toNanos();
     }
 
+    /** Scenario: bytes arrive while the reading task does not get to run. */
+    @Nested
+    final class LateReadingTask {
+        /** Guards against a response that seems to come later than what was sent after it. */
+        @Test
+        void doesNotHideWhatHasArrived() throws Exception {
+            assertFalse(socket.hasArrivedInput());
+            try (BusyScheduler _ = new BusyScheduler()) {
+                peer.getOutputStream().write(1);
+                assertTrue(socket.isIdle(), "the reading task has run");
+                assertTrue(socket.hasArrivedInput());
+            }
+        }
+    }
+
     /** Scenario: a peer in trouble sends bytes without end, until the connection is closed. */
     @Nested
     final class EndlessInput {
