--- a/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
@@ -114,6 +114,13 @@
         Tasks.sleep(Duration.ofMillis(300));
     }
 
+    /** Lets the targets of a version drain: they stay listed and take no new requests. */
+    void drainTargets(String version) {
+        targetsOf(version)
+                .forEach(t -> store.put("servers", t.id(), t.entry("zone-a", "draining")));
+        Tasks.sleep(Duration.ofMillis(300));
+    }
+
     /** Ends the targets of a version like killed processes. */
     void endTargets(String version) {
         for (RunnerStandin t : targetsOf(version)) {
@@ -214,6 +221,16 @@
         }
     }
 
+    /** Takes streams up again, each at the daemon that began it, and receives their rest. */
+    void takeUpAtTheSame(List<StreamCaller> streams) throws IOException {
+        for (int i = 0; i < streams.size(); i++) {
+            streams.get(i).takeUp(daemon(i));
+        }
+        for (StreamCaller s : streams) {
+            s.receiveRest();
+        }
+    }
+
     /** Takes streams up again, each at the next daemon, and receives one more event of each. */
     void takeUpPartly(List<StreamCaller> streams) throws IOException {
         for (int i = 0; i < streams.size(); i++) {
--- a/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.godwithoist.standins.edge.RunnerFault;
@@ -21,6 +22,9 @@
 final class StreamVersionsTest {
     private static final int STREAMS = 16;
 
+    /** Far less than the time limit of the streams: what cannot be served is refused at once. */
+    private static final Duration MAX_REFUSAL_TIME = Duration.ofSeconds(5);
+
     @TempDir Path dir;
     private StreamFleet fleet;
     private final List<StreamCaller> callers = new ArrayList<>();
@@ -113,6 +117,17 @@
             assertMostAreWhole(callers);
         }
 
+        /** Guards against streams that only other daemons find, after they were saved. */
+        @Test
+        void streamsGoOnAtTheSameDaemonAtOnce() throws Exception {
+            fleet.startTargets(StreamFleet.NEW);
+            begin();
+            leaveAll();
+            fleet.takeUpAtTheSame(callers);
+            assertNoneJoined();
+            assertMostAreWhole(callers);
+        }
+
         /** Guards against a second take-up that is bound to the one before, not to the begin. */
         @Test
         void streamsGoOnTwice() throws Exception {
@@ -210,6 +225,21 @@
     /** Scenario: the version that began the streams has left. */
     @Nested
     final class VersionThatLeft {
+        /** Guards against the same while its targets drain and are still listed. */
+        @Test
+        void streamsAreRefusedWhileItsTargetsDrain() throws Exception {
+            begin();
+            fleet.startTargets(StreamFleet.NEW);
+            leaveAll();
+            fleet.drainTargets(StreamFleet.OLD);
+            long startedAt = System.nanoTime();
+            takeUp(callers);
+            Duration elapsed = Duration.ofNanos(System.nanoTime() - startedAt);
+            assertNoneJoined();
+            assertRefusedAsNotRun(callers);
+            assertTrue(elapsed.compareTo(MAX_REFUSAL_TIME) < 0, "refused after " + elapsed);
+        }
+
         /** Guards against the rest of a stream that the remaining version writes. */
         @Test
         void streamsAreRefusedAsNotRun() throws Exception {
