Test bodies in doubt where no second target responds

A doubled read and junk without a stated end are not delivered when the targets that are asked next run the request and are silent, and each caller gets a response. No fault was found here.

--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -195,6 +195,13 @@
         }
     }
 
+    /** Makes all targets of each service silent but one. */
+    void keepOneTargetThatResponds() {
+        for (RouteKind kind : List.of(RouteKind.READ, RouteKind.STREAM)) {
+            targetsOf(kind).skip(1).forEach(ScriptedRunner::becomeSilent);
+        }
+    }
+
     private Stream<ScriptedRunner> targetsOf(RouteKind kind) {
         return targets.stream().filter(t -> t.streams() == kind.streams);
     }
--- a/edge/src/test/java/org/godwithoist/edge/UnsupportedEndTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/UnsupportedEndTest.java
@@ -99,6 +99,45 @@
         }
     }
 
+    /**
+     * Scenario: the targets that are asked about a body in doubt run the request and are silent.
+     */
+    @Nested
+    final class NoSecondResponse {
+        private static final int FEW_REQUESTS = 12;
+
+        private List<Result> send(ScriptedResponse script) throws InterruptedException {
+            List<Result> results =
+                    fleet.sendAll(RouteKind.READ, List.of(script), FEW_REQUESTS, CALLERS);
+            assertNone("without a response", results, r -> r.status() == 0);
+            return results;
+        }
+
+        /** Guards against a doubled read that is delivered because no other target responds. */
+        @ParameterizedTest
+        @EnumSource(names = {"LENGTH", "CHUNKS"})
+        void doubledReadIsNotDelivered(Framing framing) throws Exception {
+            fleet.keepOneTargetThatResponds();
+            assertNoneTaken(send(twice(framing, Moment.AT_ONCE)));
+        }
+
+        /** Guards against junk without a stated end that is delivered for the same reason. */
+        @Test
+        void junkIsNotDelivered() throws Exception {
+            warmUp();
+            fleet.keepOneTargetThatResponds();
+            ScriptedResponse junk =
+                    new ScriptedResponse(
+                            Framing.CONNECTION,
+                            Cut.NONE,
+                            Copy.JUNK,
+                            Moment.AT_ONCE,
+                            200,
+                            Size.SHORT);
+            assertNoneTaken(send(junk));
+        }
+    }
+
     /** Scenario: a target states the end of far more than its body. */
     @Nested
     final class JunkInsideTheFraming {
--- a/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
+++ b/quarantine/src/main/java/org/godwithoist/quarantine/Quarantine.java
@@ -39,7 +39,7 @@
     private final Suspects suspects = new Suspects();
     private final LongAdder observedCrashes = new LongAdder();
 
-    /** Has a permit if the task that saves evidence may have something to do. */
+    /** Raised when the task that saves evidence may have something to do. */
     private final Signal saves = new Signal();
 
     private volatile List<QuarantinedSet> quarantined = List.of();
@@ -53,7 +53,7 @@
     /** Suspects whose row this daemon has written and not removed. */
     private final Set<SuspectId> ownRows = new HashSet<>();
 
-    /** Has a permit if this daemon has observed something since the last one was taken. */
+    /** Raised when this daemon has observed something that others need to know. */
     private final Signal observations = new Signal();
 
     private final WaitingRequests waitingRequests =
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -13,6 +13,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
@@ -64,7 +65,9 @@
     private final AtomicInteger earlierCopies = new AtomicInteger();
     private final AtomicInteger copies = new AtomicInteger();
     private final AtomicInteger runs = new AtomicInteger();
+    private final CountDownLatch closed = new CountDownLatch(1);
     private volatile boolean sound;
+    private volatile boolean silent;
 
     /**
      * Starts a runner on a free port.
@@ -87,6 +90,11 @@
         sound = true;
     }
 
+    /** Makes the runner run requests and send nothing, while their connections stay open. */
+    public void becomeSilent() {
+        silent = true;
+    }
+
     /** Returns the whole bodies of all runs of a request. */
     public Set<String> bodiesOf(String attemptId) {
         return Set.copyOf(bodies.getOrDefault(attemptId, new ConcurrentLinkedQueue<>()));
@@ -156,7 +164,17 @@
         byte[] whole = nextBody(first, script.size());
         String text = new String(whole, StandardCharsets.US_ASCII);
         bodies.computeIfAbsent(attempt, key -> new ConcurrentLinkedQueue<>()).add(text);
-        return respond(script, attempt, whole, connection);
+        return silent ? awaitClose() : respond(script, attempt, whole, connection);
+    }
+
+    /** Waits until the runner is closed; returns that the connection does not stay open. */
+    private boolean awaitClose() {
+        try {
+            closed.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return false;
     }
 
     /** Returns the body of a run: printable text, or events of equal size from a first one on. */
@@ -351,6 +369,7 @@
 
     @Override
     public void close() throws IOException {
+        closed.countDown();
         server.close();
     }
 }
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -162,20 +162,20 @@
     public synchronized List<VersionSighting> sightings() {
         long now = ticker.nanos();
         List<VersionSighting> sightings = new ArrayList<>();
-        served.forEach(
-                (service, versions) -> {
-                    versions.removeExpiredReports(streamLife, now);
-                    if (versions.areSeveral(streamLife, now)) {
-                        versions.ages(streamLife, now)
-                                .forEach(
-                                        (v, age) ->
-                                                sightings.add(
-                                                        new VersionSighting(service, v, age)));
-                    }
-                });
+        served.forEach((service, versions) -> sightings.addAll(sightings(service, versions, now)));
         return sightings;
     }
 
+    private List<VersionSighting> sightings(ServiceId service, ServedVersions versions, long now) {
+        versions.removeExpiredReports(streamLife, now);
+        if (!versions.areSeveral(streamLife, now)) {
+            return List.of();
+        }
+        return versions.ages(streamLife, now).entrySet().stream()
+                .map(e -> new VersionSighting(service, e.getKey(), e.getValue()))
+                .toList();
+    }
+
     /**
      * Adds what another daemon knows. A service of which this daemon knows no target is left out.
      *
