--- a/streams/src/test/java/org/godwithoist/streams/FakeOriginStore.java
+++ b/streams/src/test/java/org/godwithoist/streams/FakeOriginStore.java
@@ -1,12 +1,14 @@
 package org.godwithoist.streams;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.godwithoist.catalog.ServiceId;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.store.feed.StoreEra;
 
@@ -21,6 +23,16 @@
     private long version;
     private StoreEra era = new StoreEra(1);
     boolean down;
+
+    /** Service whose row the store does not accept, for example because its key is too long. */
+    Optional<ServiceId> rejected = Optional.empty();
+
+    /** Called while the row of a service is written. */
+    Runnable onWriteServed = () -> {};
+
+    /** Time that a search for a stream takes, on the system's clock. */
+    Duration latency = Duration.ZERO;
+
     int reads;
     int writes;
     final List<Integer> changes = new ArrayList<>();
@@ -35,6 +47,12 @@
         era = new StoreEra(era.value() + 1);
     }
 
+    /** Loses the rows of the versions, as a copy does that is older than they are. */
+    void forgetRecords() {
+        records.clear();
+        versions.clear();
+    }
+
     int rowCount() {
         return streams.size();
     }
@@ -61,6 +79,7 @@
     @Override
     public Optional<StreamOrigin> find(StreamId stream) throws IOException {
         call();
+        Tasks.sleep(latency);
         reads++;
         return Optional.ofNullable(streams.get(stream));
     }
@@ -74,6 +93,9 @@
     @Override
     public ServedRow readServed(ServiceId service) throws IOException {
         call();
+        if (rejected.equals(Optional.of(service))) {
+            throw new IOException("the store responded with 400");
+        }
         reads++;
         long nowMs = CLOCK_START_MS + ticker.nanos() / 1_000_000;
         return new ServedRow(
@@ -87,6 +109,7 @@
     public boolean writeServed(ServiceId service, ServedRecord record, long expectedVersion)
             throws IOException {
         call();
+        onWriteServed.run();
         if (versions.getOrDefault(service, 0L) != expectedVersion) {
             return false;
         }
--- a/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
+++ b/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.godwithoist.catalog.ServiceId;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.FailureDomainId;
@@ -342,4 +343,243 @@
             assertEquals(0, daemon.origins.remembered());
         }
     }
+
+    /** Scenario: one daemon knows less than the fleet, and decides where a stream goes on. */
+    @Nested
+    final class IncompleteKnowledge {
+        private static final Duration LONG_TIME_LEFT = Duration.ofMinutes(2);
+
+        /**
+         * Guards against a stream that goes on at another version because the daemon that takes it
+         * up has seen only requests with short time limits, although its row is stored.
+         */
+        @Test
+        void versionThatLeftCountsForAsLongAsStreamsOfOtherDaemonsWait() {
+            Daemon first = new Daemon("v1", "v2");
+            Daemon second = new Daemon("v1", "v2");
+            first.origins.began(stream("s"), origin("v2"), LONG_TIME_LEFT);
+            pass(Duration.ofMillis(400), first, second);
+            first.see("v1");
+            second.see("v1");
+            pass(Duration.ofSeconds(40), first, second);
+            assertEquals(
+                    Optional.of(origin("v2")),
+                    second.origins.find(stream("s"), Duration.ofSeconds(70)));
+        }
+
+        /** Guards against the same at a daemon that starts after all others were killed. */
+        @Test
+        void versionThatLeftCountsForDaemonsThatStartLater() {
+            Daemon first = new Daemon("v1", "v2");
+            first.origins.began(stream("s"), origin("v2"), LONG_TIME_LEFT);
+            pass(Duration.ofMillis(400), first);
+            first.see("v1");
+            pass(Duration.ofSeconds(40), first);
+            assertEquals(
+                    Optional.of(origin("v2")),
+                    new Daemon("v1").origins.find(stream("s"), Duration.ofSeconds(70)));
+        }
+
+        /**
+         * Guards against a missing row that is taken as proof that no version has served, although
+         * the store was restored from a copy that is older than the row.
+         */
+        @Test
+        void restoreWithoutTheRowOfTheServiceProvesNothing() {
+            Daemon first = new Daemon("v1", "v2");
+            first.begin("s", "v2");
+            pass(Duration.ofMillis(400), first);
+            store.restore();
+            store.forgetRecords();
+            assertEquals(Optional.empty(), new Daemon("v1").find("s"));
+        }
+
+        /**
+         * Guards against a version that returns and leaves between two writes, and whose row still
+         * says that it left at the first time.
+         */
+        @Test
+        void versionThatLeftTwiceCountsFromTheSecondTime() {
+            Daemon first = new Daemon("v1", "v2");
+            pass(Duration.ofMillis(400), first);
+            first.see("v1");
+            pass(Duration.ofMillis(400), first);
+            ticker.advance(Duration.ofMinutes(10));
+            first.see("v1", "v2");
+            first.begin("s", "v2");
+            ticker.advance(Duration.ofMillis(300));
+            first.see("v1");
+            pass(Duration.ofMillis(100), first);
+            Optional<StreamOrigin> found = new Daemon("v1").find("unsaved");
+            assertEquals(Optional.empty(), found);
+        }
+
+        /** Guards against streams of all services that stay unsaved because of one service. */
+        @Test
+        void serviceThatTheStoreRejectsDoesNotKeepOthersFromBeingSaved() {
+            Daemon daemon = new Daemon("v1", "v2");
+            store.rejected = Optional.of(new ServiceId("rejected"));
+            List<TargetEntry> entries = new ArrayList<>(List.of(entry("v1"), entry("v2")));
+            entries.add(
+                    new TargetEntry(
+                            new TargetId("other"),
+                            new ServiceId("rejected"),
+                            new Endpoint("127.0.0.1", 2),
+                            new FailureDomainId("zone"),
+                            8,
+                            false,
+                            Duration.ZERO,
+                            1));
+            daemon.origins.setTargets(entries);
+            daemon.begin("s", "v2");
+            for (int i = 0; i < 10; i++) {
+                pass(Duration.ofMillis(400), daemon);
+            }
+            assertEquals(1, store.rowCount());
+        }
+
+        /** Guards against a version that counts again and again because messages take time. */
+        @Test
+        void versionThatLeftIsForgottenAlsoIfMessagesTakeTime() {
+            Duration latency = Duration.ofMillis(20);
+            List<Daemon> daemons = new ArrayList<>();
+            for (int i = 0; i < 16; i++) {
+                daemons.add(new Daemon("v1"));
+            }
+            daemons.get(0).see("v1", "v2");
+            daemons.get(0).see("v1");
+            Duration passed = Duration.ZERO;
+            int i = 0;
+            Duration step = Duration.ofMillis(63);
+            while (passed.compareTo(Duration.ofSeconds(33)) < 0) {
+                List<VersionSighting> sent = daemons.get(i).origins.sightings();
+                ticker.advance(latency);
+                for (Daemon d : daemons) {
+                    if (!d.equals(daemons.get(i))) {
+                        sent.forEach(
+                                s ->
+                                        d.origins.merge(
+                                                new VersionSighting(
+                                                        s.service(),
+                                                        s.version(),
+                                                        Duration.ofMillis(s.age().toMillis()))));
+                    }
+                }
+                ticker.advance(step.minus(latency));
+                passed = passed.plus(step);
+                i = (i + 1) % 16;
+            }
+            assertEquals(List.of(), daemons.get(3).origins.sightings());
+        }
+
+        /**
+         * Guards against take-ups that are refused although their rows are stored, because many
+         * arrive together and the store takes some milliseconds for each.
+         */
+        @Test
+        void manyTakeUpsAtOnceAreFound() throws InterruptedException {
+            int n = 300;
+            Daemon first = new Daemon("v1", "v2");
+            for (int i = 0; i < n; i++) {
+                first.begin("s" + i, "v2");
+            }
+            pass(Duration.ofMillis(400), first);
+            Daemon second = new Daemon("v1", "v2");
+            pass(Duration.ofMillis(400), second);
+            store.latency = Duration.ofMillis(5);
+            AtomicInteger found = new AtomicInteger();
+            List<Thread> callers = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                String id = "s" + i;
+                callers.add(
+                        Thread.startVirtualThread(
+                                () -> second.find(id).ifPresent(o -> found.incrementAndGet())));
+            }
+            for (Thread t : callers) {
+                t.join();
+            }
+            assertEquals(n, found.get());
+        }
+
+        /**
+         * Guards against a version that came and left while this daemon was cut off from the store
+         * and from the other daemons, and that it never learns of.
+         */
+        @Test
+        void versionThatCameAndLeftDuringACutIsNotOverlooked() {
+            Daemon cutOff = new Daemon("v1");
+            Daemon other = new Daemon("v1");
+            pass(Duration.ofMillis(400), cutOff, other);
+            cutOff.hearsOfVersions = false;
+            other.see("v1", "v2");
+            other.begin("s", "v2");
+            pass(Duration.ofMillis(400), other);
+            other.see("v1");
+            pass(Duration.ofSeconds(5), other);
+            cutOff.hearsOfVersions = true;
+            pass(Duration.ofMillis(400), cutOff);
+            assertEquals(Optional.of(origin("v2")), cutOff.find("s"));
+        }
+
+        /**
+         * Guards against a version that appears while the row is being written and that no later
+         * write names, so that daemons that start after it has left take no notice of it.
+         */
+        @Test
+        void versionThatAppearsDuringAWriteOfTheRowIsWrittenLater() {
+            Daemon daemon = new Daemon("v1");
+            store.onWriteServed = () -> daemon.see("v1", "v2");
+            daemon.task.step();
+            store.onWriteServed = () -> {};
+            for (int i = 0; i < 30; i++) {
+                pass(Duration.ofMillis(400), daemon);
+            }
+            assertTrue(store.record(SERVICE).orElseThrow().untilMs().containsKey(origin("v2")));
+        }
+
+        /** Guards against a stream whose row is removed although its caller still takes it up. */
+        @Test
+        void rowIsKeptWhileTheStreamGoesOnAtAnotherDaemon() {
+            Daemon first = new Daemon("v1", "v2");
+            Daemon second = new Daemon("v1", "v2");
+            first.begin("s", "v2");
+            pass(Duration.ofMillis(400), first, second);
+            ticker.advance(Duration.ofSeconds(14));
+            assertEquals(Optional.of(origin("v2")), second.find("s"));
+            pass(Duration.ofSeconds(8), first, second);
+            assertEquals(Optional.of(origin("v2")), new Daemon("v1", "v2").find("s"));
+        }
+
+        /**
+         * Guards against two daemons that exchange messages, each of which takes the version that
+         * it sees for the only one. One was cut off while a version replaced the other, hears the
+         * other daemon again, but not the store, and goes on with the targets that it knows.
+         */
+        @Test
+        void daemonsThatSeeOneVersionEachTellEachOther() {
+            Daemon cutOff = new Daemon("v1");
+            Daemon other = new Daemon("v1");
+            pass(Duration.ofMillis(400), cutOff, other);
+            other.see("v1", "v2");
+            pass(Duration.ofSeconds(1), other);
+            other.see("v2");
+            pass(Duration.ofSeconds(40), other);
+            for (int i = 0; i < 5; i++) {
+                pass(Duration.ofSeconds(1), other);
+                exchange(cutOff, other);
+            }
+            other.begin("s", "v2");
+            cutOff.begin("t", "v1");
+            exchange(cutOff, other);
+            assertEquals(
+                    List.of(Optional.empty(), Optional.empty()),
+                    List.of(cutOff.find("s"), other.find("t")));
+        }
+
+        private void exchange(Daemon a, Daemon b) {
+            List<VersionSighting> ofA = a.origins.sightings();
+            b.origins.sightings().forEach(a.origins::merge);
+            ofA.forEach(b.origins::merge);
+        }
+    }
 }
