--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -133,7 +133,8 @@
         eraMonitor = new EraMonitor(log);
         eras = new StoreEras(eraMonitor, ticker);
         rollout = settings.bounds().rollout().map(this::createRollout);
-        streamOrigins = new RecordedOrigins(
+        streamOrigins =
+                new RecordedOrigins(
                         Stream.generate(this::streamTable).limit(STREAM_LOOKUP_CLIENTS).toList(),
                         this::hearsOfVersions,
                         log,
--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -72,8 +72,8 @@
     }
 
     /**
-     * Records that changes may have been missed until now, so that only the row tells which versions
-     * have served.
+     * Records that changes may have been missed until now, so that only the row tells which
+     * versions have served.
      */
     void changesMissed(long now) {
         coveredSince = now;
@@ -235,7 +235,10 @@
         Optional<OptionalLong> listed = row.record().map(r -> r.untilMs().get(version));
         long servedAtMs = storeMs(servedAt, row, now);
         boolean isListed =
-                listed.filter(u -> u.isPresent() && servedAtMs - u.getAsLong() <= CLOCK_TOLERANCE_MS)
+                listed.filter(
+                                u ->
+                                        u.isPresent()
+                                                && servedAtMs - u.getAsLong() <= CLOCK_TOLERANCE_MS)
                         .isPresent();
         if (isListed) {
             return listed.get();
