Wait for the drain time before take-ups at a draining version

streamsAreRefusedWhileItsTargetsDrain waited for 300 ms after its targets had begun to drain. In one run (load 10 to 15) a daemon had not heard of it yet and served a take-up at the version that began the stream, which is allowed until drainMs (2000). The test now waits for that bound; what it demands afterwards is unchanged.

--- a/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
@@ -39,6 +39,9 @@
     private static final int STREAM_TIMEOUT_MS = 15_000;
     private static final Duration EVENT_INTERVAL = Duration.ofMillis(60);
 
+    /** Time after which no request may reach a target that drains, {@code bounds.drainMs}. */
+    private static final Duration DRAIN_TIME = Duration.ofMillis(2000);
+
     /** Time in which daemons learn of new targets and save which streams they have begun. */
     private static final Duration SETTLING_TIME = Duration.ofMillis(1500);
 
@@ -118,7 +121,7 @@
     void drainTargets(String version) {
         targetsOf(version)
                 .forEach(t -> store.put("servers", t.id(), t.entry("zone-a", "draining")));
-        Tasks.sleep(Duration.ofMillis(300));
+        Tasks.sleep(DRAIN_TIME);
     }
 
     /** Ends the targets of a version like killed processes. */
