--- a/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
@@ -40,7 +40,7 @@
     private static final Duration EVENT_INTERVAL = Duration.ofMillis(60);
 
     /** Time after which no request may reach a target that drains, {@code bounds.drainMs}. */
-    private static final Duration DRAIN_TIME = Duration.ofMillis(2000);
+    private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
 
     /** Time in which daemons learn of new targets and save which streams they have begun. */
     private static final Duration SETTLING_TIME = Duration.ofMillis(1500);
