--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import java.util.stream.Stream;
 import org.godwithoist.catalog.Catalog;
 import org.godwithoist.catalog.CatalogState;
 import org.godwithoist.catalog.RequestLimits;
@@ -64,9 +63,6 @@
     /** Time that the stop leaves the caller's listener to accept what the kernel has queued. */
     private static final Duration MAX_DRAIN = Duration.ofMillis(100);
 
-    /** Connections to the store for take-ups of streams, many of which come together. */
-    private static final int STREAM_LOOKUP_CLIENTS = 4;
-
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
 
@@ -133,12 +129,7 @@
         eraMonitor = new EraMonitor(log);
         eras = new StoreEras(eraMonitor, ticker);
         rollout = settings.bounds().rollout().map(this::createRollout);
-        streamOrigins =
-                new RecordedOrigins(
-                        Stream.generate(this::streamTable).limit(STREAM_LOOKUP_CLIENTS).toList(),
-                        this::hearsOfVersions,
-                        log,
-                        ticker);
+        streamOrigins = new RecordedOrigins(streamTable(), this::hearsOfVersions, log, ticker);
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
@@ -149,7 +140,6 @@
                                 rollout,
                                 streamOrigins::setTargets,
                                 this::openGateIfReady,
-                                streamOrigins::storeRegained,
                                 eras,
                                 calls,
                                 log,
@@ -353,7 +343,6 @@
     }
 
     private void applyCatalog(Catalog next) {
-        streamOrigins.setLongestTimeLimit(next.longestTimeLimit());
         boolean adopted = catalogs.updateIfNewer(next);
         openGateIfReady();
         log.event("catalog")
--- a/streams/src/main/java/org/godwithoist/streams/OriginLookup.java
+++ b/streams/src/main/java/org/godwithoist/streams/OriginLookup.java
@@ -2,77 +2,63 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
 import org.godwithoist.catalog.ServiceId;
 import org.godwithoist.core.log.EventLog;
 
 /**
- * Asks the store on behalf of requests, on a few connections. A request that would wait for too
- * long gets no result. Thread-safe.
+ * Asks the store on behalf of requests, one after the other on one connection. A request that would
+ * wait for too long gets no result. Thread-safe.
  */
 final class OriginLookup {
     /** Longest wait for other requests; the store mostly responds within a few milliseconds. */
-    private static final Duration MAX_WAIT = Duration.ofSeconds(1);
+    private static final Duration MAX_WAIT = Duration.ofMillis(500);
 
     /** A question to the store. */
     @FunctionalInterface
     private interface Question<T> {
-        Optional<T> ask(OriginStore store) throws IOException;
+        Optional<T> ask() throws IOException;
     }
 
-    /** Clients of the store that no request uses. */
-    private final BlockingQueue<OriginStore> idle;
-
+    private final OriginStore store;
     private final EventLog log;
+    private final ReentrantLock lock = new ReentrantLock();
 
-    /**
-     * Creates a lookup.
-     *
-     * @param clients clients of the store, each with a connection of its own
-     */
-    OriginLookup(Collection<? extends OriginStore> clients, EventLog log) {
-        idle = new LinkedBlockingQueue<>(clients);
+    OriginLookup(OriginStore store, EventLog log) {
+        this.store = store;
         this.log = log;
     }
 
     /** Returns the version that began a stream; empty also if the store did not respond. */
     Optional<StreamOrigin> find(StreamId stream) {
-        return ask(store -> store.find(stream));
+        return ask(() -> store.find(stream));
     }
 
     /** Returns the row with the versions of a service; empty if the store did not respond. */
     Optional<ServedRow> readServed(ServiceId service) {
-        return ask(store -> Optional.of(store.readServed(service)));
+        return ask(() -> Optional.of(store.readServed(service)));
     }
 
     private <T> Optional<T> ask(Question<T> question) {
-        Optional<OriginStore> client = awaitIdle();
-        if (client.isEmpty()) {
+        try {
+            if (!lock.tryLock(MAX_WAIT.toNanos(), TimeUnit.NANOSECONDS)) {
+                return Optional.empty();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
             return Optional.empty();
         }
         try {
-            return question.ask(client.get());
+            return question.ask();
         } catch (IOException e) {
             log.event("stream_lookup_failed")
                     .with("reason", String.valueOf(e.getMessage()))
                     .write();
             return Optional.empty();
         } finally {
-            idle.add(client.get());
-        }
-    }
-
-    /** Takes a client that no request uses; empty if there is none in time. */
-    private Optional<OriginStore> awaitIdle() {
-        try {
-            return Optional.ofNullable(idle.poll(MAX_WAIT.toNanos(), TimeUnit.NANOSECONDS));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return Optional.empty();
+            lock.unlock();
         }
     }
 }
--- a/streams/src/main/java/org/godwithoist/streams/OriginTask.java
+++ b/streams/src/main/java/org/godwithoist/streams/OriginTask.java
@@ -2,10 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
-import java.util.Random;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.godwithoist.catalog.ServiceId;
@@ -95,8 +92,10 @@
     void step() {
         origins.streams().removeExpired();
         try {
+            for (ServiceId service : origins.servicesToSync()) {
+                origins.sync(service, store);
+            }
             save();
-            sync();
             search();
             failing = false;
         } catch (IOException e) {
@@ -104,18 +103,6 @@
         }
     }
 
-    /**
-     * Compares the rows of services in a random order, so that one that the store does not accept
-     * keeps no other back for long.
-     */
-    private void sync() throws IOException {
-        List<ServiceId> services = new ArrayList<>(origins.servicesToSync());
-        Collections.shuffle(services, Random.from(random));
-        for (ServiceId service : services) {
-            origins.sync(service, store);
-        }
-    }
-
     private void save() throws IOException {
         BegunStreams streams = origins.streams();
         List<BegunStream> begun = streams.unsaved(origins::mustSave, OriginStore.MAX_CHANGES);
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -44,24 +44,21 @@
     private final Map<ServiceId, ServedVersions> served = new HashMap<>();
     private final Map<OriginSource, LongAdder> found = new EnumMap<>(OriginSource.class);
 
-    /** Longest time after which a stream of any daemon may be taken up. */
+    /** Longest time after which a stream of this daemon may be taken up. */
     private volatile Duration streamLife = MIN_STREAM_LIFE;
 
     /**
      * Creates an instance that knows no stream.
      *
-     * @param clients clients of the store, used for the requests of callers only
+     * @param store used for the requests of callers only
      * @param hearsOfVersions whether this daemon would hear of a new version now, from the store or
      *     from another daemon
      */
     public RecordedOrigins(
-            Collection<? extends OriginStore> clients,
-            BooleanSupplier hearsOfVersions,
-            EventLog log,
-            Ticker ticker) {
+            OriginStore store, BooleanSupplier hearsOfVersions, EventLog log, Ticker ticker) {
         this.hearsOfVersions = hearsOfVersions;
         this.ticker = ticker;
-        lookup = new OriginLookup(clients, log);
+        lookup = new OriginLookup(store, log);
         streams = new BegunStreams(ticker);
         for (OriginSource s : OriginSource.values()) {
             found.put(s, new LongAdder());
@@ -74,16 +71,9 @@
     }
 
     private Duration life(Duration timeLeft) {
-        setLongestTimeLimit(timeLeft);
-        return timeLeft.plus(EXPIRY_MARGIN);
-    }
-
-    /**
-     * Sets the longest time limit of the requests of all routes, which the streams of other daemons
-     * may have. A shorter one than before has no effect, since earlier streams have theirs.
-     */
-    public synchronized void setLongestTimeLimit(Duration limit) {
-        streamLife = Durations.max(streamLife, limit.plus(EXPIRY_MARGIN));
+        Duration life = timeLeft.plus(EXPIRY_MARGIN);
+        streamLife = Durations.max(streamLife, life);
+        return life;
     }
 
     @Override
@@ -154,12 +144,6 @@
         }
     }
 
-    /** Records that the store responds again, and that changes may have been missed before. */
-    public synchronized void storeRegained() {
-        long now = ticker.nanos();
-        served.values().forEach(s -> s.changesMissed(now));
-    }
-
     // ---- exchange with the other daemons
 
     /**
@@ -178,20 +162,20 @@
     public synchronized List<VersionSighting> sightings() {
         long now = ticker.nanos();
         List<VersionSighting> sightings = new ArrayList<>();
-        served.forEach((service, versions) -> sightings.addAll(sightings(service, versions, now)));
+        served.forEach(
+                (service, versions) -> {
+                    versions.removeExpiredReports(streamLife, now);
+                    if (versions.areSeveral(streamLife, now)) {
+                        versions.ages(streamLife, now)
+                                .forEach(
+                                        (v, age) ->
+                                                sightings.add(
+                                                        new VersionSighting(service, v, age)));
+                    }
+                });
         return sightings;
     }
 
-    private List<VersionSighting> sightings(ServiceId service, ServedVersions versions, long now) {
-        versions.removeExpiredReports(streamLife, now);
-        if (!versions.areSeveral(streamLife, now)) {
-            return List.of();
-        }
-        return versions.ages(streamLife, now).entrySet().stream()
-                .map(e -> new VersionSighting(service, e.getKey(), e.getValue()))
-                .toList();
-    }
-
     /**
      * Adds what another daemon knows. A service of which this daemon knows no target is left out.
      *
@@ -253,20 +237,18 @@
     void sync(ServiceId service, OriginStore store) throws IOException {
         ServedRow row = store.readServed(service);
         ServedRecord next;
-        long requests;
         synchronized (this) {
             long now = ticker.nanos();
             ServedVersions versions = served(service);
             versions.adopt(row, now);
             next = versions.next(row, streamLife, now);
-            requests = versions.syncRequests();
         }
         boolean agrees =
                 row.record().equals(Optional.of(next))
                         || store.writeServed(service, next, row.version());
         if (agrees) {
             synchronized (this) {
-                served(service).synced(next, requests);
+                served(service).synced(next);
             }
         }
     }
--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -49,9 +49,6 @@
     /** Time at which the row must be compared with this; empty if it agrees. */
     private OptionalLong syncAt;
 
-    /** Number of requests for a comparison; one that comes during a write is not done by it. */
-    private long syncRequests;
-
     ServedVersions(long now) {
         discoveredAt = now + DISCOVERY_TIME.toNanos();
         coveredSince = now;
@@ -67,28 +64,13 @@
         leftAt.keySet().removeAll(versions);
         reportedAt.keySet().removeAll(versions);
         present = Set.copyOf(versions);
-        requestSync(now);
+        syncAt = OptionalLong.of(now);
         return true;
     }
 
-    /**
-     * Records that changes may have been missed until now, so that only the row tells which
-     * versions have served.
-     */
-    void changesMissed(long now) {
-        coveredSince = now;
-        rowRead = false;
-    }
-
     /** Makes the row be compared with this, because the store may have lost it. */
     void requestSync(long now) {
         syncAt = OptionalLong.of(now);
-        syncRequests++;
-    }
-
-    /** Returns how often a comparison with the row was requested. */
-    long syncRequests() {
-        return syncRequests;
     }
 
     /** Returns whether the row must be compared with this. */
@@ -96,15 +78,8 @@
         return syncAt.isPresent() && now - syncAt.getAsLong() >= 0;
     }
 
-    /**
-     * Records that the row agrees with what this was.
-     *
-     * @param requests value of {@link #syncRequests()} when the record was made
-     */
-    void synced(ServedRecord record, long requests) {
-        if (requests != syncRequests) {
-            return;
-        }
+    /** Records that the row agrees with this. */
+    void synced(ServedRecord record) {
         boolean mayBeMissing =
                 record.untilMs().entrySet().stream()
                         .anyMatch(e -> e.getValue().isEmpty() && !present.contains(e.getKey()));
@@ -228,23 +203,14 @@
         return new ServedRecord(row.era(), completeSinceMs(row, now), until);
     }
 
-    /**
-     * Returns when a version lost its last target; as the row says it, unless it was seen later.
-     */
+    /** Returns when a version lost its last target; as the row says it, if it does. */
     private OptionalLong untilMs(StreamOrigin version, long servedAt, ServedRow row, long now) {
         Optional<OptionalLong> listed = row.record().map(r -> r.untilMs().get(version));
-        long servedAtMs = storeMs(servedAt, row, now);
-        boolean isListed =
-                listed.filter(
-                                u ->
-                                        u.isPresent()
-                                                && servedAtMs - u.getAsLong() <= CLOCK_TOLERANCE_MS)
-                        .isPresent();
-        if (isListed) {
+        if (listed.filter(OptionalLong::isPresent).isPresent()) {
             return listed.get();
         }
         boolean mayBeUnseen = !leftAt.containsKey(version) && now - discoveredAt < 0;
-        return mayBeUnseen ? OptionalLong.empty() : OptionalLong.of(servedAtMs);
+        return mayBeUnseen ? OptionalLong.empty() : OptionalLong.of(storeMs(servedAt, row, now));
     }
 
     private static long storeMs(long ticks, ServedRow row, long now) {
