--- /dev/null
+++ b/edge/src/test/java/org/godwithoist/edge/BegunResponsesTest.java
@@ -0,0 +1,150 @@
+package org.godwithoist.edge;
+
+import static org.godwithoist.edge.ScriptedFleet.assertNone;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.godwithoist.edge.ScriptedFleet.Result;
+import org.godwithoist.edge.ScriptedFleet.RouteKind;
+import org.godwithoist.standins.edge.ScriptedResponse;
+import org.godwithoist.standins.edge.ScriptedResponse.Copy;
+import org.godwithoist.standins.edge.ScriptedResponse.Cut;
+import org.godwithoist.standins.edge.ScriptedResponse.Framing;
+import org.godwithoist.standins.edge.ScriptedResponse.Moment;
+import org.godwithoist.standins.edge.ScriptedResponse.Size;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Scenario: the responses of a daemon's targets stop in the middle, after callers have got a part.
+ * Each run writes another body, so that a body of two runs is that of none.
+ */
+final class BegunResponsesTest {
+    private static final int CALLERS = 6;
+    private static final int REQUESTS = 36;
+
+    @TempDir Path dir;
+    private ScriptedFleet fleet;
+
+    @BeforeEach
+    void start() throws IOException {
+        fleet = new ScriptedFleet(dir);
+        fleet.awaitWholeRetryBudget();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fleet.close();
+    }
+
+    private List<Result> send(RouteKind kind, Framing framing, Cut cut, Copy copy, Moment moment)
+            throws InterruptedException {
+        ScriptedResponse script = new ScriptedResponse(framing, cut, copy, moment, 200, Size.LONG);
+        return fleet.sendAll(kind, List.of(script), REQUESTS, CALLERS);
+    }
+
+    private void assertOfOneRun(List<Result> results) {
+        assertNone("not the body of a run", results, fleet::isWrong);
+    }
+
+    /** Scenario: a target sends nothing for a while, and then the rest. */
+    @Nested
+    final class Pause {
+        private List<Result> sendPaused(Framing framing) throws InterruptedException {
+            return send(
+                    RouteKind.READ, framing, Cut.IN_THE_MIDDLE, Copy.REST, Moment.AFTER_A_PAUSE);
+        }
+
+        /** Guards against the body of a second run behind a part of the first one. */
+        @ParameterizedTest
+        @EnumSource
+        void isNotFilledWithAnotherBody(Framing framing) throws Exception {
+            assertOfOneRun(sendPaused(framing));
+        }
+
+        /** Guards against a sound response that is given up although its caller waits. */
+        @ParameterizedTest
+        @EnumSource(names = {"LENGTH", "CHUNKS"})
+        void costsNoResponse(Framing framing) throws Exception {
+            assertNone("not answered", sendPaused(framing), r -> r.status() != 200);
+        }
+
+        /** Guards against the same where the other targets are sound, so that a repeat succeeds. */
+        @ParameterizedTest
+        @EnumSource
+        void ofOneTargetIsNotFilledWithTheBodyOfAnother(Framing framing) throws Exception {
+            fleet.keepOneFaultyTarget();
+            assertOfOneRun(sendPaused(framing));
+        }
+    }
+
+    /** Scenario: a response ends in the middle. */
+    @Nested
+    final class BrokenOff {
+        /** Guards against the body of a second run behind a part whose connection was reset. */
+        @ParameterizedTest
+        @EnumSource
+        void byAResetIsNotFilledWithTheBodyOfAnotherTarget(Framing framing) throws Exception {
+            fleet.keepOneFaultyTarget();
+            assertOfOneRun(
+                    send(RouteKind.READ, framing, Cut.IN_THE_MIDDLE, Copy.RESET, Moment.LATER));
+        }
+
+        /** Guards against the same behind a part whose connection was closed. */
+        @ParameterizedTest
+        @EnumSource
+        void byACloseIsNotFilledWithTheBodyOfAnotherTarget(Framing framing) throws Exception {
+            fleet.keepOneFaultyTarget();
+            assertOfOneRun(
+                    send(RouteKind.READ, framing, Cut.IN_THE_MIDDLE, Copy.NONE, Moment.LATER));
+        }
+
+        /** Guards against the same behind a part that a copy of the response follows. */
+        @ParameterizedTest
+        @EnumSource
+        void byACopyIsNotFilledWithTheBodyOfAnotherTarget(Framing framing) throws Exception {
+            fleet.keepOneFaultyTarget();
+            assertOfOneRun(
+                    send(
+                            RouteKind.READ,
+                            framing,
+                            Cut.IN_THE_MIDDLE,
+                            Copy.WITH_LENGTH,
+                            Moment.LATER));
+        }
+    }
+
+    /** Scenario: a whole response, behind which its connection stays open and a copy follows. */
+    @Nested
+    final class LateCopy {
+        /** Guards against a copy, or a second run, that becomes a part of the body. */
+        @ParameterizedTest
+        @EnumSource
+        void isNotJoinedToTheBody(Framing framing) throws Exception {
+            assertOfOneRun(
+                    send(
+                            RouteKind.READ,
+                            framing,
+                            Cut.NONE,
+                            Copy.WITH_LENGTH,
+                            Moment.AFTER_A_PAUSE));
+        }
+    }
+
+    /** Scenario: streams stop between two events, and another target can go on. */
+    @Nested
+    final class Streams {
+        /** Guards against events of a second run that do not continue those of the first one. */
+        @ParameterizedTest
+        @EnumSource(names = {"RESUMABLE_STREAM", "STREAM"})
+        void pauseIsNotFilledWithOtherEvents(RouteKind kind) throws Exception {
+            assertOfOneRun(
+                    send(kind, Framing.CHUNKS, Cut.IN_THE_MIDDLE, Copy.REST, Moment.AFTER_A_PAUSE));
+        }
+    }
+}
--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -335,7 +334,7 @@
         return framings.stream()
                 .flatMap(f -> cuts.stream().map(cut -> Map.entry(f, cut)))
                 .flatMap(e -> copies.stream().map(copy -> Map.entry(e, copy)))
-                .flatMap(e -> Arrays.stream(Moment.values()).map(moment -> Map.entry(e, moment)))
+                .flatMap(e -> Moment.OF_COPIES.stream().map(moment -> Map.entry(e, moment)))
                 .flatMap(
                         e ->
                                 statuses.stream()
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
@@ -1,6 +1,7 @@
 package org.godwithoist.standins.edge;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 
 /**
@@ -143,7 +144,9 @@
         /** The whole body once more, inside the framing of the response. */
         BODY_INSIDE_FRAMING(Framing.CHUNKS, false, false),
         /** Bytes that are no part of the body, inside the framing of the response. */
-        JUNK_INSIDE_FRAMING(Framing.CHUNKS, false, false);
+        JUNK_INSIDE_FRAMING(Framing.CHUNKS, false, false),
+        /** The rest of the response, so that it is whole. */
+        REST(Framing.LENGTH, false, false);
 
         final Framing framing;
         final boolean hasId;
@@ -176,7 +179,12 @@
         /** Tens of milliseconds later. */
         LATER(Duration.ofMillis(60)),
         /** When a caller in a hurry has given up. */
-        LATE(Duration.ofMillis(400));
+        LATE(Duration.ofMillis(400)),
+        /** After the longest time for which a sound runner sends nothing. */
+        AFTER_A_PAUSE(Duration.ofMillis(1300));
+
+        /** The moments at which a copy follows. */
+        public static final List<Moment> OF_COPIES = List.of(AT_ONCE, SOON, LATER, LATE);
 
         final Duration delay;
 
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -37,6 +37,8 @@
     /** Less than a daemon buffers, and far more than any body. */
     private static final int JUNK_INSIDE_BYTES = 20_000;
 
+    private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
+
     private static final int JUNK_PIECES = 10;
     private static final int JUNK_PIECE_BYTES = 8192;
 
@@ -229,6 +231,8 @@
         }
         if (script.copy() == Copy.OF_EARLIER_REQUEST) {
             writeEarlier(writer, script, earlier, whole, length);
+        } else if (script.copy() == Copy.REST) {
+            writeRest(writer, script.framing(), whole, length);
         } else if (script.copy() == Copy.JUNK) {
             writeJunk(writer);
         } else if (script.copy() == Copy.RESET) {
@@ -289,6 +293,16 @@
         }
     }
 
+    /** Writes what {@link #writeBody} has left out of a body. */
+    private static void writeRest(MessageWriter writer, Framing framing, byte[] body, int written)
+            throws IOException {
+        writer.bytes(body, written, body.length - written);
+        if (framing == Framing.CHUNKS) {
+            writer.bytes(LINE_END, 0, LINE_END.length);
+            writer.lastChunk();
+        }
+    }
+
     private void writeJunk(MessageWriter writer) throws IOException {
         for (int i = 0; i < JUNK_PIECES; i++) {
             byte[] junk = new byte[JUNK_PIECE_BYTES];
