Log how many bytes of a body a caller was sent

The log did not show whether a response in several attempts consists of the body of the last one only. The line of a call has sent_bytes, which equals body_bytes of the last attempt unless another attempt has sent a part before.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/CallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/CallerResponse.java
@@ -54,6 +54,9 @@
     /** Returns whether the response has started and tells the caller where its body ends. */
     boolean statesEnd();
 
+    /** Returns the number of bytes of the body that were sent. */
+    long sentBytes();
+
     /** Returns whether the connection has ended, also if the daemon has closed it for memory. */
     boolean callerDisconnected();
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
@@ -61,6 +61,7 @@
                 Optional.of(refusal),
                 RequestOutcome.REFUSED,
                 Optional.empty(),
+                response.sentBytes(),
                 attempts,
                 elapsed(request));
         response.refuse(refusal, retryAfter);
@@ -95,6 +96,7 @@
                 Optional.empty(),
                 outcome,
                 toldEnd(outcome, policy, response, responded),
+                response.sentBytes(),
                 policy.attempts(),
                 elapsed(request));
         if (outcome == RequestOutcome.ANSWERED && !responded) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestObserver.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestObserver.java
@@ -27,6 +27,7 @@
      *     caller
      * @param outcome how the request ended for its caller
      * @param told how the caller is told the end of a target's response; empty if it gets none
+     * @param sentBytes bytes of the body that the caller was sent so far, by all attempts
      * @param attempts number of attempts
      * @param took time since the request was read
      */
@@ -36,6 +37,7 @@
             Optional<Refusal> refusal,
             RequestOutcome outcome,
             Optional<ToldEnd> told,
+            long sentBytes,
             int attempts,
             Duration took);
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -29,6 +29,7 @@
     private boolean hasBody = true;
     private volatile boolean started;
     private boolean finished;
+    private long sentBytes;
     private BodyEnd end = BodyEnd.LENGTH;
 
     HttpCallerResponse(
@@ -141,6 +142,7 @@
         if (!hasBody) {
             return;
         }
+        sentBytes += length;
         if (end == BodyEnd.MARK) {
             writer.chunk(bytes, from, length);
         } else {
@@ -211,6 +213,11 @@
         return started && end != BodyEnd.CONNECTION;
     }
 
+    @Override
+    public long sentBytes() {
+        return sentBytes;
+    }
+
     @Override
     public boolean callerDisconnected() {
         return socket.isEnded();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -109,6 +109,7 @@
                 Optional<Refusal> refusal,
                 RequestOutcome outcome,
                 Optional<ToldEnd> told,
+                long sentBytes,
                 int count,
                 Duration took) {
             ended.add(outcome);
@@ -161,6 +162,11 @@
             return true;
         }
 
+        @Override
+        public long sentBytes() {
+            return 0;
+        }
+
         @Override
         public boolean callerDisconnected() {
             return disconnected;
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/TestResponse.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/TestResponse.java
@@ -71,6 +71,11 @@
         return started && statesEnd;
     }
 
+    @Override
+    public long sentBytes() {
+        return bytes.size();
+    }
+
     @Override
     public boolean callerDisconnected() {
         return false;
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -145,6 +145,7 @@
             Optional<Refusal> refusal,
             RequestOutcome outcome,
             Optional<ToldEnd> told,
+            long sentBytes,
             int attempts,
             Duration duration) {
         metrics.recordRequest(outcome, duration);
@@ -156,6 +157,9 @@
         refusal.ifPresent(r -> line.with("refusal", r.name()));
         request.head().resumes().ifPresent(r -> line.with("resumes", r.value()));
         told.ifPresent(t -> line.with("told", t.name()));
+        if (sentBytes > 0) {
+            line.with("sent_bytes", sentBytes);
+        }
         if (refusal.equals(Optional.of(Refusal.QUARANTINED))) {
             addIdentity(request, line);
         }
--- a/edge/src/test/java/org/godwithoist/edge/BegunResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BegunResponsesTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -136,6 +137,21 @@
         }
     }
 
+    /** Scenario: a long response is whole. */
+    @Nested
+    final class Whole {
+        /** Guards against a log that does not show how much of a body its caller was sent. */
+        @Test
+        void logHasTheBytesThatWereSent() throws Exception {
+            ScriptedResponse script =
+                    new ScriptedResponse(
+                            Framing.CHUNKS, Cut.NONE, Copy.NONE, Moment.AT_ONCE, 200, Size.LONG);
+            Result result = fleet.send(RouteKind.READ, script);
+            int bytes = result.body().length();
+            EdgeFixture.await("log", () -> fleet.logContains("\"sent_bytes\":" + bytes));
+        }
+    }
+
     /** Scenario: streams stop between two events, and another target can go on. */
     @Nested
     final class Streams {
--- a/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/ScriptedFleet.java
@@ -129,6 +129,11 @@
         EdgeFixture.await("fleet list", () -> daemon.logContains("\"event\":\"fleet\""));
     }
 
+    /** Returns whether the log of the daemon contains a text. */
+    boolean logContains(String text) {
+        return daemon.logContains(text);
+    }
+
     /** Ends the daemon without a warning. */
     void killDaemon() {
         daemon.process().destroyForcibly();
