Let only the attempt that began a body add to it

Whether a read is repeated was decided by the state of the attempt; that a part of its body had been sent was known but not asked for, and any attempt could write to the caller's response.

A response that was started is now a BegunResponse, which only its holder can add to: CallerResponse.start returns it once and fails the second time, as does a refusal behind it. Only event streams are handed on to the next attempt, which continues after the last event. A body that has begun is not repeated: it is waited for until the request ends, or broken off, which the caller sees.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -22,6 +22,7 @@
  * @param responseTimeout longest time without a byte of the response before the attempt is
  *     abandoned; empty if the request cannot be sent to another target
  * @param resumeAfter id of the event after which the target resumes the stream; empty for the start
+ * @param begunStream event stream that earlier attempts have begun; empty if none has
  * @param endInDoubt whether an earlier target has ended its response without stating the end, so
  *     that this attempt only asks for more
  * @param hasOtherTarget whether the service has another target that was not asked yet
@@ -41,6 +42,7 @@
         Deadline deadline,
         Optional<Duration> responseTimeout,
         OptionalLong resumeAfter,
+        Optional<BegunResponse> begunStream,
         boolean endInDoubt,
         boolean hasOtherTarget,
         boolean newConnection,
--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
@@ -10,6 +10,8 @@
  * @param outcome how it ended
  * @param unsent response of a target that was not sent to the caller: that of a target that failed
  *     the request, or one without a stated end that is not a stream; empty for other outcomes
+ * @param stream event stream that the caller was sent a part of, which another attempt may
+ *     continue; empty if there is none
  * @param lastEvent id of the last event that was sent to the caller; empty if there was none
  * @param timeToFirstByte time to the head of a successful response; empty if there was none
  * @param progress how far the target got with its response
@@ -20,6 +22,7 @@
 public record AttemptResult(
         AttemptOutcome outcome,
         Optional<BufferedResponse> unsent,
+        Optional<BegunResponse> stream,
         OptionalLong lastEvent,
         Optional<Duration> timeToFirstByte,
         ResponseProgress progress,
@@ -31,6 +34,7 @@
         return new AttemptResult(
                 outcome,
                 Optional.empty(),
+                Optional.empty(),
                 lastEvent,
                 Optional.empty(),
                 ResponseProgress.NONE,
@@ -44,6 +48,7 @@
         return new AttemptResult(
                 outcome,
                 unsent,
+                stream,
                 lastEvent,
                 Optional.of(headAfter),
                 reached,
@@ -52,11 +57,26 @@
                 detail);
     }
 
+    /** Returns this result with a stream that another attempt may continue. */
+    public AttemptResult withStream(Optional<BegunResponse> begun) {
+        return new AttemptResult(
+                outcome,
+                unsent,
+                begun,
+                lastEvent,
+                timeToFirstByte,
+                progress,
+                body,
+                connection,
+                detail);
+    }
+
     /** Returns this result with what was read of the body. */
     public AttemptResult withBody(ResponseBody read) {
         return new AttemptResult(
                 outcome,
                 unsent,
+                stream,
                 lastEvent,
                 timeToFirstByte,
                 progress,
@@ -70,6 +90,7 @@
         return new AttemptResult(
                 outcome,
                 unsent,
+                stream,
                 lastEvent,
                 timeToFirstByte,
                 progress,
@@ -83,6 +104,7 @@
         return new AttemptResult(
                 outcome,
                 Optional.of(response),
+                stream,
                 lastEvent,
                 timeToFirstByte,
                 progress,
@@ -97,6 +119,7 @@
         return new AttemptResult(
                 AttemptOutcome.FAILURE_ANSWER,
                 Optional.of(response),
+                Optional.empty(),
                 OptionalLong.empty(),
                 Optional.empty(),
                 ResponseProgress.NONE,
--- a/dispatch/src/main/java/org/godwithoist/dispatch/BufferedResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/BufferedResponse.java
@@ -15,8 +15,9 @@
      * stated.
      */
     public void sendTo(CallerResponse response) throws IOException {
-        response.start(head.end().isStated() ? head.withLength(body.length) : head);
-        response.write(body, 0, body.length);
-        response.finish();
+        BegunResponse begun =
+                response.start(head.end().isStated() ? head.withLength(body.length) : head);
+        begun.write(body, 0, body.length);
+        begun.finish();
     }
 }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/CallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/CallerResponse.java
@@ -8,8 +8,13 @@
  * #onDisconnect(Runnable)} may be called by any task.
  */
 public interface CallerResponse {
-    /** Starts the response with its status and header fields. */
-    void start(ResponseHead head) throws IOException;
+    /**
+     * Starts the response with its status and header fields.
+     *
+     * @return the response, which nobody else can add to
+     * @throws IllegalStateException if it was started before
+     */
+    BegunResponse start(ResponseHead head) throws IOException;
 
     /**
      * Reserves memory for the bytes of the response that are held until they are sent, in place of
@@ -21,12 +26,6 @@
         return true;
     }
 
-    /** Sends a part of the body. It is flushed unless the length of the body was stated. */
-    void write(byte[] bytes, int from, int length) throws IOException;
-
-    /** Ends the response, as complete if it states its end. */
-    void finish() throws IOException;
-
     /** Closes the connection, so that the caller cannot take the response for complete. */
     void abort();
 
@@ -35,6 +34,7 @@
      *
      * @param retryAfter delay after which the caller may retry; used if the refusal promises that
      *     the request did not run
+     * @throws IllegalStateException if a response was started before
      */
     void refuse(Refusal refusal, Duration retryAfter) throws IOException;
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -326,6 +326,7 @@
                         deadline,
                         responseTimeout,
                         policy.lastEvent(),
+                        policy.begunStream(),
                         policy.endInDoubt(),
                         hasOtherTarget(target, policy),
                         policy.needsNewConnection(),
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestEnd.java
@@ -134,7 +134,7 @@
         if (policy.unconfirmed().isPresent()) {
             policy.unconfirmed().get().sendTo(response);
         } else {
-            response.finish();
+            policy.begunStream().orElseThrow().finish();
         }
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
@@ -26,6 +26,7 @@
 
     private int attempts;
     private OptionalLong lastEvent;
+    private Optional<BegunResponse> begunStream = Optional.empty();
     private Optional<BufferedResponse> failure = Optional.empty();
 
     private final DoubtfulEnd doubtfulEnd = new DoubtfulEnd();
@@ -46,6 +47,9 @@
         if (result.lastEvent().isPresent()) {
             lastEvent = result.lastEvent();
         }
+        if (result.stream().isPresent()) {
+            begunStream = result.stream();
+        }
         if (lastOutcome == AttemptOutcome.UNCONFIRMED) {
             doubtfulEnd.record(target, result);
         } else if (result.lastEvent().isPresent()) {
@@ -99,7 +103,7 @@
 
     /** Returns whether the route permits another attempt. */
     boolean permitsAttempt() {
-        if (!lastOutcome.isRetryable() || doubtfulEnd.isConfirmed()) {
+        if (!lastOutcome.isRetryable() || doubtfulEnd.isConfirmed() || hasBegunBody()) {
             return false;
         }
         if (possibleRuns == 0) {
@@ -110,6 +114,14 @@
                 && attempts <= MAX_RETRIES;
     }
 
+    /**
+     * Returns whether the caller has a part of a body that is no stream. No other target can go on
+     * with it, because each run may have another body.
+     */
+    private boolean hasBegunBody() {
+        return lastOutcome == AttemptOutcome.BROKEN && !route.kind().isEventStream();
+    }
+
     /** Returns whether another attempt would be permitted after the next one. */
     boolean permitsAttemptAfterNext() {
         return route.allowsReexecution() && possibleRuns + 1 < route.maxAttempts();
@@ -153,6 +165,11 @@
         return possibleRuns;
     }
 
+    /** Returns the event stream that the next attempt continues; empty if none was begun. */
+    Optional<BegunResponse> begunStream() {
+        return begunStream;
+    }
+
     OptionalLong lastEvent() {
         return lastEvent;
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import org.godwithoist.dispatch.BegunResponse;
 import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.MemoryBudget;
@@ -102,8 +103,8 @@
     }
 
     @Override
-    public void start(ResponseHead head) throws IOException {
-        started = true;
+    public BegunResponse start(ResponseHead head) throws IOException {
+        setStarted();
         writer.startLine("HTTP/1.1 " + head.status() + " " + reasonPhrase(head.status()));
         writer.fields(head.fields());
         boolean needsChunks = head.end() == BodyEnd.MARK;
@@ -113,6 +114,15 @@
             writeFraming(head);
         }
         endHead();
+        return new Begun();
+    }
+
+    /** Guards against bytes of two responses to one request, which no caller can tell apart. */
+    private void setStarted() {
+        if (started) {
+            throw new IllegalStateException("a response to the request was started before");
+        }
+        started = true;
     }
 
     private void writeFraming(ResponseHead head) throws IOException {
@@ -137,32 +147,34 @@
         writer.endHead();
     }
 
-    @Override
-    public void write(byte[] bytes, int from, int length) throws IOException {
-        if (!hasBody) {
-            return;
-        }
-        sentBytes += length;
-        if (end == BodyEnd.MARK) {
-            writer.chunk(bytes, from, length);
-        } else {
-            writer.bytes(bytes, from, length);
-        }
-        if (end != BodyEnd.LENGTH) {
-            writer.flush();
+    private final class Begun implements BegunResponse {
+        @Override
+        public void write(byte[] bytes, int from, int length) throws IOException {
+            if (!hasBody) {
+                return;
+            }
+            sentBytes += length;
+            if (end == BodyEnd.MARK) {
+                writer.chunk(bytes, from, length);
+            } else {
+                writer.bytes(bytes, from, length);
+            }
+            if (end != BodyEnd.LENGTH) {
+                writer.flush();
+            }
         }
-    }
 
-    @Override
-    public void finish() throws IOException {
-        if (hasBody && end == BodyEnd.MARK) {
-            writer.lastChunk();
-        }
-        writer.flush();
-        if (end == BodyEnd.CONNECTION) {
-            socket.resetOnClose(false);
+        @Override
+        public void finish() throws IOException {
+            if (hasBody && end == BodyEnd.MARK) {
+                writer.lastChunk();
+            }
+            writer.flush();
+            if (end == BodyEnd.CONNECTION) {
+                socket.resetOnClose(false);
+            }
+            finished = true;
         }
-        finished = true;
     }
 
     @Override
@@ -184,7 +196,7 @@
 
     @Override
     public void refuse(Refusal refusal, Duration retryAfter) throws IOException {
-        started = true;
+        setStarted();
         byte[] body =
                 ("{\"error\":\"" + refusal.name().toLowerCase(Locale.ROOT) + "\"}\n")
                         .getBytes(StandardCharsets.UTF_8);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.Attempt;
+import org.godwithoist.dispatch.BegunResponse;
 import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.BufferedResponse;
 import org.godwithoist.dispatch.CallerResponse;
@@ -53,32 +54,37 @@
     private static final Duration ESTABLISHED_AFTER = Duration.ofMillis(500);
 
     private final CallerResponse callerResponse;
-    private final Runnable extendReadDeadline;
-    private final Runnable permitLargeReads;
+    private final ReadControl reads;
     private final Ticker ticker;
     private final EventFramer framer = new EventFramer();
     private ResponseProgress progress = ResponseProgress.NONE;
     private long begunAt;
     private boolean complete;
+    private Optional<BegunResponse> begun;
     private Optional<EndEvidence> endEvidence = Optional.empty();
 
     /**
      * Creates a forwarder.
      *
-     * @param extendReadDeadline extends the time for which the target may send nothing
-     * @param permitLargeReads called when the memory of large reads from the target is reserved
+     * @param begun stream that earlier attempts have begun and this one continues
+     * @param reads limits of the reads from the target
      */
     ResponseForwarder(
             CallerResponse callerResponse,
-            Runnable extendReadDeadline,
-            Runnable permitLargeReads,
+            Optional<BegunResponse> begun,
+            ReadControl reads,
             Ticker ticker) {
         this.callerResponse = callerResponse;
-        this.extendReadDeadline = extendReadDeadline;
-        this.permitLargeReads = permitLargeReads;
+        this.begun = begun;
+        this.reads = reads;
         this.ticker = ticker;
     }
 
+    /** Returns the response to the caller; empty if no attempt has begun it. */
+    Optional<BegunResponse> begun() {
+        return begun;
+    }
+
     /** Returns how far the target got with its response. */
     ResponseProgress progress() {
         return progress;
@@ -122,7 +128,7 @@
             framer.startAfter(attempt.resumeAfter());
         }
         byte[] buffer = new byte[EVENT_BUFFER_BYTES];
-        extendReadDeadline.run();
+        reads.awaitProgress();
         int bytesWithoutEvent = 0;
         int n = body.read(buffer, 0, buffer.length);
         while (n >= 0) {
@@ -141,7 +147,7 @@
                 recordProgress();
             }
             if (hasEvent || bytesWithoutEvent >= PROGRESS_BYTES) {
-                extendReadDeadline.run();
+                reads.awaitProgress();
                 bytesWithoutEvent = 0;
             }
             n = body.read(buffer, 0, buffer.length);
@@ -209,6 +215,8 @@
             throw new UnknownLengthException();
         }
         writeToCaller(head, firstBytes, 0, firstBytes.length);
+        // No other target can go on with this body, so that only its own rest is worth waiting for.
+        reads.awaitRest();
         byte[] buffer = new byte[longBodyBufferBytes()];
         int n = body.read(buffer, 0, buffer.length);
         while (n >= 0) {
@@ -249,7 +257,7 @@
         if (!callerResponse.reserveBuffer(LONG_BODY_MEMORY_FACTOR * READ_BUFFER_BYTES)) {
             return EVENT_BUFFER_BYTES;
         }
-        permitLargeReads.run();
+        reads.permitLargeReads();
         return READ_BUFFER_BYTES;
     }
 
@@ -293,7 +301,7 @@
         progress = ResponseProgress.ESTABLISHED;
         writeToCaller(head, lastBytes, 0, lastBytes.length);
         try {
-            callerResponse.finish();
+            begun.orElseThrow().finish();
         } catch (IOException e) {
             throw new CallerDisconnectedException(e);
         }
@@ -302,10 +310,10 @@
     private void writeToCaller(ResponseHead head, byte[] bytes, int from, int length)
             throws CallerDisconnectedException {
         try {
-            if (!callerResponse.started()) {
-                callerResponse.start(head);
+            if (begun.isEmpty()) {
+                begun = Optional.of(callerResponse.start(head));
             }
-            callerResponse.write(bytes, from, length);
+            begun.get().write(bytes, from, length);
         } catch (IOException e) {
             throw new CallerDisconnectedException(e);
         }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -98,10 +98,7 @@
         this.endConfirmation = endConfirmation;
         forwarder =
                 new ResponseForwarder(
-                        callerResponse,
-                        this::setReadDeadline,
-                        () -> connection.socket().permitLargeReads(true),
-                        ticker);
+                        callerResponse, attempt.begunStream(), new ResponseReads(), ticker);
         sentAt = ticker.nanos();
         earlierRequests = connection.recordRequest(attempt.request().head().id());
         responseFinder =
@@ -236,9 +233,13 @@
 
     private AttemptResult result(AttemptOutcome outcome, String detail) {
         AttemptResult result = AttemptResult.of(outcome, forwarder.lastEvent(), detail);
+        AttemptResult withStream =
+                attempt.route().kind().isEventStream()
+                        ? result.withStream(forwarder.begun())
+                        : result;
         return timeToFirstByte
-                .map(t -> result.withProgress(t, forwarder.progress()))
-                .orElse(result);
+                .map(t -> withStream.withProgress(t, forwarder.progress()))
+                .orElse(withStream);
     }
 
     // ---- response of the target
@@ -385,7 +386,10 @@
     }
 
     private void setReadDeadline() {
-        Duration timeout = attempt.responseTimeout().orElse(attempt.deadline().remaining());
+        setReadDeadline(attempt.responseTimeout().orElse(attempt.deadline().remaining()));
+    }
+
+    private void setReadDeadline(Duration timeout) {
         Duration wait = attempt.deadline().cap(timeout);
         connection.socket().setReadDeadline(ticker.nanos() + wait.toNanos());
         connection
@@ -393,4 +397,21 @@
                 .setOverallDeadline(
                         attempt.deadline().atNanos() + OVERALL_DEADLINE_MARGIN.toNanos());
     }
+
+    private final class ResponseReads implements ReadControl {
+        @Override
+        public void awaitProgress() {
+            setReadDeadline();
+        }
+
+        @Override
+        public void awaitRest() {
+            setReadDeadline(attempt.deadline().remaining());
+        }
+
+        @Override
+        public void permitLargeReads() {
+            connection.socket().permitLargeReads(true);
+        }
+    }
 }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -130,13 +130,15 @@
         private volatile Runnable disconnectAction;
 
         @Override
-        public void start(ResponseHead head) {}
-
-        @Override
-        public void write(byte[] bytes, int from, int length) {}
-
-        @Override
-        public void finish() {}
+        public BegunResponse start(ResponseHead head) {
+            return new BegunResponse() {
+                @Override
+                public void write(byte[] bytes, int from, int length) {}
+
+                @Override
+                public void finish() {}
+            };
+        }
 
         @Override
         public boolean closedForMemory() {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
@@ -124,6 +124,14 @@
             assertFalse(policy.permitsAttempt());
         }
 
+        /** Guards against the body of a second run behind a part of the first one. */
+        @Test
+        void bodyThatHasBegunIsNotRepeated() {
+            RetryPolicy policy = policy(RouteKind.IDEMPOTENT, false, 2);
+            endAttempt(policy, 1, AttemptOutcome.BROKEN);
+            assertFalse(policy.permitsAttempt());
+        }
+
         /** Guards against counting rejections as runs of a request. */
         @Test
         void rejectionDoesNotCountAsRun() {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpCallerResponseTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpCallerResponseTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -12,6 +13,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.dispatch.BegunResponse;
 import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.MemoryBudget;
 import org.godwithoist.dispatch.Refusal;
@@ -85,6 +87,31 @@
         }
     }
 
+    /** Scenario: a part of a response was sent. */
+    @Nested
+    final class Begun {
+        private final ResponseHead head = ResponseHead.of(200, List.of(), BodyEnd.MARK);
+
+        /** Guards against the response of a second target behind a part of the first one. */
+        @Test
+        void isNotStartedAgain() throws IOException {
+            response.start(head).write(new byte[] {'a'}, 0, 1);
+            assertThrows(IllegalStateException.class, () -> response.start(head));
+            assertTrue(received().endsWith("\r\n\r\n1\r\na\r\n"));
+        }
+
+        /** Guards against a refusal that the caller takes for a part of the body. */
+        @Test
+        void isNotRefused() throws IOException {
+            response.start(head).write(new byte[] {'a'}, 0, 1);
+            Duration retryAfter = Duration.ofSeconds(1);
+            assertThrows(
+                    IllegalStateException.class,
+                    () -> response.refuse(Refusal.NO_TARGET, retryAfter));
+            assertTrue(received().endsWith("\r\n\r\n1\r\na\r\n"));
+        }
+    }
+
     /** Scenario: the request asks for the head of a response. */
     @Nested
     final class HeadOnly {
@@ -93,9 +120,9 @@
         void noLengthIsInvented() throws IOException {
             response.headOnly(true);
             ResponseHead head = ResponseHead.of(200, List.of(), BodyEnd.LENGTH);
-            response.start(head.withLength(0));
-            response.write(new byte[0], 0, 0);
-            response.finish();
+            BegunResponse begun = response.start(head.withLength(0));
+            begun.write(new byte[0], 0, 0);
+            begun.finish();
             String received = received();
             assertOnlyAHead(received);
             assertFalse(received.contains("Content-Length"), received);
@@ -117,9 +144,9 @@
         @ParameterizedTest
         @ValueSource(ints = {204, 304})
         void nothingFollowsTheHead(int status) throws IOException {
-            response.start(ResponseHead.of(status, List.of(), BodyEnd.MARK));
-            response.write(new byte[0], 0, 0);
-            response.finish();
+            BegunResponse begun = response.start(ResponseHead.of(status, List.of(), BodyEnd.MARK));
+            begun.write(new byte[0], 0, 0);
+            begun.finish();
             assertOnlyAHead(received());
         }
     }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -153,6 +153,7 @@
                         Deadline.after(limit, ticker),
                         Optional.empty(),
                         resumeAfter,
+                        Optional.empty(),
                         endInDoubt,
                         hasOtherTarget,
                         false,
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/TestResponse.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/TestResponse.java
@@ -1,8 +1,11 @@
 package org.godwithoist.dispatch.http;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import org.godwithoist.dispatch.BegunResponse;
 import org.godwithoist.dispatch.CallerResponse;
 import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.ResponseHead;
@@ -35,20 +38,22 @@
     }
 
     @Override
-    public void start(ResponseHead head) {
+    public BegunResponse start(ResponseHead head) {
+        assertFalse(started, "a second response to the same request");
         statesEnd = head.end().isStated();
         started = true;
-    }
-
-    @Override
-    public void write(byte[] piece, int from, int length) {
-        bytes.write(piece, from, length);
-        onWrite.run();
-    }
-
-    @Override
-    public void finish() {
-        onFinish.run();
+        return new BegunResponse() {
+            @Override
+            public void write(byte[] piece, int from, int length) {
+                bytes.write(piece, from, length);
+                onWrite.run();
+            }
+
+            @Override
+            public void finish() {
+                onFinish.run();
+            }
+        };
     }
 
     @Override
