Notice when this daemon reaches no target

The log had each failed connection, but not that no target responds at all, and since when. Nothing depends on it yet.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptOutcome.java
@@ -74,6 +74,28 @@
         return this == LOST || this == BROKEN;
     }
 
+    /**
+     * Returns whether the target may be out of reach: the connection failed, or the target has sent
+     * nothing.
+     */
+    boolean isWithoutContact() {
+        return switch (this) {
+            case UNREACHABLE, LOST, SILENT, TIMED_OUT -> true;
+            case ANSWERED,
+                    UNCONFIRMED,
+                    FAILURE_ANSWER,
+                    REJECTED,
+                    THROTTLED,
+                    MOVED,
+                    NOT_SENT,
+                    INVALID,
+                    BROKEN,
+                    WITHDRAWN,
+                    CALLER_LEFT ->
+                    false;
+        };
+    }
+
     /** Returns whether the request can be sent to another target if the route permits it. */
     public boolean isRetryable() {
         return retryable;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
@@ -43,6 +43,11 @@
                 detail);
     }
 
+    /** Returns whether the request was the first one on its connection. */
+    boolean isOnNewConnection() {
+        return connection.map(c -> c.earlierRequests() == 0).orElse(false);
+    }
+
     /** Returns this result with the progress of a response whose head arrived after a time. */
     public AttemptResult withProgress(Duration headAfter, ResponseProgress reached) {
         return new AttemptResult(
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -11,6 +11,7 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.forwarding.TargetReach;
 import org.godwithoist.overload.CapacityRefusal;
 import org.godwithoist.overload.OverloadControl;
 import org.godwithoist.overload.Ticket;
@@ -47,6 +48,7 @@
     private final RetryShares retryShares;
     private final Optional<Rollouts> rollouts;
     private final StreamOrigins streamOrigins;
+    private final TargetReach reach;
     private final RequestObserver observer;
     private final StatedEnds statedEnds;
     private final RequestEnd requestEnd;
@@ -59,6 +61,7 @@
      *
      * @param rollouts orders in progress; empty if the deployment rolls no versions out
      * @param streamOrigins versions that began the streams of callers
+     * @param reach whether this daemon reaches any target
      */
     public record Dependencies(
             StartupGate gate,
@@ -73,6 +76,7 @@
             RetryShares retryShares,
             Optional<Rollouts> rollouts,
             StreamOrigins streamOrigins,
+            TargetReach reach,
             ServingStatus status,
             RequestObserver observer,
             Ticker ticker,
@@ -94,6 +98,7 @@
         retryShares = dependencies.retryShares();
         rollouts = dependencies.rollouts();
         streamOrigins = dependencies.streamOrigins();
+        reach = dependencies.reach();
         random = dependencies.random();
         observer = dependencies.observer();
         ticker = dependencies.ticker();
@@ -294,6 +299,15 @@
                 Optional.of(admitted.route().targetLatency()));
     }
 
+    /** Records whether an attempt shows that targets can be reached on new connections. */
+    private void recordContact(AttemptResult result) {
+        if (result.outcome().isWithoutContact() && result.timeToFirstByte().isEmpty()) {
+            reach.recordFailure();
+        } else if (result.timeToFirstByte().isPresent() && result.isOnNewConnection()) {
+            reach.recordResponse();
+        }
+    }
+
     private boolean hasOtherTarget(Target target, RetryPolicy policy) {
         return directory.targets(target.entry().service()).stream()
                 .map(Target::id)
@@ -344,6 +358,7 @@
             }
             CapacityGate.record(result, slot);
             crashDetector.attemptEnded(request, target, result, startedAt);
+            recordContact(result);
             Duration took = Duration.ofNanos(ticker.nanos() - startedAt);
             observer.attempted(request, decision, result, took);
             return outcome == AttemptOutcome.ANSWERED;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/TargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/TargetGateway.java
@@ -15,6 +15,12 @@
     /** Returns whether a target accepts connections; one whose process has ended does not. */
     boolean acceptsConnections(Target target);
 
+    /**
+     * Returns whether a target responds on a new connection within a short time, whatever it
+     * responds. One that may not be asked responds if it accepts the connection.
+     */
+    boolean responds(Target target);
+
     /**
      * Asks the process at a target's address who it is. Unlike {@link #acceptsConnections}, it
      * recognizes another process and another incarnation, but costs the target an answer.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -147,6 +147,11 @@
         }
     }
 
+    @Override
+    public boolean responds(Target target) {
+        return presenceCheck.responds(target);
+    }
+
     @Override
     public TargetPresence findPresence(Target target) {
         return presenceCheck.check(target, Duration.ZERO);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/PresenceCheck.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/PresenceCheck.java
@@ -25,6 +25,9 @@
     /** Longest wait for the answer. A target without a free slot may give it later. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(150);
 
+    /** Longest wait for a response that shows only that the target is in reach. */
+    private static final Duration RESPONSE_TIMEOUT = Duration.ofMillis(400);
+
     /**
      * Delay of the second question after a connection that ended without an answer, as it does if
      * the target ends or has too many connections. A process that ends is gone by then.
@@ -66,6 +69,25 @@
         return ask(target, delay).orElseGet(() -> askAgain(target));
     }
 
+    /**
+     * Returns whether the target sends any response on a new connection. One that accepts no
+     * questions responds if it accepts the connection.
+     */
+    boolean responds(Target target) {
+        try (TargetConnection connection =
+                TargetConnection.open(target.entry().endpoint(), connectTimeout, ticker)) {
+            Optional<ServiceSpec> service = services.apply(target.entry().service());
+            if (service.isEmpty() || !target.acceptsQuestions()) {
+                return true;
+            }
+            sendQuestion(connection, target, service.get(), RESPONSE_TIMEOUT);
+            connection.reader().readResponse();
+            return true;
+        } catch (IOException | HttpException e) {
+            return false;
+        }
+    }
+
     private TargetPresence askAgain(Target target) {
         Tasks.sleep(REPEAT_DELAY);
         return ask(target, Duration.ZERO).orElse(TargetPresence.UNIDENTIFIED);
@@ -98,7 +120,17 @@
 
     private TargetPresence ask(TargetConnection connection, Target target, ServiceSpec service)
             throws IOException, HttpException {
-        connection.socket().setReadDeadline(ticker.nanos() + ANSWER_TIMEOUT.toNanos());
+        sendQuestion(connection, target, service, ANSWER_TIMEOUT);
+        ClassicHttpResponse response = connection.reader().readResponse();
+        Framing framing = Framing.ofResponse(response.getCode(), METHOD, response.getHeaders());
+        byte[] body = readBody(connection.reader().body(framing));
+        return dialect.readPresence(target, response.getCode(), response.getHeaders(), body);
+    }
+
+    private void sendQuestion(
+            TargetConnection connection, Target target, ServiceSpec service, Duration timeout)
+            throws IOException {
+        connection.socket().setReadDeadline(ticker.nanos() + timeout.toNanos());
         Endpoint address = target.entry().endpoint();
         MessageWriter writer = connection.writer();
         writer.startLine(METHOD + " " + dialect.presencePath(service) + " HTTP/1.1");
@@ -106,10 +138,6 @@
         writer.fields(dialect.presenceFields(target));
         writer.endHead();
         writer.flush();
-        ClassicHttpResponse response = connection.reader().readResponse();
-        Framing framing = Framing.ofResponse(response.getCode(), METHOD, response.getHeaders());
-        byte[] body = readBody(connection.reader().body(framing));
-        return dialect.readPresence(target, response.getCode(), response.getHeaders(), body);
     }
 
     /** Returns the bytes that arrive; the head alone may identify the process. */
--- a/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/CrashDetectorTest.java
@@ -57,6 +57,11 @@
             return listens;
         }
 
+        @Override
+        public boolean responds(Target target) {
+            return listens;
+        }
+
         @Override
         public TargetPresence findPresence(Target target) {
             presenceChecks.incrementAndGet();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -34,6 +34,7 @@
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.forwarding.TargetReach;
 import org.godwithoist.overload.CapacityObserver;
 import org.godwithoist.overload.OverloadControl;
 import org.godwithoist.overload.OverloadLimits;
@@ -86,6 +87,11 @@
             return true;
         }
 
+        @Override
+        public boolean responds(Target target) {
+            return true;
+        }
+
         @Override
         public TargetPresence findPresence(Target target) {
             return TargetPresence.UNIDENTIFIED;
@@ -238,6 +244,12 @@
                                         () -> new RetryShare.Budget(1, Duration.ofSeconds(10), 9)),
                                 Optional.empty(),
                                 new UnknownOrigins(),
+                                new TargetReach(
+                                        directory,
+                                        gateway::responds,
+                                        EventLog.start(OutputStream.nullOutputStream()),
+                                        Ticker.SYSTEM,
+                                        new SplittableRandom(1)),
                                 new ServingStatus(),
                                 outcomes,
                                 Ticker.SYSTEM,
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -30,6 +30,7 @@
 import org.godwithoist.dispatch.http.Dialect;
 import org.godwithoist.dispatch.http.HttpTargetGateway;
 import org.godwithoist.dispatch.http.StalledConnections;
+import org.godwithoist.forwarding.TargetReach;
 import org.godwithoist.overload.OverloadControl;
 import org.godwithoist.overload.OverloadLimits;
 import org.godwithoist.peers.LoadExchange;
@@ -88,6 +89,7 @@
     private final RecordedOrigins streamOrigins;
     private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
+    private final TargetReach reach;
     private final Supervisor supervisor;
     private final FleetWork work;
     private final Dialect dialect;
@@ -152,6 +154,7 @@
                         quarantine.waitingRequests(),
                         id -> catalogs.current().flatMap(c -> c.service(id)),
                         ticker);
+        reach = new TargetReach(directory, gateway::responds, log, ticker, random);
     }
 
     /**
@@ -208,6 +211,7 @@
                         ticker,
                         random)
                 .start(supervisor);
+        reach.start(supervisor);
         supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
     }
@@ -291,6 +295,11 @@
     private List<MetricSnapshot> otherMetrics() {
         List<MetricSnapshot> others = new ArrayList<>();
         others.add(StoreMetrics.of(calls.counts()));
+        others.add(
+                EdgeMetrics.gauge(
+                        "godwithoist_targets_out_of_reach",
+                        "Whether no target responds to this daemon",
+                        reach.isLost() ? 1 : 0));
         others.addAll(StreamMetrics.of(streamOrigins));
         rollout.ifPresent(r -> others.addAll(r.metrics(followers.rejectedOrders())));
         return others;
@@ -382,6 +391,7 @@
                         new RetryShares(ticker, this::retryBudget),
                         rollout.map(VersionRollout::rollouts),
                         streamOrigins,
+                        reach,
                         serving,
                         new RequestLog(log, metrics),
                         ticker,
