Reproduce daemons that reach no target while the others do

Each daemon reaches each target through a link of its own, which can be silent, be reset, or reset new connections only. The store's stand-in gets further ports that serve the same tables with rewritten rows, so that each daemon reads the addresses of its links while the table of daemons stays one.

--- /dev/null
+++ b/edge/src/test/java/org/godwithoist/edge/LinkFault.java
@@ -0,0 +1,26 @@
+package org.godwithoist.edge;
+
+/** What happens to the connections of a {@link TargetLink}. */
+enum LinkFault {
+    /** All connections work. */
+    NONE(false, false, false),
+    /**
+     * Nothing arrives in either direction, as behind a firewall that drops packets. What was sent
+     * arrives afterwards, as TCP sends it again.
+     */
+    SILENT(true, false, false),
+    /** Open connections and new ones are reset. */
+    RESET(false, true, true),
+    /** New connections are reset, open ones go on. */
+    NEW_RESET(false, false, true);
+
+    final boolean holdsData;
+    final boolean resetsOpenConnections;
+    final boolean resetsNewConnections;
+
+    LinkFault(boolean holdsData, boolean resetsOpenConnections, boolean resetsNewConnections) {
+        this.holdsData = holdsData;
+        this.resetsOpenConnections = resetsOpenConnections;
+        this.resetsNewConnections = resetsNewConnections;
+    }
+}
--- a/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RowStoreStandin.java
@@ -13,8 +13,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.UnaryOperator;
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.godwithoist.core.id.Endpoint;
 
@@ -27,7 +29,20 @@
     private static final int UNAVAILABLE = 503;
     private static final Duration HANG_TIMEOUT = Duration.ofHours(1);
 
+    /** How one port of the store shows the rows of a table. */
+    private record View(String table, UnaryOperator<String> rewriting) {
+        private static final View PLAIN = new View("", UnaryOperator.identity());
+
+        private ObjectNode toJson(StoredRows.Row row) {
+            if (row.deleted() || !row.table().equals(table)) {
+                return row.toJson();
+            }
+            return row.withValue(encode(rewriting.apply(decode(row.value())))).toJson();
+        }
+    }
+
     private final MessageServer server;
+    private final List<MessageServer> viewServers = new CopyOnWriteArrayList<>();
     private final long startedAt = System.nanoTime();
     private final StoredRows rows = new StoredRows();
     private final AtomicInteger lostTransactions = new AtomicInteger();
@@ -43,7 +58,23 @@
 
     /** Starts the store on a free port. */
     public RowStoreStandin() throws IOException {
-        server = new MessageServer("row-store", this::serve);
+        server = new MessageServer("row-store", (r, b, c) -> serve(View.PLAIN, r, b, c));
+    }
+
+    /**
+     * Opens another port that serves the same tables, but shows one of them differently, so that a
+     * daemon can be given addresses of its own for what all daemons share.
+     *
+     * @param table table whose rows are rewritten when they are read
+     * @param rewriting returns the value that is shown in place of the stored one
+     * @return address of the port
+     */
+    public Endpoint openView(String table, UnaryOperator<String> rewriting) throws IOException {
+        View view = new View(table, rewriting);
+        MessageServer added =
+                new MessageServer("row-store-view", (r, b, c) -> serve(view, r, b, c));
+        viewServers.add(added);
+        return added.endpoint();
     }
 
     /** Returns the address of the store. */
@@ -55,8 +86,7 @@
 
     /** Inserts or replaces a row. The value is stored as Base64. */
     public synchronized void put(String table, String key, String json) {
-        byte[] bytes = json.getBytes(StandardCharsets.UTF_8);
-        rows.put(table, key, Base64.getEncoder().encodeToString(bytes));
+        rows.put(table, key, encode(json));
         notifyAll();
     }
 
@@ -68,9 +98,15 @@
 
     /** Returns the values that a row has had since the history began, without deletions. */
     public synchronized List<String> values(String table, String key) {
-        return rows.values(table, key).stream()
-                .map(v -> new String(Base64.getDecoder().decode(v), StandardCharsets.UTF_8))
-                .toList();
+        return rows.values(table, key).stream().map(RowStoreStandin::decode).toList();
+    }
+
+    private static String encode(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String decode(String value) {
+        return new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
     }
 
     /** Makes the store execute the next transactions without sending their responses. */
@@ -167,7 +203,7 @@
     // ---- requests
 
     private boolean serve(
-            ClassicHttpRequest request, byte[] body, MessageServer.Connection connection)
+            View view, ClassicHttpRequest request, byte[] body, MessageServer.Connection connection)
             throws IOException {
         requests.incrementAndGet();
         int initialCount = unresponsiveCount;
@@ -177,7 +213,7 @@
         Map<String, String> query = query(request.getRequestUri());
         String path = request.getRequestUri().split("\\?", 2)[0];
         ObjectNode response = MAPPER.createObjectNode();
-        Outcome outcome = handle(path, query, body, response);
+        Outcome outcome = handle(view, path, query, body, response);
         int status = outcome.status();
         if (unresponsiveCount != initialCount) {
             return awaitClose(connection);
@@ -206,7 +242,7 @@
     private record Outcome(int status, long era) {}
 
     private synchronized Outcome handle(
-            String path, Map<String, String> query, byte[] body, ObjectNode response)
+            View view, String path, Map<String, String> query, byte[] body, ObjectNode response)
             throws IOException {
         awaitEndOfStall();
         if (down) {
@@ -214,8 +250,8 @@
         }
         int status =
                 switch (path) {
-                    case "/rows-get" -> readRows(query, response);
-                    case "/rows-feed" -> readChanges(query, response);
+                    case "/rows-get" -> readRows(view, query, response);
+                    case "/rows-feed" -> readChanges(view, query, response);
                     case "/rows-tx" -> transact(MAPPER.readTree(body), response);
                     default -> 404;
                 };
@@ -228,10 +264,10 @@
         }
     }
 
-    private int readRows(Map<String, String> query, ObjectNode response) {
+    private int readRows(View view, Map<String, String> query, ObjectNode response) {
         ArrayNode list = response.putArray("rows");
         rows.range(query.get("table"), query.getOrDefault("from", ""), query.get("to"))
-                .forEach(r -> list.add(r.toJson()));
+                .forEach(r -> list.add(view.toJson(r)));
         sentRows.merge(query.get("table"), list.size(), Integer::sum);
         writeState(response.put("hasMore", false));
         return OK;
@@ -243,7 +279,7 @@
         response.put("nowMs", TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt));
     }
 
-    private int readChanges(Map<String, String> query, ObjectNode response) {
+    private int readChanges(View view, Map<String, String> query, ObjectNode response) {
         long after = Long.parseLong(query.get("afterRevision"));
         long deadline = System.nanoTime() + millisToNanos(Long.parseLong(query.get("waitMs")));
         List<StoredRows.Row> changes = rows.changesAfter(query.get("table"), after);
@@ -262,7 +298,7 @@
             return GONE;
         }
         ArrayNode list = response.putArray("rows");
-        changes.forEach(r -> list.add(r.toJson()));
+        changes.forEach(r -> list.add(view.toJson(r)));
         sentRows.merge(query.get("table"), list.size(), Integer::sum);
         writeState(response);
         return OK;
@@ -314,6 +350,9 @@
 
     @Override
     public void close() throws IOException {
+        for (MessageServer v : viewServers) {
+            v.close();
+        }
         server.close();
     }
 }
--- a/standins/src/main/java/org/godwithoist/standins/edge/StoredRows.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/StoredRows.java
@@ -18,6 +18,10 @@
 
     /** A row, or its deletion. */
     record Row(String table, String key, String value, long version, boolean deleted) {
+        Row withValue(String other) {
+            return new Row(table, key, other, version, deleted);
+        }
+
         ObjectNode toJson() {
             ObjectNode node = MAPPER.createObjectNode();
             node.put("table", table).put("part", "").put("key", key);
