Pass requests on to another daemon while this one reaches no target

Such a daemon took all targets for failed, tried them as a last resort, and had no other way.

While no target responds (TargetReach), a request that certainly has not run is passed on to another daemon, to three at most. That daemon handles it like one of its own callers, so that each limit of a target is kept by the daemon that sends to it, and never passes it on again; one that reaches no target either, or has an older catalog, refuses it as not run.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Attempt.java
@@ -14,7 +14,8 @@
  *
  * @param request the request
  * @param route its route
- * @param target the target
+ * @param recipient who gets the request
+ * @param target the target; for {@link Recipient#DAEMON} the other daemon in the place of one
  * @param cachingEngine engine from which the target imports the prompt prefix; empty if none
  * @param workspace workspace that is charged for the request; empty on routes with public access
  * @param priority priority of the request, 0 is the highest
@@ -35,6 +36,7 @@
 public record Attempt(
         Request request,
         Route route,
+        Recipient recipient,
         Target target,
         Optional<Target> cachingEngine,
         Optional<WorkspaceId> workspace,
@@ -62,9 +64,14 @@
         return mayAskForMore() && mayBeCompared() && hasOtherTarget;
     }
 
-    /** Returns whether the route permits that two targets respond to the request. */
+    /**
+     * Returns whether the route permits that two targets respond to the request. Another daemon has
+     * compared the responses of its targets before it passes one on.
+     */
     public boolean mayBeCompared() {
-        return route.allowsReexecution() && route.maxAttempts() > 1;
+        return recipient == Recipient.TARGET
+                && route.allowsReexecution()
+                && route.maxAttempts() > 1;
     }
 
     /**
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -11,6 +11,8 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.forwarding.ForwardingCounts;
+import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.forwarding.TargetReach;
 import org.godwithoist.overload.CapacityRefusal;
 import org.godwithoist.overload.OverloadControl;
@@ -49,6 +51,7 @@
     private final Optional<Rollouts> rollouts;
     private final StreamOrigins streamOrigins;
     private final TargetReach reach;
+    private final RequestForwarder forwarder;
     private final RequestObserver observer;
     private final StatedEnds statedEnds;
     private final RequestEnd requestEnd;
@@ -62,6 +65,7 @@
      * @param rollouts orders in progress; empty if the deployment rolls no versions out
      * @param streamOrigins versions that began the streams of callers
      * @param reach whether this daemon reaches any target
+     * @param peers daemons to which requests are passed on while it reaches none
      */
     public record Dependencies(
             StartupGate gate,
@@ -77,6 +81,8 @@
             Optional<Rollouts> rollouts,
             StreamOrigins streamOrigins,
             TargetReach reach,
+            ForwardingPeers peers,
+            ForwardingCounts forwardingCounts,
             ServingStatus status,
             RequestObserver observer,
             Ticker ticker,
@@ -104,6 +110,16 @@
         ticker = dependencies.ticker();
         statedEnds = new StatedEnds(ticker);
         requestEnd = new RequestEnd(observer, statedEnds, ticker, dependencies.random());
+        forwarder =
+                new RequestForwarder(
+                        new RequestForwarder.Dependencies(
+                                reach,
+                                dependencies.peers(),
+                                dependencies.forwardingCounts(),
+                                gateway,
+                                statedEnds,
+                                observer,
+                                ticker));
     }
 
     /**
@@ -117,6 +133,9 @@
                 throw new RefusedException(Refusal.NO_CATALOG, "the daemon is starting");
             }
             Admission.AdmittedRequest admitted = admission.admit(request.head());
+            if (request.admittedBy().isPresent()) {
+                forwarder.checkForwarded(request, admitted.version());
+            }
             memory.requestStarted(
                     admitted.priority(), request.body().length(), response::callerDisconnected);
             try {
@@ -137,8 +156,12 @@
             requestEnd.refuse(request, route, Refusal.QUARANTINED, quarantined.get(), response);
             return;
         }
-        retryShares.of(admitted.service().id()).recordRequest();
         Deadline deadline = request.deadline(route.timeout(), ticker);
+        RetryPolicy policy = new RetryPolicy(route, request.head().resumeAfter());
+        if (forward(request, admitted, policy, deadline, response)) {
+            return;
+        }
+        retryShares.of(admitted.service().id()).recordRequest();
         RequestVersions versions =
                 RequestVersions.of(
                         rollouts,
@@ -166,6 +189,7 @@
             run(
                     request,
                     admitted,
+                    policy,
                     versions,
                     deadline,
                     hasSlot ? Optional.of(ticket) : Optional.empty(),
@@ -173,6 +197,32 @@
         }
     }
 
+    /**
+     * Passes a request on to another daemon if this one reaches no target, and ends it.
+     *
+     * @return whether the request has ended; otherwise no daemon has taken it
+     */
+    private boolean forward(
+            Request request,
+            Admission.AdmittedRequest admitted,
+            RetryPolicy policy,
+            Deadline deadline,
+            CallerResponse response)
+            throws IOException {
+        if (!forwarder.isDue(request, policy)) {
+            return false;
+        }
+        RequestForwarder.Result result =
+                forwarder.forward(request, admitted, policy, deadline, response);
+        if (result == RequestForwarder.Result.NOT_TAKEN) {
+            return false;
+        }
+        boolean responded = result == RequestForwarder.Result.ANSWERED;
+        requestEnd.finish(
+                request, admitted.route(), policy, Optional.empty(), deadline, response, responded);
+        return true;
+    }
+
     /**
      * Handles a request that may be sent to targets.
      *
@@ -181,6 +231,7 @@
     private void run(
             Request request,
             Admission.AdmittedRequest admitted,
+            RetryPolicy policy,
             RequestVersions versions,
             Deadline deadline,
             Optional<Ticket> slot,
@@ -188,7 +239,6 @@
             throws IOException {
         Route route = admitted.route();
         RetryShare retryShare = retryShares.of(admitted.service().id());
-        RetryPolicy policy = new RetryPolicy(route, request.head().resumeAfter());
         boolean responded = false;
         while (slot.isPresent()
                 && !responded
@@ -210,6 +260,9 @@
                             slot.get(),
                             response);
         }
+        if (!responded && forward(request, admitted, policy, deadline, response)) {
+            return;
+        }
         if (responded && route.kind().isEventStream()) {
             Duration duration = Duration.ofNanos(ticker.nanos() - request.arrivedAt());
             streamDurations.record(route.id(), duration);
@@ -235,7 +288,8 @@
         if (!policy.nextIsRetry()) {
             return true;
         }
-        return policy.permitsAttempt()
+        return !forwarder.isDue(request, policy)
+                && policy.permitsAttempt()
                 && quarantine.remaining(request.suspectIds()).isEmpty()
                 && takeRetry(policy, retryShare);
     }
@@ -333,6 +387,7 @@
                 new Attempt(
                         request,
                         route,
+                        Recipient.TARGET,
                         target,
                         decision.cachingEngine(),
                         admitted.workspace(),
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
@@ -38,6 +38,11 @@
      * no request now.
      */
     TARGETS_PAUSED(503, true),
+    /**
+     * Another daemon has passed the request on, and this one reaches no target either. Another one
+     * may, so that the status differs from those for lack of room.
+     */
+    OUT_OF_REACH(421, true),
     /** The request goes on with a stream, and it is not known which version began it. */
     UNKNOWN_ORIGIN(503, true),
     /** The request goes on with a stream, and no target runs the version that began it. */
@@ -77,6 +82,11 @@
         return RETRY_DELAY;
     }
 
+    /** Returns whether a target may have run the request. */
+    public boolean mayHaveRun() {
+        return this == TARGET_FAILED || this == TIMED_OUT;
+    }
+
     /** Returns whether the response promises that the request has not run and never will. */
     public boolean promisesNotRun() {
         return promisesNotRun;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.godwithoist.core.id.WorkspaceId;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
@@ -18,16 +19,25 @@
  * @param hasBody whether the caller sent a body, which may be empty
  * @param arrivedAt time at which the last byte was read, in nanoseconds of the ticker
  * @param fingerprint identifies the request and its repeats; empty until its workspace is known
+ * @param admittedBy version of the catalog by which another daemon has admitted the request before
+ *     it passed it on; empty for a request of a caller
  */
 public record Request(
         RequestHead head,
         RequestBody body,
         boolean hasBody,
         long arrivedAt,
-        Optional<RequestFingerprint> fingerprint) {
+        Optional<RequestFingerprint> fingerprint,
+        OptionalLong admittedBy) {
     /** Creates a request whose workspace is not known yet. */
     public Request(RequestHead head, RequestBody body, boolean hasBody, long arrivedAt) {
-        this(head, body, hasBody, arrivedAt, Optional.empty());
+        this(head, body, hasBody, arrivedAt, Optional.empty(), OptionalLong.empty());
+    }
+
+    /** Returns this request as one that a daemon passes on. */
+    public Request admittedBy(long catalogVersion) {
+        return new Request(
+                head, body, hasBody, arrivedAt, fingerprint, OptionalLong.of(catalogVersion));
     }
 
     /** Returns this request with its fingerprint, as sent by a workspace. */
@@ -42,7 +52,7 @@
                         head.prefix()
                                 .map(p -> Long.toHexString(p.wholePrompt().hash()))
                                 .orElse(""));
-        return new Request(head, body, hasBody, arrivedAt, Optional.of(computed));
+        return new Request(head, body, hasBody, arrivedAt, Optional.of(computed), admittedBy);
     }
 
     /** Returns what may be to blame if targets crash under this request. */
--- /dev/null
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
@@ -0,0 +1,156 @@
+package org.godwithoist.dispatch;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.godwithoist.catalog.Route;
+import org.godwithoist.core.time.Deadline;
+import org.godwithoist.core.time.Ticker;
+import org.godwithoist.forwarding.ForwardingCounts;
+import org.godwithoist.forwarding.ForwardingPeers;
+import org.godwithoist.forwarding.TargetReach;
+import org.godwithoist.targets.Placement;
+import org.godwithoist.targets.Target;
+
+/**
+ * Passes requests on to other daemons while this one reaches no target. The other daemon handles
+ * the request like one of its own callers, with its own limits and retries, but never passes it on
+ * again. Only requests that no target can have are passed on, each to a few daemons at most, so
+ * that daemons that all reach nothing do not keep each other busy. Thread-safe.
+ */
+final class RequestForwarder {
+    /** Maximum number of daemons that are asked for one request. */
+    private static final int MAX_PEERS = 3;
+
+    /** What has become of a request. */
+    enum Result {
+        /** The complete response was sent to the caller. */
+        ANSWERED,
+        /** The request may have run, or its caller has left; it must not be sent again. */
+        ENDED,
+        /** No daemon has taken it. */
+        NOT_TAKEN
+    }
+
+    /**
+     * Collaborators of a forwarder.
+     *
+     * @param reach whether this daemon reaches any target
+     */
+    record Dependencies(
+            TargetReach reach,
+            ForwardingPeers peers,
+            ForwardingCounts counts,
+            TargetGateway gateway,
+            StatedEnds statedEnds,
+            RequestObserver observer,
+            Ticker ticker) {}
+
+    private final Dependencies dependencies;
+
+    RequestForwarder(Dependencies dependencies) {
+        this.dependencies = dependencies;
+    }
+
+    /**
+     * Checks a request that another daemon has passed on.
+     *
+     * @param version version of the catalog that this daemon has admitted it by
+     * @throws RefusedException if this daemon reaches no target either, or has an older catalog
+     */
+    void checkForwarded(Request request, long version) throws RefusedException {
+        dependencies.counts().recordReceived();
+        if (dependencies.reach().isLost()) {
+            throw new RefusedException(
+                    Refusal.OUT_OF_REACH, "this daemon reaches no target either");
+        }
+        if (version < request.admittedBy().orElseThrow()) {
+            throw new RefusedException(
+                    Refusal.NO_CATALOG, "the request was admitted by a later catalog");
+        }
+    }
+
+    /**
+     * Returns whether a request is to be passed on. One that no daemon has taken is tried at
+     * targets after all.
+     */
+    boolean isDue(Request request, RetryPolicy policy) {
+        return dependencies.reach().isLost()
+                && request.admittedBy().isEmpty()
+                && !policy.wasForwarded()
+                && policy.possibleRuns() == 0;
+    }
+
+    /** Passes a request on until a daemon takes it. */
+    Result forward(
+            Request request,
+            Admission.AdmittedRequest admitted,
+            RetryPolicy policy,
+            Deadline deadline,
+            CallerResponse response) {
+        Request forwarded = request.admittedBy(admitted.version());
+        for (int i = 0; i < MAX_PEERS && !deadline.isExpired(); i++) {
+            Optional<Placement.Decision> peer = dependencies.peers().choose(policy.tried());
+            if (peer.isEmpty()) {
+                return Result.NOT_TAKEN;
+            }
+            AttemptOutcome outcome =
+                    attempt(forwarded, admitted, peer.get(), policy, deadline, response);
+            if (outcome == AttemptOutcome.ANSWERED) {
+                dependencies.counts().recordAnswered();
+                return Result.ANSWERED;
+            }
+            if (policy.possibleRuns() > 0 || response.callerDisconnected()) {
+                return Result.ENDED;
+            }
+        }
+        return Result.NOT_TAKEN;
+    }
+
+    private AttemptOutcome attempt(
+            Request request,
+            Admission.AdmittedRequest admitted,
+            Placement.Decision decision,
+            RetryPolicy policy,
+            Deadline deadline,
+            CallerResponse response) {
+        Target peer = decision.target();
+        Attempt attempt = newAttempt(request, admitted, peer, deadline);
+        long startedAt = dependencies.ticker().nanos();
+        AttemptOutcome outcome = AttemptOutcome.CALLER_LEFT;
+        dependencies.counts().recordSent();
+        try {
+            AttemptResult result = dependencies.gateway().attempt(attempt, response);
+            outcome = result.outcome();
+            policy.recordForwarded(peer, result);
+            Duration took = Duration.ofNanos(dependencies.ticker().nanos() - startedAt);
+            dependencies.observer().attempted(request, decision, result, took);
+            return outcome;
+        } finally {
+            peer.stopWaiting(attempt.pendingResponse());
+            peer.end(outcome.verdict());
+        }
+    }
+
+    private Attempt newAttempt(
+            Request request, Admission.AdmittedRequest admitted, Target peer, Deadline deadline) {
+        Route route = admitted.route();
+        return new Attempt(
+                request,
+                route,
+                Recipient.DAEMON,
+                peer,
+                Optional.empty(),
+                admitted.workspace(),
+                admitted.priority(),
+                deadline,
+                Optional.empty(),
+                request.head().resumeAfter(),
+                Optional.empty(),
+                false,
+                false,
+                false,
+                dependencies.statedEnds(),
+                peer.startWaiting(),
+                AttemptEvidence.NONE);
+    }
+}
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
@@ -25,6 +25,7 @@
     private int possibleRuns;
 
     private int attempts;
+    private boolean wasForwarded;
     private OptionalLong lastEvent;
     private Optional<BegunResponse> begunStream = Optional.empty();
     private Optional<BufferedResponse> failure = Optional.empty();
@@ -61,6 +62,24 @@
         }
     }
 
+    /**
+     * Records that another daemon was asked to handle the request. If it has certainly not run,
+     * this was no attempt: nothing has reached a target.
+     */
+    void recordForwarded(Target peer, AttemptResult result) {
+        wasForwarded = true;
+        if (result.outcome().mayHaveRun()) {
+            recordAttempt(peer, result);
+        } else {
+            tried.add(peer.id());
+        }
+    }
+
+    /** Returns whether another daemon was asked to handle the request. */
+    boolean wasForwarded() {
+        return wasForwarded;
+    }
+
     /**
      * Returns whether a target has ended its response without stating the end, and no later attempt
      * has shown that it was incomplete.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -52,6 +52,7 @@
      * Collaborators and settings that all connections share.
      *
      * @param roomIsWanted whether new connections wait for the room of others
+     * @param callers who sends the requests
      */
     public record Dependencies(
             Dispatcher dispatcher,
@@ -62,8 +63,17 @@
             StalledConnections stalledConnections,
             MemoryBudget memory,
             BooleanSupplier roomIsWanted,
+            Callers callers,
             Ticker ticker) {}
 
+    /** Who sends requests on connections. */
+    public enum Callers {
+        /** Callers of the fleet. */
+        CLIENTS,
+        /** Other daemons, which pass on what their callers have sent. */
+        DAEMONS
+    }
+
     private final Dependencies dependencies;
     private final ReadAheadSocket socket;
     private final ConnectionActivity activity;
@@ -206,6 +216,10 @@
                         .dialect()
                         .readRequest(httpRequest.getMethod(), httpRequest.getRequestUri(), headers);
         memory.holdPromptParts(head.sharedParts().size());
+        boolean isForwarded = dependencies.callers() == Callers.DAEMONS;
+        if (isForwarded) {
+            response.refusalFields(r -> dependencies.dialect().refusalFields(head.id(), r));
+        }
         if (framing.length() > limits.maxBodyBytes()) {
             throw new RefusedException(
                     Refusal.BODY_TOO_LARGE,
@@ -216,7 +230,13 @@
             activity.enter(ConnectionActivity.Phase.OTHER);
             boolean hasBody = framing.kind() != Framing.Kind.NONE;
             Request request = new Request(head, body, hasBody, dependencies.ticker().nanos());
-            dependencies.dispatcher().serve(request, response);
+            dependencies
+                    .dispatcher()
+                    .serve(
+                            isForwarded
+                                    ? request.admittedBy(dependencies.dialect().admittedBy(headers))
+                                    : request,
+                            response);
         }
         if (response.endsWithConnection() || (!response.staysOpen() && hasUnreadInput())) {
             // Unread input of the caller would make a plain close a reset, which ends no body.
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
@@ -25,7 +25,9 @@
         /** Connections to the readiness and the metrics endpoint. */
         STATUS(17_000, 0.025, 0),
         /** Connections of the members of a large fleet to their leader. */
-        RELAY(8_000, 0.06, 0);
+        RELAY(8_000, 0.06, 0),
+        /** Connections of daemons that pass requests on. */
+        DAEMON(17_000, 0.08, 0);
 
         private final int bytesOfEach;
         private final double heapShare;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionListener.java
@@ -140,7 +140,8 @@
         }
     }
 
-    private static void closeSocket(Socket socket) {
+    /** Closes a connection that is not served. */
+    public static void closeSocket(Socket socket) {
         try {
             socket.close();
         } catch (IOException e) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/Dialect.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/Dialect.java
@@ -9,6 +9,7 @@
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.HeaderField;
+import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.RefusedException;
 import org.godwithoist.dispatch.RequestHead;
 import org.godwithoist.dispatch.TargetPresence;
@@ -56,9 +57,18 @@
      */
     RequestHead readRequest(String method, String uri, Header[] headers) throws RefusedException;
 
-    /** Returns the header fields of a request to a target. */
+    /**
+     * Returns the version of the catalog by which another daemon has admitted a request that it
+     * passes on; 0 if it is not stated.
+     */
+    long admittedBy(Header[] headers);
+
+    /** Returns the header fields of a request to a target, or to another daemon. */
     List<HeaderField> targetFields(Attempt attempt);
 
+    /** Returns the header fields of a refusal that tell another daemon what it is about. */
+    List<HeaderField> refusalFields(RequestId id, Refusal refusal);
+
     /** Reads the header fields of a target's response. */
     ResponseMetadata readResponse(Header[] headers);
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpCallerResponse.java
@@ -3,11 +3,14 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Locale;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import org.godwithoist.dispatch.BegunResponse;
 import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.CallerResponse;
+import org.godwithoist.dispatch.HeaderField;
 import org.godwithoist.dispatch.MemoryBudget;
 import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.RefusedException;
@@ -32,6 +35,7 @@
     private boolean finished;
     private long sentBytes;
     private BodyEnd end = BodyEnd.LENGTH;
+    private Function<Refusal, List<HeaderField>> refusalFields = r -> List.of();
 
     HttpCallerResponse(
             ReadAheadSocket socket,
@@ -66,6 +70,11 @@
         takesChunks = value;
     }
 
+    /** Sets the header fields that a refusal has besides those of all refusals. */
+    void refusalFields(Function<Refusal, List<HeaderField>> fields) {
+        refusalFields = fields;
+    }
+
     /** Returns whether the end of the connection is the end of the body. */
     boolean endsWithConnection() {
         return finished && end == BodyEnd.CONNECTION;
@@ -202,6 +211,7 @@
                         .getBytes(StandardCharsets.UTF_8);
         writer.startLine("HTTP/1.1 " + refusal.status() + " " + reasonPhrase(refusal.status()));
         writer.field("Content-Type", "application/json");
+        writer.fields(refusalFields.apply(refusal));
         writer.field("Content-Length", Integer.toString(body.length));
         if (refusal.promisesNotRun()) {
             double seconds = retryAfter.toMillis() / MILLIS_PER_SECOND;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/HttpTargetGateway.java
@@ -16,6 +16,7 @@
 import org.godwithoist.dispatch.AttemptOutcome;
 import org.godwithoist.dispatch.AttemptResult;
 import org.godwithoist.dispatch.CallerResponse;
+import org.godwithoist.dispatch.Recipient;
 import org.godwithoist.dispatch.TargetGateway;
 import org.godwithoist.dispatch.TargetPresence;
 import org.godwithoist.quarantine.SuspectId;
@@ -104,8 +105,7 @@
 
     private AttemptResult run(Attempt attempt, CallerResponse response, ConnectionLease lease) {
         Target target = attempt.target();
-        EndConfirmation endConfirmation =
-                new EndConfirmation(delay -> presenceCheck.check(target, delay));
+        EndConfirmation endConfirmation = new EndConfirmation(delay -> presence(attempt, delay));
         TargetExchange exchange =
                 new TargetExchange(
                         attempt, response, lease, dialect, onLeaving, endConfirmation, ticker);
@@ -127,6 +127,16 @@
         }
     }
 
+    /**
+     * Returns who is at the address of an attempt. Another daemon resets its connection to an
+     * incomplete response, so that an orderly close is a statement of that daemon.
+     */
+    private TargetPresence presence(Attempt attempt, Duration delay) {
+        return attempt.recipient() == Recipient.DAEMON
+                ? TargetPresence.PRESENT
+                : presenceCheck.check(attempt.target(), delay);
+    }
+
     private void endLease(ConnectionLease lease, TargetExchange exchange, Target target) {
         TargetConnection connection = lease.connection();
         if (lease.end() && exchange.reusable()) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -18,6 +18,7 @@
 import org.godwithoist.dispatch.ConnectionRecord;
 import org.godwithoist.dispatch.EndEvidence;
 import org.godwithoist.dispatch.EventTooLargeException;
+import org.godwithoist.dispatch.Recipient;
 import org.godwithoist.dispatch.ResponseBody;
 import org.godwithoist.dispatch.ResponseHead;
 import org.godwithoist.targets.Target;
@@ -253,10 +254,11 @@
 
     /**
      * Records what the target states about itself. A response with status 421 comes from another
-     * target, which has the address now.
+     * target, which has the address now, and one through another daemon from a target that this
+     * daemon has not chosen.
      */
     private void recordState(int status, Dialect.ResponseMetadata metadata) {
-        if (status == MISDIRECTED_REQUEST) {
+        if (status == MISDIRECTED_REQUEST || attempt.recipient() == Recipient.DAEMON) {
             return;
         }
         Target target = attempt.target();
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -34,6 +34,8 @@
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.forwarding.ForwardingCounts;
+import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.forwarding.TargetReach;
 import org.godwithoist.overload.CapacityObserver;
 import org.godwithoist.overload.OverloadControl;
@@ -250,6 +252,9 @@
                                         EventLog.start(OutputStream.nullOutputStream()),
                                         Ticker.SYSTEM,
                                         new SplittableRandom(1)),
+                                new ForwardingPeers(
+                                        DOMAIN, h -> false, Ticker.SYSTEM, new SplittableRandom(1)),
+                                new ForwardingCounts(),
                                 new ServingStatus(),
                                 outcomes,
                                 Ticker.SYSTEM,
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/HttpTargetGatewayTest.java
@@ -29,6 +29,7 @@
 import org.godwithoist.dispatch.AttemptEvidence;
 import org.godwithoist.dispatch.AttemptOutcome;
 import org.godwithoist.dispatch.AttemptResult;
+import org.godwithoist.dispatch.Recipient;
 import org.godwithoist.dispatch.Request;
 import org.godwithoist.dispatch.RequestBody;
 import org.godwithoist.dispatch.RequestHead;
@@ -146,6 +147,7 @@
                 new Attempt(
                         request,
                         route,
+                        Recipient.TARGET,
                         target,
                         Optional.empty(),
                         Optional.empty(),
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/PlainDialect.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/PlainDialect.java
@@ -8,6 +8,7 @@
 import org.godwithoist.core.id.RequestId;
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.HeaderField;
+import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.RequestHead;
 import org.godwithoist.dispatch.TargetPresence;
 import org.godwithoist.targets.RateStatement;
@@ -20,6 +21,16 @@
         throw new AssertionError("not used");
     }
 
+    @Override
+    public long admittedBy(Header[] headers) {
+        throw new AssertionError("not used");
+    }
+
+    @Override
+    public List<HeaderField> refusalFields(RequestId id, Refusal refusal) {
+        throw new AssertionError("not used");
+    }
+
     @Override
     public List<HeaderField> targetFields(Attempt attempt) {
         return List.of(new HeaderField("Id", attempt.request().head().id().value()));
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,8 @@
 import org.godwithoist.dispatch.http.Dialect;
 import org.godwithoist.dispatch.http.HttpTargetGateway;
 import org.godwithoist.dispatch.http.StalledConnections;
+import org.godwithoist.forwarding.ForwardingCounts;
+import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.forwarding.TargetReach;
 import org.godwithoist.overload.OverloadControl;
 import org.godwithoist.overload.OverloadLimits;
@@ -66,6 +69,7 @@
 
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
+    private static final int MAX_PORT = 65_535;
 
     private final SettingsFile settingsFile;
     private final EdgeSettings settings;
@@ -90,11 +94,14 @@
     private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
     private final TargetReach reach;
+    private final ForwardingPeers forwardingPeers;
+    private final ForwardingCounts forwardingCounts = new ForwardingCounts();
     private final Supervisor supervisor;
     private final FleetWork work;
     private final Dialect dialect;
     private final OverloadControl overload;
     private LoadExchange exchange;
+    private Endpoint peerAddress;
     private volatile Supplier<FleetShare> fleetShare = () -> new FleetShare(1, 0);
 
     /**
@@ -155,6 +162,9 @@
                         id -> catalogs.current().flatMap(c -> c.service(id)),
                         ticker);
         reach = new TargetReach(directory, gateway::responds, log, ticker, random);
+        forwardingPeers =
+                new ForwardingPeers(
+                        settings.failureDomain(), h -> exchange.isSilent(h), ticker, random);
     }
 
     /**
@@ -165,17 +175,11 @@
     void start(Endpoint metricsAddress) throws IOException {
         FleetList fleet = startExchange();
         fleetShare = fleet::share;
+        Dispatcher dispatcher = dispatcher(fleet);
         listeners.openCallers(
-                new CallerConnection.Dependencies(
-                        dispatcher(fleet),
-                        dialect,
-                        this::limits,
-                        serving,
-                        listeners.idleCallers(),
-                        stalledCallers,
-                        memory,
-                        listeners.limits().get(ConnectionLimit.Kind.CALLER)::isWanted,
-                        ticker));
+                connectionDependencies(
+                        dispatcher, ConnectionLimit.Kind.CALLER, CallerConnection.Callers.CLIENTS));
+        openDaemons(dispatcher);
         followers.start(new Leadership(exchange::leaderAddress, exchange::isLeader), supervisor);
         StatusServer statusServer =
                 new StatusServer(
@@ -216,6 +220,58 @@
         log.event("start").with("host", settings.host().value()).write();
     }
 
+    private CallerConnection.Dependencies connectionDependencies(
+            Dispatcher dispatcher, ConnectionLimit.Kind kind, CallerConnection.Callers callers) {
+        return new CallerConnection.Dependencies(
+                dispatcher,
+                dialect,
+                this::limits,
+                serving,
+                listeners.idleCallers(),
+                stalledCallers,
+                memory,
+                listeners.limits().get(kind)::isWanted,
+                callers,
+                ticker);
+    }
+
+    /** Without this listener the daemon takes no requests of others, and serves its own. */
+    private void openDaemons(Dispatcher dispatcher) {
+        try {
+            listeners.openDaemons(
+                    forwardingAddress(peerAddress),
+                    forwardingPeers::isKnownAddress,
+                    connectionDependencies(
+                            dispatcher,
+                            ConnectionLimit.Kind.DAEMON,
+                            CallerConnection.Callers.DAEMONS));
+        } catch (IOException e) {
+            log.event("forwarding_not_available")
+                    .with("reason", String.valueOf(e.getMessage()))
+                    .write();
+        }
+    }
+
+    /** Returns where a daemon takes requests of others: at the port behind that for messages. */
+    private static Endpoint forwardingAddress(Endpoint peerAddress) {
+        return new Endpoint(peerAddress.ip(), peerAddress.port() + 1);
+    }
+
+    private void updateMembers(Collection<Member> members) {
+        exchange.updateMembers(members);
+        forwardingPeers.update(
+                members.stream()
+                        .filter(m -> !m.host().equals(settings.host()))
+                        .filter(m -> m.address().port() < MAX_PORT)
+                        .map(
+                                m ->
+                                        new ForwardingPeers.Peer(
+                                                m.host(),
+                                                m.domain(),
+                                                forwardingAddress(m.address())))
+                        .toList());
+    }
+
     /** Shuts the daemon down gracefully; returns when the process can exit. */
     void stop() {
         new GracefulShutdown(
@@ -295,11 +351,7 @@
     private List<MetricSnapshot> otherMetrics() {
         List<MetricSnapshot> others = new ArrayList<>();
         others.add(StoreMetrics.of(calls.counts()));
-        others.add(
-                EdgeMetrics.gauge(
-                        "godwithoist_targets_out_of_reach",
-                        "Whether no target responds to this daemon",
-                        reach.isLost() ? 1 : 0));
+        others.addAll(ForwardingMetrics.of(reach, forwardingCounts));
         others.addAll(StreamMetrics.of(streamOrigins));
         rollout.ifPresent(r -> others.addAll(r.metrics(followers.rejectedOrders())));
         return others;
@@ -307,9 +359,9 @@
 
     private FleetList startExchange() throws IOException {
         UdpTransport transport = UdpTransport.open(settings.peers());
-        Endpoint address = new Endpoint(settings.peers().ip(), transport.port());
+        peerAddress = new Endpoint(settings.peers().ip(), transport.port());
         listeners.openRelay(followers.relayServer()::serve);
-        Member self = new Member(settings.host(), settings.failureDomain(), address);
+        Member self = new Member(settings.host(), settings.failureDomain(), peerAddress);
         exchange =
                 new LoadExchange(
                         new LoadExchange.Dependencies(
@@ -332,7 +384,7 @@
                 self,
                 settings.bounds().assumedDaemons(),
                 StoreTable.daemons(settings.store(), eras, calls, ticker),
-                exchange::updateMembers,
+                this::updateMembers,
                 log,
                 ticker,
                 random);
@@ -392,6 +444,8 @@
                         rollout.map(VersionRollout::rollouts),
                         streamOrigins,
                         reach,
+                        forwardingPeers,
+                        forwardingCounts,
                         serving,
                         new RequestLog(log, metrics),
                         ticker,
--- a/edge/src/main/java/org/godwithoist/edge/EdgeListeners.java
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeListeners.java
@@ -5,7 +5,9 @@
 import java.net.Socket;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Supervisor;
 import org.godwithoist.core.time.Ticker;
@@ -32,6 +34,7 @@
     private ConnectionListener readiness;
     private ConnectionListener metrics;
     private ConnectionListener relay;
+    private Optional<ConnectionListener> daemons = Optional.empty();
 
     /**
      * Creates an instance that listens to nothing yet.
@@ -65,6 +68,10 @@
                 ConnectionLimit.Kind.RELAY,
                 ConnectionLimit.of(
                         ConnectionLimit.Kind.RELAY, maxHeapBytes, new IdleConnections(ticker)));
+        limits.put(
+                ConnectionLimit.Kind.DAEMON,
+                ConnectionLimit.of(
+                        ConnectionLimit.Kind.DAEMON, maxHeapBytes, new IdleConnections(ticker)));
     }
 
     /** Returns the limits of the connections, by kind. */
@@ -113,6 +120,36 @@
                                 s -> CallerConnection.refuse(s, dependencies)));
     }
 
+    /**
+     * Opens the listener for requests that other daemons pass on.
+     *
+     * @param isDaemon whether another daemon has an IP address
+     * @throws IOException if the address cannot be bound
+     */
+    void openDaemons(
+            Endpoint address,
+            Predicate<String> isDaemon,
+            CallerConnection.Dependencies dependencies)
+            throws IOException {
+        daemons =
+                Optional.of(
+                        open(
+                                address,
+                                "daemon",
+                                ConnectionLimit.Kind.DAEMON,
+                                ConnectionListener.Handlers.closing(
+                                        s -> serveDaemon(s, isDaemon, dependencies))));
+    }
+
+    private static void serveDaemon(
+            Socket socket, Predicate<String> isDaemon, CallerConnection.Dependencies dependencies) {
+        if (isDaemon.test(socket.getInetAddress().getHostAddress())) {
+            CallerConnection.serve(socket, dependencies);
+        } else {
+            ConnectionListener.closeSocket(socket);
+        }
+    }
+
     /**
      * Opens the listeners of the status endpoints.
      *
@@ -160,5 +197,8 @@
         readiness.close();
         metrics.close();
         relay.close();
+        if (daemons.isPresent()) {
+            daemons.get().close();
+        }
     }
 }
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -17,6 +17,7 @@
 import org.godwithoist.dispatch.ResponseBody;
 import org.godwithoist.dispatch.RouteResponses;
 import org.godwithoist.dispatch.ToldEnd;
+import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PromptPartId;
 import org.godwithoist.targets.SoftwareVersion;
@@ -42,7 +43,7 @@
         LogLine line =
                 log.event("attempt")
                         .with("id", request.head().id().value())
-                        .with("target", decision.target().id().value())
+                        .with(recipient(decision.target()), decision.target().id().value())
                         .with("version", version(decision.target()))
                         .with("outcome", result.outcome().name())
                         .with("detail", String.valueOf(result.detail()))
@@ -83,6 +84,11 @@
         line.with("ms", duration.toMillis()).write();
     }
 
+    /** Returns the name of the field for who got the request. */
+    private static String recipient(Target target) {
+        return target.entry().service().equals(ForwardingPeers.SERVICE) ? "daemon" : "target";
+    }
+
     private static String version(Target target) {
         return target.entry().version().map(SoftwareVersion::value).orElse("");
     }
@@ -156,6 +162,9 @@
                         .with("end", outcome.name());
         refusal.ifPresent(r -> line.with("refusal", r.name()));
         request.head().resumes().ifPresent(r -> line.with("resumes", r.value()));
+        if (request.admittedBy().isPresent()) {
+            line.with("forwarded", true);
+        }
         told.ifPresent(t -> line.with("told", t.name()));
         if (sentBytes > 0) {
             line.with("sent_bytes", sentBytes);
--- a/forwarding/src/main/java/org/godwithoist/forwarding/TargetReach.java
+++ b/forwarding/src/main/java/org/godwithoist/forwarding/TargetReach.java
@@ -109,7 +109,7 @@
     }
 
     /** Asks some targets at the same time and records whether any of them responds. */
-    void check() {
+    public void check() {
         List<Target> asked = selectTargets();
         boolean responded = asked.isEmpty() || anyResponds(asked);
         if (lost == responded) {
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -149,6 +149,15 @@
         return peers.values().stream().anyMatch(p -> p.isRecentlyActive(now));
     }
 
+    /**
+     * Returns whether a daemon that exchanges messages with this one has sent none within the last
+     * seconds. In a large fleet most daemons exchange none with each other.
+     */
+    public boolean isSilent(HostId host) {
+        return plan.receivers().containsKey(host)
+                && !peers.get(host).isRecentlyActive(dependencies.ticker().nanos());
+    }
+
     /** Returns whether this daemon leads its failure domain. */
     public boolean isLeader() {
         return plan.isLeader();
