--- a/services/src/test/java/org/godwithoist/services/http/UnstatedEndRoutesTest.java
+++ b/services/src/test/java/org/godwithoist/services/http/UnstatedEndRoutesTest.java
@@ -1,6 +1,8 @@
 package org.godwithoist.services.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
@@ -36,6 +38,7 @@
     private final Vertx vertx = Vertx.vertx();
     private final Fixture fixture = new Fixture();
     private ScriptedTarget target;
+    private volatile String fields = "";
     private volatile String sent = PART;
     private int port;
 
@@ -64,7 +67,7 @@
     /** Questions about the target itself have no id. */
     private boolean respond(ScriptedTarget.Exchange e) throws IOException {
         boolean aboutItself = e.id().isEmpty();
-        String head = aboutItself ? "Content-Length: 2\r\n" : "";
+        String head = aboutItself ? "Content-Length: 2\r\n" : fields;
         e.write("HTTP/1.1 200 OK\r\n" + head + "\r\n" + (aboutItself ? "{}" : sent));
         if (!aboutItself && sent.length() > PART.length()) {
             // The client loses what it has not read when the connection ends.
@@ -79,17 +82,21 @@
 
     /** Sends a call and returns all that its connection carries until its end. */
     private String receive(String fields) throws IOException {
+        return receive("HTTP/1.1", "Connection: close\r\n" + fields);
+    }
+
+    private String receive(String version, String fields) throws IOException {
         try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), port)) {
             caller.setSoTimeout((int) TIMEOUT.toMillis());
             String request =
                     """
-                    POST /services/tickets/book HTTP/1.1\r
+                    POST /services/tickets/book %s\r
                     Host: a\r
                     Authorization: Bearer secret\r
                     Content-Length: 0\r
-                    Connection: close\r
-                    """;
-            request += fields + "\r\n";
+                    %s\r
+                    """
+                            .formatted(version, fields);
             caller.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
             byte[] received = caller.getInputStream().readAllBytes();
             return new String(received, StandardCharsets.US_ASCII);
@@ -140,4 +147,54 @@
             assertTrue(received.endsWith("\r\n\r\n" + PART), received);
         }
     }
+
+    /** Scenario: the target sends chunks, which the caller cannot read. */
+    @Nested
+    final class CallerWithoutChunks {
+        private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+        private static final String KEEP_ALIVE = "Connection: keep-alive\r\n";
+        private static final String ALL_CHUNKS = chunk(PART) + LAST_CHUNK;
+
+        private static String chunk(String text) {
+            return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+        }
+
+        /** Guards against a part that ends like a whole body, with the connection. */
+        @Test
+        void partIsBrokenOff() {
+            fields = CHUNKED;
+            sent = chunk(PART).repeat(400);
+            assertThrows(IOException.class, () -> receive("HTTP/1.0", ""));
+        }
+
+        /** Guards against a sound response that is broken off. */
+        @Test
+        void wholeBodyEndsWithTheConnection() throws IOException {
+            fields = CHUNKED;
+            sent = ALL_CHUNKS;
+            String received = receive("HTTP/1.0", "");
+            assertTrue(received.startsWith("HTTP/1.0 200"), received);
+            assertTrue(received.endsWith("\r\n\r\n" + PART), received);
+        }
+
+        /** Guards against a later response that becomes a part of the body. */
+        @Test
+        void connectionIsNotKeptBehindABodyWithoutALength() throws IOException {
+            fields = CHUNKED;
+            sent = ALL_CHUNKS;
+            String received = receive("HTTP/1.0", KEEP_ALIVE);
+            assertTrue(received.endsWith("\r\n\r\n" + PART), received);
+            assertFalse(received.toLowerCase(Locale.ROOT).contains("keep-alive"), received);
+        }
+
+        /** Guards against a second response on a connection that only its end frees. */
+        @Test
+        void laterRequestIsNotAnswered() throws IOException {
+            fields = CHUNKED;
+            sent = ALL_CHUNKS;
+            String next = "\r\nGET /services/tickets/x HTTP/1.0\r\n" + KEEP_ALIVE;
+            String received = receive("HTTP/1.0", KEEP_ALIVE + next);
+            assertEquals(1, received.split("HTTP/1.0 ", -1).length - 1, received);
+        }
+    }
 }
