Reset connections whose close would end a part of a body

Where neither a length nor chunks state the end of a service's response, any close of the caller's connection ended the body: a failure of the target, a write that timed out, and the end of the process. Such a connection is now closed by a reset until the whole body was written, and not kept afterwards. Callers with HTTP/1.0 and targets that state no end are the two cases.

--- a/services/src/main/java/org/godwithoist/services/http/ServiceRoutes.java
+++ b/services/src/main/java/org/godwithoist/services/http/ServiceRoutes.java
@@ -1,10 +1,14 @@
 package org.godwithoist.services.http;
 
 import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.HttpVersion;
+import io.vertx.core.http.impl.HttpServerConnection;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
@@ -201,10 +205,16 @@
 
     /** Sends a response over the caller's connection. */
     private static final class HttpResponseSink implements ResponseSink {
+        private static final int RESET = 0;
+        private static final int ORDERLY = -1;
+
         private final HttpServerRequest request;
         private final HttpServerResponse response;
         private final RequestId id;
 
+        /** Whether the end of the connection is the end of the body. */
+        private boolean endsWithConnection;
+
         HttpResponseSink(RoutingContext c, RequestId id) {
             this.request = c.request();
             this.response = c.response();
@@ -219,11 +229,14 @@
             }
             putStatusHeaders(runState);
             boolean hasNoBody = head.status() == NO_CONTENT || head.status() == NOT_MODIFIED;
-            if (!hasNoBody
-                    && !request.method().equals(HttpMethod.HEAD)
-                    && !response.headers().contains("Content-Length")) {
-                response.setChunked(true);
+            if (hasNoBody
+                    || request.method().equals(HttpMethod.HEAD)
+                    || response.headers().contains("Content-Length")) {
+                return;
             }
+            response.setChunked(true);
+            // Chunks came with HTTP/1.1.
+            endsWithConnection = request.version() == HttpVersion.HTTP_1_0;
         }
 
         @Override
@@ -231,6 +244,9 @@
             if (response.closed()) {
                 return false;
             }
+            if (endsWithConnection && !response.headWritten()) {
+                beginUntilClose();
+            }
             try {
                 Await.result(response.write(Buffer.buffer(chunk)), WRITE_TIMEOUT);
                 return true;
@@ -241,27 +257,59 @@
             }
         }
 
+        /** Begins a body whose end only the close tells, so that any other close must differ. */
+        private void beginUntilClose() {
+            closeWith(RESET);
+            // The server takes a body only with a length or in chunks, and keeps its connection.
+            response.headersEndHandler(
+                    v -> {
+                        response.headers().remove("Transfer-Encoding");
+                        response.putHeader("Connection", "close");
+                    });
+        }
+
+        private void closeWith(int lingerSeconds) {
+            HttpServerConnection connection = (HttpServerConnection) request.connection();
+            try {
+                connection
+                        .channelHandlerContext()
+                        .channel()
+                        .config()
+                        .setOption(ChannelOption.SO_LINGER, lingerSeconds);
+            } catch (ChannelException e) {
+                LOG.atFine().withCause(e).log("caller of request %s has disconnected", id);
+            }
+        }
+
         @Override
         public void end() {
-            response.end();
+            if (!endsWithConnection) {
+                response.end();
+                return;
+            }
+            // All parts of the body have been written.
+            closeWith(ORDERLY);
+            response.end().onComplete(r -> request.connection().close());
         }
 
         /** Ends the body with the connection, as the target did. */
         @Override
         public void unstated(ResponseHead head, RunState runState, byte[] body) {
             head(head, runState);
-            response.putHeader("Connection", "close");
-            // The server takes a body only with a length or in chunks, and would send it so.
-            response.headersEndHandler(v -> response.headers().remove("Transfer-Encoding"));
+            endsWithConnection = true;
             if (body(body)) {
-                response.end().onComplete(r -> request.connection().close());
+                end();
             }
         }
 
-        /** Breaks the response off: what was sent in chunks cannot end without a statement. */
+        /** Breaks off what was sent in chunks, which cannot end without a statement. */
         @Override
         public void endUnstated() {
-            response.reset();
+            if (endsWithConnection) {
+                end();
+            } else {
+                response.reset();
+            }
         }
 
         void fail(RequestException e) {
