Do not resume streams before their last event

An event stream that broke off was resumed after the last event with an id also if events without one had been sent behind it, or ids that are no numbers, from which a wrong place was read. The next target sent these events again, so that the caller had a stream of no run. Such a stream is now broken off, as a body that has begun; its caller can resume it.

Found by reading: no target of the tests sends such events.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/AttemptResult.java
@@ -10,8 +10,7 @@
  * @param outcome how it ended
  * @param unsent response of a target that was not sent to the caller: that of a target that failed
  *     the request, or one without a stated end that is not a stream; empty for other outcomes
- * @param stream event stream that the caller was sent a part of, which another attempt may
- *     continue; empty if there is none
+ * @param stream event stream that the caller was sent a part of; empty if there is none
  * @param lastEvent id of the last event that was sent to the caller; empty if there was none
  * @param timeToFirstByte time to the head of a successful response; empty if there was none
  * @param progress how far the target got with its response
@@ -22,7 +21,7 @@
 public record AttemptResult(
         AttemptOutcome outcome,
         Optional<BufferedResponse> unsent,
-        Optional<BegunResponse> stream,
+        Optional<BegunStream> stream,
         OptionalLong lastEvent,
         Optional<Duration> timeToFirstByte,
         ResponseProgress progress,
@@ -57,8 +56,8 @@
                 detail);
     }
 
-    /** Returns this result with a stream that another attempt may continue. */
-    public AttemptResult withStream(Optional<BegunResponse> begun) {
+    /** Returns this result with a stream that the caller was sent a part of. */
+    public AttemptResult withStream(Optional<BegunStream> begun) {
         return new AttemptResult(
                 outcome,
                 unsent,
--- a/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/EventFramer.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.OptionalLong;
 
 /**
@@ -29,6 +30,7 @@
     private static final int MAX_ID_DIGITS = 18;
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte[] DATA_FIELD = "data:".getBytes(StandardCharsets.US_ASCII);
 
     private ByteArrayOutputStream incompleteBytes = new ByteArrayOutputStream();
     private OptionalLong lastId = OptionalLong.empty();
@@ -37,6 +39,7 @@
     private OptionalLong floor = OptionalLong.empty();
 
     private boolean atLineStart = true;
+    private boolean resumable = true;
 
     /** Requires that the ids of all events are above that of an event which was sent before. */
     public void startAfter(OptionalLong event) {
@@ -48,6 +51,14 @@
         return lastId;
     }
 
+    /**
+     * Returns whether a target can go on exactly where this stream ended: no event with data was
+     * forwarded after the last one whose id is a number. The target would send it again.
+     */
+    public boolean isResumable() {
+        return resumable;
+    }
+
     /** Returns whether an event has begun that is not complete. */
     public boolean hasIncompleteEvent() {
         return incompleteBytes.size() > 0;
@@ -97,12 +108,18 @@
         int eventStart = from;
         OptionalLong idBeforeEvent = lastId;
         OptionalLong id = lastId;
+        boolean hasNumber = false;
+        boolean hasData = false;
         for (int line = from; line < end; line = nextLine(bytes, line, end)) {
             if (isEmptyLine(bytes, line, end)) {
                 eventStart = nextLine(bytes, line, end);
                 idBeforeEvent = id;
+                resumable = hasNumber || (resumable && !hasData);
+                hasNumber = false;
+                hasData = false;
                 continue;
             }
+            hasData |= startsWith(bytes, line, end, DATA_FIELD);
             OptionalLong found = idAt(bytes, line, end);
             if (found.isEmpty() || !isNumber(bytes, line, end)) {
                 id = found.isPresent() ? found : id;
@@ -114,6 +131,7 @@
             }
             id = found;
             floor = found;
+            hasNumber = true;
         }
         forwardUnchecked(bytes, from, end, id, sink);
     }
@@ -179,15 +197,15 @@
         return value.strip().chars().allMatch(c -> c >= '0' && c <= '9');
     }
 
+    private static boolean startsWith(byte[] bytes, int line, int end, byte[] field) {
+        return line + field.length <= end
+                && Arrays.equals(bytes, line, line + field.length, field, 0, field.length);
+    }
+
     private static OptionalLong idAt(byte[] bytes, int line, int end) {
-        if (line + ID_FIELD.length > end) {
+        if (!startsWith(bytes, line, end, ID_FIELD)) {
             return OptionalLong.empty();
         }
-        for (int i = 0; i < ID_FIELD.length; i++) {
-            if (bytes[line + i] != ID_FIELD[i]) {
-                return OptionalLong.empty();
-            }
-        }
         long value = 0;
         int digits = 0;
         for (int i = line + ID_FIELD.length; i < end && bytes[i] != '\n'; i++) {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RetryPolicy.java
@@ -26,7 +26,7 @@
 
     private int attempts;
     private OptionalLong lastEvent;
-    private Optional<BegunResponse> begunStream = Optional.empty();
+    private Optional<BegunStream> begunStream = Optional.empty();
     private Optional<BufferedResponse> failure = Optional.empty();
 
     private final DoubtfulEnd doubtfulEnd = new DoubtfulEnd();
@@ -103,7 +103,7 @@
 
     /** Returns whether the route permits another attempt. */
     boolean permitsAttempt() {
-        if (!lastOutcome.isRetryable() || doubtfulEnd.isConfirmed() || hasBegunBody()) {
+        if (!lastOutcome.isRetryable() || doubtfulEnd.isConfirmed() || cannotBeContinued()) {
             return false;
         }
         if (possibleRuns == 0) {
@@ -115,11 +115,13 @@
     }
 
     /**
-     * Returns whether the caller has a part of a body that is no stream. No other target can go on
-     * with it, because each run may have another body.
+     * Returns whether the caller has a part of a response with which no other target can go on: of
+     * a body that is no stream, because each run may have another one, or of a stream behind its
+     * last id.
      */
-    private boolean hasBegunBody() {
-        return lastOutcome == AttemptOutcome.BROKEN && !route.kind().isEventStream();
+    private boolean cannotBeContinued() {
+        boolean isBody = lastOutcome == AttemptOutcome.BROKEN && !route.kind().isEventStream();
+        return isBody || begunStream.filter(s -> !s.isResumable()).isPresent();
     }
 
     /** Returns whether another attempt would be permitted after the next one. */
@@ -167,7 +169,7 @@
 
     /** Returns the event stream that the next attempt continues; empty if none was begun. */
     Optional<BegunResponse> begunStream() {
-        return begunStream;
+        return begunStream.map(BegunStream::response);
     }
 
     OptionalLong lastEvent() {
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ResponseForwarder.java
@@ -8,6 +8,7 @@
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.dispatch.Attempt;
 import org.godwithoist.dispatch.BegunResponse;
+import org.godwithoist.dispatch.BegunStream;
 import org.godwithoist.dispatch.BodyEnd;
 import org.godwithoist.dispatch.BufferedResponse;
 import org.godwithoist.dispatch.CallerResponse;
@@ -80,9 +81,9 @@
         this.ticker = ticker;
     }
 
-    /** Returns the response to the caller; empty if no attempt has begun it. */
-    Optional<BegunResponse> begun() {
-        return begun;
+    /** Returns the stream as the caller has it; empty if no attempt has begun it. */
+    Optional<BegunStream> begunStream() {
+        return begun.map(response -> new BegunStream(response, framer.isResumable()));
     }
 
     /** Returns how far the target got with its response. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -235,7 +235,7 @@
         AttemptResult result = AttemptResult.of(outcome, forwarder.lastEvent(), detail);
         AttemptResult withStream =
                 attempt.route().kind().isEventStream()
-                        ? result.withStream(forwarder.begun())
+                        ? result.withStream(forwarder.begunStream())
                         : result;
         return timeToFirstByte
                 .map(t -> withStream.withProgress(t, forwarder.progress()))
--- a/dispatch/src/test/java/org/godwithoist/dispatch/EventFramerTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/EventFramerTest.java
@@ -11,6 +11,8 @@
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class EventFramerTest {
     private static final String STREAM =
@@ -104,6 +106,39 @@
         }
     }
 
+    /** Scenario: a stream breaks off, and another target could go on. */
+    @Nested
+    final class PlaceToResume {
+        /** Guards against an event that the next target sends again, because it has no id. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "data: a\n\n",
+                    "id: 1\ndata: a\n\ndata: b\n\n",
+                    "id: 1\ndata: a\n\nevent: done\ndata: {}\n\n: comment\n\n",
+                    "id: run-1.10\ndata: a\n\n"
+                })
+        void isUnknownBehindAnEventWithoutANumber(String events) throws IOException {
+            feed(events);
+            assertFalse(framer.isResumable());
+        }
+
+        /** Guards against streams that are broken off although a target can resume them. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "",
+                    ": comment\n\n",
+                    "data: a\n\nid: 1\ndata: b\n\n",
+                    "id: 1\ndata: a\n\n: comment\n\nretry: 5\n\n",
+                    "id: 1\ndata: a\n\ndata: half"
+                })
+        void isKnownBehindANumber(String events) throws IOException {
+            feed(events);
+            assertTrue(framer.isResumable());
+        }
+    }
+
     /** Scenario: a target sends events again that were sent before. */
     @Nested
     final class RepeatedEvents {
--- a/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RetryPolicyTest.java
@@ -229,5 +229,28 @@
             endAttempt(resumable, 1, AttemptOutcome.BROKEN);
             assertTrue(resumable.permitsAttempt());
         }
+
+        /** Guards against an event that the caller gets once from each of two targets. */
+        @Test
+        void streamIsNotResumedBeforeItsLastEvent() {
+            for (boolean isResumable : List.of(true, false)) {
+                RetryPolicy policy = policy(RouteKind.STREAMING, true, 2);
+                BegunStream begun = new BegunStream(new NoResponse(), isResumable);
+                OptionalLong lastEvent = OptionalLong.of(7);
+                policy.recordAttempt(
+                        target(1),
+                        AttemptResult.of(AttemptOutcome.BROKEN, lastEvent, "")
+                                .withStream(Optional.of(begun)));
+                assertEquals(isResumable, policy.permitsAttempt());
+            }
+        }
+    }
+
+    private static final class NoResponse implements BegunResponse {
+        @Override
+        public void write(byte[] bytes, int from, int length) {}
+
+        @Override
+        public void finish() {}
     }
 }
