Reproduce targets that fail after more rejections than they survive

Cause: a target states how many rejections a second it survives, and nothing reads it, so that all daemons fill the same places.

--- a/edge/src/test/java/org/godwithoist/edge/EdgeFixture.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeFixture.java
@@ -67,8 +67,13 @@
 
     /** Starts a second daemon without waiting for its readiness. */
     Edge startAnother() throws IOException {
+        return startAnother("edge-2");
+    }
+
+    /** Starts a further daemon without waiting for its readiness. */
+    Edge startAnother(String host) throws IOException {
         Path file = Files.createTempFile("edge", ".conf");
-        Files.writeString(file, EdgeSettingsText.of("edge-2", 0, 0, store.endpoint()));
+        Files.writeString(file, EdgeSettingsText.of(host, 0, 0, store.endpoint()));
         EventLog log = EventLog.start(otherLogBytes);
         Edge second =
                 new Edge(new SettingsFile(file, log), log, MAX_HEAP_BYTES, new SplittableRandom(8));
--- a/standins/src/main/java/org/godwithoist/standins/edge/LargeResponseRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/LargeResponseRunner.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -38,7 +37,7 @@
     public LargeResponseRunner(String id, String service) throws IOException {
         this.id = id;
         this.service = service;
-        messages = new RunnerMessages(id, START, () -> false, List::of);
+        messages = new RunnerMessages(id, START);
         server = new MessageServer("runner-" + id, this::serve);
     }
 
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerMessages.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerMessages.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.godwithoist.dispatch.HeaderField;
 import org.godwithoist.dispatch.http.MessageWriter;
 
 /**
@@ -15,24 +16,43 @@
     private static final String HEALTH_PATH = "/health";
     private static final String REPORT_PATH = "/report";
 
+    /** Load of a runner that runs one request, on eight slots. */
+    private static final String IDLE_LOAD = "1,0,8";
+
     private final String id;
     private final long startedAt;
     private final BooleanSupplier leaving;
-    private final Supplier<List<String>> rateLimits;
+    private final Supplier<List<HeaderField>> limits;
+    private final Supplier<String> load;
+
+    /**
+     * Creates the messages of a runner that stays, is idle and states no limits.
+     *
+     * @param startedAt time of its start, in Unix milliseconds
+     */
+    RunnerMessages(String id, long startedAt) {
+        this(id, startedAt, () -> false, List::of, () -> IDLE_LOAD);
+    }
 
     /**
      * Creates the messages of one runner.
      *
      * @param startedAt time of its start, in Unix milliseconds
      * @param leaving whether its responses state that it is leaving
-     * @param rateLimits values of the fields that name its rate limit
+     * @param limits fields of all responses that state what it tolerates
+     * @param load its load, as responses to executed requests report it
      */
     RunnerMessages(
-            String id, long startedAt, BooleanSupplier leaving, Supplier<List<String>> rateLimits) {
+            String id,
+            long startedAt,
+            BooleanSupplier leaving,
+            Supplier<List<HeaderField>> limits,
+            Supplier<String> load) {
         this.id = id;
         this.startedAt = startedAt;
         this.leaving = leaving;
-        this.rateLimits = rateLimits;
+        this.limits = limits;
+        this.load = load;
     }
 
     /** Writes a complete response with a text as its body. */
@@ -52,17 +72,17 @@
         writer.startLine("HTTP/1.1 " + status + " Status");
         writer.field("X-Godwithoist-Attempt-Id", attempt);
         writer.field("X-Godwithoist-Runner-Signature", "signed-by-" + id);
-        writer.field("X-Godwithoist-Runner-Load", "1,0,8");
+        writer.field("X-Godwithoist-Runner-Load", load.get());
         writer.field("Keep-Alive", "timeout=5");
         if (leaving.getAsBoolean()) {
             writer.field("Server-Leaving", "1");
         }
-        writeRateLimits(writer);
+        writeLimits(writer);
     }
 
-    private void writeRateLimits(MessageWriter writer) throws IOException {
-        for (String value : rateLimits.get()) {
-            writer.field("Server-Limit", value);
+    private void writeLimits(MessageWriter writer) throws IOException {
+        for (HeaderField field : limits.get()) {
+            writer.field(field.name(), field.value());
         }
     }
 
@@ -76,7 +96,7 @@
         writer.startLine("HTTP/1.1 503 Status");
         writer.field("X-Godwithoist-Attempt-Id", attempt);
         writer.field("X-Godwithoist-Not-Executed", "1");
-        writeRateLimits(writer);
+        writeLimits(writer);
         if (!pauseSeconds.isEmpty()) {
             writer.field("Retry-After", pauseSeconds);
         }
@@ -99,7 +119,7 @@
         String text = report ? "{\"running\":0,\"born\":%d}".formatted(startedAt) : "";
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
         writer.startLine("HTTP/1.1 200 Status");
-        writeRateLimits(writer);
+        writeLimits(writer);
         if (!report) {
             writer.field("X-Godwithoist-Runner-Id", id);
         }
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -18,6 +19,7 @@
 import org.apache.hc.core5.http.Header;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.task.Tasks;
+import org.godwithoist.dispatch.HeaderField;
 import org.godwithoist.dispatch.http.MessageWriter;
 
 /** Stand-in for a runner of the platform. Thread-safe. */
@@ -31,6 +33,9 @@
     /** Time after the end of its connections at which a runner stops to listen. */
     private static final Duration LATE_LISTENER_END = Duration.ofMillis(20);
 
+    /** Slots that the entry and the load reports of a runner state. */
+    public static final int SLOTS = 8;
+
     private static final Duration HANG_TIMEOUT = Duration.ofSeconds(20);
 
     /**
@@ -58,6 +63,7 @@
     private volatile Optional<String> poisonPart = Optional.empty();
     private volatile Optional<Predicate<ExecutedRequest>> deadlyRequests = Optional.empty();
     private volatile List<String> rateLimits = List.of();
+    private volatile Optional<LimitedPlaces> limitedPlaces = Optional.empty();
     private volatile RunnerVersion version = RunnerVersion.FIRST;
     private final List<Long> arrivals = new CopyOnWriteArrayList<>();
     private volatile Optional<String> successorId = Optional.empty();
@@ -90,7 +96,11 @@
         this.startedAt = startedAt;
         messages =
                 new RunnerMessages(
-                        id, startedAt, () -> fault == RunnerFault.LEAVING, () -> rateLimits);
+                        id,
+                        startedAt,
+                        () -> fault == RunnerFault.LEAVING,
+                        this::limitFields,
+                        this::load);
         server = new MessageServer("runner-" + id, address, this::serve);
     }
 
@@ -127,6 +137,29 @@
         rateLimits = List.of(values);
     }
 
+    /**
+     * Limits the requests that the runner processes at the same time, and makes it fail, as its
+     * responses state, if it must reject too many.
+     */
+    public void setLimitedPlaces(LimitedPlaces places) {
+        limitedPlaces = Optional.of(places);
+    }
+
+    private List<HeaderField> limitFields() {
+        List<HeaderField> fields = new ArrayList<>();
+        rateLimits.forEach(v -> fields.add(new HeaderField("Server-Limit", v)));
+        limitedPlaces.ifPresent(
+                p ->
+                        fields.add(
+                                new HeaderField(
+                                        "Server-Brittle", Integer.toString(p.maxRejections()))));
+        return fields;
+    }
+
+    private String load() {
+        return limitedPlaces.map(LimitedPlaces::running).orElse(1) + ",0," + SLOTS;
+    }
+
     /**
      * Returns the times of arrival of all requests for this runner, also of rejected ones and of
      * those about the runner itself, in nanoseconds of {@link System#nanoTime}.
@@ -198,8 +231,8 @@
     public String entry(String zone, String state) {
         return "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"%s\","
                         .formatted(service, endpoint(), zone, version.name())
-                + "\"slots\":8,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":%d}"
-                        .formatted(state, startedAt);
+                + "\"slots\":%d,\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":%d}"
+                        .formatted(SLOTS, state, startedAt);
     }
 
     private boolean serve(
@@ -232,8 +265,32 @@
         String text = new String(body, StandardCharsets.UTF_8);
         ExecutedRequest executed =
                 new ExecutedRequest(attempt, request.getRequestUri(), fields, text);
+        if (limitedPlaces.isEmpty()) {
+            return execute(executed, currentFault, connection);
+        }
+        LimitedPlaces places = limitedPlaces.get();
+        return switch (places.enter()) {
+            case FAIL -> false;
+            case REJECT -> messages.writeRejection(writer, attempt, "");
+            case RUN -> {
+                try {
+                    yield execute(executed, currentFault, connection);
+                } finally {
+                    places.leave();
+                }
+            }
+        };
+    }
+
+    /** Executes a request and returns whether the connection stays open. */
+    private boolean execute(
+            ExecutedRequest executed, RunnerFault currentFault, MessageServer.Connection connection)
+            throws IOException {
+        MessageWriter writer = connection.writer();
+        String attempt = executed.attemptId();
+        Map<String, String> fields = executed.fields();
         executedRequests.add(executed);
-        Tasks.sleep(eventDelay.plus(version.delayOf(request.getRequestUri())));
+        Tasks.sleep(eventDelay.plus(version.delayOf(executed.uri())));
         if (deadlyRequests.isPresent() && deadlyRequests.get().test(executed)) {
             end();
             return false;
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
@@ -83,7 +82,7 @@
         this.service = service;
         this.streams = streams;
         random = new SplittableRandom(seed);
-        messages = new RunnerMessages(id, FIRST_START, () -> false, List::of);
+        messages = new RunnerMessages(id, FIRST_START);
         server = new MessageServer("runner-" + id, this::serve);
     }
 
