Hold to the rejections that targets survive

Cause: a target states how many rejections a second for want of room it survives. Nothing read it, and nothing kept daemons from filling the same slots, so that all but one of their requests were rejected.

Change: a daemon sends a request to such a target only if it has its part of the slots that are free, or may risk one of its share of the rejections (RejectionLimiter); else the target is passed over, and a request without any target is refused as not run. The limit is stated, told between daemons and ended like the rate limit, with which it shares StatedLimit, LimitStatement and LimitNews. Messages with such limits have version 5.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
@@ -34,8 +34,8 @@
     /** No target may get the request now. */
     NO_TARGET(503, true),
     /**
-     * All targets of the service have asked this daemon to pause, or have rate limits that permit
-     * no request now.
+     * All targets of the service have asked this daemon to pause, have rate limits that permit no
+     * request now, or have no room and would fail if they had to reject many requests.
      */
     TARGETS_PAUSED(503, true),
     /** The request goes on with a stream, and it is not known which version began it. */
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/Dialect.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/Dialect.java
@@ -12,8 +12,10 @@
 import org.godwithoist.dispatch.RefusedException;
 import org.godwithoist.dispatch.RequestHead;
 import org.godwithoist.dispatch.TargetPresence;
+import org.godwithoist.targets.LimitStatement;
 import org.godwithoist.targets.LoadReport;
-import org.godwithoist.targets.RateStatement;
+import org.godwithoist.targets.RateLimit;
+import org.godwithoist.targets.RejectionLimit;
 import org.godwithoist.targets.Target;
 
 /** Names and formats of the header fields on the connections to callers and targets. */
@@ -29,6 +31,7 @@
      * @param retryAfter time for which the target asks for no further requests; empty if it states
      *     none
      * @param rate what it states about the requests a second that it takes from all daemons
+     * @param rejections what it states about the rejections a second that it survives
      */
     record ResponseMetadata(
             Optional<RequestId> id,
@@ -37,7 +40,8 @@
             Optional<LoadReport> load,
             boolean leaving,
             Optional<Duration> retryAfter,
-            RateStatement rate) {
+            LimitStatement<RateLimit> rate,
+            LimitStatement<RejectionLimit> rejections) {
         /** Returns whether the fields are those of a target's response. */
         boolean isOfTarget() {
             return id.isPresent() || signed() || notRun;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -263,10 +263,14 @@
         metadata.load().ifPresent(target::recordLoad);
         if (metadata.id().isPresent()) {
             target.recordRate(metadata.rate(), sentAt);
+            target.recordRejectionLimit(metadata.rejections(), sentAt);
         }
         if (metadata.leaving()) {
             onLeaving.accept(target);
         }
+        if (status == SERVICE_UNAVAILABLE && metadata.notRun()) {
+            target.recordRejection(attempt.pendingResponse());
+        }
         if (status == SERVICE_UNAVAILABLE) {
             metadata.retryAfter().ifPresent(target::pauseFor);
         }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/PlainDialect.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/PlainDialect.java
@@ -10,7 +10,7 @@
 import org.godwithoist.dispatch.HeaderField;
 import org.godwithoist.dispatch.RequestHead;
 import org.godwithoist.dispatch.TargetPresence;
-import org.godwithoist.targets.RateStatement;
+import org.godwithoist.targets.LimitStatement;
 import org.godwithoist.targets.Target;
 
 /** Field names of {@link TargetServer}. */
@@ -34,7 +34,8 @@
                 Optional.empty(),
                 false,
                 Optional.empty(),
-                RateStatement.NONE);
+                LimitStatement.none(),
+                LimitStatement.none());
     }
 
     @Override
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -106,7 +106,7 @@
         settings = settingsFile.current();
         this.log = log;
         this.random = random;
-        directory = new TargetDirectory(ticker, new RateLimitLog(log));
+        directory = new TargetDirectory(ticker, new LimitLog(log));
         peerLoads = new PeerLoads(ticker);
         work = new FleetWork(directory, settings.placementByWork(), ticker);
         quarantine = new Quarantine(log, ticker);
@@ -436,7 +436,7 @@
     private void runHousekeeping() {
         while (Tasks.sleep(HOUSEKEEPING_INTERVAL)) {
             directory.removeMissing();
-            directory.expireRateLimits();
+            directory.expireLimits();
             gateway.closeUnused();
             settingsFile.reloadIfChanged();
         }
--- a/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
+++ b/edge/src/main/java/org/godwithoist/edge/EdgeMetrics.java
@@ -234,6 +234,10 @@
                                 "godwithoist_rate_limited_targets",
                                 "Targets that limit the requests of all daemons",
                                 (double) directory.rateLimitedTargets()),
+                        gauge(
+                                "godwithoist_rejection_limited_targets",
+                                "Targets that fail after a limited number of rejections",
+                                (double) directory.rejectionLimitedTargets()),
                         work.unreadableReports(),
                         work.slowTargets(),
                         work.outstandingTokens(),
--- a/edge/src/main/java/org/godwithoist/edge/RequestLog.java
+++ b/edge/src/main/java/org/godwithoist/edge/RequestLog.java
@@ -57,6 +57,9 @@
         if (reason.limited() > 0) {
             line.with("limited_targets", reason.limited());
         }
+        if (reason.full() > 0) {
+            line.with("full_targets", reason.full());
+        }
         if (reason.leaving() > 0) {
             line.with("leaving_targets", reason.leaving());
         }
--- a/edge/src/test/java/org/godwithoist/edge/RejectionLimitTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/RejectionLimitTest.java
@@ -30,6 +30,9 @@
     /** Time after the first statement from which the failures count. */
     private static final Duration CONTACT_TIME = Duration.ofSeconds(3);
 
+    /** Time after which all daemons divide limits among the whole fleet. */
+    private static final Duration JOINING_TIME = Duration.ofSeconds(16);
+
     private static final Duration MEASURED_TIME = Duration.ofSeconds(5);
     private static final Duration SERVICE_TIME = Duration.ofMillis(300);
 
@@ -155,6 +158,7 @@
         /** Guards against targets that fail because all daemons fill the same places. */
         @Test
         void targetsStayAndAreUsed() {
+            Tasks.sleep(JOINING_TIME);
             try (Callers callers = new Callers(CALLERS, Duration.ZERO)) {
                 Tasks.sleep(CONTACT_TIME);
                 long from = System.nanoTime();
@@ -168,6 +172,7 @@
         }
     }
 
+    /** Scenario: the daemons have just started and do not all know each other. */
     @Nested
     final class Bursts {
         private static final int CALLERS = 60;
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -367,6 +367,7 @@
         }
         dependencies.directory().recordPeerLeaving(message.report().leaving());
         dependencies.directory().recordRateNews(message.report().rateNews());
+        dependencies.directory().recordRejectionNews(message.report().rejectionNews());
         if (!isFromOtherLeader(message.report().scope())) {
             dependencies.loads().receive(message.sender(), message.report());
             reportBuilder.recordCachedPrefixes(message.report());
--- a/peers/src/main/java/org/godwithoist/peers/wire/LoadCodec.java
+++ b/peers/src/main/java/org/godwithoist/peers/wire/LoadCodec.java
@@ -14,26 +14,29 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.IntFunction;
+import java.util.function.ToIntFunction;
 import org.godwithoist.core.id.FailureDomainId;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.id.TargetId;
 import org.godwithoist.peers.LoadMessage;
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.targets.CachedPrefix;
+import org.godwithoist.targets.LimitNews;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.PrefixKey;
 import org.godwithoist.targets.RateLimit;
-import org.godwithoist.targets.RateNews;
+import org.godwithoist.targets.RejectionLimit;
 import org.godwithoist.targets.TargetIncarnation;
 
 /**
  * Encodes and decodes load messages: a version byte, the sender, its failure domain and
  * incarnation, the sequence number, the scope, the completeness flag, the leaving targets with the
- * times of their starts, the rate limits of targets, the targets with their request counts, and the
- * cached prompt prefixes, each with the index of its target in the list of targets. Messages
- * without rate limits have the second version, and those without leaving targets either the first,
- * which have no fields for them, so that daemons of an older build understand them while a fleet is
- * replaced. Hand-written, because a protobuf runtime would add about 1 MB to each daemon.
+ * times of their starts, the rate limits and the rejection limits of targets, the targets with
+ * their request counts, and the cached prompt prefixes, each with the index of its target in the
+ * list of targets. A message has the oldest version with fields for all that it contains, so that
+ * daemons of an older build understand it while a fleet is replaced. Hand-written, because a
+ * protobuf runtime would add about 1 MB to each daemon.
  */
 final class LoadCodec {
     /** Maximum size of a message. */
@@ -43,13 +46,15 @@
     private static final int VERSION_WITHOUT_RATES = 2;
 
     /** Leaves out {@link PeerCodec#EVIDENCE}, because both stand in the first byte of a message. */
-    private static final int VERSION = 4;
+    private static final int VERSION_WITHOUT_REJECTIONS = 4;
+
+    private static final int VERSION = 5;
 
     /** Maximum size of the leaving targets; others follow in the next messages. */
     private static final int MAX_LEAVING_BYTES = 300;
 
-    /** Maximum size of the rate limits; others follow in the next messages. */
-    private static final int MAX_RATES_BYTES = 250;
+    /** Maximum size of the limits of each kind; others follow in the next messages. */
+    private static final int MAX_LIMITS_BYTES = 250;
 
     /** Maximum size of the header and the targets; the rest is reserved for cached prefixes. */
     private static final int MAX_TARGETS_BYTES = 900;
@@ -60,8 +65,8 @@
     /** Maximum size of a leaving target: length, id and time of its start. */
     private static final int MAX_INCARNATION_BYTES = 2 + TargetId.MAX_LENGTH + 8;
 
-    /** Maximum size of a rate limit: target, time of its start, limit and age. */
-    private static final int MAX_RATE_BYTES = MAX_INCARNATION_BYTES + 4 + 2;
+    /** Maximum size of a limit: target, time of its start, limit and age. */
+    private static final int MAX_LIMIT_BYTES = MAX_INCARNATION_BYTES + 4 + 2;
 
     /** Size of a cached prefix entry: index of the target and key. */
     private static final int CACHED_PREFIX_ENTRY_BYTES = 2 + 8;
@@ -88,18 +93,27 @@
         DataOutputStream out = new DataOutputStream(bytes);
         boolean hasLeaving = !report.leaving().isEmpty();
         boolean hasRates = !report.rateNews().isEmpty();
-        out.writeByte(version(hasLeaving, hasRates));
+        boolean hasRejections = !report.rejectionNews().isEmpty();
+        int version = version(hasLeaving, hasRates, hasRejections);
+        out.writeByte(version);
         out.writeUTF(message.sender().value());
         out.writeUTF(message.domain().value());
         out.writeLong(report.incarnation());
         out.writeLong(report.sequence());
         out.writeByte(SCOPES.indexOf(report.scope()));
         out.writeBoolean(report.complete());
-        if (hasLeaving || hasRates) {
+        if (version >= VERSION_WITHOUT_RATES) {
             writeLeaving(report.leaving(), out);
         }
-        if (hasRates) {
-            writeRates(report, out);
+        if (version >= VERSION_WITHOUT_REJECTIONS) {
+            writeLimits(report.rateNews(), RateLimit::milliPerSecond, report.sequence(), out);
+        }
+        if (version >= VERSION) {
+            writeLimits(
+                    report.rejectionNews(),
+                    LoadCodec::encodeRejectionLimit,
+                    report.sequence(),
+                    out);
         }
         Map<TargetId, Integer> indexes = writeTargets(report, bytes, out);
         for (int i = report.cachedPrefixes().size() - 1; i >= 0; i--) {
@@ -140,32 +154,40 @@
 
     private static boolean isSupported(int version) {
         return version == VERSION
+                || version == VERSION_WITHOUT_REJECTIONS
                 || version == VERSION_WITHOUT_RATES
                 || version == VERSION_WITHOUT_LEAVING;
     }
 
-    private static int version(boolean hasLeaving, boolean hasRates) {
-        if (hasRates) {
+    private static int version(boolean hasLeaving, boolean hasRates, boolean hasRejections) {
+        if (hasRejections) {
             return VERSION;
         }
+        if (hasRates) {
+            return VERSION_WITHOUT_REJECTIONS;
+        }
         return hasLeaving ? VERSION_WITHOUT_RATES : VERSION_WITHOUT_LEAVING;
     }
 
-    /** Writes as many limits as fit, beginning with another one in each message. */
-    private static void writeRates(PeerLoads.Report report, DataOutputStream out)
+    /**
+     * Writes as many limits as fit, beginning with another one in each message.
+     *
+     * @param encode returns the code of a limit, which is not {@link #NO_LIMIT}
+     */
+    private static <L> void writeLimits(
+            List<LimitNews<L>> news, ToIntFunction<L> encode, long sequence, DataOutputStream out)
             throws IOException {
-        List<RateNews> news = report.rateNews();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        DataOutputStream ratesOut = new DataOutputStream(bytes);
-        int first = Math.floorMod(report.sequence(), news.size());
+        DataOutputStream limitsOut = new DataOutputStream(bytes);
+        int first = news.isEmpty() ? 0 : Math.floorMod(sequence, news.size());
         int count = 0;
         for (int i = 0; i < news.size(); i++) {
-            RateNews n = news.get((first + i) % news.size());
-            if (bytes.size() <= MAX_RATES_BYTES - MAX_RATE_BYTES) {
-                ratesOut.writeUTF(n.target().id().value());
-                ratesOut.writeLong(n.target().startedAt());
-                ratesOut.writeInt(n.limit().map(RateLimit::milliPerSecond).orElse(NO_LIMIT));
-                ratesOut.writeShort((int) Math.min(MAX_AGE_MS, n.age().toMillis()));
+            LimitNews<L> n = news.get((first + i) % news.size());
+            if (bytes.size() <= MAX_LIMITS_BYTES - MAX_LIMIT_BYTES) {
+                limitsOut.writeUTF(n.target().id().value());
+                limitsOut.writeLong(n.target().startedAt());
+                limitsOut.writeInt(n.limit().map(encode::applyAsInt).orElse(NO_LIMIT));
+                limitsOut.writeShort((int) Math.min(MAX_AGE_MS, n.age().toMillis()));
                 count++;
             }
         }
@@ -173,21 +195,29 @@
         bytes.writeTo(out);
     }
 
-    private static List<RateNews> readRates(DataInputStream in) throws IOException {
-        List<RateNews> news = new ArrayList<>();
+    private static <L> List<LimitNews<L>> readLimits(DataInputStream in, IntFunction<L> decode)
+            throws IOException {
+        List<LimitNews<L>> news = new ArrayList<>();
         for (int remaining = in.readUnsignedByte(); remaining > 0; remaining--) {
             TargetIncarnation target =
                     new TargetIncarnation(new TargetId(in.readUTF()), in.readLong());
-            int milliPerSecond = in.readInt();
-            Optional<RateLimit> limit =
-                    milliPerSecond == NO_LIMIT
-                            ? Optional.empty()
-                            : Optional.of(new RateLimit(milliPerSecond));
-            news.add(new RateNews(target, limit, Duration.ofMillis(in.readUnsignedShort())));
+            int code = in.readInt();
+            Optional<L> limit =
+                    code == NO_LIMIT ? Optional.empty() : Optional.of(decode.apply(code));
+            news.add(new LimitNews<>(target, limit, Duration.ofMillis(in.readUnsignedShort())));
         }
         return news;
     }
 
+    /** Returns a code that differs from {@link #NO_LIMIT} also if the limit is 0. */
+    private static int encodeRejectionLimit(RejectionLimit limit) {
+        return limit.perSecond() + 1;
+    }
+
+    private static RejectionLimit decodeRejectionLimit(int code) {
+        return new RejectionLimit(code - 1);
+    }
+
     private static Map<TargetId, Integer> writeTargets(
             PeerLoads.Report report, ByteArrayOutputStream bytes, DataOutputStream out)
             throws IOException {
@@ -235,7 +265,14 @@
             boolean complete = in.readBoolean();
             Set<TargetIncarnation> leaving =
                     version >= VERSION_WITHOUT_RATES ? readLeaving(in) : Set.of();
-            List<RateNews> rateNews = version >= VERSION ? readRates(in) : List.of();
+            List<LimitNews<RateLimit>> rateNews =
+                    version >= VERSION_WITHOUT_REJECTIONS
+                            ? readLimits(in, RateLimit::new)
+                            : List.of();
+            List<LimitNews<RejectionLimit>> rejectionNews =
+                    version >= VERSION
+                            ? readLimits(in, LoadCodec::decodeRejectionLimit)
+                            : List.of();
             List<TargetId> targets = new ArrayList<>();
             Map<TargetId, Integer> requests = new HashMap<>();
             for (int remaining = in.readUnsignedShort(); remaining > 0; remaining--) {
@@ -257,7 +294,8 @@
                             requests,
                             cachedPrefixes,
                             leaving,
-                            rateNews);
+                            rateNews,
+                            rejectionNews);
             return new LoadMessage(sender, domain, report);
         } catch (IOException | IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new MalformedMessageException("malformed load message: " + e.getMessage());
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -43,13 +43,13 @@
 import org.godwithoist.targets.ColdLimit;
 import org.godwithoist.targets.FleetShare;
 import org.godwithoist.targets.FleetWork;
+import org.godwithoist.targets.LimitStatement;
 import org.godwithoist.targets.LoadReport;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.PlacementRequest;
 import org.godwithoist.targets.PrefixKey;
 import org.godwithoist.targets.RateLimit;
-import org.godwithoist.targets.RateStatement;
 import org.godwithoist.targets.RequestWork;
 import org.godwithoist.targets.SoftwareVersion;
 import org.godwithoist.targets.Target;
@@ -584,9 +584,9 @@
             }
             distributeMemberList();
             Target known = daemons.get(new HostId("edge-109")).target();
-            known.recordRate(RateStatement.of(new RateLimit(500)), 0);
+            known.recordRate(LimitStatement.of(new RateLimit(500)), 0);
             await(() -> daemons.values().stream().allMatch(d -> isLimited(d)));
-            known.recordRate(RateStatement.NONE, Ticker.SYSTEM.nanos());
+            known.recordRate(LimitStatement.none(), Ticker.SYSTEM.nanos());
             await(() -> daemons.values().stream().noneMatch(d -> isLimited(d)));
         }
 
--- a/peers/src/test/java/org/godwithoist/peers/wire/LoadCodecTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/wire/LoadCodecTest.java
@@ -21,10 +21,11 @@
 import org.godwithoist.peers.LoadMessage;
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.targets.CachedPrefix;
+import org.godwithoist.targets.LimitNews;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.PrefixKey;
 import org.godwithoist.targets.RateLimit;
-import org.godwithoist.targets.RateNews;
+import org.godwithoist.targets.RejectionLimit;
 import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -90,30 +91,38 @@
 
         /** Guards against daemons that don't learn of a limit, of its change or of its end. */
         @Test
-        void rateLimitsAreDecoded() throws IOException, MalformedMessageException {
+        void limitsAreDecoded() throws IOException, MalformedMessageException {
             LoadMessage sent = withSequence(limitedMessage(3), 0);
             assertEquals(sent, decode(LoadCodec.encode(sent)));
         }
 
         /** Guards against messages beyond a packet, and limits that are never sent, at many. */
         @Test
-        void manyRateLimitsAreSentInTurn() throws IOException, MalformedMessageException {
+        void manyLimitsAreSentInTurn() throws IOException, MalformedMessageException {
             Set<TargetIncarnation> sent = new HashSet<>();
+            Set<TargetIncarnation> sentRejections = new HashSet<>();
             for (long sequence = 0; sequence < 100; sequence++) {
                 byte[] bytes = LoadCodec.encode(withSequence(limitedMessage(100), sequence));
                 assertTrue(bytes.length <= LoadCodec.MAX_BYTES, "bytes: " + bytes.length);
-                decode(bytes).report().rateNews().forEach(n -> sent.add(n.target()));
+                PeerLoads.Report decoded = decode(bytes).report();
+                decoded.rateNews().forEach(n -> sent.add(n.target()));
+                decoded.rejectionNews().forEach(n -> sentRejections.add(n.target()));
             }
             assertEquals(100, sent.size());
+            assertEquals(100, sentRejections.size());
         }
 
         private static LoadMessage limitedMessage(int count) {
-            List<RateNews> news = new ArrayList<>();
+            List<LimitNews<RateLimit>> news = new ArrayList<>();
+            List<LimitNews<RejectionLimit>> rejectionNews = new ArrayList<>();
             for (int i = 0; i < count; i++) {
                 Optional<RateLimit> limit =
                         i % 3 == 0 ? Optional.empty() : Optional.of(new RateLimit(500 + i));
                 TargetIncarnation target = new TargetIncarnation(new TargetId("i-" + i), 1000 + i);
-                news.add(new RateNews(target, limit, Duration.ofMillis(10L * i)));
+                news.add(new LimitNews<>(target, limit, Duration.ofMillis(10L * i)));
+                Optional<RejectionLimit> rejections =
+                        i % 3 == 1 ? Optional.empty() : Optional.of(new RejectionLimit(i));
+                rejectionNews.add(new LimitNews<>(target, rejections, Duration.ofMillis(i)));
             }
             LoadMessage plain = message(Map.of(new TargetId("i-1"), 3));
             PeerLoads.Report r = plain.report();
@@ -126,7 +135,8 @@
                             r.requests(),
                             r.cachedPrefixes(),
                             r.leaving(),
-                            news);
+                            news,
+                            rejectionNews);
             return new LoadMessage(plain.sender(), plain.domain(), report);
         }
 
@@ -141,7 +151,8 @@
                             r.requests(),
                             r.cachedPrefixes(),
                             r.leaving(),
-                            r.rateNews());
+                            r.rateNews(),
+                            r.rejectionNews());
             return new LoadMessage(message.sender(), message.domain(), report);
         }
 
--- a/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecTest.java
@@ -42,10 +42,11 @@
 import org.godwithoist.rollout.fleet.RolloutReport;
 import org.godwithoist.rollout.fleet.ServiceKey;
 import org.godwithoist.rollout.fleet.Statement;
+import org.godwithoist.targets.LimitNews;
 import org.godwithoist.targets.PeerLoads;
 import org.godwithoist.targets.PrefixKey;
 import org.godwithoist.targets.RateLimit;
-import org.godwithoist.targets.RateNews;
+import org.godwithoist.targets.RejectionLimit;
 import org.godwithoist.targets.TargetIncarnation;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -127,20 +128,29 @@
         @Test
         void loadMessagesOfEachVersionAreDecodedAsTheyWereEncoded() throws Exception {
             TargetIncarnation target = new TargetIncarnation(new TargetId("i-1"), 1000);
-            RateNews news =
-                    new RateNews(target, Optional.of(new RateLimit(500)), Duration.ofMillis(10));
+            LimitNews<RateLimit> news =
+                    new LimitNews<>(target, Optional.of(new RateLimit(500)), Duration.ofMillis(10));
+            LimitNews<RejectionLimit> rejectionNews =
+                    new LimitNews<>(
+                            target, Optional.of(new RejectionLimit(0)), Duration.ofMillis(10));
             for (Set<TargetIncarnation> leaving :
                     List.of(Set.of(target), Set.<TargetIncarnation>of())) {
-                for (List<RateNews> rates : List.of(List.of(news), List.<RateNews>of())) {
-                    LoadMessage sent = loadMessage(leaving, rates);
-                    byte[] bytes = PeerCodec.encode(sent);
-                    assertEquals(sent, PeerCodec.decode(bytes, bytes.length));
+                for (List<LimitNews<RateLimit>> rates :
+                        List.of(List.of(news), List.<LimitNews<RateLimit>>of())) {
+                    for (List<LimitNews<RejectionLimit>> rejections :
+                            List.of(List.of(rejectionNews), List.<LimitNews<RejectionLimit>>of())) {
+                        LoadMessage sent = loadMessage(leaving, rates, rejections);
+                        byte[] bytes = PeerCodec.encode(sent);
+                        assertEquals(sent, PeerCodec.decode(bytes, bytes.length));
+                    }
                 }
             }
         }
 
         private static LoadMessage loadMessage(
-                Set<TargetIncarnation> leaving, List<RateNews> rates) {
+                Set<TargetIncarnation> leaving,
+                List<LimitNews<RateLimit>> rates,
+                List<LimitNews<RejectionLimit>> rejections) {
             PeerLoads.Report report =
                     new PeerLoads.Report(
                             1,
@@ -150,7 +160,8 @@
                             Map.of(new TargetId("i-1"), 3),
                             List.of(),
                             leaving,
-                            rates);
+                            rates,
+                            rejections);
             return new LoadMessage(new HostId("h-1"), new FailureDomainId("d-1"), report);
         }
 
--- a/standins/src/main/java/org/godwithoist/standins/edge/LimitedPlaces.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/LimitedPlaces.java
@@ -8,12 +8,13 @@
 
 /**
  * Places of a runner stand-in that has no queue and fails if it must reject too many requests for
- * want of a place. It is back after a time. Thread-safe.
+ * want of a place. It is back after a time. A request leaves its place when its response begins.
+ * Thread-safe.
  */
 public final class LimitedPlaces {
     /** What happens to a request that arrives. */
     enum Admission {
-        /** The request runs; its place must be released. */
+        /** The request runs and has a place. */
         RUN,
         /** The request is rejected. */
         REJECT,
@@ -51,6 +52,7 @@
         return running;
     }
 
+    /** Records that a request arrives. */
     synchronized Admission enter() {
         long now = System.nanoTime();
         if (!failures.isEmpty() && now - failures.getLast() < DOWNTIME.toNanos()) {
@@ -72,6 +74,7 @@
         return Admission.REJECT;
     }
 
+    /** Records that the response to a request that runs begins. */
     synchronized void leave() {
         running--;
     }
--- a/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/RunnerStandin.java
@@ -272,13 +272,7 @@
         return switch (places.enter()) {
             case FAIL -> false;
             case REJECT -> messages.writeRejection(writer, attempt, "");
-            case RUN -> {
-                try {
-                    yield execute(executed, currentFault, connection);
-                } finally {
-                    places.leave();
-                }
-            }
+            case RUN -> execute(executed, currentFault, connection);
         };
     }
 
@@ -291,6 +285,7 @@
         Map<String, String> fields = executed.fields();
         executedRequests.add(executed);
         Tasks.sleep(eventDelay.plus(version.delayOf(executed.uri())));
+        limitedPlaces.ifPresent(LimitedPlaces::leave);
         if (deadlyRequests.isPresent() && deadlyRequests.get().test(executed)) {
             end();
             return false;
--- /dev/null
+++ b/targets/src/main/java/org/godwithoist/targets/LimitSource.java
@@ -0,0 +1,11 @@
+package org.godwithoist.targets;
+
+/** How a daemon has learnt that a limit of a target has begun, changed or ended. */
+public enum LimitSource {
+    /** A response of the target. */
+    RESPONSE,
+    /** A report of another daemon. */
+    PEER,
+    /** No response has stated the limit for {@link StatedLimit#EXPIRY}. */
+    EXPIRY
+}
--- a/targets/src/main/java/org/godwithoist/targets/PeerLoads.java
+++ b/targets/src/main/java/org/godwithoist/targets/PeerLoads.java
@@ -52,6 +52,7 @@
      *     second
      * @param leaving targets that have recently announced that they are leaving
      * @param rateNews what the daemon knows about the rate limits of targets
+     * @param rejectionNews what the daemon knows about the rejection limits of targets
      */
     public record Report(
             long incarnation,
@@ -61,16 +62,18 @@
             Map<TargetId, Integer> requests,
             List<CachedPrefix> cachedPrefixes,
             Set<TargetIncarnation> leaving,
-            List<RateNews> rateNews) {
+            List<LimitNews<RateLimit>> rateNews,
+            List<LimitNews<RejectionLimit>> rejectionNews) {
         /** Copies the collections. */
         public Report {
             requests = Map.copyOf(requests);
             cachedPrefixes = List.copyOf(cachedPrefixes);
             leaving = Set.copyOf(leaving);
             rateNews = List.copyOf(rateNews);
+            rejectionNews = List.copyOf(rejectionNews);
         }
 
-        /** Creates a report without rate limits. */
+        /** Creates a report without limits of targets. */
         public Report(
                 long incarnation,
                 long sequence,
@@ -87,10 +90,11 @@
                     requests,
                     cachedPrefixes,
                     leaving,
+                    List.of(),
                     List.of());
         }
 
-        /** Creates a report without leaving targets and rate limits. */
+        /** Creates a report without leaving targets and limits of targets. */
         public Report(
                 long incarnation,
                 long sequence,
@@ -116,7 +120,8 @@
                     sum.requests(),
                     prefixes,
                     leaving,
-                    rateNews);
+                    rateNews,
+                    rejectionNews);
         }
     }
 
--- a/targets/src/main/java/org/godwithoist/targets/Placement.java
+++ b/targets/src/main/java/org/godwithoist/targets/Placement.java
@@ -88,6 +88,8 @@
      * @param peersComplete whether the reports of all other daemons were available
      * @param paused targets left out because they have asked this daemon to pause
      * @param limited targets left out because their rate limit permits no request of this daemon
+     * @param full targets left out because they have no room and would fail if they had to reject
+     *     many requests
      * @param leaving targets left out because they have announced that they are leaving
      * @param work what the work of the targets contributed; empty if they report no work times, or
      *     if the first ones in the order could not take the request
@@ -99,6 +101,7 @@
             boolean peersComplete,
             int paused,
             int limited,
+            int full,
             int leaving,
             Optional<WorkReason> work) {}
 
@@ -125,22 +128,23 @@
      */
     public Optional<Decision> place(PlacementRequest request, List<Target> targets) {
         long now = peers.ticker().nanos();
-        Eligibility eligibility = Eligibility.of(request, targets, now);
+        PeerLoads.View peerLoads = peers.view();
+        Eligibility eligibility = Eligibility.of(request, targets, peerLoads, now);
         RankingInput input =
                 new RankingInput(
                         request,
                         eligibility.targets(),
                         targets,
-                        peers.view(),
+                        peerLoads,
                         work.map(FleetWork::peers).orElse(PeerWork.View.EMPTY),
                         localDomain,
                         random,
                         now);
         Ranking ranking = work.isPresent() ? Ranking.of(targets) : Ranking.BY_COUNT;
         List<Candidate> candidates = ranking.rank(input);
-        Optional<Candidate> healthy = tryCandidates(request, candidates, false);
+        Optional<Candidate> healthy = tryCandidates(input, candidates, false);
         Optional<Candidate> chosen =
-                healthy.isPresent() ? healthy : tryCandidates(request, candidates, true);
+                healthy.isPresent() ? healthy : tryCandidates(input, candidates, true);
         return chosen.map(
                 c -> {
                     Optional<Target> cachingEngine =
@@ -172,6 +176,7 @@
                 input.peerLoads().complete(),
                 eligibility.paused(),
                 eligibility.limited(),
+                eligibility.full(),
                 eligibility.leaving(),
                 chosen.outlook().map(o -> workReason(o, workComplete)));
     }
@@ -183,28 +188,30 @@
 
     /**
      * Returns the time until the first target of the service accepts requests of this daemon again,
-     * if all of them have asked it to pause or have rate limits that permit none now. Sending the
-     * request to a target that pauses would only use up the retry budget, and waiting for one would
-     * hold the caller in vain.
+     * if all of them have asked it to pause, have rate limits that permit none now, or have no room
+     * and would fail if they had to reject many. Sending the request to a target that pauses would
+     * only use up the retry budget, and waiting for one would hold the caller in vain.
      *
      * @param targets targets of the service
      * @return empty if the service has no target, or one that accepts requests now
      */
     public Optional<Duration> shortestWait(PlacementRequest request, List<Target> targets) {
+        PeerLoads.View peerLoads = peers.view();
         return targets.stream()
                 .filter(request::permits)
-                .map(t -> t.remainingWait(request.share()))
+                .map(t -> t.remainingWait(request.share(), peerLoads))
                 .min(Comparator.naturalOrder())
                 .filter(wait -> !wait.isZero());
     }
 
     private Optional<Candidate> tryCandidates(
-            PlacementRequest request, List<Candidate> candidates, boolean allowEjected) {
+            RankingInput input, List<Candidate> candidates, boolean allowEjected) {
+        PlacementRequest request = input.request();
         CandidateOrder order = new CandidateOrder(candidates);
         while (!order.isEmpty()) {
             Candidate c = order.next();
             int perSecond = coldLimit.get().share(request.service(), c.target(), request.share());
-            if (c.target().tryBegin(perSecond, request.share(), allowEjected)) {
+            if (c.target().tryBegin(perSecond, request.share(), input.peerLoads(), allowEjected)) {
                 return Optional.of(c);
             }
         }
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -12,6 +12,9 @@
     /** Age at which a load report has no weight any more; until then, it loses weight linearly. */
     private static final double REPORT_TTL_NANOS = Duration.ofSeconds(2).toNanos();
 
+    /** Age up to which a load report shows the room at a target. */
+    private static final long RECENT_REPORT_NANOS = Duration.ofMillis(300).toNanos();
+
     /** Time after which an engine has cached the prefixes that map to it and are still in use. */
     private static final long CACHE_FILL_NANOS = Duration.ofSeconds(12).toNanos();
 
@@ -20,12 +23,18 @@
         private final long sentAt;
         private final double latencyWeight;
         private final RequestWork work;
+        private final Optional<RejectionLimiter.SentRequest> sent;
         private boolean ended;
 
-        private PendingResponse(long sentAt, double latencyWeight, RequestWork work) {
+        private PendingResponse(
+                long sentAt,
+                double latencyWeight,
+                RequestWork work,
+                Optional<RejectionLimiter.SentRequest> sent) {
             this.sentAt = sentAt;
             this.latencyWeight = latencyWeight;
             this.work = work;
+            this.sent = sent;
         }
 
         long sentAt() {
@@ -43,6 +52,10 @@
      */
     private record ReportedLoad(int others, int waiting, long at, boolean known) {
         static final ReportedLoad NONE = new ReportedLoad(0, 0, 0, false);
+
+        boolean isRecent(long now) {
+            return known && now - at < RECENT_REPORT_NANOS;
+        }
     }
 
     private final Ticker ticker;
@@ -67,21 +80,24 @@
     private final RecurringFault unrequestedResponses = new RecurringFault();
     private final RecurringFault cutBodies = new RecurringFault();
     private final RequestRateLimiter rateLimiter = new RequestRateLimiter();
-    private final RateObserver rateObserver;
+    private final RejectionLimiter rejectionLimiter = new RejectionLimiter();
+    private volatile boolean rejectionLimited;
+    private final LimitObserver limitObserver;
     private boolean unusableRateReported;
+    private boolean unusableRejectionLimitReported;
 
     /**
      * Creates a target; the time in the list counts from now.
      *
      * @param inInitialList whether the target was in the first list that this daemon read, so that
      *     it may have run for a long time
-     * @param rateObserver receives the changes of the rate limit
+     * @param limitObserver receives the changes of the limits that the target states
      * @param speed speed of the target's service
      */
     Target(
             TargetEntry entry,
             boolean inInitialList,
-            RateObserver rateObserver,
+            LimitObserver limitObserver,
             ServiceSpeed speed,
             Ticker ticker) {
         this.entry = entry;
@@ -89,7 +105,7 @@
         rendezvousHash = CachedPrompt.rendezvousHash(entry.id());
         work = new TargetWork(speed, ticker);
         this.ticker = ticker;
-        this.rateObserver = rateObserver;
+        this.limitObserver = limitObserver;
         this.inInitialList = inInitialList;
         listedAt = ticker.nanos();
         coldLimiter.setColdFor(entry.remainingColdTime(), ticker.nanos());
@@ -147,10 +163,12 @@
 
     /**
      * Returns whether the target may be asked about itself. One that has asked for a pause, or that
-     * limits its requests, gets no questions, because they would count as requests.
+     * limits its requests or rejections, gets no questions, because they would count as requests.
      */
     public synchronized boolean acceptsQuestions() {
-        return !pause.isActive(ticker.nanos()) && rateLimiter.limit().isEmpty();
+        return !pause.isActive(ticker.nanos())
+                && rateLimiter.limit().isEmpty()
+                && rejectionLimiter.limit().isEmpty();
     }
 
     // ---- rate limit
@@ -160,9 +178,9 @@
      *
      * @param sentAt when the request of the response was sent
      */
-    public void recordRate(RateStatement statement, long sentAt) {
+    public void recordRate(LimitStatement<RateLimit> statement, long sentAt) {
         if (statement.unusable().isPresent() && isFirstUnusableRate()) {
-            rateObserver.statementUnusable(this, statement.unusable().get());
+            limitObserver.rateUnusable(this, statement.unusable().get());
         }
         boolean changed;
         synchronized (this) {
@@ -170,7 +188,7 @@
             rateLimited = rateLimiter.limit().isPresent();
         }
         if (changed) {
-            rateObserver.limitChanged(this, statement.limit(), RateSource.RESPONSE);
+            limitObserver.rateLimitChanged(this, statement.limit(), LimitSource.RESPONSE);
         }
     }
 
@@ -181,14 +199,14 @@
     }
 
     /** Records what another daemon tells about the rate limit. */
-    void recordRateNews(RateNews news) {
+    void recordRateNews(LimitNews<RateLimit> news) {
         boolean changed;
         synchronized (this) {
             changed = rateLimiter.recordNews(news, ticker.nanos());
             rateLimited = rateLimiter.limit().isPresent();
         }
         if (changed) {
-            rateObserver.limitChanged(this, news.limit(), RateSource.PEER);
+            limitObserver.rateLimitChanged(this, news.limit(), LimitSource.PEER);
         }
     }
 
@@ -200,12 +218,12 @@
             rateLimited = rateLimiter.limit().isPresent();
         }
         if (expired) {
-            rateObserver.limitChanged(this, Optional.empty(), RateSource.EXPIRY);
+            limitObserver.rateLimitChanged(this, Optional.empty(), LimitSource.EXPIRY);
         }
     }
 
     /** Returns what the other daemons are to be told about the rate limit. */
-    synchronized Optional<RateNews> rateNews() {
+    synchronized Optional<LimitNews<RateLimit>> rateNews() {
         return rateLimiter.news(entry.incarnation(), ticker.nanos());
     }
 
@@ -224,9 +242,95 @@
         }
     }
 
-    /** Returns the time until neither a pause nor the rate limit rules out a request, or zero. */
-    synchronized Duration remainingWait(FleetShare share) {
-        return Durations.max(remainingPause(), rateWait(share, ticker.nanos()));
+    // ---- rejection limit
+
+    /**
+     * Records what a response of the target states about the rejections that it survives.
+     *
+     * @param sentAt when the request of the response was sent
+     */
+    public void recordRejectionLimit(LimitStatement<RejectionLimit> statement, long sentAt) {
+        if (statement.unusable().isPresent() && isFirstUnusableRejectionLimit()) {
+            limitObserver.rejectionLimitUnusable(this, statement.unusable().get());
+        }
+        boolean changed;
+        synchronized (this) {
+            changed = rejectionLimiter.recordStatement(statement.limit(), sentAt, ticker.nanos());
+            rejectionLimited = rejectionLimiter.limit().isPresent();
+        }
+        if (changed) {
+            limitObserver.rejectionLimitChanged(this, statement.limit(), LimitSource.RESPONSE);
+        }
+    }
+
+    private synchronized boolean isFirstUnusableRejectionLimit() {
+        boolean isFirst = !unusableRejectionLimitReported;
+        unusableRejectionLimitReported = true;
+        return isFirst;
+    }
+
+    /** Records what another daemon tells about the rejection limit. */
+    void recordRejectionNews(LimitNews<RejectionLimit> news) {
+        boolean changed;
+        synchronized (this) {
+            changed = rejectionLimiter.recordNews(news, ticker.nanos());
+            rejectionLimited = rejectionLimiter.limit().isPresent();
+        }
+        if (changed) {
+            limitObserver.rejectionLimitChanged(this, news.limit(), LimitSource.PEER);
+        }
+    }
+
+    /** Ends a rejection limit that no response has stated for a long time. */
+    void expireRejectionLimit() {
+        boolean expired;
+        synchronized (this) {
+            expired = rejectionLimiter.expire(ticker.nanos());
+            rejectionLimited = rejectionLimiter.limit().isPresent();
+        }
+        if (expired) {
+            limitObserver.rejectionLimitChanged(this, Optional.empty(), LimitSource.EXPIRY);
+        }
+    }
+
+    /** Returns what the other daemons are to be told about the rejection limit. */
+    synchronized Optional<LimitNews<RejectionLimit>> rejectionNews() {
+        return rejectionLimiter.news(entry.incarnation(), ticker.nanos());
+    }
+
+    /** Returns the rejection limit in force; empty if there is none. */
+    public synchronized Optional<RejectionLimit> rejectionLimit() {
+        return rejectionLimiter.limit();
+    }
+
+    /** Records that the target has rejected a request for want of room. */
+    public synchronized void recordRejection(PendingResponse pendingResponse) {
+        rejectionLimiter.recordRejected(pendingResponse.sent, ticker.nanos());
+    }
+
+    /** Returns whether the target may get a request without failing by its rejection. */
+    boolean hasRoom(FleetShare share, PeerLoads.View peers, long now) {
+        if (!rejectionLimited) {
+            return true;
+        }
+        synchronized (this) {
+            return rejectionLimiter.permits(room(peers, now), share, id().hashCode(), now);
+        }
+    }
+
+    private Room room(PeerLoads.View peers, long now) {
+        ReportedLoad reported = reportedLoad;
+        boolean isRecent = reported.isRecent(now);
+        int others = Math.max(peers.requests(id()), isRecent ? reported.others() : 0);
+        boolean queued = isRecent && reported.waiting() > 0;
+        return new Room(entry.slots(), others, inFlight, queued, peers.complete());
+    }
+
+    /** Returns the time until the target may get a request of this daemon, or zero. */
+    synchronized Duration remainingWait(FleetShare share, PeerLoads.View peers) {
+        long now = ticker.nanos();
+        Duration room = hasRoom(share, peers, now) ? Duration.ZERO : RejectionLimiter.RETRY_DELAY;
+        return Durations.max(room, Durations.max(remainingPause(), rateWait(share, now)));
     }
 
     // ---- responses that nobody waits for
@@ -270,17 +374,20 @@
      * Counts a request that is about to be sent.
      *
      * @param coldPerSecond requests per second that this daemon may send while the target is cold
-     * @param share this daemon's share of the target's rate limit
+     * @param share this daemon's share of the limits of the target
+     * @param peers requests of the other daemons
      * @param allowEjected whether an ejected target may get the request
      * @return false if the target may not get the request
      */
-    synchronized boolean tryBegin(int coldPerSecond, FleetShare share, boolean allowEjected) {
+    synchronized boolean tryBegin(
+            int coldPerSecond, FleetShare share, PeerLoads.View peers, boolean allowEjected) {
         long now = ticker.nanos();
-        if (!permits(coldPerSecond, share, allowEjected, now)) {
+        if (!hasRoom(share, peers, now) || !permits(coldPerSecond, share, allowEjected, now)) {
             return false;
         }
         coldLimiter.recordSent(now);
         rateLimiter.recordSent(now);
+        rejectionLimiter.recordSent(room(peers, now), share, id().hashCode(), now);
         health.recordSent(now);
         inFlight++;
         return true;
@@ -311,7 +418,8 @@
     public synchronized PendingResponse startWaiting(RequestWork requestWork) {
         long now = ticker.nanos();
         PendingResponse pendingResponse =
-                new PendingResponse(now, latencyAverage.weight(now), requestWork);
+                new PendingResponse(
+                        now, latencyAverage.weight(now), requestWork, rejectionLimiter.takeSent());
         latencyAverage.recordSent(now);
         waits.add(pendingResponse);
         work.requestSent(requestWork);
@@ -328,6 +436,7 @@
         }
         if (!pendingResponse.ended) {
             pendingResponse.ended = true;
+            pendingResponse.sent.ifPresent(rejectionLimiter::recordEnded);
             work.released(pendingResponse.work);
         }
     }
@@ -337,6 +446,7 @@
         if (!waits.remove(pendingResponse)) {
             return;
         }
+        pendingResponse.sent.ifPresent(rejectionLimiter::recordAccepted);
         long now = ticker.nanos();
         double ms = waits.responseStarted(pendingResponse, now);
         double usualMs = ms / work.workTimeFactor();
--- a/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
@@ -42,21 +42,21 @@
     private long storeAvailableAt;
     private final LeavingTargets leavingTargets;
     private final DepartedTargets departedTargets;
-    private final RateObserver rateObserver;
+    private final LimitObserver limitObserver;
 
     /** Creates a directory without targets, before the first list of the store. */
     public TargetDirectory(Ticker ticker) {
-        this(ticker, RateObserver.NONE);
+        this(ticker, LimitObserver.NONE);
     }
 
     /**
      * Creates a directory without targets, before the first list of the store.
      *
-     * @param rateObserver receives the changes of the targets' rate limits
+     * @param limitObserver receives the changes of the limits that targets state
      */
-    public TargetDirectory(Ticker ticker, RateObserver rateObserver) {
+    public TargetDirectory(Ticker ticker, LimitObserver limitObserver) {
         this.ticker = ticker;
-        this.rateObserver = rateObserver;
+        this.limitObserver = limitObserver;
         leavingTargets = new LeavingTargets(ticker);
         departedTargets = new DepartedTargets(ticker);
     }
@@ -80,7 +80,8 @@
     public PeerLoads.Report report(long incarnation, long sequence) {
         Map<TargetId, Integer> requests = new HashMap<>();
         List<CachedPrefix> cachedPrefixes = new ArrayList<>();
-        List<RateNews> rateNews = new ArrayList<>();
+        List<LimitNews<RateLimit>> rateNews = new ArrayList<>();
+        List<LimitNews<RejectionLimit>> rejectionNews = new ArrayList<>();
         for (List<Target> targets : byService.values()) {
             for (Target t : targets) {
                 int n = t.inFlight();
@@ -89,6 +90,7 @@
                 }
                 cachedPrefixes.addAll(t.recentPrefixes());
                 t.rateNews().ifPresent(rateNews::add);
+                t.rejectionNews().ifPresent(rejectionNews::add);
             }
         }
         return new PeerLoads.Report(
@@ -99,7 +101,8 @@
                 requests,
                 cachedPrefixes,
                 recentlyLeaving(),
-                rateNews);
+                rateNews,
+                rejectionNews);
     }
 
     private synchronized Set<TargetIncarnation> recentlyLeaving() {
@@ -151,20 +154,31 @@
      * incarnation whose start is unknown count for the listed one; if they are about an earlier
      * one, the next response corrects them.
      */
-    public void recordRateNews(List<RateNews> news) {
-        for (RateNews n : news) {
-            find(n.target().id())
-                    .filter(t -> !t.entry().incarnation().isKnownToDiffer(n.target()))
-                    .ifPresent(t -> t.recordRateNews(n));
-        }
+    public void recordRateNews(List<LimitNews<RateLimit>> news) {
+        news.forEach(n -> find(n.target()).ifPresent(t -> t.recordRateNews(n)));
+    }
+
+    /** Records what another daemon tells about rejection limits, like that about rate limits. */
+    public void recordRejectionNews(List<LimitNews<RejectionLimit>> news) {
+        news.forEach(n -> find(n.target()).ifPresent(t -> t.recordRejectionNews(n)));
+    }
+
+    private Optional<Target> find(TargetIncarnation incarnation) {
+        return find(incarnation.id())
+                .filter(t -> !t.entry().incarnation().isKnownToDiffer(incarnation));
     }
 
     /**
-     * Ends rate limits that no response has stated for a long time. To be called a few times a
-     * second.
+     * Ends limits that no response has stated for a long time. To be called a few times a second.
      */
-    public void expireRateLimits() {
+    public void expireLimits() {
         all().forEach(Target::expireRateLimit);
+        all().forEach(Target::expireRejectionLimit);
+    }
+
+    /** Returns the number of targets whose rejection limit is in force. */
+    public long rejectionLimitedTargets() {
+        return all().filter(t -> t.rejectionLimit().isPresent()).count();
     }
 
     /** Returns the number of targets whose rate limit is in force. */
@@ -296,7 +310,7 @@
             known.setRemoved(true);
         }
         ServiceSpeed speed = speeds.computeIfAbsent(entry.service(), s -> new ServiceSpeed());
-        Target target = new Target(entry, !initialListRead, rateObserver, speed, ticker);
+        Target target = new Target(entry, !initialListRead, limitObserver, speed, ticker);
         if (leavingTargets.contains(entry.incarnation())) {
             target.setLeaving();
         }
--- a/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
@@ -481,7 +481,7 @@
             targets.forEach(t -> respond(t, t == slow ? SLOW : FAST));
             ticker.advance(Duration.ofMillis(1500));
             int perSecond = (int) (2 * Samples.COLD_PER_SECOND);
-            while (slow.tryBegin(perSecond, Samples.ALONE, false)) {
+            while (slow.tryBegin(perSecond, Samples.ALONE, peers.view(), false)) {
                 slow.end(Verdict.GOOD);
             }
             for (int i = 0; i < 3 * ROUNDS; i++) {
@@ -591,7 +591,8 @@
     /** Scenario: engines limit the requests of all daemons. */
     @Nested
     final class RateLimitedEngines {
-        private static final RateStatement LIMIT = RateStatement.of(new RateLimit(250));
+        private static final LimitStatement<RateLimit> LIMIT =
+                LimitStatement.of(new RateLimit(250));
 
         /** Guards against an ejected target that gets requests beyond its limit. */
         @Test
--- a/targets/src/test/java/org/godwithoist/targets/RequestRateLimiterTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/RequestRateLimiterTest.java
@@ -32,8 +32,8 @@
         return Optional.of(new RateLimit((int) Math.round(value * 1000)));
     }
 
-    private static RateNews news(Optional<RateLimit> limit, double ageSeconds) {
-        return new RateNews(TARGET, limit, Duration.ofNanos(nanos(ageSeconds)));
+    private static LimitNews<RateLimit> news(Optional<RateLimit> limit, double ageSeconds) {
+        return new LimitNews<>(TARGET, limit, Duration.ofNanos(nanos(ageSeconds)));
     }
 
     /** Scenario: all daemons of a fleet want to send more than the limit permits. */
--- a/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
@@ -314,8 +314,8 @@
     /** Scenario: other daemons tell which targets limit their requests. */
     @Nested
     final class RateLimitNews {
-        private static RateNews news(int number, long startedAt) {
-            return new RateNews(
+        private static LimitNews<RateLimit> news(int number, long startedAt) {
+            return new LimitNews<>(
                     new TargetIncarnation(Samples.entry(number).id(), startedAt),
                     Optional.of(new RateLimit(500)),
                     Duration.ZERO);
