--- a/dispatch/src/test/java/org/godwithoist/dispatch/http/PlainDialect.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/http/PlainDialect.java
@@ -11,7 +11,7 @@
 import org.godwithoist.dispatch.Refusal;
 import org.godwithoist.dispatch.RequestHead;
 import org.godwithoist.dispatch.TargetPresence;
-import org.godwithoist.targets.RateStatement;
+import org.godwithoist.targets.LimitStatement;
 import org.godwithoist.targets.Target;
 
 /** Field names of {@link TargetServer}. */
@@ -45,7 +45,8 @@
                 Optional.empty(),
                 false,
                 Optional.empty(),
-                RateStatement.NONE);
+                LimitStatement.none(),
+                LimitStatement.none());
     }
 
     @Override
