Reproduce take-ups at daemons that are cut off from the fleet

A daemon that has lost the store and the other daemons counts as in touch for some seconds, and several that hear only each other for ever. A stream of a new version that began elsewhere goes on there at the version that they know.

--- a/edge/src/test/java/org/godwithoist/edge/StreamCaller.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamCaller.java
@@ -11,6 +11,7 @@
 import java.util.OptionalInt;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.standins.edge.ConfigText;
+import org.godwithoist.standins.edge.RunnerStandin;
 
 /**
  * A caller that receives a stream in parts, and takes it up again on another connection. Not
@@ -67,6 +68,16 @@
         send(daemon, ConfigText.RESUMABLE, "");
     }
 
+    /**
+     * Sends the request for a new stream to a target, as a daemon does that nobody else reaches.
+     */
+    void beginAt(RunnerStandin target) throws IOException {
+        send(
+                target.endpoint(),
+                ConfigText.RESUMABLE,
+                "X-Godwithoist-Expect-Runner: " + target.id() + "\r\n");
+    }
+
     /** Names its last event on a route whose streams begin anew each time, as a browser does. */
     void beginAnew(Endpoint daemon, int lastEvent) throws IOException {
         send(daemon, ConfigText.NON_RESUMABLE, "Last-Event-Id: " + lastEvent + "\r\n");
--- a/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamFleet.java
@@ -26,8 +26,8 @@
 import org.godwithoist.standins.edge.RunnerVersion;
 
 /**
- * Two daemons in processes of their own, two targets of each of two software versions of an engine,
- * and callers that take their streams up again.
+ * Daemons in processes of their own, two targets of each of two software versions of an engine, and
+ * callers that take their streams up again.
  */
 final class StreamFleet implements AutoCloseable {
     static final String OLD = "v1.0";
@@ -56,7 +56,7 @@
 
         Daemon(String name, Path parent) throws IOException {
             this.name = name;
-            dir = Files.createDirectory(parent.resolve(name));
+            dir = Files.createDirectories(parent.resolve(name));
         }
 
         void start(boolean firstStart) throws IOException {
@@ -85,14 +85,24 @@
     private final List<Daemon> daemons = new ArrayList<>();
 
     /**
-     * Starts the daemons with targets of the old version.
+     * Starts two daemons with targets of the old version.
      *
      * @param dir directory for the files of the daemons
      */
     StreamFleet(Path dir) throws IOException {
+        this(dir, DAEMONS);
+    }
+
+    /**
+     * Starts daemons with targets of the old version.
+     *
+     * @param dir directory for the files of the daemons
+     * @param count number of daemons
+     */
+    StreamFleet(Path dir, int count) throws IOException {
         store.put("op", "config", ConfigText.of(1, STREAM_TIMEOUT_MS));
         startTargets(OLD);
-        for (int i = 0; i < DAEMONS; i++) {
+        for (int i = 0; i < count; i++) {
             daemons.add(new Daemon("edge-" + i, dir));
         }
         startDaemons(true);
@@ -149,6 +159,11 @@
         daemons.get(index).storeLink.setLinkDown(true);
     }
 
+    /** Kills a daemon, after which the others do not hear it. */
+    void killDaemon(int index) {
+        daemons.get(index).kill();
+    }
+
     /** Kills all daemons at once. */
     void killDaemons() {
         daemons.forEach(Daemon::kill);
@@ -170,7 +185,7 @@
 
     /** Returns the address of a daemon for callers. */
     Endpoint daemon(int index) {
-        return new Endpoint("127.0.0.1", daemons.get(index % DAEMONS).port);
+        return new Endpoint("127.0.0.1", daemons.get(index % daemons.size()).port);
     }
 
     /** Begins streams at all daemons and waits until some events of each have arrived. */
@@ -196,6 +211,24 @@
         return streams;
     }
 
+    /**
+     * Begins streams at the targets of a version, as a daemon does that none of these daemons
+     * hears, and waits until some events of each have arrived.
+     */
+    List<StreamCaller> beginElsewhere(String version, int count) throws IOException {
+        List<RunnerStandin> begins = targetsOf(version);
+        List<StreamCaller> streams = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            StreamCaller stream = new StreamCaller("elsewhere-" + i);
+            stream.beginAt(begins.get(i % begins.size()));
+            streams.add(stream);
+        }
+        for (StreamCaller s : streams) {
+            s.receiveEvents(2);
+        }
+        return streams;
+    }
+
     /** Begins a stream at a daemon and waits until some events have arrived. */
     StreamCaller beginStream(String name, int index) throws IOException {
         StreamCaller stream = new StreamCaller(name);
--- a/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/StreamVersionsTest.java
@@ -222,6 +222,77 @@
         }
     }
 
+    /**
+     * Scenario: daemons are cut off from the store, and from the daemons that have not lost it,
+     * before the second version appears. Its streams begin at a daemon that they do not hear.
+     */
+    @Nested
+    final class DaemonsCutOffFromTheFleet {
+        private void replaceFleet(int daemons) throws IOException {
+            fleet.close();
+            fleet = new StreamFleet(dir.resolve("fleet-of-" + daemons), daemons);
+            fleet.settle();
+        }
+
+        private void assertNoStreamOfTheNewVersionGoesOn() throws IOException {
+            fleet.startTargets(StreamFleet.NEW);
+            callers.addAll(fleet.beginElsewhere(StreamFleet.NEW, STREAMS));
+            leaveAll();
+            fleet.takeUpAt(0, callers);
+            assertNoneJoined();
+            assertRefusedAsNotRun(callers);
+        }
+
+        /** Guards against a daemon that counts as in touch for seconds after it has lost all. */
+        @Test
+        void oneTakesNoStreamForOneOfTheVersionThatItKnows() throws Exception {
+            replaceFleet(1);
+            fleet.cutOffFromStore(0);
+            assertNoStreamOfTheNewVersionGoesOn();
+        }
+
+        /** Guards against daemons that take each other's messages for news of the store. */
+        @Test
+        void severalThatHearOnlyEachOtherTakeNone() throws Exception {
+            replaceFleet(3);
+            fleet.cutOffFromStore(0);
+            fleet.cutOffFromStore(1);
+            fleet.killDaemon(2);
+            fleet.settle();
+            fleet.settle();
+            assertNoStreamOfTheNewVersionGoesOn();
+        }
+    }
+
+    /** Scenario: one daemon is cut off from the other daemons, but not from the store. */
+    @Nested
+    final class DaemonCutOffFromThePeers {
+        /** Guards against take-ups that are refused because no other daemon is heard. */
+        @Test
+        void streamsOfTheOnlyVersionGoOn() throws Exception {
+            fleet.close();
+            fleet = new StreamFleet(dir.resolve("fleet-of-1"), 1);
+            fleet.settle();
+            callers.addAll(fleet.beginElsewhere(StreamFleet.OLD, STREAMS));
+            leaveAll();
+            fleet.takeUpAt(0, callers);
+            assertMostAreWhole(callers);
+        }
+
+        /** Guards against streams of a new version that go on at the version of before. */
+        @Test
+        void streamsOfTheNewVersionAreNotJoined() throws Exception {
+            fleet.close();
+            fleet = new StreamFleet(dir.resolve("fleet-of-1"), 1);
+            fleet.settle();
+            fleet.startTargets(StreamFleet.NEW);
+            callers.addAll(fleet.beginElsewhere(StreamFleet.NEW, STREAMS));
+            leaveAll();
+            fleet.takeUpAt(0, callers);
+            assertNoneJoined();
+        }
+    }
+
     /** Scenario: the version that began the streams has left. */
     @Nested
     final class VersionThatLeft {
