Let only daemons in contact with the store vouch for the only version

A daemon counted as one that hears of new versions for 3.5 to 4.5 s after the last response of the store, and as long as any other daemon was heard. A stream of a new version that began elsewhere went on at the version that it knew: 16 of 16, at one daemon that was cut off from all others and at three of which two hear only each other.

Daemons to which the store has responded now tell the others four times in 0.8 s. A daemon claims the only version if one of them was heard within that time, if it hears all daemons of the fleet, or if the row of the service, read for the take-up, says so. Members of a leader do not vouch, since they get the rows from it.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -129,7 +129,8 @@
         eraMonitor = new EraMonitor(log);
         eras = new StoreEras(eraMonitor, ticker);
         rollout = settings.bounds().rollout().map(this::createRollout);
-        streamOrigins = new RecordedOrigins(streamTable(), this::hearsOfVersions, log, ticker);
+        streamOrigins =
+                new RecordedOrigins(streamTable(), () -> exchange.hearsOfVersions(), log, ticker);
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
@@ -275,14 +276,6 @@
                 random);
     }
 
-    /**
-     * Returns whether this daemon would hear of a new version of a service. One that has lost the
-     * store hears of it from other daemons, unless they have lost the store, too.
-     */
-    private boolean hearsOfVersions() {
-        return followers.isInTouch() || exchange.hearsOthers();
-    }
-
     /** Returns a client of its own for the rows of streams. */
     private StreamTable streamTable() {
         return new StreamTable(settings.store(), eras, calls, ticker);
@@ -314,6 +307,7 @@
                                 overload,
                                 rollout.map(VersionRollout::fleet),
                                 streamOrigins,
+                                followers::hasStoreContact,
                                 supervisor,
                                 log,
                                 ticker));
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -43,6 +43,9 @@
      */
     private static final Duration OPERATOR_MAX_WAIT = Duration.ofMillis(1500);
 
+    /** Time after the longest wait within which the store responds. */
+    private static final Duration RESPONSE_MARGIN = Duration.ofMillis(500);
+
     private static final Duration TARGETS_MAX_WAIT = Duration.ofSeconds(10);
 
     private static final TableName OPERATOR = new TableName("operator");
@@ -115,13 +118,12 @@
     }
 
     /**
-     * Returns whether changes in the store reach this daemon. The operator's table shows it, since
-     * its requests wait for a short time only; the one for the targets may wait unnoticed on a link
+     * Returns whether the store has responded lately. The operator's table shows it, since its
+     * requests wait for a short time only; the one for the targets may wait unnoticed on a link
      * that is down.
      */
-    boolean isInTouch() {
-        Duration maxAge = relayTiming().maxPropagationDelay().plus(OPERATOR_MAX_WAIT);
-        return operatorFeed.hasRespondedWithin(maxAge);
+    boolean hasStoreContact() {
+        return operatorFeed.hasRespondedWithin(OPERATOR_MAX_WAIT.plus(RESPONSE_MARGIN));
     }
 
     /** Returns the number of orders to roll out a version that could not be used. */
--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.godwithoist.core.id.Endpoint;
 import org.godwithoist.core.id.HostId;
 import org.godwithoist.core.log.EventLog;
@@ -29,8 +30,8 @@
  * Reports this daemon's requests in progress, the prompt prefixes that engines have cached for it,
  * the evidence against suspects, the work of targets, the demand for full services and the versions
  * of services to other daemons, and applies what they send. Uses one sending task for each
- * receiving daemon, one each for evidence, work, demand and versions, one receiving task, and one
- * task that refreshes the plan. Thread-safe.
+ * receiving daemon, one each for evidence, work, demand, versions and the contact with the store,
+ * one receiving task, and one task that refreshes the plan. Thread-safe.
  */
 public final class LoadExchange implements Closeable {
     private static final Duration PLAN_REFRESH_INTERVAL = Duration.ofSeconds(1);
@@ -42,6 +43,7 @@
      * Dependencies of an exchange.
      *
      * @param incarnation start time of this daemon; orders its reports across restarts
+     * @param hasStoreContact whether the store has lately responded to this daemon
      * @param rollouts orders in progress; empty if the deployment rolls no versions out
      */
     public record Dependencies(
@@ -55,6 +57,7 @@
             OverloadControl overload,
             Optional<RolloutReports> rollouts,
             RecordedOrigins origins,
+            BooleanSupplier hasStoreContact,
             Supervisor supervisor,
             EventLog log,
             Ticker ticker) {}
@@ -65,6 +68,7 @@
     private final WorkSender workSender;
     private final DemandSender demandSender;
     private final VersionSender versionSender;
+    private final StoreContactSender storeContactSender;
     private final AtomicLong sequence = new AtomicLong();
     private final Map<HostId, Peer> peers = new ConcurrentHashMap<>();
     private final Set<HostId> activeSenders = ConcurrentHashMap.newKeySet();
@@ -107,6 +111,20 @@
                         this::receiverAddresses,
                         dependencies.transport(),
                         dependencies.log());
+        storeContactSender =
+                new StoreContactSender(
+                        dependencies.self(),
+                        this::hasOwnStoreContact,
+                        this::receiverAddresses,
+                        dependencies.transport(),
+                        dependencies.log());
+    }
+
+    /**
+     * A member gets the rows from its leader, so that it cannot tell whether the store responds.
+     */
+    private boolean hasOwnStoreContact() {
+        return plan.leader().isEmpty() && dependencies.hasStoreContact().getAsBoolean();
     }
 
     /** Starts the tasks. */
@@ -117,6 +135,7 @@
         dependencies.supervisor().start("peers-work", workSender::run);
         dependencies.supervisor().start("peers-demand", demandSender::run);
         dependencies.supervisor().start("peers-versions", versionSender::run);
+        dependencies.supervisor().start("peers-store-contact", storeContactSender::run);
         dependencies.rollouts().ifPresent(this::startRolloutSender);
     }
 
@@ -143,10 +162,17 @@
         updatePlan();
     }
 
-    /** Returns whether a message of another daemon has arrived within the last seconds. */
-    public boolean hearsOthers() {
+    /**
+     * Returns whether this daemon hears of a new version that any daemon knows: another one that is
+     * in contact with the store tells it, or it hears all others, none of which the store tells.
+     */
+    public boolean hearsOfVersions() {
         long now = dependencies.ticker().nanos();
-        return peers.values().stream().anyMatch(p -> p.isRecentlyActive(now));
+        Collection<Peer> others = peers.values();
+        if (others.stream().anyMatch(p -> p.hasStoreContact(now))) {
+            return true;
+        }
+        return !others.isEmpty() && others.stream().allMatch(p -> p.isHeardNow(now));
     }
 
     /** Returns whether this daemon leads its failure domain. */
@@ -319,6 +345,8 @@
             case DemandMessage demand -> applyDemand(demand);
             case RolloutMessage rollout -> applyRollout(rollout);
             case VersionMessage version -> applyVersion(version);
+            case StoreContactMessage contact ->
+                    peers.get(contact.sender()).recordStoreContact(dependencies.ticker().nanos());
         }
     }
 
--- a/peers/src/main/java/org/godwithoist/peers/Peer.java
+++ b/peers/src/main/java/org/godwithoist/peers/Peer.java
@@ -8,8 +8,15 @@
     /** Time without a message after which a daemon counts as unresponsive. */
     static final Duration UNRESPONSIVE_AFTER = Duration.ofSeconds(3);
 
+    /**
+     * Time after a message about its contact with the store for which a daemon counts as one that
+     * learns of new versions.
+     */
+    static final Duration STORE_CONTACT_LIFE = Duration.ofMillis(800);
+
     private Member member;
     private OptionalLong lastMessageAt = OptionalLong.empty();
+    private OptionalLong storeContactAt = OptionalLong.empty();
     private OptionalLong incarnation = OptionalLong.empty();
     private OptionalLong firstCheckedAt = OptionalLong.empty();
 
@@ -29,6 +36,25 @@
         lastMessageAt = OptionalLong.of(now);
     }
 
+    /** Records that the daemon has said that it is in contact with the store. */
+    synchronized void recordStoreContact(long now) {
+        storeContactAt = OptionalLong.of(now);
+    }
+
+    /** Returns whether the daemon has said so within {@link #STORE_CONTACT_LIFE}. */
+    synchronized boolean hasStoreContact(long now) {
+        return isWithin(STORE_CONTACT_LIFE, storeContactAt, now);
+    }
+
+    /** Returns whether any message was received from the daemon within the same time. */
+    synchronized boolean isHeardNow(long now) {
+        return isWithin(STORE_CONTACT_LIFE, lastMessageAt, now);
+    }
+
+    private static boolean isWithin(Duration time, OptionalLong last, long now) {
+        return last.isPresent() && now - last.getAsLong() < time.toNanos();
+    }
+
     /**
      * Records the start time that the daemon states; returns whether it has started since the last
      * call, or is new. A delayed message of an earlier start is ignored.
@@ -45,8 +71,7 @@
      * Returns whether a message was received from the daemon within {@link #UNRESPONSIVE_AFTER}.
      */
     synchronized boolean isRecentlyActive(long now) {
-        return lastMessageAt.isPresent()
-                && now - lastMessageAt.getAsLong() < UNRESPONSIVE_AFTER.toNanos();
+        return isWithin(UNRESPONSIVE_AFTER, lastMessageAt, now);
     }
 
     /**
--- a/peers/src/main/java/org/godwithoist/peers/PeerMessage.java
+++ b/peers/src/main/java/org/godwithoist/peers/PeerMessage.java
@@ -10,7 +10,8 @@
                 WorkMessage,
                 DemandMessage,
                 RolloutMessage,
-                VersionMessage {
+                VersionMessage,
+                StoreContactMessage {
     /** Returns the host of the sending daemon. */
     HostId sender();
 
--- a/peers/src/main/java/org/godwithoist/peers/wire/PeerCodec.java
+++ b/peers/src/main/java/org/godwithoist/peers/wire/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.peers.PeerMessage;
 import org.godwithoist.peers.RolloutMessage;
+import org.godwithoist.peers.StoreContactMessage;
 import org.godwithoist.peers.VersionMessage;
 import org.godwithoist.peers.WorkMessage;
 import org.godwithoist.quarantine.SuspectEvidence;
@@ -45,6 +46,7 @@
             case DemandMessage demand -> DemandCodec.encode(demand);
             case RolloutMessage rollout -> encodeRollout(rollout);
             case VersionMessage version -> VersionCodec.encode(version);
+            case StoreContactMessage contact -> StoreContactCodec.encode(contact);
         };
     }
 
@@ -84,6 +86,7 @@
             case DemandCodec.TYPE -> DemandCodec.decode(bytes, length);
             case ROLLOUT -> decodeRollout(bytes, length);
             case VersionCodec.TYPE -> VersionCodec.decode(bytes, length);
+            case StoreContactCodec.TYPE -> StoreContactCodec.decode(bytes, length);
             default -> LoadCodec.decode(bytes, length);
         };
     }
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -1,6 +1,7 @@
 package org.godwithoist.peers;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -179,6 +180,9 @@
     private final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
     private final EventLog log = EventLog.start(logBytes);
 
+    /** Daemons to which the store responds. */
+    private final Set<HostId> inTouch = ConcurrentHashMap.newKeySet();
+
     private Daemon startDaemon(int number, int requests) {
         return startDaemon(number, requests, NORTH);
     }
@@ -213,6 +217,7 @@
                                 overload,
                                 Optional.empty(),
                                 origins,
+                                () -> inTouch.contains(host),
                                 new Supervisor((name, cause, backoff) -> {}, Ticker.SYSTEM),
                                 log,
                                 Ticker.SYSTEM));
@@ -303,7 +308,22 @@
             other.origins().setTargets(List.of(entry("v1")));
             informed.origins().setTargets(List.of(entry("v1"), entry("v2")));
             await(() -> other.origins().sightings().size() == 2);
-            assertTrue(other.exchange().hearsOthers());
+            assertTrue(other.exchange().hearsOfVersions());
+        }
+
+        /** Guards against daemons that take each other's messages for news of the store. */
+        @Test
+        void areHeardOfFromDaemonsInContactWithTheStoreOnly() throws IOException {
+            Daemon first = startDaemon(1, 0);
+            Daemon second = startDaemon(2, 0);
+            Daemon lost = startDaemon(3, 0);
+            distributeMemberList();
+            await(() -> second.exchange().hearsOfVersions());
+            lost.exchange().close();
+            await(() -> !second.exchange().hearsOfVersions());
+            inTouch.add(first.member().host());
+            await(() -> second.exchange().hearsOfVersions());
+            assertFalse(first.exchange().hearsOfVersions());
         }
 
         /** Guards against versions that leaders do not pass on. */
--- a/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecFuzzTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/wire/PeerCodecFuzzTest.java
@@ -26,6 +26,7 @@
 import org.godwithoist.peers.MalformedMessageException;
 import org.godwithoist.peers.PeerMessage;
 import org.godwithoist.peers.RolloutMessage;
+import org.godwithoist.peers.StoreContactMessage;
 import org.godwithoist.peers.VersionMessage;
 import org.godwithoist.peers.WorkMessage;
 import org.godwithoist.quarantine.CrashId;
@@ -63,12 +64,13 @@
     private static final FailureDomainId DOMAIN = new FailureDomainId("north");
 
     private static PeerMessage message(SplittableRandom random) {
-        return switch (random.nextInt(7)) {
+        return switch (random.nextInt(8)) {
             case 0 -> evidence(random);
             case 1 -> work(random);
             case 2 -> demand(random);
             case 3 -> rollout(random);
             case 4 -> version(random);
+            case 5 -> new StoreContactMessage(SENDER, DOMAIN);
             default -> load(random);
         };
     }
--- a/streams/src/main/java/org/godwithoist/streams/OriginLookup.java
+++ b/streams/src/main/java/org/godwithoist/streams/OriginLookup.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
-import org.godwithoist.catalog.ServiceId;
 import org.godwithoist.core.log.EventLog;
 
 /**
@@ -16,6 +15,12 @@
     /** Longest wait for other requests; the store mostly responds within a few milliseconds. */
     private static final Duration MAX_WAIT = Duration.ofMillis(500);
 
+    /** Reads from the store, and applies what was read. */
+    @FunctionalInterface
+    interface Reader {
+        void read(OriginStore store) throws IOException;
+    }
+
     /** A question to the store. */
     @FunctionalInterface
     private interface Question<T> {
@@ -36,9 +41,13 @@
         return ask(() -> store.find(stream));
     }
 
-    /** Returns the row with the versions of a service; empty if the store did not respond. */
-    Optional<ServedRow> readServed(ServiceId service) {
-        return ask(() -> Optional.of(store.readServed(service)));
+    /** Runs a reader after the requests before have been served, unless that takes too long. */
+    void read(Reader reader) {
+        ask(
+                () -> {
+                    reader.read(store);
+                    return Optional.empty();
+                });
     }
 
     private <T> Optional<T> ask(Question<T> question) {
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -36,6 +36,9 @@
     /** Time after its caller's time limit for which a stream is remembered. */
     private static final Duration EXPIRY_MARGIN = Duration.ofSeconds(5);
 
+    /** Time for which the row of a service shows that the store tells this daemon of versions. */
+    private static final Duration ROW_LIFE = Duration.ofMillis(300);
+
     private final BegunStreams streams;
     private final OriginLookup lookup;
     private final BooleanSupplier hearsOfVersions;
@@ -51,8 +54,8 @@
      * Creates an instance that knows no stream.
      *
      * @param store used for the requests of callers only
-     * @param hearsOfVersions whether this daemon would hear of a new version now, from the store or
-     *     from another daemon
+     * @param hearsOfVersions whether this daemon would hear of a new version from other daemons
+     *     now; if not, the store is asked
      */
     public RecordedOrigins(
             OriginStore store, BooleanSupplier hearsOfVersions, EventLog log, Ticker ticker) {
@@ -100,22 +103,45 @@
     @Override
     public Optional<StreamOrigin> onlyOrigin(ServiceId service) {
         if (!isRowRead(service)) {
-            lookup.readServed(service).ifPresent(row -> adopt(service, row));
-        }
-        if (!hearsOfVersions.getAsBoolean()) {
-            return Optional.empty();
+            readRow(service, () -> !isRowRead(service));
         }
-        synchronized (this) {
-            return served(service).only(streamLife, ticker.nanos());
+        if (only(service).isPresent() && !hearsOfVersions(service)) {
+            readRow(service, () -> !hearsOfVersions(service));
         }
+        return hearsOfVersions(service) ? only(service) : Optional.empty();
+    }
+
+    private synchronized Optional<StreamOrigin> only(ServiceId service) {
+        return served(service).only(streamLife, ticker.nanos());
+    }
+
+    /** Returns whether this daemon would know of a new version that another daemon uses. */
+    private boolean hearsOfVersions(ServiceId service) {
+        return hearsOfVersions.getAsBoolean() || isRowRecent(service);
+    }
+
+    private synchronized boolean isRowRecent(ServiceId service) {
+        return served(service).isRowReadWithin(ROW_LIFE, ticker.nanos());
+    }
+
+    /** Reads the row of a service, unless the request before has done so. */
+    private void readRow(ServiceId service, BooleanSupplier needed) {
+        lookup.read(
+                store -> {
+                    if (needed.getAsBoolean()) {
+                        long sentAt = ticker.nanos();
+                        adopt(service, store.readServed(service), sentAt);
+                    }
+                });
     }
 
     private synchronized boolean isRowRead(ServiceId service) {
         return served(service).isRowRead();
     }
 
-    private synchronized void adopt(ServiceId service, ServedRow row) {
+    private synchronized void adopt(ServiceId service, ServedRow row, long sentAt) {
         served(service).adopt(row, ticker.nanos());
+        served(service).rowRead(sentAt);
     }
 
     private ServedVersions served(ServiceId service) {
--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -46,6 +46,9 @@
 
     private boolean rowRead;
 
+    /** Time at which the last read of the row for a request was sent; empty before it. */
+    private OptionalLong rowReadAt = OptionalLong.empty();
+
     /** Time at which the row must be compared with this; empty if it agrees. */
     private OptionalLong syncAt;
 
@@ -91,6 +94,20 @@
         return rowRead;
     }
 
+    /**
+     * Records that the row was read for a request.
+     *
+     * @param sentAt time at which the store was asked
+     */
+    void rowRead(long sentAt) {
+        rowReadAt = OptionalLong.of(sentAt);
+    }
+
+    /** Returns whether the row was read for a request within a time. */
+    boolean isRowReadWithin(Duration time, long now) {
+        return rowReadAt.isPresent() && now - rowReadAt.getAsLong() <= time.toNanos();
+    }
+
     /**
      * Returns the only version that has had targets within a time.
      *
