Write a version that appears during the write of the row

A version that a daemon learned of while it wrote the row of a service was never written by it: the end of the write cleared the request for the next one. A daemon that starts after that version has left took the other for the only one. The request now stays if another one came meanwhile.

RecordedOriginsTest: versionThatAppearsDuringAWriteOfTheRowIsWrittenLater failed before.

--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -263,18 +263,20 @@
     void sync(ServiceId service, OriginStore store) throws IOException {
         ServedRow row = store.readServed(service);
         ServedRecord next;
+        long requests;
         synchronized (this) {
             long now = ticker.nanos();
             ServedVersions versions = served(service);
             versions.adopt(row, now);
             next = versions.next(row, streamLife, now);
+            requests = versions.syncRequests();
         }
         boolean agrees =
                 row.record().equals(Optional.of(next))
                         || store.writeServed(service, next, row.version());
         if (agrees) {
             synchronized (this) {
-                served(service).synced(next);
+                served(service).synced(next, requests);
             }
         }
     }
--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -52,6 +52,9 @@
     /** Time at which the row must be compared with this; empty if it agrees. */
     private OptionalLong syncAt;
 
+    /** Number of requests for a comparison; one that comes during a write is not done by it. */
+    private long syncRequests;
+
     ServedVersions(long now) {
         discoveredAt = now + DISCOVERY_TIME.toNanos();
         coveredSince = now;
@@ -67,13 +70,19 @@
         leftAt.keySet().removeAll(versions);
         reportedAt.keySet().removeAll(versions);
         present = Set.copyOf(versions);
-        syncAt = OptionalLong.of(now);
+        requestSync(now);
         return true;
     }
 
     /** Makes the row be compared with this, because the store may have lost it. */
     void requestSync(long now) {
         syncAt = OptionalLong.of(now);
+        syncRequests++;
+    }
+
+    /** Returns how often a comparison with the row was requested. */
+    long syncRequests() {
+        return syncRequests;
     }
 
     /** Returns whether the row must be compared with this. */
@@ -81,8 +90,15 @@
         return syncAt.isPresent() && now - syncAt.getAsLong() >= 0;
     }
 
-    /** Records that the row agrees with this. */
-    void synced(ServedRecord record) {
+    /**
+     * Records that the row agrees with what this was.
+     *
+     * @param requests value of {@link #syncRequests()} when the record was made
+     */
+    void synced(ServedRecord record, long requests) {
+        if (requests != syncRequests) {
+            return;
+        }
         boolean mayBeMissing =
                 record.untilMs().entrySet().stream()
                         .anyMatch(e -> e.getValue().isEmpty() && !present.contains(e.getKey()));
