--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -138,7 +138,8 @@
         eraMonitor = new EraMonitor(log);
         eras = new StoreEras(eraMonitor, ticker);
         rollout = settings.bounds().rollout().map(this::createRollout);
-        streamOrigins = new RecordedOrigins(streamTable(), this::hearsOfVersions, log, ticker);
+        streamOrigins =
+                new RecordedOrigins(streamTable(), () -> exchange.hearsOfVersions(), log, ticker);
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
@@ -335,14 +336,6 @@
                 random);
     }
 
-    /**
-     * Returns whether this daemon would hear of a new version of a service. One that has lost the
-     * store hears of it from other daemons, unless they have lost the store, too.
-     */
-    private boolean hearsOfVersions() {
-        return followers.isInTouch() || exchange.hearsOthers();
-    }
-
     /** Returns a client of its own for the rows of streams. */
     private StreamTable streamTable() {
         return new StreamTable(settings.store(), eras, calls, ticker);
@@ -375,6 +368,7 @@
                                 overload,
                                 rollout.map(VersionRollout::fleet),
                                 streamOrigins,
+                                followers::hasStoreContact,
                                 supervisor,
                                 log,
                                 ticker));
