Send no interim response to callers with HTTP/1.0

HTTP/1.0 has no interim responses, and a server must ignore the expectation of such a request. CallerConnection answered it whatever the version.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -212,7 +212,8 @@
                     "request body exceeds maxBodyBytes: Content-Length " + framing.length());
         }
         try (BodyMemory bodyMemory = bodyMemory(framing)) {
-            RequestBody body = readBody(framing, head, limits, headers, bodyMemory);
+            boolean expectsContinue = isCurrent && expectsContinue(headers);
+            RequestBody body = readBody(framing, head, limits, expectsContinue, bodyMemory);
             activity.enter(ConnectionActivity.Phase.OTHER);
             boolean hasBody = framing.kind() != Framing.Kind.NONE;
             Request request = new Request(head, body, hasBody, dependencies.ticker().nanos());
@@ -237,17 +238,21 @@
         return new BodyMemory(dependencies.memory(), CONSTRAINTS, activity, announced);
     }
 
+    private static boolean expectsContinue(Header[] headers) {
+        return "100-continue".equalsIgnoreCase(HeaderFields.value(headers, "Expect"));
+    }
+
     private RequestBody readBody(
             Framing framing,
             RequestHead head,
             RequestLimits limits,
-            Header[] headers,
+            boolean expectsContinue,
             BodyMemory memory)
             throws IOException, RefusedException {
         if (framing.kind() == Framing.Kind.NONE) {
             return RequestBody.EMPTY;
         }
-        if ("100-continue".equalsIgnoreCase(HeaderFields.value(headers, "Expect"))) {
+        if (expectsContinue) {
             writer.startLine("HTTP/1.1 100 Continue");
             writer.endHead();
             writer.flush();
