--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -11,8 +11,7 @@
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
-import org.godwithoist.forwarding.ForwardingCounts;
-import org.godwithoist.forwarding.ForwardingPeers;
+import org.godwithoist.forwarding.Forwarding;
 import org.godwithoist.forwarding.TargetReach;
 import org.godwithoist.overload.CapacityRefusal;
 import org.godwithoist.overload.OverloadControl;
@@ -64,8 +63,7 @@
      *
      * @param rollouts orders in progress; empty if the deployment rolls no versions out
      * @param streamOrigins versions that began the streams of callers
-     * @param reach whether this daemon reaches any target
-     * @param peers daemons to which requests are passed on while it reaches none
+     * @param forwarding when requests are passed on to other daemons, and to whom
      */
     public record Dependencies(
             StartupGate gate,
@@ -80,9 +78,7 @@
             RetryShares retryShares,
             Optional<Rollouts> rollouts,
             StreamOrigins streamOrigins,
-            TargetReach reach,
-            ForwardingPeers peers,
-            ForwardingCounts forwardingCounts,
+            Forwarding forwarding,
             ServingStatus status,
             RequestObserver observer,
             Ticker ticker,
@@ -104,7 +100,7 @@
         retryShares = dependencies.retryShares();
         rollouts = dependencies.rollouts();
         streamOrigins = dependencies.streamOrigins();
-        reach = dependencies.reach();
+        reach = dependencies.forwarding().reach();
         random = dependencies.random();
         observer = dependencies.observer();
         ticker = dependencies.ticker();
@@ -113,13 +109,7 @@
         forwarder =
                 new RequestForwarder(
                         new RequestForwarder.Dependencies(
-                                reach,
-                                dependencies.peers(),
-                                dependencies.forwardingCounts(),
-                                gateway,
-                                statedEnds,
-                                observer,
-                                ticker));
+                                dependencies.forwarding(), gateway, statedEnds, observer, ticker));
     }
 
     /**
--- a/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Request.java
@@ -34,8 +34,8 @@
         this(head, body, hasBody, arrivedAt, Optional.empty(), OptionalLong.empty());
     }
 
-    /** Returns this request as one that a daemon passes on. */
-    public Request admittedBy(long catalogVersion) {
+    /** Returns this request as one that a daemon passes on, which has admitted it. */
+    public Request forwarded(long catalogVersion) {
         return new Request(
                 head, body, hasBody, arrivedAt, fingerprint, OptionalLong.of(catalogVersion));
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
@@ -5,9 +5,7 @@
 import org.godwithoist.catalog.Route;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
-import org.godwithoist.forwarding.ForwardingCounts;
-import org.godwithoist.forwarding.ForwardingPeers;
-import org.godwithoist.forwarding.TargetReach;
+import org.godwithoist.forwarding.Forwarding;
 import org.godwithoist.targets.Placement;
 import org.godwithoist.targets.Target;
 
@@ -34,12 +32,10 @@
     /**
      * Collaborators of a forwarder.
      *
-     * @param reach whether this daemon reaches any target
+     * @param forwarding when requests are passed on, and to whom
      */
     record Dependencies(
-            TargetReach reach,
-            ForwardingPeers peers,
-            ForwardingCounts counts,
+            Forwarding forwarding,
             TargetGateway gateway,
             StatedEnds statedEnds,
             RequestObserver observer,
@@ -58,8 +54,8 @@
      * @throws RefusedException if this daemon reaches no target either, or has an older catalog
      */
     void checkForwarded(Request request, long version) throws RefusedException {
-        dependencies.counts().recordReceived();
-        if (dependencies.reach().isLost()) {
+        dependencies.forwarding().counts().recordReceived();
+        if (dependencies.forwarding().reach().isLost()) {
             throw new RefusedException(
                     Refusal.OUT_OF_REACH, "this daemon reaches no target either");
         }
@@ -74,7 +70,7 @@
      * targets after all.
      */
     boolean isDue(Request request, RetryPolicy policy) {
-        return dependencies.reach().isLost()
+        return dependencies.forwarding().reach().isLost()
                 && request.admittedBy().isEmpty()
                 && !policy.wasForwarded()
                 && policy.possibleRuns() == 0;
@@ -87,16 +83,17 @@
             RetryPolicy policy,
             Deadline deadline,
             CallerResponse response) {
-        Request forwarded = request.admittedBy(admitted.version());
+        Request forwarded = request.forwarded(admitted.version());
         for (int i = 0; i < MAX_PEERS && !deadline.isExpired(); i++) {
-            Optional<Placement.Decision> peer = dependencies.peers().choose(policy.tried());
+            Optional<Placement.Decision> peer =
+                    dependencies.forwarding().peers().choose(policy.tried());
             if (peer.isEmpty()) {
                 return Result.NOT_TAKEN;
             }
             AttemptOutcome outcome =
                     attempt(forwarded, admitted, peer.get(), policy, deadline, response);
             if (outcome == AttemptOutcome.ANSWERED) {
-                dependencies.counts().recordAnswered();
+                dependencies.forwarding().counts().recordAnswered();
                 return Result.ANSWERED;
             }
             if (policy.possibleRuns() > 0 || response.callerDisconnected()) {
@@ -117,7 +114,7 @@
         Attempt attempt = newAttempt(request, admitted, peer, deadline);
         long startedAt = dependencies.ticker().nanos();
         AttemptOutcome outcome = AttemptOutcome.CALLER_LEFT;
-        dependencies.counts().recordSent();
+        dependencies.forwarding().counts().recordSent();
         try {
             AttemptResult result = dependencies.gateway().attempt(attempt, response);
             outcome = result.outcome();
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -235,7 +235,7 @@
                     .dispatcher()
                     .serve(
                             isForwarded
-                                    ? request.admittedBy(dependencies.dialect().admittedBy(headers))
+                                    ? request.forwarded(dependencies.dialect().admittedBy(headers))
                                     : request,
                             response);
         }
--- a/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/DispatcherCapacityTest.java
@@ -34,6 +34,7 @@
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Ticker;
+import org.godwithoist.forwarding.Forwarding;
 import org.godwithoist.forwarding.ForwardingCounts;
 import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.forwarding.TargetReach;
@@ -246,15 +247,19 @@
                                         () -> new RetryShare.Budget(1, Duration.ofSeconds(10), 9)),
                                 Optional.empty(),
                                 new UnknownOrigins(),
-                                new TargetReach(
-                                        directory,
-                                        gateway::responds,
-                                        EventLog.start(OutputStream.nullOutputStream()),
-                                        Ticker.SYSTEM,
-                                        new SplittableRandom(1)),
-                                new ForwardingPeers(
-                                        DOMAIN, h -> false, Ticker.SYSTEM, new SplittableRandom(1)),
-                                new ForwardingCounts(),
+                                new Forwarding(
+                                        new TargetReach(
+                                                directory,
+                                                gateway::responds,
+                                                EventLog.start(OutputStream.nullOutputStream()),
+                                                Ticker.SYSTEM,
+                                                new SplittableRandom(1)),
+                                        new ForwardingPeers(
+                                                DOMAIN,
+                                                h -> false,
+                                                Ticker.SYSTEM,
+                                                new SplittableRandom(1)),
+                                        new ForwardingCounts()),
                                 new ServingStatus(),
                                 outcomes,
                                 Ticker.SYSTEM,
--- a/dispatch/src/test/java/org/godwithoist/dispatch/RequestForwarderTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RequestForwarderTest.java
@@ -29,6 +29,7 @@
 import org.godwithoist.core.log.EventLog;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.VirtualTicker;
+import org.godwithoist.forwarding.Forwarding;
 import org.godwithoist.forwarding.ForwardingCounts;
 import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.forwarding.TargetReach;
@@ -64,9 +65,7 @@
     private final RequestForwarder forwarder =
             new RequestForwarder(
                     new RequestForwarder.Dependencies(
-                            reach,
-                            peers,
-                            counts,
+                            new Forwarding(reach, peers, counts),
                             gateway,
                             new StatedEnds(ticker),
                             new NoObserver(),
@@ -290,7 +289,7 @@
         @Test
         void areNeverPassedOn() {
             loseTargets();
-            assertFalse(forwarder.isDue(request().admittedBy(1), policy));
+            assertFalse(forwarder.isDue(request().forwarded(1), policy));
         }
 
         /** Guards against a request that waits at a daemon that cannot send it to a target. */
@@ -300,17 +299,17 @@
             RefusedException refused =
                     assertThrows(
                             RefusedException.class,
-                            () -> forwarder.checkForwarded(request().admittedBy(1), 1));
+                            () -> forwarder.checkForwarded(request().forwarded(1), 1));
             assertEquals(Refusal.OUT_OF_REACH, refused.refusal());
         }
 
         /** Guards against a request that is handled by a catalog older than its daemon's. */
         @Test
         void areRefusedByADaemonWithAnOlderCatalog() throws Exception {
-            forwarder.checkForwarded(request().admittedBy(5), 5);
+            forwarder.checkForwarded(request().forwarded(5), 5);
             assertThrows(
                     RefusedException.class,
-                    () -> forwarder.checkForwarded(request().admittedBy(6), 5));
+                    () -> forwarder.checkForwarded(request().forwarded(6), 5));
         }
     }
 }
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -31,6 +31,7 @@
 import org.godwithoist.dispatch.http.Dialect;
 import org.godwithoist.dispatch.http.HttpTargetGateway;
 import org.godwithoist.dispatch.http.StalledConnections;
+import org.godwithoist.forwarding.Forwarding;
 import org.godwithoist.forwarding.ForwardingCounts;
 import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.forwarding.TargetReach;
@@ -93,9 +94,7 @@
     private final RecordedOrigins streamOrigins;
     private final StoreFollowers followers;
     private final HttpTargetGateway gateway;
-    private final TargetReach reach;
-    private final ForwardingPeers forwardingPeers;
-    private final ForwardingCounts forwardingCounts = new ForwardingCounts();
+    private final Forwarding forwarding;
     private final Supervisor supervisor;
     private final FleetWork work;
     private final Dialect dialect;
@@ -162,10 +161,15 @@
                         quarantine.waitingRequests(),
                         id -> catalogs.current().flatMap(c -> c.service(id)),
                         ticker);
-        reach = new TargetReach(directory, gateway::responds, log, ticker, random);
-        forwardingPeers =
-                new ForwardingPeers(
-                        settings.failureDomain(), h -> exchange.isSilent(h), ticker, random);
+        forwarding =
+                new Forwarding(
+                        new TargetReach(directory, gateway::responds, log, ticker, random),
+                        new ForwardingPeers(
+                                settings.failureDomain(),
+                                h -> exchange.isSilent(h),
+                                ticker,
+                                random),
+                        new ForwardingCounts());
     }
 
     /**
@@ -216,7 +220,7 @@
                         ticker,
                         random)
                 .start(supervisor);
-        reach.start(supervisor);
+        forwarding.reach().start(supervisor);
         supervisor.start("housekeeping", this::runHousekeeping);
         log.event("start").with("host", settings.host().value()).write();
     }
@@ -241,7 +245,7 @@
         try {
             listeners.openDaemons(
                     forwardingAddress(peerAddress),
-                    forwardingPeers::isKnownAddress,
+                    forwarding.peers()::isKnownAddress,
                     connectionDependencies(
                             dispatcher,
                             ConnectionLimit.Kind.DAEMON,
@@ -260,17 +264,19 @@
 
     private void updateMembers(Collection<Member> members) {
         exchange.updateMembers(members);
-        forwardingPeers.update(
-                members.stream()
-                        .filter(m -> !m.host().equals(settings.host()))
-                        .filter(m -> m.address().port() < MAX_PORT)
-                        .map(
-                                m ->
-                                        new ForwardingPeers.Peer(
-                                                m.host(),
-                                                m.domain(),
-                                                forwardingAddress(m.address())))
-                        .toList());
+        forwarding
+                .peers()
+                .update(
+                        members.stream()
+                                .filter(m -> !m.host().equals(settings.host()))
+                                .filter(m -> m.address().port() < MAX_PORT)
+                                .map(
+                                        m ->
+                                                new ForwardingPeers.Peer(
+                                                        m.host(),
+                                                        m.domain(),
+                                                        forwardingAddress(m.address())))
+                                .toList());
     }
 
     /** Shuts the daemon down gracefully; returns when the process can exit. */
@@ -344,7 +350,7 @@
     private List<MetricSnapshot> otherMetrics() {
         List<MetricSnapshot> others = new ArrayList<>();
         others.add(StoreMetrics.of(calls.counts()));
-        others.addAll(ForwardingMetrics.of(reach, forwardingCounts));
+        others.addAll(ForwardingMetrics.of(forwarding.reach(), forwarding.counts()));
         others.addAll(StreamMetrics.of(streamOrigins));
         rollout.ifPresent(r -> others.addAll(r.metrics(followers.rejectedOrders())));
         return others;
@@ -437,9 +443,7 @@
                         new RetryShares(ticker, this::retryBudget),
                         rollout.map(VersionRollout::rollouts),
                         streamOrigins,
-                        reach,
-                        forwardingPeers,
-                        forwardingCounts,
+                        forwarding,
                         serving,
                         new RequestLog(log, metrics),
                         ticker,
