Guard long bodies that arrive steadily but slowly

The limit of the pauses of a target was an absolute time, set when its response was awaited and not renewed while a long body was read. So a sound body of 200 KB that took longer than it as a whole was given up too, and joined to that of another run. The wait for the rest of a begun body mends this as well; no test showed it.

--- a/edge/src/test/java/org/godwithoist/edge/BegunResponsesTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/BegunResponsesTest.java
@@ -84,6 +84,28 @@
         }
     }
 
+    /**
+     * Scenario: sound targets send without a long pause, and for longer than the time after which
+     * another one is asked.
+     */
+    @Nested
+    final class SteadyBodies {
+        /** Guards against a limit of the pauses that bounds the whole body. */
+        @ParameterizedTest
+        @EnumSource(names = {"LENGTH", "CHUNKS"})
+        void arriveWhole(Framing framing) throws Exception {
+            List<Result> results =
+                    send(
+                            RouteKind.READ,
+                            framing,
+                            Cut.IN_THE_MIDDLE,
+                            Copy.REST_IN_PIECES,
+                            Moment.LATER);
+            assertOfOneRun(results);
+            assertNone("not answered", results, r -> r.status() != 200);
+        }
+    }
+
     /** Scenario: a response ends in the middle. */
     @Nested
     final class BrokenOff {
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedResponse.java
@@ -146,7 +146,9 @@
         /** Bytes that are no part of the body, inside the framing of the response. */
         JUNK_INSIDE_FRAMING(Framing.CHUNKS, false, false),
         /** The rest of the response, so that it is whole. */
-        REST(Framing.LENGTH, false, false);
+        REST(Framing.LENGTH, false, false),
+        /** The rest of the response in pieces, with a pause before each of them. */
+        REST_IN_PIECES(Framing.LENGTH, false, false);
 
         final Framing framing;
         final boolean hasId;
--- a/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
+++ b/standins/src/main/java/org/godwithoist/standins/edge/ScriptedRunner.java
@@ -39,6 +39,7 @@
 
     private static final byte[] LINE_END = "\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    private static final int REST_PIECES = 20;
     private static final int JUNK_PIECES = 10;
     private static final int JUNK_PIECE_BYTES = 8192;
 
@@ -232,7 +233,9 @@
         if (script.copy() == Copy.OF_EARLIER_REQUEST) {
             writeEarlier(writer, script, earlier, whole, length);
         } else if (script.copy() == Copy.REST) {
-            writeRest(writer, script.framing(), whole, length);
+            writeRest(writer, script, whole, length, 1);
+        } else if (script.copy() == Copy.REST_IN_PIECES) {
+            writeRest(writer, script, whole, length, REST_PIECES);
         } else if (script.copy() == Copy.JUNK) {
             writeJunk(writer);
         } else if (script.copy() == Copy.RESET) {
@@ -294,10 +297,18 @@
     }
 
     /** Writes what {@link #writeBody} has left out of a body. */
-    private static void writeRest(MessageWriter writer, Framing framing, byte[] body, int written)
+    private static void writeRest(
+            MessageWriter writer, ScriptedResponse script, byte[] body, int written, int pieces)
             throws IOException {
-        writer.bytes(body, written, body.length - written);
-        if (framing == Framing.CHUNKS) {
+        int pieceBytes = Math.ceilDiv(body.length - written, pieces);
+        for (int from = written; from < body.length; from += pieceBytes) {
+            if (from > written) {
+                writer.flush();
+                Tasks.sleep(script.moment().delay);
+            }
+            writer.bytes(body, from, Math.min(pieceBytes, body.length - from));
+        }
+        if (script.framing() == Framing.CHUNKS) {
             writer.bytes(LINE_END, 0, LINE_END.length);
             writer.lastChunk();
         }
