Apply rejection limits to targets that have not responded yet

Cause: a target that has just started, for example after a failure, or that got no request states nothing yet, so that a burst could make it reject too many requests before its first response (by reading). Change: it has the limit that another target of its service stated last, until it responds itself.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -436,7 +436,7 @@
     private void runHousekeeping() {
         while (Tasks.sleep(HOUSEKEEPING_INTERVAL)) {
             directory.removeMissing();
-            directory.expireLimits();
+            directory.updateLimits();
             gateway.closeUnused();
             settingsFile.reloadIfChanged();
         }
--- a/targets/src/main/java/org/godwithoist/targets/LimitSource.java
+++ b/targets/src/main/java/org/godwithoist/targets/LimitSource.java
@@ -6,6 +6,8 @@
     RESPONSE,
     /** A report of another daemon. */
     PEER,
+    /** Another target of the service. */
+    SERVICE,
     /** No response has stated the limit for {@link StatedLimit#EXPIRY}. */
     EXPIRY
 }
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -85,6 +85,10 @@
     private final LimitObserver limitObserver;
     private boolean unusableRateReported;
     private boolean unusableRejectionLimitReported;
+    private boolean rejectionLimitInherited;
+
+    /** Time of the last response that could state a rejection limit; empty if there was none. */
+    private Optional<Long> rejectionStatementAt = Optional.empty();
 
     /**
      * Creates a target; the time in the list counts from now.
@@ -255,7 +259,10 @@
         }
         boolean changed;
         synchronized (this) {
-            changed = rejectionLimiter.recordStatement(statement.limit(), sentAt, ticker.nanos());
+            long now = ticker.nanos();
+            rejectionStatementAt = Optional.of(now);
+            rejectionLimitInherited &= statement.limit().isEmpty();
+            changed = rejectionLimiter.recordStatement(statement.limit(), sentAt, now);
             rejectionLimited = rejectionLimiter.limit().isPresent();
         }
         if (changed) {
@@ -274,6 +281,7 @@
         boolean changed;
         synchronized (this) {
             changed = rejectionLimiter.recordNews(news, ticker.nanos());
+            rejectionLimitInherited &= !changed;
             rejectionLimited = rejectionLimiter.limit().isPresent();
         }
         if (changed) {
@@ -281,6 +289,33 @@
         }
     }
 
+    /**
+     * Records what another target of the service states about its rejection limit. It counts for
+     * this target too as long as this one has not responded, because a target that has just started
+     * or gets few requests would otherwise reject many before its first response.
+     */
+    void inheritRejectionLimit(LimitNews<RejectionLimit> news) {
+        boolean changed;
+        synchronized (this) {
+            if (hasStatedRejections()) {
+                return;
+            }
+            changed = rejectionLimiter.recordNews(news, ticker.nanos());
+            rejectionLimitInherited |= changed;
+            rejectionLimited = rejectionLimiter.limit().isPresent();
+        }
+        if (changed) {
+            limitObserver.rejectionLimitChanged(this, news.limit(), LimitSource.SERVICE);
+        }
+    }
+
+    private boolean hasStatedRejections() {
+        long now = ticker.nanos();
+        return rejectionStatementAt
+                .filter(at -> now - at < StatedLimit.EXPIRY.toNanos())
+                .isPresent();
+    }
+
     /** Ends a rejection limit that no response has stated for a long time. */
     void expireRejectionLimit() {
         boolean expired;
@@ -293,9 +328,14 @@
         }
     }
 
-    /** Returns what the other daemons are to be told about the rejection limit. */
+    /**
+     * Returns what the other daemons are to be told about the rejection limit; empty also if only
+     * another target of the service has stated it.
+     */
     synchronized Optional<LimitNews<RejectionLimit>> rejectionNews() {
-        return rejectionLimiter.news(entry.incarnation(), ticker.nanos());
+        return rejectionLimitInherited
+                ? Optional.empty()
+                : rejectionLimiter.news(entry.incarnation(), ticker.nanos());
     }
 
     /** Returns the rejection limit in force; empty if there is none. */
--- a/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -169,11 +170,22 @@
     }
 
     /**
-     * Ends limits that no response has stated for a long time. To be called a few times a second.
+     * Ends limits that no response has stated for a long time, and applies rejection limits to the
+     * other targets of the service. To be called a few times a second.
      */
-    public void expireLimits() {
+    public void updateLimits() {
         all().forEach(Target::expireRateLimit);
         all().forEach(Target::expireRejectionLimit);
+        byService.values().forEach(TargetDirectory::applyRejectionLimit);
+    }
+
+    /** Applies the limit that was stated last to the targets that have not stated any. */
+    private static void applyRejectionLimit(List<Target> targets) {
+        targets.stream()
+                .flatMap(t -> t.rejectionNews().stream())
+                .filter(news -> news.limit().isPresent())
+                .min(Comparator.comparing(LimitNews::age))
+                .ifPresent(news -> targets.forEach(t -> t.inheritRejectionLimit(news)));
     }
 
     /** Returns the number of targets whose rejection limit is in force. */
@@ -344,6 +356,8 @@
             next.computeIfAbsent(t.entry().service(), s -> new ArrayList<>()).add(t);
         }
         next.replaceAll((s, all) -> usable(all));
+        // A target that has just started must not get a request before the limit applies to it.
+        next.values().forEach(TargetDirectory::applyRejectionLimit);
         byService = next;
     }
 
--- a/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
@@ -311,6 +311,52 @@
         }
     }
 
+    /** Scenario: the targets of a service fail after too many rejections. */
+    @Nested
+    final class RejectionLimitOfAService {
+        private static final RejectionLimit LIMIT = new RejectionLimit(3);
+
+        private void respond(int number, LimitStatement<RejectionLimit> statement) {
+            target(number).recordRejectionLimit(statement, ticker.nanos());
+        }
+
+        /** Guards against a burst at a target that has started again and not responded yet. */
+        @Test
+        void newTargetHasTheLimitOfTheOthers() {
+            directory.replaceAll(List.of(Samples.entry(1), Samples.entry(2)));
+            respond(1, LimitStatement.of(LIMIT));
+            directory.put(Samples.restarted(2));
+            assertEquals(Optional.of(LIMIT), target(2).rejectionLimit());
+            assertEquals(1, directory.report(1, 1).rejectionNews().size());
+        }
+
+        /** Guards against targets that keep each other's limits alive. */
+        @Test
+        void limitEndsAfterTheLastStatement() {
+            directory.replaceAll(List.of(Samples.entry(1), Samples.entry(2)));
+            respond(1, LimitStatement.of(LIMIT));
+            for (int i = 0; i < 100; i++) {
+                directory.updateLimits();
+                ticker.advance(StatedLimit.EXPIRY.dividedBy(100));
+            }
+            directory.updateLimits();
+            assertEquals(0, directory.rejectionLimitedTargets());
+        }
+
+        /** Guards against limits for a target that states none. */
+        @Test
+        void targetThatRespondsWithoutALimitHasNone() {
+            directory.replaceAll(List.of(Samples.entry(1), Samples.entry(2)));
+            respond(1, LimitStatement.of(LIMIT));
+            directory.updateLimits();
+            ticker.advance(Duration.ofSeconds(1));
+            respond(1, LimitStatement.of(LIMIT));
+            respond(2, LimitStatement.none());
+            directory.updateLimits();
+            assertEquals(Optional.empty(), target(2).rejectionLimit());
+        }
+    }
+
     /** Scenario: other daemons tell which targets limit their requests. */
     @Nested
     final class RateLimitNews {
