Risk only budgeted requests at a target with a queue

Cause: a target whose memory is full may reject requests although slots are free; its recent report shows a queue then. A queue closed the target, but it may also hold requests whose prompts are being read (by reading).

--- a/targets/src/main/java/org/godwithoist/targets/RejectionLimiter.java
+++ b/targets/src/main/java/org/godwithoist/targets/RejectionLimiter.java
@@ -123,7 +123,7 @@
         int rejected = recentRejections(now);
         // A rejection shows that the view is wrong.
         boolean isTrusted = rejected < Math.max(1, budget);
-        if (isTrusted && hasRoom(room, share, salt, now)) {
+        if (isTrusted && !room.queued() && hasRoom(room, share, salt, now)) {
             return Permit.ROOM;
         }
         return rejected + riskedRequests(now) < budget ? Permit.RISK : Permit.DENIED;
--- a/targets/src/main/java/org/godwithoist/targets/Room.java
+++ b/targets/src/main/java/org/godwithoist/targets/Room.java
@@ -6,8 +6,8 @@
  * @param slots requests that the target processes concurrently
  * @param others requests of the other daemons at the target
  * @param own requests of this daemon at the target
- * @param queued whether the target has recently reported a request in its queue, so that it has no
- *     room although slots may be free
+ * @param queued whether the target has recently reported a request in its queue, so that its memory
+ *     may be full although slots are free
  * @param complete whether the reports of all other daemons are available
  */
 record Room(int slots, int others, int own, boolean queued, boolean complete) {
@@ -16,6 +16,6 @@
      * requests than slots.
      */
     int free() {
-        return queued ? 0 : slots - others - own;
+        return slots - others - own;
     }
 }
