Record the later time at which a version left

A version that had left, returned and left again between two writes kept the first time in the row. A daemon that started then did not count it and took the other version for the only one. The row now gets the later time if the difference exceeds the tolerance of clocks.

RecordedOriginsTest: versionThatLeftTwiceCountsFromTheSecondTime failed before.

--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -236,14 +236,23 @@
         return new ServedRecord(row.era(), completeSinceMs(row, now), until);
     }
 
-    /** Returns when a version lost its last target; as the row says it, if it does. */
+    /**
+     * Returns when a version lost its last target; as the row says it, unless it was seen later.
+     */
     private OptionalLong untilMs(StreamOrigin version, long servedAt, ServedRow row, long now) {
         Optional<OptionalLong> listed = row.record().map(r -> r.untilMs().get(version));
-        if (listed.filter(OptionalLong::isPresent).isPresent()) {
+        long servedAtMs = storeMs(servedAt, row, now);
+        boolean isListed =
+                listed.filter(
+                                u ->
+                                        u.isPresent()
+                                                && servedAtMs - u.getAsLong() <= CLOCK_TOLERANCE_MS)
+                        .isPresent();
+        if (isListed) {
             return listed.get();
         }
         boolean mayBeUnseen = !leftAt.containsKey(version) && now - discoveredAt < 0;
-        return mayBeUnseen ? OptionalLong.empty() : OptionalLong.of(storeMs(servedAt, row, now));
+        return mayBeUnseen ? OptionalLong.empty() : OptionalLong.of(servedAtMs);
     }
 
     private static long storeMs(long ticks, ServedRow row, long now) {
