Test fleets without a target in reach, flapping links and requests passed on

Cause: the cases so far leave open what a fleet does if no daemon reaches a target, if links return and break each second, or if one service only is out of reach, and what a request that another daemon takes over must keep.

Change: with all daemons cut off, each attempt that is not served must be refused as not run within a third of its deadline, at most two connections may be open from each daemon to each other one, and no more may be opened than there are requests; the kernel's tables of connections are sampled for that. With the links to one service cut, all streams to the other one must be served; behind links that flap, more than half of the attempts. At a daemon whose links have been reset for 3 s, streams must arrive whole, targets must get no longer deadline than the caller has, and a run must end within a second after its caller has left.

--- a/edge/src/test/java/org/godwithoist/edge/LinkFaultPlay.java
+++ b/edge/src/test/java/org/godwithoist/edge/LinkFaultPlay.java
@@ -22,7 +22,7 @@
     /** Time after a fault's begin, or its end, from which callers must be served. */
     static final Duration REACTION_TIME = Duration.ofSeconds(3);
 
-    private static final Duration TIME_AFTERWARDS = REACTION_TIME.plusSeconds(1);
+    private static final Duration PLAY_TIME = FAULT_TIME.plus(REACTION_TIME).plusSeconds(1);
 
     /** Changes the links of a fleet while callers call its daemons. */
     @FunctionalInterface
@@ -31,8 +31,13 @@
         void play();
     }
 
-    /** Sends first attempts to all daemons while a fault begins, ends, and some time afterwards. */
-    static LinkFaultPlay of(PartitionedFleet fleet, Fault fault) throws InterruptedException {
+    /**
+     * Sends first attempts to all daemons for a time, while a fault begins and ends.
+     *
+     * @param time time for which attempts are sent, from the begin of the fault
+     */
+    static LinkFaultPlay of(PartitionedFleet fleet, Duration time, Fault fault)
+            throws InterruptedException {
         long begin = System.nanoTime();
         long[] end = new long[1];
         Thread faults =
@@ -42,7 +47,7 @@
                             fault.play();
                             end[0] = System.nanoTime();
                         });
-        List<FirstTry> tries = fleet.callAll(FAULT_TIME.plus(TIME_AFTERWARDS));
+        List<FirstTry> tries = fleet.callAll(time);
         faults.join();
         return new LinkFaultPlay(tries, begin, end[0], fleet.runs());
     }
@@ -52,6 +57,7 @@
             throws InterruptedException {
         return of(
                 fleet,
+                PLAY_TIME,
                 () -> {
                     fleet.setFault(daemons, fault);
                     Tasks.sleep(FAULT_TIME);
--- a/edge/src/test/java/org/godwithoist/edge/UnreachableTargetsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/UnreachableTargetsTest.java
@@ -5,18 +5,31 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.task.Tasks;
+import org.godwithoist.edge.ScriptedFleet.RouteKind;
+import org.godwithoist.standins.edge.ClientStandin;
+import org.godwithoist.standins.edge.RunnerFault;
+import org.godwithoist.standins.edge.RunnerStandin;
+import org.godwithoist.standins.edge.RunnerStandin.ExecutedRequest;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestInstance;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests a fleet some of whose daemons reach no target for a time, while callers, the store and the
@@ -137,4 +150,234 @@
             assertNone("ran although refused as not run", play.ranAlthoughRefused());
         }
     }
+
+    @Nested
+    @TestInstance(TestInstance.Lifecycle.PER_CLASS)
+    final class AllDaemonsReachNoTarget extends Situation {
+        private static final int MAX_CONNECTIONS_TO_ANOTHER_DAEMON = 2;
+        private static final int MAX_CONNECTIONS =
+                MAX_CONNECTIONS_TO_ANOTHER_DAEMON
+                        * PartitionedFleet.DAEMONS
+                        * (PartitionedFleet.DAEMONS - 1);
+
+        /** Leaves a caller most of its deadline for an attempt elsewhere. */
+        private static final Duration MAX_REFUSAL_TIME = PartitionedFleet.DEADLINE.dividedBy(3);
+
+        /**
+         * A play and the connections between daemons meanwhile.
+         *
+         * @param opened number of connections that were opened
+         * @param maxOpen number of connections that were open at the same time
+         */
+        private record CountedPlay(LinkFaultPlay play, int opened, int maxOpen) {}
+
+        private final Map<LinkFault, CountedPlay> plays = new EnumMap<>(LinkFault.class);
+
+        private CountedPlay play(LinkFault fault) throws InterruptedException {
+            if (!plays.containsKey(fault)) {
+                plays.put(fault, playAndCount(fault));
+            }
+            return plays.get(fault);
+        }
+
+        private CountedPlay playAndCount(LinkFault fault) throws InterruptedException {
+            try (PortConnections connections = new PortConnections(fleet.secondInternalPorts())) {
+                LinkFaultPlay play = LinkFaultPlay.of(fleet, PartitionedFleet.DAEMONS, fault);
+                report(fault + ", all daemons", play.during(t -> true));
+                report(fault + ", all daemons, afterwards", play.afterwards());
+                System.out.printf(
+                        "%s, all daemons: %d connections between them, %d at the same time%n",
+                        fault, connections.opened(), connections.maxOpen());
+                return new CountedPlay(play, connections.opened(), connections.maxOpen());
+            }
+        }
+
+        /** Guards against callers that wait for targets that nobody reaches. */
+        @ParameterizedTest
+        @EnumSource(names = {"SILENT", "RESET"})
+        void callersAreRefusedAtOnce(LinkFault fault) throws Exception {
+            List<FirstTry> failed = play(fault).play().during(t -> !t.isServed());
+            List<FirstTry> others = failed.stream().filter(t -> !t.isRefusedAsNotRun()).toList();
+            List<FirstTry> late =
+                    failed.stream()
+                            .filter(t -> t.duration().compareTo(MAX_REFUSAL_TIME) > 0)
+                            .toList();
+            assertAll(
+                    () -> assertNone("not refused as not run", others),
+                    () -> assertNone("refused late", late));
+        }
+
+        /** Guards against daemons that refuse requests when the targets are in reach again. */
+        @ParameterizedTest
+        @EnumSource(names = {"SILENT", "RESET"})
+        void allCallersAreServedAfterwards(LinkFault fault) throws Exception {
+            assertEquals(Map.of(), LinkFaultPlay.failures(play(fault).play().afterwards()));
+        }
+
+        /** Guards against runs that callers are not told of, as with some daemons cut off. */
+        @ParameterizedTest
+        @EnumSource(names = {"SILENT", "RESET"})
+        void requestsRunAsOftenAsCallersAreTold(LinkFault fault) throws Exception {
+            assertNone("ran twice", play(fault).play().ranTwice());
+            assertNone("ran although refused", play(fault).play().ranAlthoughRefused());
+        }
+
+        /** Guards against daemons that pass requests on to each other without an end. */
+        @ParameterizedTest
+        @EnumSource(names = {"SILENT", "RESET"})
+        void daemonsOpenFewConnectionsToEachOther(LinkFault fault) throws Exception {
+            CountedPlay counted = play(fault);
+            int requests = counted.play().tries().size();
+            assertTrue(
+                    counted.maxOpen() <= MAX_CONNECTIONS,
+                    () -> "open at the same time: " + counted.maxOpen());
+            assertTrue(
+                    counted.opened() <= requests,
+                    () -> counted.opened() + " connections for " + requests + " requests");
+        }
+    }
+
+    @Nested
+    @TestInstance(TestInstance.Lifecycle.PER_CLASS)
+    final class SomeTargetsAreOutOfReach extends Situation {
+        private static final int CUT_DAEMONS = 2;
+        private static final Duration SHORT_FAULT_TIME = Duration.ofSeconds(3);
+
+        /** Guards against requests for one service that suffer from the targets of another one. */
+        @ParameterizedTest
+        @EnumSource(names = {"SILENT", "RESET"})
+        void otherServiceIsServedAsBefore(LinkFault fault) throws Exception {
+            LinkFaultPlay play =
+                    LinkFaultPlay.of(
+                            fleet,
+                            SHORT_FAULT_TIME.plusSeconds(1),
+                            () -> {
+                                fleet.setFault(CUT_DAEMONS, fleet.desks, fault);
+                                Tasks.sleep(SHORT_FAULT_TIME);
+                                fleet.setFault(CUT_DAEMONS, fleet.desks, LinkFault.NONE);
+                            });
+            List<FirstTry> streams = play.tries().stream().filter(t -> t.kind().streams).toList();
+            report(fault + " to one service, the other service", streams);
+            assertEquals(Map.of(), LinkFaultPlay.failures(streams));
+        }
+
+        /** Guards against links that break and return faster than a daemon gets used to it. */
+        @ParameterizedTest
+        @EnumSource(names = {"SILENT", "RESET"})
+        void mostCallersAreServedBehindAFlappingLink(LinkFault fault) throws Exception {
+            LinkFaultPlay play =
+                    LinkFaultPlay.of(fleet, LinkFaultPlay.FAULT_TIME, () -> flap(fault));
+            List<FirstTry> cut = play.during(t -> t.daemon() < CUT_DAEMONS);
+            report(fault + ", flapping", cut);
+            assertTrue(
+                    2 * LinkFaultPlay.served(cut) > cut.size(),
+                    () -> LinkFaultPlay.served(cut) + " of " + cut.size() + " served");
+            assertNone("ran twice", play.ranTwice());
+            assertNone("ran although refused", play.ranAlthoughRefused());
+        }
+
+        private void flap(LinkFault fault) {
+            for (int i = 0; i < LinkFaultPlay.FAULT_TIME.toSeconds(); i++) {
+                fleet.setFault(CUT_DAEMONS, i % 2 == 0 ? fault : LinkFault.NONE);
+                Tasks.sleep(Duration.ofSeconds(1));
+            }
+            fleet.setFault(CUT_DAEMONS, LinkFault.NONE);
+        }
+    }
+
+    /** A daemon that reaches no target has had the time to notice it. */
+    @Nested
+    @TestInstance(TestInstance.Lifecycle.PER_CLASS)
+    final class RequestAtADaemonOutOfReach extends Situation {
+        private static final int CUT_DAEMONS = 2;
+        private static final int TRIES = 5;
+        private static final Duration DEADLINE = Duration.ofMillis(1500);
+
+        /** Less than the deadlines of requests, which end a run as well. */
+        private static final Duration MAX_END_TIME = Duration.ofSeconds(1);
+
+        @BeforeAll
+        void cutOff() throws Exception {
+            fleet.setFault(CUT_DAEMONS, LinkFault.RESET);
+            fleet.callAll(LinkFaultPlay.REACTION_TIME);
+        }
+
+        /** Guards against streams that lose events between two daemons. */
+        @ParameterizedTest
+        @EnumSource(names = {"RESUMABLE_STREAM", "STREAM"})
+        void streamArrivesWhole(RouteKind kind) {
+            for (int i = 0; i < TRIES; i++) {
+                FirstTry stream = fleet.call(0, kind);
+                assertTrue(stream.isServed(), stream::toString);
+            }
+        }
+
+        /** Guards against a target that works on when the caller has given up. */
+        @ParameterizedTest
+        @EnumSource
+        void targetHasNoMoreTimeThanTheCaller(RouteKind kind) throws IOException {
+            String id = fleet.nextId();
+            try (ClientStandin client = new ClientStandin(fleet.daemon(0))) {
+                PartitionedFleet.send(client, kind, id, DEADLINE);
+                assertEquals(200, client.receive().status());
+            }
+            long ms = Long.parseLong(executed(id).fields().get("x-godwithoist-deadline-ms"));
+            assertTrue(ms > 0 && ms <= DEADLINE.toMillis(), () -> "deadline " + ms + " ms");
+        }
+
+        /** Guards against a target that works on for a caller that has left. */
+        @ParameterizedTest
+        @EnumSource
+        void runEndsWhenTheCallerLeaves(RouteKind kind) throws IOException {
+            fleet.targets().forEach(t -> t.setFault(RunnerFault.HANG));
+            int before = cancelled();
+            String id = fleet.nextId();
+            try (ClientStandin client = new ClientStandin(fleet.daemon(0))) {
+                PartitionedFleet.send(client, kind, id, PartitionedFleet.DEADLINE);
+                EdgeFixture.await("request at a target", () -> fleet.runs().containsKey(id));
+            } finally {
+                fleet.targets().forEach(t -> t.setFault(RunnerFault.NONE));
+            }
+            long leftAt = System.nanoTime();
+            EdgeFixture.await("end of the run", () -> cancelled() > before);
+            Duration time = Duration.ofNanos(System.nanoTime() - leftAt);
+            assertTrue(time.compareTo(MAX_END_TIME) <= 0, () -> "ended after " + time);
+        }
+
+        private int cancelled() {
+            return fleet.targets().stream().mapToInt(RunnerStandin::cancelledRequests).sum();
+        }
+
+        private ExecutedRequest executed(String id) {
+            return fleet.targets().stream()
+                    .flatMap(t -> t.executedRequests().stream())
+                    .filter(r -> r.attemptId().equals(id))
+                    .findFirst()
+                    .orElseThrow();
+        }
+    }
+
+    /** The limit of connections is checked only if these are found. */
+    @Nested
+    final class CountOfConnections {
+        private static final int CONNECTIONS = 3;
+
+        /** Guards against a count that stays 0 because the kernel lists ports differently. */
+        @Test
+        void openAndClosedConnectionsAreFound() throws Exception {
+            try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+                    PortConnections count = new PortConnections(List.of(listener.getLocalPort()))) {
+                Endpoint address = new Endpoint("127.0.0.1", listener.getLocalPort());
+                for (int i = 0; i < CONNECTIONS; i++) {
+                    try (Socket caller = new Socket(address.ip(), address.port());
+                            Socket accepted = listener.accept()) {
+                        EdgeFixture.await("open connection", () -> count.maxOpen() == 1);
+                        assertTrue(caller.isConnected() && accepted.isConnected());
+                    }
+                }
+                EdgeFixture.await("all connections", () -> count.opened() == CONNECTIONS);
+                assertEquals(1, count.maxOpen());
+            }
+        }
+    }
 }
