Play links that refuse new connections, and count late responses as failures

Cause: a connection that is refused has not carried a request, unlike one that is accepted and reset, so that a daemon answers otherwise.

Change: NEW_REFUSED closes the listener of a link while open connections go on. A first attempt is served only if its whole response arrives before its deadline.

--- a/edge/src/test/java/org/godwithoist/edge/FirstTry.java
+++ b/edge/src/test/java/org/godwithoist/edge/FirstTry.java
@@ -27,8 +27,9 @@
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int UNAVAILABLE = 503;
 
+    /** Returns whether the whole response has arrived before the deadline. */
     boolean isServed() {
-        return status == OK && whole;
+        return status == OK && whole && duration.compareTo(PartitionedFleet.DEADLINE) <= 0;
     }
 
     /** Returns whether the response states that the request has not run. */
@@ -41,6 +42,16 @@
 
     @Override
     public String toString() {
-        return kind + " " + id + " at daemon " + daemon + ": " + status + " " + duration + body;
+        return kind
+                + " "
+                + id
+                + " at daemon "
+                + daemon
+                + ": "
+                + status
+                + " "
+                + duration
+                + " "
+                + body;
     }
 }
--- a/edge/src/test/java/org/godwithoist/edge/LinkFaultPlay.java
+++ b/edge/src/test/java/org/godwithoist/edge/LinkFaultScenario.java
@@ -8,27 +8,27 @@
 import org.godwithoist.core.task.Tasks;
 
 /**
- * First attempts of callers at all daemons of a fleet, before the links of which a fault begins and
- * ends.
+ * First attempts of callers at all daemons of a fleet, while a fault of links between daemons and
+ * targets begins and ends.
  *
  * @param begin time at which the fault began, in nanoseconds of {@link System#nanoTime}
  * @param end time at which it ended
  * @param runs how often targets have run each request, by the id of the attempt
  */
-record LinkFaultPlay(List<FirstTry> tries, long begin, long end, Map<String, Long> runs) {
+record LinkFaultScenario(List<FirstTry> tries, long begin, long end, Map<String, Long> runs) {
     /** Time for which a fault lasts. */
     static final Duration FAULT_TIME = Duration.ofSeconds(6);
 
-    /** Time after a fault's begin, or its end, from which callers must be served. */
+    /** Time in which daemons must have adapted to the begin of a fault, or to its end. */
     static final Duration REACTION_TIME = Duration.ofSeconds(3);
 
-    private static final Duration PLAY_TIME = FAULT_TIME.plus(REACTION_TIME).plusSeconds(1);
+    private static final Duration SCENARIO_TIME = FAULT_TIME.plus(REACTION_TIME).plusSeconds(1);
 
-    /** Changes the links of a fleet while callers call its daemons. */
+    /** Changes the links of a fleet for some time. */
     @FunctionalInterface
     interface Fault {
-        /** Returns when all links work again. */
-        void play();
+        /** Injects faults and returns when all links work again. */
+        void inject();
     }
 
     /**
@@ -36,7 +36,7 @@
      *
      * @param time time for which attempts are sent, from the begin of the fault
      */
-    static LinkFaultPlay of(PartitionedFleet fleet, Duration time, Fault fault)
+    static LinkFaultScenario of(PartitionedFleet fleet, Duration time, Fault fault)
             throws InterruptedException {
         long begin = System.nanoTime();
         long[] end = new long[1];
@@ -44,20 +44,20 @@
                 Tasks.start(
                         "fault",
                         () -> {
-                            fault.play();
+                            fault.inject();
                             end[0] = System.nanoTime();
                         });
         List<FirstTry> tries = fleet.callAll(time);
         faults.join();
-        return new LinkFaultPlay(tries, begin, end[0], fleet.runs());
+        return new LinkFaultScenario(tries, begin, end[0], fleet.runs());
     }
 
     /** Gives the first daemons a fault on the way to all targets for some time. */
-    static LinkFaultPlay of(PartitionedFleet fleet, int daemons, LinkFault fault)
+    static LinkFaultScenario of(PartitionedFleet fleet, int daemons, LinkFault fault)
             throws InterruptedException {
         return of(
                 fleet,
-                PLAY_TIME,
+                SCENARIO_TIME,
                 () -> {
                     fleet.setFault(daemons, fault);
                     Tasks.sleep(FAULT_TIME);
@@ -65,7 +65,7 @@
                 });
     }
 
-    /** Returns the attempts that were sent while the daemons had to be aware of the fault. */
+    /** Returns the attempts that were sent when daemons must have adapted to the fault. */
     List<FirstTry> during(Predicate<FirstTry> condition) {
         long from = begin + REACTION_TIME.toNanos();
         return tries.stream()
@@ -74,7 +74,7 @@
                 .toList();
     }
 
-    /** Returns the attempts that were sent when the daemons had to be aware of the fault's end. */
+    /** Returns the attempts that were sent when daemons must have adapted to the fault's end. */
     List<FirstTry> afterwards() {
         long from = end + REACTION_TIME.toNanos();
         return tries.stream().filter(t -> t.sentAt() - from >= 0).toList();
--- a/edge/src/test/java/org/godwithoist/edge/TargetLink.java
+++ b/edge/src/test/java/org/godwithoist/edge/TargetLink.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.godwithoist.core.id.Endpoint;
+import org.godwithoist.core.net.LoopbackPorts;
 import org.godwithoist.core.task.Tasks;
 
 /** The path from one daemon to one target: a proxy that can be given a fault. Thread-safe. */
@@ -23,13 +24,13 @@
 
     private static final int BUFFER_BYTES = 8192;
 
-    private final ServerSocket listener =
-            new ServerSocket(0, QUEUE_LENGTH, InetAddress.getLoopbackAddress());
+    private final int port = LoopbackPorts.next();
     private final Endpoint target;
     private final boolean acceptsWhileSilent;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final List<SocketChannel> fillers = new ArrayList<>();
     private LinkFault fault = LinkFault.NONE;
+    private ServerSocket listener;
 
     /**
      * Starts a proxy on a free port.
@@ -40,12 +41,18 @@
     TargetLink(Endpoint target, boolean acceptsWhileSilent) throws IOException {
         this.target = target;
         this.acceptsWhileSilent = acceptsWhileSilent;
-        Tasks.start("link-accept", this::accept);
+        listener = listen();
+    }
+
+    private ServerSocket listen() throws IOException {
+        ServerSocket next = new ServerSocket(port, QUEUE_LENGTH, InetAddress.getLoopbackAddress());
+        Tasks.start("link-accept", () -> accept(next));
+        return next;
     }
 
     /** Returns the address of the proxy. */
     Endpoint endpoint() {
-        return new Endpoint("127.0.0.1", listener.getLocalPort());
+        return new Endpoint("127.0.0.1", port);
     }
 
     /** Sets the fault from now on. */
@@ -56,6 +63,11 @@
         } else {
             clearQueue();
         }
+        if (next.refusesNewConnections) {
+            listener.close();
+        } else if (listener.isClosed()) {
+            listener = listen();
+        }
         if (next.resetsOpenConnections) {
             sockets.forEach(TargetLink::reset);
         }
@@ -71,7 +83,7 @@
         for (int i = 0; i < FILLERS; i++) {
             SocketChannel filler = SocketChannel.open();
             filler.configureBlocking(false);
-            filler.connect(new InetSocketAddress(target.ip(), listener.getLocalPort()));
+            filler.connect(new InetSocketAddress(target.ip(), port));
             fillers.add(filler);
         }
     }
@@ -89,10 +101,10 @@
         }
     }
 
-    private void accept() {
+    private void accept(ServerSocket from) {
         try {
             while (true) {
-                Socket in = listener.accept();
+                Socket in = from.accept();
                 if (fault().resetsNewConnections) {
                     reset(in);
                 } else if (acceptsWhileSilent) {
@@ -103,7 +115,7 @@
                 }
             }
         } catch (IOException | InterruptedException e) {
-            // The proxy was closed.
+            // The proxy was closed, or refuses connections.
             return;
         }
     }
@@ -150,7 +162,7 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public synchronized void close() throws IOException {
         setFault(LinkFault.NONE);
         listener.close();
         sockets.forEach(TargetLink::reset);
--- a/edge/src/test/java/org/godwithoist/edge/UnreachableTargetsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/UnreachableTargetsTest.java
@@ -43,7 +43,7 @@
 
     private static final int TRIES_PER_FAILURE = 50;
 
-    /** A fleet for the plays of one situation, which follow each other. */
+    /** Runs the scenarios of one situation one after the other with the same fleet. */
     abstract static class Situation {
         PartitionedFleet fleet;
 
@@ -51,7 +51,7 @@
         void startFleet(@TempDir Path dir) throws Exception {
             fleet = new PartitionedFleet(dir);
             List<FirstTry> tries = fleet.callAll(WARM_UP);
-            assertEquals(Map.of(), LinkFaultPlay.failures(tries), "without a fault");
+            assertEquals(Map.of(), LinkFaultScenario.failures(tries), "without a fault");
         }
 
         @AfterAll
@@ -63,13 +63,16 @@
     private static void report(String what, List<FirstTry> tries) {
         System.out.printf(
                 "%s: %d of %d served, %s%n",
-                what, LinkFaultPlay.served(tries), tries.size(), LinkFaultPlay.failures(tries));
+                what,
+                LinkFaultScenario.served(tries),
+                tries.size(),
+                LinkFaultScenario.failures(tries));
     }
 
     /** Asserts the share of served attempts that the users demand. */
     private static void assertServedLikeOthers(List<FirstTry> cut, List<FirstTry> others) {
-        long servedCut = LinkFaultPlay.served(cut);
-        long servedOthers = LinkFaultPlay.served(others);
+        long servedCut = LinkFaultScenario.served(cut);
+        long servedOthers = LinkFaultScenario.served(others);
         assertTrue(
                 3 * servedCut * others.size() >= 2 * servedOthers * cut.size(),
                 () ->
@@ -79,17 +82,18 @@
                                         cut.size(),
                                         servedOthers,
                                         others.size(),
-                                        LinkFaultPlay.failures(cut)));
+                                        LinkFaultScenario.failures(cut)));
     }
 
     /** Asserts that few attempts fail. */
     private static void assertFewFail(List<FirstTry> tries) {
-        long failed = tries.size() - LinkFaultPlay.served(tries);
+        long failed = tries.size() - LinkFaultScenario.served(tries);
         assertTrue(
                 failed <= FAILURES + tries.size() / TRIES_PER_FAILURE,
                 () ->
                         "failed %d of %d: %s"
-                                .formatted(failed, tries.size(), LinkFaultPlay.failures(tries)));
+                                .formatted(
+                                        failed, tries.size(), LinkFaultScenario.failures(tries)));
     }
 
     private static void assertNone(String what, List<FirstTry> tries) {
@@ -103,27 +107,37 @@
     final class SomeDaemonsReachNoTarget extends Situation {
         private record Case(LinkFault fault, int daemons) {}
 
-        private final Map<Case, LinkFaultPlay> plays = new HashMap<>();
+        private final Map<Case, LinkFaultScenario> scenarios = new HashMap<>();
 
-        private LinkFaultPlay play(LinkFault fault, int daemons) throws InterruptedException {
+        private LinkFaultScenario scenario(LinkFault fault, int daemons)
+                throws InterruptedException {
             Case played = new Case(fault, daemons);
-            if (!plays.containsKey(played)) {
-                LinkFaultPlay play = LinkFaultPlay.of(fleet, daemons, fault);
-                plays.put(played, play);
-                report(played + ", cut off", play.during(t -> t.daemon() < daemons));
-                report(played + ", others", play.during(t -> t.daemon() >= daemons));
-                report(played + ", afterwards", play.afterwards());
+            if (!scenarios.containsKey(played)) {
+                LinkFaultScenario scenario = LinkFaultScenario.of(fleet, daemons, fault);
+                scenarios.put(played, scenario);
+                report(played + ", cut off", scenario.during(t -> t.daemon() < daemons));
+                report(played + ", others", scenario.during(t -> t.daemon() >= daemons));
+                report(played + ", afterwards", scenario.afterwards());
             }
-            return plays.get(played);
+            return scenarios.get(played);
         }
 
         /** Guards against callers that are refused where a daemon nearby could serve them. */
         @ParameterizedTest
-        @CsvSource({"SILENT,2", "SILENT,3", "RESET,2", "RESET,3", "NEW_RESET,2", "NEW_RESET,3"})
+        @CsvSource({
+            "SILENT,2",
+            "SILENT,3",
+            "RESET,2",
+            "RESET,3",
+            "NEW_RESET,2",
+            "NEW_RESET,3",
+            "NEW_REFUSED,2",
+            "NEW_REFUSED,3"
+        })
         void callersAreServedAsAtTheOthers(LinkFault fault, int daemons) throws Exception {
-            LinkFaultPlay play = play(fault, daemons);
-            List<FirstTry> cut = play.during(t -> t.daemon() < daemons);
-            List<FirstTry> others = play.during(t -> t.daemon() >= daemons);
+            LinkFaultScenario scenario = scenario(fault, daemons);
+            List<FirstTry> cut = scenario.during(t -> t.daemon() < daemons);
+            List<FirstTry> others = scenario.during(t -> t.daemon() >= daemons);
             assertAll(
                     () -> assertServedLikeOthers(cut, others),
                     () -> assertFewFail(cut),
@@ -132,10 +146,19 @@
 
         /** Guards against a fault that goes on for callers when the targets are in reach again. */
         @ParameterizedTest
-        @CsvSource({"SILENT,2", "SILENT,3", "RESET,2", "RESET,3", "NEW_RESET,2", "NEW_RESET,3"})
+        @CsvSource({
+            "SILENT,2",
+            "SILENT,3",
+            "RESET,2",
+            "RESET,3",
+            "NEW_RESET,2",
+            "NEW_RESET,3",
+            "NEW_REFUSED,2",
+            "NEW_REFUSED,3"
+        })
         void allCallersAreServedAfterwards(LinkFault fault, int daemons) throws Exception {
-            LinkFaultPlay play = play(fault, daemons);
-            assertEquals(Map.of(), LinkFaultPlay.failures(play.afterwards()));
+            LinkFaultScenario scenario = scenario(fault, daemons);
+            assertEquals(Map.of(), LinkFaultScenario.failures(scenario.afterwards()));
         }
 
         /**
@@ -143,11 +166,20 @@
          * the way, and against one that runs although its caller was told that it did not.
          */
         @ParameterizedTest
-        @CsvSource({"SILENT,2", "SILENT,3", "RESET,2", "RESET,3", "NEW_RESET,2", "NEW_RESET,3"})
+        @CsvSource({
+            "SILENT,2",
+            "SILENT,3",
+            "RESET,2",
+            "RESET,3",
+            "NEW_RESET,2",
+            "NEW_RESET,3",
+            "NEW_REFUSED,2",
+            "NEW_REFUSED,3"
+        })
         void requestsRunAsOftenAsCallersAreTold(LinkFault fault, int daemons) throws Exception {
-            LinkFaultPlay play = play(fault, daemons);
-            assertNone("ran twice", play.ranTwice());
-            assertNone("ran although refused as not run", play.ranAlthoughRefused());
+            LinkFaultScenario scenario = scenario(fault, daemons);
+            assertNone("ran twice", scenario.ranTwice());
+            assertNone("ran although refused as not run", scenario.ranAlthoughRefused());
         }
     }
 
@@ -164,31 +196,32 @@
         private static final Duration MAX_REFUSAL_TIME = PartitionedFleet.DEADLINE.dividedBy(3);
 
         /**
-         * A play and the connections between daemons meanwhile.
+         * A scenario and the connections between daemons during it.
          *
          * @param opened number of connections that were opened
          * @param maxOpen number of connections that were open at the same time
          */
-        private record CountedPlay(LinkFaultPlay play, int opened, int maxOpen) {}
+        private record CountedScenario(LinkFaultScenario scenario, int opened, int maxOpen) {}
 
-        private final Map<LinkFault, CountedPlay> plays = new EnumMap<>(LinkFault.class);
+        private final Map<LinkFault, CountedScenario> scenarios = new EnumMap<>(LinkFault.class);
 
-        private CountedPlay play(LinkFault fault) throws InterruptedException {
-            if (!plays.containsKey(fault)) {
-                plays.put(fault, playAndCount(fault));
+        private CountedScenario scenario(LinkFault fault) throws InterruptedException {
+            if (!scenarios.containsKey(fault)) {
+                scenarios.put(fault, runAndCount(fault));
             }
-            return plays.get(fault);
+            return scenarios.get(fault);
         }
 
-        private CountedPlay playAndCount(LinkFault fault) throws InterruptedException {
+        private CountedScenario runAndCount(LinkFault fault) throws InterruptedException {
             try (PortConnections connections = new PortConnections(fleet.secondInternalPorts())) {
-                LinkFaultPlay play = LinkFaultPlay.of(fleet, PartitionedFleet.DAEMONS, fault);
-                report(fault + ", all daemons", play.during(t -> true));
-                report(fault + ", all daemons, afterwards", play.afterwards());
+                LinkFaultScenario scenario =
+                        LinkFaultScenario.of(fleet, PartitionedFleet.DAEMONS, fault);
+                report(fault + ", all daemons", scenario.during(t -> true));
+                report(fault + ", all daemons, afterwards", scenario.afterwards());
                 System.out.printf(
                         "%s, all daemons: %d connections between them, %d at the same time%n",
                         fault, connections.opened(), connections.maxOpen());
-                return new CountedPlay(play, connections.opened(), connections.maxOpen());
+                return new CountedScenario(scenario, connections.opened(), connections.maxOpen());
             }
         }
 
@@ -196,7 +229,7 @@
         @ParameterizedTest
         @EnumSource(names = {"SILENT", "RESET"})
         void callersAreRefusedAtOnce(LinkFault fault) throws Exception {
-            List<FirstTry> failed = play(fault).play().during(t -> !t.isServed());
+            List<FirstTry> failed = scenario(fault).scenario().during(t -> !t.isServed());
             List<FirstTry> others = failed.stream().filter(t -> !t.isRefusedAsNotRun()).toList();
             List<FirstTry> late =
                     failed.stream()
@@ -211,23 +244,24 @@
         @ParameterizedTest
         @EnumSource(names = {"SILENT", "RESET"})
         void allCallersAreServedAfterwards(LinkFault fault) throws Exception {
-            assertEquals(Map.of(), LinkFaultPlay.failures(play(fault).play().afterwards()));
+            assertEquals(
+                    Map.of(), LinkFaultScenario.failures(scenario(fault).scenario().afterwards()));
         }
 
         /** Guards against runs that callers are not told of, as with some daemons cut off. */
         @ParameterizedTest
         @EnumSource(names = {"SILENT", "RESET"})
         void requestsRunAsOftenAsCallersAreTold(LinkFault fault) throws Exception {
-            assertNone("ran twice", play(fault).play().ranTwice());
-            assertNone("ran although refused", play(fault).play().ranAlthoughRefused());
+            assertNone("ran twice", scenario(fault).scenario().ranTwice());
+            assertNone("ran although refused", scenario(fault).scenario().ranAlthoughRefused());
         }
 
         /** Guards against daemons that pass requests on to each other without an end. */
         @ParameterizedTest
         @EnumSource(names = {"SILENT", "RESET"})
         void daemonsOpenFewConnectionsToEachOther(LinkFault fault) throws Exception {
-            CountedPlay counted = play(fault);
-            int requests = counted.play().tries().size();
+            CountedScenario counted = scenario(fault);
+            int requests = counted.scenario().tries().size();
             assertTrue(
                     counted.maxOpen() <= MAX_CONNECTIONS,
                     () -> "open at the same time: " + counted.maxOpen());
@@ -247,8 +281,8 @@
         @ParameterizedTest
         @EnumSource(names = {"SILENT", "RESET"})
         void otherServiceIsServedAsBefore(LinkFault fault) throws Exception {
-            LinkFaultPlay play =
-                    LinkFaultPlay.of(
+            LinkFaultScenario scenario =
+                    LinkFaultScenario.of(
                             fleet,
                             SHORT_FAULT_TIME.plusSeconds(1),
                             () -> {
@@ -256,28 +290,29 @@
                                 Tasks.sleep(SHORT_FAULT_TIME);
                                 fleet.setFault(CUT_DAEMONS, fleet.desks, LinkFault.NONE);
                             });
-            List<FirstTry> streams = play.tries().stream().filter(t -> t.kind().streams).toList();
+            List<FirstTry> streams =
+                    scenario.tries().stream().filter(t -> t.kind().streams).toList();
             report(fault + " to one service, the other service", streams);
-            assertEquals(Map.of(), LinkFaultPlay.failures(streams));
+            assertEquals(Map.of(), LinkFaultScenario.failures(streams));
         }
 
         /** Guards against links that break and return faster than a daemon gets used to it. */
         @ParameterizedTest
         @EnumSource(names = {"SILENT", "RESET"})
         void mostCallersAreServedBehindAFlappingLink(LinkFault fault) throws Exception {
-            LinkFaultPlay play =
-                    LinkFaultPlay.of(fleet, LinkFaultPlay.FAULT_TIME, () -> flap(fault));
-            List<FirstTry> cut = play.during(t -> t.daemon() < CUT_DAEMONS);
+            LinkFaultScenario scenario =
+                    LinkFaultScenario.of(fleet, LinkFaultScenario.FAULT_TIME, () -> flap(fault));
+            List<FirstTry> cut = scenario.during(t -> t.daemon() < CUT_DAEMONS);
             report(fault + ", flapping", cut);
             assertTrue(
-                    2 * LinkFaultPlay.served(cut) > cut.size(),
-                    () -> LinkFaultPlay.served(cut) + " of " + cut.size() + " served");
-            assertNone("ran twice", play.ranTwice());
-            assertNone("ran although refused", play.ranAlthoughRefused());
+                    2 * LinkFaultScenario.served(cut) > cut.size(),
+                    () -> LinkFaultScenario.served(cut) + " of " + cut.size() + " served");
+            assertNone("ran twice", scenario.ranTwice());
+            assertNone("ran although refused", scenario.ranAlthoughRefused());
         }
 
         private void flap(LinkFault fault) {
-            for (int i = 0; i < LinkFaultPlay.FAULT_TIME.toSeconds(); i++) {
+            for (int i = 0; i < LinkFaultScenario.FAULT_TIME.toSeconds(); i++) {
                 fleet.setFault(CUT_DAEMONS, i % 2 == 0 ? fault : LinkFault.NONE);
                 Tasks.sleep(Duration.ofSeconds(1));
             }
@@ -299,7 +334,7 @@
         @BeforeAll
         void cutOff() throws Exception {
             fleet.setFault(CUT_DAEMONS, LinkFault.RESET);
-            fleet.callAll(LinkFaultPlay.REACTION_TIME);
+            fleet.callAll(LinkFaultScenario.REACTION_TIME);
         }
 
         /** Guards against streams that lose events between two daemons. */
