--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -188,9 +188,11 @@
     }
 
     /**
-     * Passes a request on to another daemon if this one reaches no target, and ends it.
+     * Passes a request on to another daemon if this one reaches no target, and ends it. If no daemon
+     * takes it, it is refused at once, because an attempt at a target out of reach would only delay
+     * that.
      *
-     * @return whether the request has ended; otherwise no daemon has taken it
+     * @return whether the request has ended; otherwise there is no other daemon
      */
     private boolean forward(
             Request request,
@@ -204,7 +206,7 @@
         }
         RequestForwarder.Result result =
                 forwarder.forward(request, admitted, policy, deadline, response);
-        if (result == RequestForwarder.Result.NOT_TAKEN) {
+        if (result == RequestForwarder.Result.NO_PEER) {
             return false;
         }
         boolean responded = result == RequestForwarder.Result.ANSWERED;
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
@@ -25,8 +25,10 @@
         ANSWERED,
         /** The request may have run, or its caller has left; it must not be sent again. */
         ENDED,
-        /** No daemon has taken it. */
-        NOT_TAKEN
+        /** No daemon that was asked has taken it. */
+        REFUSED,
+        /** There is no other daemon. */
+        NO_PEER
     }
 
     /**
@@ -65,10 +67,7 @@
         }
     }
 
-    /**
-     * Returns whether a request is to be passed on. One that no daemon has taken is tried at
-     * targets after all.
-     */
+    /** Returns whether a request is to be passed on, which is done once. */
     boolean isDue(Request request, RetryPolicy policy) {
         return dependencies.forwarding().reach().isLost()
                 && request.admittedBy().isEmpty()
@@ -88,7 +87,7 @@
             Optional<Placement.Decision> peer =
                     dependencies.forwarding().peers().choose(policy.tried());
             if (peer.isEmpty()) {
-                return Result.NOT_TAKEN;
+                return policy.wasForwarded() ? Result.REFUSED : Result.NO_PEER;
             }
             AttemptOutcome outcome =
                     attempt(forwarded, admitted, peer.get(), policy, deadline, response);
@@ -100,7 +99,7 @@
                 return Result.ENDED;
             }
         }
-        return Result.NOT_TAKEN;
+        return Result.REFUSED;
     }
 
     private AttemptOutcome attempt(
--- a/forwarding/src/main/java/org/godwithoist/forwarding/TargetReach.java
+++ b/forwarding/src/main/java/org/godwithoist/forwarding/TargetReach.java
@@ -27,7 +27,7 @@
  */
 public final class TargetReach {
     /** Targets that are asked in a check, unless there are fewer. */
-    private static final int TARGETS_PER_CHECK = 3;
+    private static final int TARGETS_PER_CHECK = 5;
 
     /** Shortest time between two checks while targets respond. */
     private static final Duration MIN_INTERVAL = Duration.ofSeconds(1);
