End the attempts of a request of another daemon while no target responds

A daemon that had lost its targets went on with up to three attempts of a request that another one had passed on to it, 300 ms each, before the other one could ask a third daemon. It now refuses as soon as it knows.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Dispatcher.java
@@ -188,9 +188,9 @@
     }
 
     /**
-     * Passes a request on to another daemon if this one reaches no target, and ends it. If no daemon
-     * takes it, it is refused at once, because an attempt at a target out of reach would only delay
-     * that.
+     * Passes a request on to another daemon if this one reaches no target, and ends it. If no
+     * daemon takes it, it is refused at once, because an attempt at a target out of reach would
+     * only delay that.
      *
      * @return whether the request has ended; otherwise there is no other daemon
      */
@@ -280,7 +280,7 @@
         if (!policy.nextIsRetry()) {
             return true;
         }
-        return !forwarder.isDue(request, policy)
+        return !forwarder.endsAttempts(request, policy)
                 && policy.permitsAttempt()
                 && quarantine.remaining(request.suspectIds()).isEmpty()
                 && takeRetry(policy, retryShare);
--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
@@ -75,6 +75,16 @@
                 && policy.possibleRuns() == 0;
     }
 
+    /**
+     * Returns whether further attempts at targets would only delay a request: it can be passed on,
+     * or the daemon that has passed it on can ask another one.
+     */
+    boolean endsAttempts(Request request, RetryPolicy policy) {
+        boolean isForwarded = request.admittedBy().isPresent();
+        return isDue(request, policy)
+                || (isForwarded && dependencies.forwarding().reach().isLost());
+    }
+
     /** Passes a request on until a daemon takes it. */
     Result forward(
             Request request,
--- a/dispatch/src/test/java/org/godwithoist/dispatch/RequestForwarderTest.java
+++ b/dispatch/src/test/java/org/godwithoist/dispatch/RequestForwarderTest.java
@@ -303,6 +303,16 @@
             assertEquals(Refusal.OUT_OF_REACH, refused.refusal());
         }
 
+        /**
+         * Guards against a request that its daemon waits for although another one could take it.
+         */
+        @Test
+        void areNotTriedAgainWhileNoTargetResponds() {
+            assertFalse(forwarder.endsAttempts(request().forwarded(1), policy));
+            loseTargets();
+            assertTrue(forwarder.endsAttempts(request().forwarded(1), policy));
+        }
+
         /** Guards against a request that is handled by a catalog older than its daemon's. */
         @Test
         void areRefusedByADaemonWithAnOlderCatalog() throws Exception {
