Give newly joined daemons a quarter of their part of free slots

Cause: daemons that join one after the other know only those before them, and half of a part each adds up to more than the slots: 6 and 7 rejections in a second with a limit of 3 (simulation, 16 daemons). Change: a quarter. A rejection counts only with the id of the request.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -268,10 +268,10 @@
         if (metadata.leaving()) {
             onLeaving.accept(target);
         }
-        if (status == SERVICE_UNAVAILABLE && metadata.notRun()) {
-            target.recordRejection(attempt.pendingResponse());
-        }
         if (status == SERVICE_UNAVAILABLE) {
+            if (metadata.id().isPresent() && metadata.notRun()) {
+                target.recordRejection(attempt.pendingResponse());
+            }
             metadata.retryAfter().ifPresent(target::pauseFor);
         }
     }
--- a/targets/src/main/java/org/godwithoist/targets/RejectionLimiter.java
+++ b/targets/src/main/java/org/godwithoist/targets/RejectionLimiter.java
@@ -43,6 +43,12 @@
     /** Delay after which a target without room is likely to have some. */
     static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
+    /**
+     * Reduces the part of a newly joined daemon. If 16 daemons join one after the other, each knows
+     * only those before it, and their parts without this add up to 3.4 times the slots.
+     */
+    private static final int NEWLY_JOINED_DIVISOR = 4;
+
     /** How a request was permitted. */
     private enum Permit {
         ROOM,
@@ -147,12 +153,12 @@
 
     /**
      * Returns this daemon's part of free slots. A newly joined daemon has one too, because it would
-     * have to refuse all requests otherwise; it is halved, because the other daemons may not know
+     * have to refuse all requests otherwise; it is smaller, because the other daemons may not know
      * this one yet.
      */
     private static int part(int slots, FleetShare share, int salt) {
         return share.newlyJoined()
-                ? share.asKnownMember().of(slots / 2, salt)
+                ? share.asKnownMember().of(slots / NEWLY_JOINED_DIVISOR, salt)
                 : share.of(slots, salt);
     }
 
--- a/targets/src/test/java/org/godwithoist/targets/RejectionLimitFleetTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/RejectionLimitFleetTest.java
@@ -65,9 +65,9 @@
         private final FleetShare share;
         private long sequence;
 
-        Daemon(int rank, int members, int perSecond) {
+        Daemon(int rank, FleetShare share, int perSecond) {
             host = new HostId("daemon-" + rank);
-            share = new FleetShare(members, rank);
+            this.share = share;
             placement =
                     new Placement(
                             Samples.NORTH,
@@ -113,8 +113,20 @@
 
     private void startFleet(int members, int perSecond) {
         for (int i = 0; i < members; i++) {
-            daemons.add(new Daemon(i, members, perSecond));
+            daemons.add(new Daemon(i, new FleetShare(members, i), perSecond));
         }
+        listTargets();
+    }
+
+    /** Starts daemons each of which knows only those that have started before. */
+    private void startNewFleet(int members, int perSecond) {
+        for (int i = 0; i < members; i++) {
+            daemons.add(new Daemon(i, new FleetShare(i + 1, i, true), perSecond));
+        }
+        listTargets();
+    }
+
+    private void listTargets() {
         for (Target t : daemons.getFirst().targets()) {
             targets.put(t.id(), new SimulatedTarget());
         }
@@ -222,7 +234,8 @@
             "16, 4, 300, 0.6",
             "16, 4, 3000, 0.8",
             "16, 12, 300, 0.6",
-            "16, 2, 3000, 0.7"
+            "16, 2, 3000, 0.7",
+            "95, 10, 3000, 0.5"
         })
         void targetsStayAndAreUsed(
                 int members, int perSecond, int serviceMs, double minUtilization) {
@@ -245,6 +258,28 @@
         }
     }
 
+    @Nested
+    final class NewFleet {
+        /** Guards against targets that fail because the daemons do not know each other yet. */
+        @ParameterizedTest
+        @CsvSource({"4, 3", "16, 3"})
+        void targetsStayAndAreUsed(int members, int perSecond) {
+            startNewFleet(members, perSecond);
+            run(4, 200, 3000, true);
+            assertNoTargetFails(perSecond);
+            assertTrue(utilization() >= 0.4, "utilization: " + utilization());
+        }
+
+        /** Guards against bursts at daemons that have all started at the same time. */
+        @ParameterizedTest
+        @CsvSource({"4, 3", "16, 3"})
+        void targetsStayInBursts(int members, int perSecond) {
+            startNewFleet(members, perSecond);
+            run(40, 20, 300, true);
+            assertNoTargetFails(perSecond);
+        }
+    }
+
     @Nested
     final class NoReports {
         /** Guards against daemons that know nothing of each other and fill the same slots. */
