Save streams although the store rejects the row of a service

With one row that the store does not accept, the task's step ended and no stream of any service was saved. Rows are now compared in a random order, and streams are saved also if that fails.

The row of a stream needs the store's time, which the first row of a service tells, so a daemon that had begun a stream before its first step read none and saved nothing.

--- a/streams/src/main/java/org/godwithoist/streams/OriginTask.java
+++ b/streams/src/main/java/org/godwithoist/streams/OriginTask.java
@@ -2,7 +2,10 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 import org.godwithoist.catalog.ServiceId;
@@ -37,6 +40,12 @@
     /** Shortest time until the first search. */
     private static final Duration FIRST_SEARCH = Duration.ofMinutes(1);
 
+    /** A part of a step. */
+    @FunctionalInterface
+    private interface StoreAction {
+        void run() throws IOException;
+    }
+
     private final RecordedOrigins origins;
     private final OriginStore store;
     private final IntSupplier members;
@@ -91,15 +100,35 @@
     /** Does what is due; what the store does not accept is tried again in the next step. */
     void step() {
         origins.streams().removeExpired();
+        boolean synced = attempt(this::sync);
+        boolean saved = attempt(this::save);
+        if (saved) {
+            saved = attempt(this::search);
+        }
+        failing = !synced || !saved;
+    }
+
+    /** Does a part of a step; returns whether the store accepted it. */
+    private boolean attempt(StoreAction action) {
         try {
-            for (ServiceId service : origins.servicesToSync()) {
-                origins.sync(service, store);
-            }
-            save();
-            search();
-            failing = false;
+            action.run();
+            return true;
         } catch (IOException e) {
             logFailure(e);
+            return false;
+        }
+    }
+
+    /**
+     * Compares the rows of services in a random order, so that one that the store does not accept
+     * keeps no other back for long. It comes before the streams are saved, because the first row
+     * that is read tells the store's time, which the rows of streams need.
+     */
+    private void sync() throws IOException {
+        List<ServiceId> services = new ArrayList<>(origins.servicesToSync());
+        Collections.shuffle(services, Random.from(random));
+        for (ServiceId service : services) {
+            origins.sync(service, store);
         }
     }
 
--- a/streams/src/test/java/org/godwithoist/streams/FakeOriginStore.java
+++ b/streams/src/test/java/org/godwithoist/streams/FakeOriginStore.java
@@ -24,6 +24,9 @@
     private StoreEra era = new StoreEra(1);
     boolean down;
 
+    /** Whether its time is known, as it is to a client that has read a row. */
+    boolean clockKnown = true;
+
     /** Service whose row the store does not accept, for example because its key is too long. */
     Optional<ServiceId> rejected = Optional.empty();
 
@@ -70,6 +73,9 @@
     @Override
     public void save(List<BegunStream> begun, List<StreamId> expired) throws IOException {
         call();
+        if (!clockKnown) {
+            throw new IOException("the store's clock is not known yet");
+        }
         writes++;
         changes.add(begun.size() + expired.size());
         begun.forEach(s -> streams.put(s.stream(), s.origin()));
@@ -97,6 +103,7 @@
             throw new IOException("the store responded with 400");
         }
         reads++;
+        clockKnown = true;
         long nowMs = CLOCK_START_MS + ticker.nanos() / 1_000_000;
         return new ServedRow(
                 Optional.ofNullable(records.get(service)),
--- a/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
+++ b/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
@@ -319,6 +319,16 @@
             assertEquals(Optional.of(origin("v1")), new Daemon("v1", "v2").find("s"));
         }
 
+        /** Guards against streams that are never saved, because they wait for the store's time. */
+        @Test
+        void getsStreamsThatBeganBeforeItsTimeWasKnown() {
+            Daemon daemon = new Daemon("v1", "v2");
+            store.clockKnown = false;
+            daemon.begin("s", "v1");
+            pass(Duration.ofMillis(400), daemon);
+            assertEquals(1, store.rowCount());
+        }
+
         /** Guards against transactions with more changes than the store accepts. */
         @Test
         void getsBatchesItAccepts() {
