Name the record of a read row, and say whom a daemon must hear

ServedVersions had a field and a method named rowRead that mean different reads. RecordedOriginsTest and LoadExchangeTest: no other result than before.

--- a/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
+++ b/peers/src/main/java/org/godwithoist/peers/LoadExchange.java
@@ -163,8 +163,8 @@
     }
 
     /**
-     * Returns whether this daemon hears of a new version that any daemon knows: another one that is
-     * in contact with the store tells it, or it hears all others, none of which the store tells.
+     * Returns whether this daemon hears of a new version that any daemon knows: from another one
+     * that is in contact with the store or, if there is none, from all others.
      */
     public boolean hearsOfVersions() {
         long now = dependencies.ticker().nanos();
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -141,7 +141,7 @@
 
     private synchronized void adopt(ServiceId service, ServedRow row, long sentAt) {
         served(service).adopt(row, ticker.nanos());
-        served(service).rowRead(sentAt);
+        served(service).recordRowRead(sentAt);
     }
 
     private ServedVersions served(ServiceId service) {
--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -115,7 +115,7 @@
      *
      * @param sentAt time at which the store was asked
      */
-    void rowRead(long sentAt) {
+    void recordRowRead(long sentAt) {
         rowReadAt = OptionalLong.of(sentAt);
     }
 
