End the tasks of a closed daemon

Cause: Edge.close() closed the listeners and left the tasks running: the followers of the store's tables, the list of daemons, the writers of rows and the senders of messages. Each test with a daemon inside the test's process left one that asked at its store's old address until the end of the run. The system gives the free ports to later stand-ins, which then get rows and requests of daemons of earlier tests.

A foreign daemon that writes the row of the service makes this fleet's daemons refuse streams of an unknown beginning, which is what the test saw (0 of 16 went on). That it wrote this row is not shown: the store's rows were not kept.

Change: the supervisor ends its tasks, and close() calls it.

--- a/core/src/main/java/org/godwithoist/core/task/Supervisor.java
+++ b/core/src/main/java/org/godwithoist/core/task/Supervisor.java
@@ -1,7 +1,9 @@
 package org.godwithoist.core.task;
 
+import java.io.Closeable;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import org.godwithoist.core.time.Durations;
@@ -12,7 +14,7 @@
  * started again after a backoff, because a process that has lost one of them, for example the one
  * that follows a table, would go on with outdated state. Thread-safe.
  */
-public final class Supervisor {
+public final class Supervisor implements Closeable {
     private static final Duration INITIAL_BACKOFF = Duration.ofMillis(100);
     private static final Duration MAX_BACKOFF = Duration.ofSeconds(5);
 
@@ -37,6 +39,8 @@
     private final FailureListener listener;
     private final Ticker ticker;
     private final LongAdder failures = new LongAdder();
+    private final Set<Thread> running = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
 
     /** Time of the last failure of each task that has failed several times in a row. */
     private final Map<String, Long> failingTasks = new ConcurrentHashMap<>();
@@ -48,7 +52,8 @@
     }
 
     /**
-     * Starts a task. It ends when its body returns; interrupt the returned thread to stop it.
+     * Starts a task. It ends when its body returns; interrupt the returned thread to stop it. After
+     * {@link #close()} the body is not called.
      *
      * @param name unique name of the task
      * @param body endless loop of the task; is called again after each failure
@@ -57,6 +62,13 @@
         return Tasks.start(name, () -> run(name, body));
     }
 
+    /** Interrupts all tasks, so that they end. Does not wait for them. */
+    @Override
+    public void close() {
+        closed = true;
+        running.forEach(Thread::interrupt);
+    }
+
     /** Returns the number of failures of all tasks since the start. */
     public long failures() {
         return failures.sum();
@@ -69,8 +81,17 @@
     }
 
     private void run(String name, Runnable body) {
+        running.add(Thread.currentThread());
+        try {
+            runUntilEnd(name, body);
+        } finally {
+            running.remove(Thread.currentThread());
+        }
+    }
+
+    private void runUntilEnd(String name, Runnable body) {
         int failuresInARow = 0;
-        boolean ended = false;
+        boolean ended = closed;
         while (!ended) {
             long startedAt = ticker.nanos();
             Throwable failure = runOnce(body);
@@ -78,7 +99,7 @@
                 failuresInARow = 0;
             }
             failuresInARow++;
-            ended = failure == null || !handleFailure(name, failure, failuresInARow);
+            ended = closed || failure == null || !handleFailure(name, failure, failuresInARow);
         }
         failingTasks.remove(name);
     }
--- a/core/src/test/java/org/godwithoist/core/task/SupervisorTest.java
+++ b/core/src/test/java/org/godwithoist/core/task/SupervisorTest.java
@@ -109,4 +109,36 @@
             assertEquals(0, supervisor.failures());
         }
     }
+
+    @Nested
+    final class Close {
+        /** Guards against tasks that outlive the daemon that they belong to. */
+        @Test
+        void endsTasksThatRunOrWaitForABackoff() throws InterruptedException {
+            CountDownLatch failed = new CountDownLatch(4);
+            Thread waiting =
+                    supervisor.start(
+                            "fail",
+                            () -> {
+                                failed.countDown();
+                                throw new IllegalStateException("odd row");
+                            });
+            Thread running =
+                    supervisor.start("follow", () -> Tasks.sleep(Duration.ofSeconds(TIMEOUT_S)));
+            assertTrue(failed.await(TIMEOUT_S, TimeUnit.SECONDS));
+            supervisor.close();
+            assertTrue(waiting.join(Duration.ofSeconds(1)));
+            assertTrue(running.join(Duration.ofSeconds(1)));
+        }
+
+        /** Guards against a task that another one starts while all are being ended. */
+        @Test
+        void noTaskRunsAfterwards() throws InterruptedException {
+            supervisor.close();
+            AtomicInteger runs = new AtomicInteger();
+            Thread task = supervisor.start("late", runs::incrementAndGet);
+            assertTrue(task.join(Duration.ofSeconds(TIMEOUT_S)));
+            assertEquals(0, runs.get());
+        }
+    }
 }
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -321,11 +321,15 @@
         return listeners.metricsAddress();
     }
 
-    /** Closes all listeners and the load exchange. Open connections and feeds are not closed. */
+    /**
+     * Closes all listeners and the load exchange and ends all tasks, so that this daemon sends no
+     * more requests and messages of its own. Open connections of callers are not closed.
+     */
     @Override
     public void close() throws IOException {
         listeners.close();
         exchange.close();
+        supervisor.close();
     }
 
     private VersionRollout createRollout(RolloutBounds bounds) {
--- a/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/EdgeTest.java
@@ -136,6 +136,32 @@
         }
     }
 
+    @Nested
+    final class ClosedDaemon {
+        /** Longer than all intervals at which a daemon asks the store. */
+        private static final Duration QUIET_TIME = Duration.ofSeconds(4);
+
+        /**
+         * Guards against a closed daemon that goes on asking at the address of its store, which by
+         * then may be that of another fleet's.
+         */
+        @Test
+        void asksTheStoreNoMore() throws IOException {
+            Edge other = fleet.startAnother();
+            EdgeFixture.await(
+                    "readiness of the other daemon",
+                    () -> fleet.status(other.readinessAddress(), "/readiness") == 200);
+            fleet.edge.close();
+            other.close();
+            // A request that has been sent may still arrive.
+            Tasks.sleep(Duration.ofMillis(200));
+            int before = fleet.store.requests();
+            fleet.store.put("op", "config", ConfigText.of(2, 5000));
+            Tasks.sleep(QUIET_TIME);
+            assertEquals(before, fleet.store.requests());
+        }
+    }
+
     @Nested
     final class SeveralDaemons {
         /** Guards against daemons that do not discover each other through the store. */
