Move the limits that a target states out of Target

TargetLimits has them now, with its own lock; what needs the load of the target (the room for a request) is still computed in Target. No behaviour changes.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/TargetExchange.java
@@ -264,8 +264,8 @@
         Target target = attempt.target();
         metadata.load().ifPresent(target::recordLoad);
         if (metadata.id().isPresent()) {
-            target.recordRate(metadata.rate(), sentAt);
-            target.recordRejectionLimit(metadata.rejections(), sentAt);
+            target.limits().recordRate(metadata.rate(), sentAt);
+            target.limits().recordRejectionLimit(metadata.rejections(), sentAt);
         }
         if (metadata.leaving()) {
             onLeaving.accept(target);
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -604,14 +604,14 @@
             }
             distributeMemberList();
             Target known = daemons.get(new HostId("edge-109")).target();
-            known.recordRate(LimitStatement.of(new RateLimit(500)), 0);
+            known.limits().recordRate(LimitStatement.of(new RateLimit(500)), 0);
             await(() -> daemons.values().stream().allMatch(d -> isLimited(d)));
-            known.recordRate(LimitStatement.none(), Ticker.SYSTEM.nanos());
+            known.limits().recordRate(LimitStatement.none(), Ticker.SYSTEM.nanos());
             await(() -> daemons.values().stream().noneMatch(d -> isLimited(d)));
         }
 
         private static boolean isLimited(Daemon daemon) {
-            return daemon.target().rateLimit().isPresent();
+            return daemon.target().limits().rate().isPresent();
         }
     }
 
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -70,7 +70,6 @@
     private final long rendezvousHash;
     private volatile int inFlight;
     private volatile ReportedLoad reportedLoad = ReportedLoad.NONE;
-    private volatile boolean rateLimited;
     private final TargetKey key;
     private final TargetWork work;
     private final ResponseWaits waits = new ResponseWaits();
@@ -79,16 +78,7 @@
     private final RequestPause pause = new RequestPause();
     private final RecurringFault unrequestedResponses = new RecurringFault();
     private final RecurringFault cutBodies = new RecurringFault();
-    private final RequestRateLimiter rateLimiter = new RequestRateLimiter();
-    private final RejectionLimiter rejectionLimiter = new RejectionLimiter();
-    private volatile boolean rejectionLimited;
-    private final LimitObserver limitObserver;
-    private boolean unusableRateReported;
-    private boolean unusableRejectionLimitReported;
-    private boolean rejectionLimitInherited;
-
-    /** Time of the last response that could state a rejection limit; empty if there was none. */
-    private Optional<Long> rejectionStatementAt = Optional.empty();
+    private final TargetLimits limits;
 
     /**
      * Creates a target; the time in the list counts from now.
@@ -109,7 +99,7 @@
         rendezvousHash = CachedPrompt.rendezvousHash(entry.id());
         work = new TargetWork(speed, ticker);
         this.ticker = ticker;
-        this.limitObserver = limitObserver;
+        limits = new TargetLimits(this, limitObserver, ticker);
         this.inInitialList = inInitialList;
         listedAt = ticker.nanos();
         coldLimiter.setColdFor(entry.remainingColdTime(), ticker.nanos());
@@ -171,191 +161,40 @@
      */
     public synchronized boolean acceptsQuestions() {
         return !pause.isActive(ticker.nanos())
-                && rateLimiter.limit().isEmpty()
-                && rejectionLimiter.limit().isEmpty();
-    }
-
-    // ---- rate limit
-
-    /**
-     * Records what a response of the target states about its rate limit.
-     *
-     * @param sentAt when the request of the response was sent
-     */
-    public void recordRate(LimitStatement<RateLimit> statement, long sentAt) {
-        if (statement.unusable().isPresent() && isFirstUnusableRate()) {
-            limitObserver.rateUnusable(this, statement.unusable().get());
-        }
-        boolean changed;
-        synchronized (this) {
-            changed = rateLimiter.recordStatement(statement.limit(), sentAt, ticker.nanos());
-            rateLimited = rateLimiter.limit().isPresent();
-        }
-        if (changed) {
-            limitObserver.rateLimitChanged(this, statement.limit(), LimitSource.RESPONSE);
-        }
+                && limits.rate().isEmpty()
+                && limits.rejections().isEmpty();
     }
 
-    private synchronized boolean isFirstUnusableRate() {
-        boolean isFirst = !unusableRateReported;
-        unusableRateReported = true;
-        return isFirst;
-    }
-
-    /** Records what another daemon tells about the rate limit. */
-    void recordRateNews(LimitNews<RateLimit> news) {
-        boolean changed;
-        synchronized (this) {
-            changed = rateLimiter.recordNews(news, ticker.nanos());
-            rateLimited = rateLimiter.limit().isPresent();
-        }
-        if (changed) {
-            limitObserver.rateLimitChanged(this, news.limit(), LimitSource.PEER);
-        }
-    }
+    // ---- limits that the target states
 
-    /** Ends a rate limit that no response has stated for a long time. */
-    void expireRateLimit() {
-        boolean expired;
-        synchronized (this) {
-            expired = rateLimiter.expire(ticker.nanos());
-            rateLimited = rateLimiter.limit().isPresent();
-        }
-        if (expired) {
-            limitObserver.rateLimitChanged(this, Optional.empty(), LimitSource.EXPIRY);
-        }
+    /** Returns the limits that the target states in its responses. */
+    public TargetLimits limits() {
+        return limits;
     }
 
     /** Returns what the other daemons are to be told about the rate limit. */
-    synchronized Optional<LimitNews<RateLimit>> rateNews() {
-        return rateLimiter.news(entry.incarnation(), ticker.nanos());
+    Optional<LimitNews<RateLimit>> rateNews() {
+        return limits.rateNews(entry.incarnation());
     }
 
-    /** Returns the rate limit in force; empty if there is none. */
-    public synchronized Optional<RateLimit> rateLimit() {
-        return rateLimiter.limit();
+    /** Returns what the other daemons are to be told about the rejection limit. */
+    Optional<LimitNews<RejectionLimit>> rejectionNews() {
+        return limits.rejectionNews(entry.incarnation());
     }
 
     /** Returns the time until the rate limit permits a request of this daemon, or zero. */
     Duration rateWait(FleetShare share, long now) {
-        if (!rateLimited) {
-            return Duration.ZERO;
-        }
-        synchronized (this) {
-            return rateLimiter.wait(share, id().hashCode(), now);
-        }
-    }
-
-    // ---- rejection limit
-
-    /**
-     * Records what a response of the target states about the rejections that it survives.
-     *
-     * @param sentAt when the request of the response was sent
-     */
-    public void recordRejectionLimit(LimitStatement<RejectionLimit> statement, long sentAt) {
-        if (statement.unusable().isPresent() && isFirstUnusableRejectionLimit()) {
-            limitObserver.rejectionLimitUnusable(this, statement.unusable().get());
-        }
-        boolean changed;
-        synchronized (this) {
-            long now = ticker.nanos();
-            rejectionStatementAt = Optional.of(now);
-            rejectionLimitInherited &= statement.limit().isEmpty();
-            changed = rejectionLimiter.recordStatement(statement.limit(), sentAt, now);
-            rejectionLimited = rejectionLimiter.limit().isPresent();
-        }
-        if (changed) {
-            limitObserver.rejectionLimitChanged(this, statement.limit(), LimitSource.RESPONSE);
-        }
-    }
-
-    private synchronized boolean isFirstUnusableRejectionLimit() {
-        boolean isFirst = !unusableRejectionLimitReported;
-        unusableRejectionLimitReported = true;
-        return isFirst;
-    }
-
-    /** Records what another daemon tells about the rejection limit. */
-    void recordRejectionNews(LimitNews<RejectionLimit> news) {
-        boolean changed;
-        synchronized (this) {
-            changed = rejectionLimiter.recordNews(news, ticker.nanos());
-            rejectionLimitInherited &= !changed;
-            rejectionLimited = rejectionLimiter.limit().isPresent();
-        }
-        if (changed) {
-            limitObserver.rejectionLimitChanged(this, news.limit(), LimitSource.PEER);
-        }
-    }
-
-    /**
-     * Records what another target of the service states about its rejection limit. It counts for
-     * this target too as long as this one has not responded, because a target that has just started
-     * or gets few requests would otherwise reject many before its first response.
-     */
-    void inheritRejectionLimit(LimitNews<RejectionLimit> news) {
-        boolean changed;
-        synchronized (this) {
-            if (hasStatedRejections()) {
-                return;
-            }
-            changed = rejectionLimiter.recordNews(news, ticker.nanos());
-            rejectionLimitInherited |= changed;
-            rejectionLimited = rejectionLimiter.limit().isPresent();
-        }
-        if (changed) {
-            limitObserver.rejectionLimitChanged(this, news.limit(), LimitSource.SERVICE);
-        }
-    }
-
-    private boolean hasStatedRejections() {
-        long now = ticker.nanos();
-        return rejectionStatementAt
-                .filter(at -> now - at < StatedLimit.EXPIRY.toNanos())
-                .isPresent();
-    }
-
-    /** Ends a rejection limit that no response has stated for a long time. */
-    void expireRejectionLimit() {
-        boolean expired;
-        synchronized (this) {
-            expired = rejectionLimiter.expire(ticker.nanos());
-            rejectionLimited = rejectionLimiter.limit().isPresent();
-        }
-        if (expired) {
-            limitObserver.rejectionLimitChanged(this, Optional.empty(), LimitSource.EXPIRY);
-        }
-    }
-
-    /**
-     * Returns what the other daemons are to be told about the rejection limit; empty also if only
-     * another target of the service has stated it.
-     */
-    synchronized Optional<LimitNews<RejectionLimit>> rejectionNews() {
-        return rejectionLimitInherited
-                ? Optional.empty()
-                : rejectionLimiter.news(entry.incarnation(), ticker.nanos());
-    }
-
-    /** Returns the rejection limit in force; empty if there is none. */
-    public synchronized Optional<RejectionLimit> rejectionLimit() {
-        return rejectionLimiter.limit();
+        return limits.rateWait(share, now);
     }
 
     /** Records that the target has rejected a request for want of room. */
-    public synchronized void recordRejection(PendingResponse pendingResponse) {
-        rejectionLimiter.recordRejected(pendingResponse.sent, ticker.nanos());
+    public void recordRejection(PendingResponse pendingResponse) {
+        limits.recordRejected(pendingResponse.sent);
     }
 
     /** Returns whether the target may get a request without failing by its rejection. */
     boolean hasRoom(FleetShare share, PeerLoads.View peers, long now) {
-        if (!rejectionLimited) {
-            return true;
-        }
-        synchronized (this) {
-            return rejectionLimiter.permits(room(peers, now), share, id().hashCode(), now);
-        }
+        return !limits.limitsRejections() || limits.permits(room(peers, now), share, now);
     }
 
     private Room room(PeerLoads.View peers, long now) {
@@ -426,8 +265,7 @@
             return false;
         }
         coldLimiter.recordSent(now);
-        rateLimiter.recordSent(now);
-        rejectionLimiter.recordSent(room(peers, now), share, id().hashCode(), now);
+        limits.recordSent(room(peers, now), share, now);
         health.recordSent(now);
         inFlight++;
         return true;
@@ -459,7 +297,7 @@
         long now = ticker.nanos();
         PendingResponse pendingResponse =
                 new PendingResponse(
-                        now, latencyAverage.weight(now), requestWork, rejectionLimiter.takeSent());
+                        now, latencyAverage.weight(now), requestWork, limits.takeSent());
         latencyAverage.recordSent(now);
         waits.add(pendingResponse);
         work.requestSent(requestWork);
@@ -476,7 +314,7 @@
         }
         if (!pendingResponse.ended) {
             pendingResponse.ended = true;
-            pendingResponse.sent.ifPresent(rejectionLimiter::recordEnded);
+            pendingResponse.sent.ifPresent(limits::recordEnded);
             work.released(pendingResponse.work);
         }
     }
@@ -486,7 +324,7 @@
         if (!waits.remove(pendingResponse)) {
             return;
         }
-        pendingResponse.sent.ifPresent(rejectionLimiter::recordAccepted);
+        pendingResponse.sent.ifPresent(limits::recordAccepted);
         long now = ticker.nanos();
         double ms = waits.responseStarted(pendingResponse, now);
         double usualMs = ms / work.workTimeFactor();
--- a/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
+++ b/targets/src/main/java/org/godwithoist/targets/TargetDirectory.java
@@ -156,12 +156,12 @@
      * one, the next response corrects them.
      */
     public void recordRateNews(List<LimitNews<RateLimit>> news) {
-        news.forEach(n -> find(n.target()).ifPresent(t -> t.recordRateNews(n)));
+        news.forEach(n -> find(n.target()).ifPresent(t -> t.limits().recordRateNews(n)));
     }
 
     /** Records what another daemon tells about rejection limits, like that about rate limits. */
     public void recordRejectionNews(List<LimitNews<RejectionLimit>> news) {
-        news.forEach(n -> find(n.target()).ifPresent(t -> t.recordRejectionNews(n)));
+        news.forEach(n -> find(n.target()).ifPresent(t -> t.limits().recordRejectionNews(n)));
     }
 
     private Optional<Target> find(TargetIncarnation incarnation) {
@@ -174,8 +174,8 @@
      * other targets of the service. To be called a few times a second.
      */
     public void updateLimits() {
-        all().forEach(Target::expireRateLimit);
-        all().forEach(Target::expireRejectionLimit);
+        all().map(Target::limits).forEach(TargetLimits::expireRate);
+        all().map(Target::limits).forEach(TargetLimits::expireRejectionLimit);
         byService.values().forEach(TargetDirectory::applyRejectionLimit);
     }
 
@@ -185,17 +185,17 @@
                 .flatMap(t -> t.rejectionNews().stream())
                 .filter(news -> news.limit().isPresent())
                 .min(Comparator.comparing(LimitNews::age))
-                .ifPresent(news -> targets.forEach(t -> t.inheritRejectionLimit(news)));
+                .ifPresent(news -> targets.forEach(t -> t.limits().inheritRejectionLimit(news)));
     }
 
     /** Returns the number of targets whose rejection limit is in force. */
     public long rejectionLimitedTargets() {
-        return all().filter(t -> t.rejectionLimit().isPresent()).count();
+        return all().filter(t -> t.limits().rejections().isPresent()).count();
     }
 
     /** Returns the number of targets whose rate limit is in force. */
     public long rateLimitedTargets() {
-        return all().filter(t -> t.rateLimit().isPresent()).count();
+        return all().filter(t -> t.limits().rate().isPresent()).count();
     }
 
     /** Returns the targets of all services. */
--- a/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/PlacementTest.java
@@ -598,7 +598,7 @@
         @Test
         void limitHoldsAsALastResort() {
             List<Target> listed = directory.targets(Samples.MODELS);
-            listed.forEach(t -> t.recordRate(LIMIT, 0));
+            listed.forEach(t -> t.limits().recordRate(LIMIT, 0));
             int placed = 0;
             for (int i = 0; i < 400; i++) {
                 Optional<Placement.Decision> decision = place(HOT_PREFIX, Set.of());
@@ -613,7 +613,7 @@
         @Test
         void waitIsThatOfTheFirstTargetWithAPermit() {
             List<Target> listed = directory.targets(Samples.MODELS);
-            listed.forEach(t -> t.recordRate(LIMIT, 0));
+            listed.forEach(t -> t.limits().recordRate(LIMIT, 0));
             listed.get(0).pauseFor(Duration.ofSeconds(2));
             listed.stream().skip(1).forEach(t -> t.pauseFor(Duration.ofSeconds(3)));
             PlacementRequest request =
--- a/targets/src/test/java/org/godwithoist/targets/RejectionLimitFleetTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/RejectionLimitFleetTest.java
@@ -81,7 +81,7 @@
             directory.replaceAll(entries);
             LimitStatement<RejectionLimit> statement =
                     LimitStatement.of(new RejectionLimit(perSecond));
-            targets().forEach(t -> t.recordRejectionLimit(statement, 0));
+            targets().forEach(t -> t.limits().recordRejectionLimit(statement, 0));
         }
 
         List<Target> targets() {
--- a/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
+++ b/targets/src/test/java/org/godwithoist/targets/TargetDirectoryTest.java
@@ -317,7 +317,7 @@
         private static final RejectionLimit LIMIT = new RejectionLimit(3);
 
         private void respond(int number, LimitStatement<RejectionLimit> statement) {
-            target(number).recordRejectionLimit(statement, ticker.nanos());
+            target(number).limits().recordRejectionLimit(statement, ticker.nanos());
         }
 
         /** Guards against a burst at a target that has started again and not responded yet. */
@@ -326,7 +326,7 @@
             directory.replaceAll(List.of(Samples.entry(1), Samples.entry(2)));
             respond(1, LimitStatement.of(LIMIT));
             directory.put(Samples.restarted(2));
-            assertEquals(Optional.of(LIMIT), target(2).rejectionLimit());
+            assertEquals(Optional.of(LIMIT), target(2).limits().rejections());
             assertEquals(1, directory.report(1, 1).rejectionNews().size());
         }
 
@@ -353,7 +353,7 @@
             respond(1, LimitStatement.of(LIMIT));
             respond(2, LimitStatement.none());
             directory.updateLimits();
-            assertEquals(Optional.empty(), target(2).rejectionLimit());
+            assertEquals(Optional.empty(), target(2).limits().rejections());
         }
     }
 
@@ -386,7 +386,7 @@
         void startsNeedNotBeKnown() {
             list(1, 0);
             directory.recordRateNews(List.of(news(1, 0)));
-            assertEquals(Optional.of(new RateLimit(500)), target(1).rateLimit());
+            assertEquals(Optional.of(new RateLimit(500)), target(1).limits().rate());
             assertEquals(1, directory.report(1, 1).rateNews().size());
         }
 
@@ -395,7 +395,7 @@
         void newsOfAnotherIncarnationAreIgnored() {
             list(1, 7);
             directory.recordRateNews(List.of(news(1, 6)));
-            assertEquals(Optional.empty(), target(1).rateLimit());
+            assertEquals(Optional.empty(), target(1).limits().rate());
         }
     }
 }
