--- a/dispatch/src/main/java/org/godwithoist/dispatch/Recipient.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Recipient.java
@@ -1,9 +1,12 @@
 package org.godwithoist.dispatch;
 
-/** Who gets the request of an attempt. */
+/**
+ * What an attempt sends its request to, which decides on the header fields of the request and on
+ * what a refusal means.
+ */
 public enum Recipient {
-    /** A target, which runs the request. */
+    /** Gets the request in the name of the workspace, without the caller's key. */
     TARGET,
-    /** Another daemon, which admits the request and sends it to a target of its choice. */
+    /** Gets the request as the caller has sent it, because it admits the request itself. */
     DAEMON
 }
