Keep few requests waiting at a daemon that may have lost its targets too

What callers saw: nothing wrong, but when all four daemons fell silent to all targets, 46 and 32 connections between them were open at once (UnreachableTargetsTest, bound 24), each with a request that waited at a daemon that did not know yet that it reached nothing.

Cause: a daemon passed on every request at once, without regard to how many already waited at the other daemon.

Change: two requests may wait at a daemon that has sent no response in the last second, or that rests after a refusal; a further one waits for 0.3 s at most. A daemon that keeps a request for longer than one out of reach takes to refuse it counts as at work, so that slow first bytes limit nothing after 1.5 s.

--- a/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/RequestForwarder.java
@@ -3,10 +3,11 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.godwithoist.catalog.Route;
+import org.godwithoist.core.task.Tasks;
 import org.godwithoist.core.time.Deadline;
 import org.godwithoist.core.time.Ticker;
 import org.godwithoist.forwarding.Forwarding;
-import org.godwithoist.targets.Placement;
+import org.godwithoist.forwarding.ForwardingPeers;
 import org.godwithoist.targets.Target;
 
 /**
@@ -19,6 +20,11 @@
     /** Maximum number of daemons that are asked for one request. */
     private static final int MAX_PEERS = 3;
 
+    /** Longest wait for a daemon at which few requests wait. */
+    private static final Duration MAX_WAIT = Duration.ofMillis(300);
+
+    private static final Duration WAIT_INTERVAL = Duration.ofMillis(10);
+
     /** What has become of a request. */
     enum Result {
         /** The complete response was sent to the caller. */
@@ -67,7 +73,10 @@
         }
     }
 
-    /** Returns whether a request is to be passed on, which is done once. */
+    /**
+     * Returns whether a request is to be passed on: it is one of a caller, certainly has not run,
+     * and no other daemon was asked before.
+     */
     boolean isDue(Request request, RetryPolicy policy) {
         return dependencies.forwarding().reach().isLost()
                 && request.admittedBy().isEmpty()
@@ -94,10 +103,10 @@
             CallerResponse response) {
         Request forwarded = request.forwarded(admitted.version());
         for (int i = 0; i < MAX_PEERS && !deadline.isExpired(); i++) {
-            Optional<Placement.Decision> peer =
-                    dependencies.forwarding().peers().choose(policy.tried());
+            Optional<ForwardingPeers.Choice> peer = choose(policy, deadline, response);
             if (peer.isEmpty()) {
-                return policy.wasForwarded() ? Result.REFUSED : Result.NO_PEER;
+                boolean isPeerKnown = policy.wasForwarded() || peers().isAnyFull(policy.tried());
+                return isPeerKnown ? Result.REFUSED : Result.NO_PEER;
             }
             AttemptOutcome outcome =
                     attempt(forwarded, admitted, peer.get(), policy, deadline, response);
@@ -112,15 +121,34 @@
         return Result.REFUSED;
     }
 
+    private ForwardingPeers peers() {
+        return dependencies.forwarding().peers();
+    }
+
+    /** Chooses a daemon; waits for a short time while enough requests wait at each. */
+    private Optional<ForwardingPeers.Choice> choose(
+            RetryPolicy policy, Deadline deadline, CallerResponse response) {
+        Deadline waitEnd = Deadline.after(deadline.cap(MAX_WAIT), dependencies.ticker());
+        Optional<ForwardingPeers.Choice> choice = peers().choose(policy.tried());
+        while (choice.isEmpty()
+                && peers().isAnyFull(policy.tried())
+                && !waitEnd.isExpired()
+                && !response.callerDisconnected()
+                && Tasks.sleep(WAIT_INTERVAL)) {
+            choice = peers().choose(policy.tried());
+        }
+        return choice;
+    }
+
     private AttemptOutcome attempt(
             Request request,
             Admission.AdmittedRequest admitted,
-            Placement.Decision decision,
+            ForwardingPeers.Choice choice,
             RetryPolicy policy,
             Deadline deadline,
             CallerResponse response) {
-        Target peer = decision.target();
-        Attempt attempt = newAttempt(request, admitted, peer, deadline);
+        Target peer = choice.decision().target();
+        Attempt attempt = newAttempt(request, admitted, choice, deadline);
         long startedAt = dependencies.ticker().nanos();
         AttemptOutcome outcome = AttemptOutcome.CALLER_LEFT;
         dependencies.forwarding().counts().recordSent();
@@ -129,7 +157,7 @@
             outcome = result.outcome();
             policy.recordForwarded(peer, result);
             Duration took = Duration.ofNanos(dependencies.ticker().nanos() - startedAt);
-            dependencies.observer().attempted(request, decision, result, took);
+            dependencies.observer().attempted(request, choice.decision(), result, took);
             return outcome;
         } finally {
             peer.stopWaiting(attempt.pendingResponse());
@@ -138,13 +166,16 @@
     }
 
     private Attempt newAttempt(
-            Request request, Admission.AdmittedRequest admitted, Target peer, Deadline deadline) {
+            Request request,
+            Admission.AdmittedRequest admitted,
+            ForwardingPeers.Choice choice,
+            Deadline deadline) {
         Route route = admitted.route();
         return new Attempt(
                 request,
                 route,
                 Recipient.DAEMON,
-                peer,
+                choice.decision().target(),
                 Optional.empty(),
                 admitted.workspace(),
                 admitted.priority(),
@@ -156,7 +187,7 @@
                 false,
                 false,
                 dependencies.statedEnds(),
-                peer.startWaiting(),
+                choice.pendingResponse(),
                 AttemptEvidence.NONE);
     }
 }
--- a/forwarding/src/main/java/org/godwithoist/forwarding/ForwardingPeers.java
+++ b/forwarding/src/main/java/org/godwithoist/forwarding/ForwardingPeers.java
@@ -36,6 +36,18 @@
     private static final ServiceSpec SPEC =
             new ServiceSpec(SERVICE, Integer.MAX_VALUE, Duration.ZERO, 0, "/", Optional.empty());
 
+    /**
+     * Requests that may wait at a daemon that has not shown that it serves. It may have lost its
+     * targets too without knowing yet; others may then do the same to this daemon.
+     */
+    static final int MAX_WAITING_UNPROVEN = 2;
+
+    /** Time for which a response shows that a daemon serves. */
+    static final Duration RESPONSE_VALIDITY = Duration.ofSeconds(1);
+
+    /** A daemon that has lost its targets has refused a request by then. */
+    static final Duration MAX_REFUSAL_TIME = Duration.ofMillis(1500);
+
     /** The other daemons take requests without limits in common. */
     private static final FleetShare WHOLE_SHARE = new FleetShare(1, 0);
 
@@ -46,6 +58,11 @@
      */
     public record Peer(HostId host, FailureDomainId domain, Endpoint address) {}
 
+    /**
+     * The daemon for a request, which counts there as in progress and as waiting for its response.
+     */
+    public record Choice(Placement.Decision decision, Target.PendingResponse pendingResponse) {}
+
     private final TargetDirectory directory;
     private final Placement placement;
     private final Predicate<HostId> isSilent;
@@ -91,18 +108,37 @@
     }
 
     /**
-     * Chooses a daemon for a request, and counts the request there. Daemons that take requests and
-     * are not silent come first; the list of daemons also has hosts that are gone.
+     * Chooses a daemon for a request. Daemons that take requests and are not silent come first; the
+     * list of daemons also has hosts that are gone.
      *
      * @param tried daemons that were asked before
-     * @return empty if no daemon is left
+     * @return empty if no daemon is left, or if enough requests wait at each
      */
-    public Optional<Placement.Decision> choose(Set<TargetId> tried) {
-        List<Target> left =
-                directory.targets(SERVICE).stream().filter(t -> !tried.contains(t.id())).toList();
-        List<Target> preferred = left.stream().filter(this::isPreferred).toList();
+    public synchronized Optional<Choice> choose(Set<TargetId> tried) {
+        List<Target> free = left(tried).stream().filter(ForwardingPeers::mayTakeRequest).toList();
+        List<Target> preferred = free.stream().filter(this::isPreferred).toList();
         Optional<Placement.Decision> decision = place(preferred);
-        return decision.isPresent() ? decision : place(left);
+        return (decision.isPresent() ? decision : place(free))
+                .map(d -> new Choice(d, d.target().startWaiting()));
+    }
+
+    /** Returns whether a daemon takes requests again as soon as one that waits there has ended. */
+    public boolean isAnyFull(Set<TargetId> tried) {
+        return left(tried).stream().anyMatch(p -> isPreferred(p) && !mayTakeRequest(p));
+    }
+
+    private List<Target> left(Set<TargetId> tried) {
+        return directory.targets(SERVICE).stream().filter(t -> !tried.contains(t.id())).toList();
+    }
+
+    private static boolean mayTakeRequest(Target peer) {
+        return peer.waitingRequests() < MAX_WAITING_UNPROVEN || isProven(peer);
+    }
+
+    private static boolean isProven(Target peer) {
+        boolean isAtWork =
+                peer.hasRespondedWithin(RESPONSE_VALIDITY) || peer.hasKeptWaiting(MAX_REFUSAL_TIME);
+        return isAtWork && peer.health() != HealthState.RESTING;
     }
 
     private boolean isPreferred(Target peer) {
--- a/targets/src/main/java/org/godwithoist/targets/ResponseWaits.java
+++ b/targets/src/main/java/org/godwithoist/targets/ResponseWaits.java
@@ -45,6 +45,7 @@
     private final Set<Target.PendingResponse> pending = new LinkedHashSet<>();
     private double latencyMs;
     private long latencyUpdatedAt;
+    private boolean responded;
     private volatile Snapshot snapshot = new Snapshot(0, 0, 0, false);
 
     void add(Target.PendingResponse response) {
@@ -64,8 +65,24 @@
         return pending.isEmpty();
     }
 
+    /** Returns the number of requests that wait. */
+    int size() {
+        return pending.size();
+    }
+
+    /** Returns whether a response began within a time. */
+    boolean hasRespondedWithin(Duration time, long now) {
+        return responded && now - latencyUpdatedAt <= time.toNanos();
+    }
+
+    /** Returns whether a request has waited for longer than a time. */
+    boolean isAnyOlderThan(Duration time, long now) {
+        return !pending.isEmpty() && now - pending.iterator().next().sentAt() > time.toNanos();
+    }
+
     /** Records the first byte of a response; returns how long it took, in milliseconds. */
     double responseStarted(Target.PendingResponse response, long now) {
+        responded = true;
         latencyUpdatedAt = now;
         double ms = (now - response.sentAt()) / NANOS_PER_MS;
         latencyMs = latencyMs == 0 ? ms : latencyMs + NEW_LATENCY_WEIGHT * (ms - latencyMs);
--- a/targets/src/main/java/org/godwithoist/targets/Target.java
+++ b/targets/src/main/java/org/godwithoist/targets/Target.java
@@ -332,6 +332,21 @@
         work.recordResponse(pendingResponse.work, ms);
     }
 
+    /** Returns the number of requests that wait for the first byte of their response. */
+    public synchronized int waitingRequests() {
+        return waits.size();
+    }
+
+    /** Returns whether a request has waited for its first byte for longer than a time. */
+    public synchronized boolean hasKeptWaiting(Duration time) {
+        return waits.isAnyOlderThan(time, ticker.nanos());
+    }
+
+    /** Returns whether a response of the target began within a time. */
+    public synchronized boolean hasRespondedWithin(Duration time) {
+        return waits.hasRespondedWithin(time, ticker.nanos());
+    }
+
     /** Records that the target has cached a prompt prefix for a request of this daemon. */
     public synchronized void recordCachedPrefix(PrefixKey prefix) {
         long now = ticker.nanos();
