Test failure domains, single daemons and stops while targets are out of reach

UnreachableTargetsTest played two to four daemons of one failure domain. New: one daemon of four; all four daemons of a domain beside four of another one; the planned stop of a daemon that takes requests of others, and of one out of reach; and the share that is served is compared for each kind of route instead of for all together.

--- a/edge/src/test/java/org/godwithoist/edge/PartitionedFleet.java
+++ b/edge/src/test/java/org/godwithoist/edge/PartitionedFleet.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,8 +26,8 @@
 import org.godwithoist.standins.edge.RunnerStandin;
 
 /**
- * Daemons of one failure domain in processes of their own, which know each other, and targets of
- * two services. Each daemon has a link of its own to each target, which can be given a fault.
+ * Daemons in processes of their own, which know each other, and targets of two services. Each
+ * daemon has a link of its own to each target, which can be given a fault.
  */
 final class PartitionedFleet implements AutoCloseable {
     static final int DAEMONS = 4;
@@ -34,6 +35,9 @@
     static final String ATTEMPT_ID = "X-Godwithoist-Attempt-Id";
     static final String DEADLINE_MS = "X-Godwithoist-Deadline-Ms";
 
+    /** Failure domain of all targets, and of the daemons of a fleet with one domain. */
+    static final String DOMAIN = "zone-a";
+
     private static final int TARGETS = 4;
     private static final int EVENTS = 6;
     private static final int STREAM_TIMEOUT_MS = 5000;
@@ -63,36 +67,48 @@
     final List<RunnerStandin> desks = new ArrayList<>();
     final List<RunnerStandin> engines = new ArrayList<>();
     private final RowStoreStandin store = new RowStoreStandin();
+    private final List<String> domains;
     private final List<InternalPorts> internalPorts = new ArrayList<>();
     private final List<Daemon> daemons = new ArrayList<>();
     private final AtomicInteger ids = new AtomicInteger();
 
     /**
-     * Starts the fleet and waits until its daemons are ready and know each other.
+     * Starts a fleet of one failure domain.
      *
      * @param dir directory for the files of the daemons
      */
     PartitionedFleet(Path dir) throws IOException {
+        this(dir, Collections.nCopies(DAEMONS, DOMAIN));
+    }
+
+    /**
+     * Starts the fleet and waits until its daemons are ready and know each other.
+     *
+     * @param dir directory for the files of the daemons
+     * @param domains failure domain of each daemon
+     */
+    PartitionedFleet(Path dir, List<String> domains) throws IOException {
+        this.domains = domains;
         store.put("op", "config", ConfigText.of(1, STREAM_TIMEOUT_MS));
         for (int i = 0; i < TARGETS; i++) {
             desks.add(startTarget(new RunnerStandin("desk-" + i, "desk", 0, WORK)));
             engines.add(startTarget(new RunnerStandin("engine-" + i, "models", EVENTS, WORK)));
         }
         listDaemons();
-        for (int i = 0; i < DAEMONS; i++) {
+        for (int i = 0; i < domains.size(); i++) {
             daemons.add(startDaemon(i, Files.createDirectory(dir.resolve(name(i)))));
         }
         for (Daemon d : daemons) {
             d.process().awaitReadiness(d.readyPort());
         }
-        String whole = "\"members\":" + DAEMONS;
+        String whole = "\"members\":" + domains.size();
         for (Daemon d : daemons) {
             EdgeFixture.await("contact of the daemons", () -> d.process().logContains(whole));
         }
     }
 
     private RunnerStandin startTarget(RunnerStandin target) {
-        store.put("servers", target.id(), target.entry("zone-a", "ready"));
+        store.put("servers", target.id(), target.entry(DOMAIN, "ready"));
         return target;
     }
 
@@ -102,10 +118,10 @@
 
     /** Lists all daemons as after an earlier run, so that each has its share of limits at once. */
     private void listDaemons() {
-        for (int i = 0; i < DAEMONS; i++) {
+        for (int i = 0; i < domains.size(); i++) {
             InternalPorts ports = InternalPorts.next();
             internalPorts.add(ports);
-            store.put("daemons", name(i), "127.0.0.1:" + ports.first() + " zone-a");
+            store.put("daemons", name(i), "127.0.0.1:" + ports.first() + " " + domains.get(i));
         }
     }
 
@@ -123,6 +139,7 @@
         InternalPorts ports = internalPorts.get(index);
         String settings =
                 EdgeSettingsText.of(name(index), port, readyPort, view)
+                        .replace("zone=" + DOMAIN, "zone=" + domains.get(index))
                         .replace(
                                 "internalPorts=0,0",
                                 "internalPorts=" + ports.first() + "," + ports.second());
@@ -247,7 +264,7 @@
             RouteKind kind = kinds[i % kinds.length];
             long due = start + CALL_INTERVAL.multipliedBy(i).toNanos();
             Tasks.sleep(Duration.ofNanos(Math.max(0, due - System.nanoTime())));
-            for (int d = 0; d < DAEMONS; d++) {
+            for (int d = 0; d < domains.size(); d++) {
                 int daemon = d;
                 calls.add(Tasks.start("caller", () -> results.add(call(daemon, kind))));
             }
@@ -265,6 +282,11 @@
                 .collect(Collectors.groupingBy(r -> r.attemptId(), Collectors.counting()));
     }
 
+    /** Asks a daemon to end, as for a planned stop. */
+    void stopDaemon(int daemon) {
+        daemons.get(daemon).process().process().destroy();
+    }
+
     /** Returns the lines of a daemon's log that contain a text. */
     String logLines(int daemon, String text) {
         return daemons.get(daemon).process().logLines(text);
--- a/edge/src/test/java/org/godwithoist/edge/UnreachableTargetsTest.java
+++ b/edge/src/test/java/org/godwithoist/edge/UnreachableTargetsTest.java
@@ -12,6 +12,8 @@
 import java.net.Socket;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
@@ -49,9 +51,14 @@
     abstract static class Situation {
         PartitionedFleet fleet;
 
+        /** Returns the failure domain of each daemon. */
+        List<String> domains() {
+            return Collections.nCopies(PartitionedFleet.DAEMONS, PartitionedFleet.DOMAIN);
+        }
+
         @BeforeAll
         void startFleet(@TempDir Path dir) throws Exception {
-            fleet = new PartitionedFleet(dir);
+            fleet = new PartitionedFleet(dir, domains());
             List<FirstTry> tries = fleet.callAll(WARM_UP);
             assertEquals(Map.of(), LinkFaultScenario.failures(tries), "without a fault");
         }
@@ -62,10 +69,12 @@
         }
     }
 
-    /** Runs a test for each fault, with half of the daemons cut off and with most of them. */
+    /** Runs a test for each fault, with one daemon cut off, with half and with most of them. */
     @Retention(RetentionPolicy.RUNTIME)
     @ParameterizedTest
     @CsvSource({
+        "SILENT,1",
+        "RESET,1",
         "SILENT,2",
         "SILENT,3",
         "RESET,2",
@@ -102,6 +111,16 @@
                                         LinkFaultScenario.failures(cut)));
     }
 
+    private static void assertEachKindServedLikeOthers(List<FirstTry> cut, List<FirstTry> others) {
+        for (RouteKind kind : RouteKind.values()) {
+            assertServedLikeOthers(ofKind(cut, kind), ofKind(others, kind));
+        }
+    }
+
+    private static List<FirstTry> ofKind(List<FirstTry> tries, RouteKind kind) {
+        return tries.stream().filter(t -> t.kind() == kind).toList();
+    }
+
     /** Asserts that few attempts fail. */
     private static void assertFewFail(List<FirstTry> tries) {
         long failed = tries.size() - LinkFaultScenario.served(tries);
@@ -147,6 +166,7 @@
             List<FirstTry> others = scenario.during(t -> t.daemon() >= daemons);
             assertAll(
                     () -> assertServedLikeOthers(cut, others),
+                    () -> assertEachKindServedLikeOthers(cut, others),
                     () -> assertFewFail(cut),
                     () -> assertFewFail(others));
         }
@@ -379,6 +399,75 @@
         }
     }
 
+    /** All daemons of one failure domain reach no target, those of another one reach all. */
+    @Nested
+    @TestInstance(TestInstance.Lifecycle.PER_CLASS)
+    final class OneDomainReachesNoTarget extends Situation {
+        private static final int DAEMONS_OF_A_DOMAIN = 4;
+
+        @Override
+        List<String> domains() {
+            List<String> domains = new ArrayList<>();
+            domains.addAll(Collections.nCopies(DAEMONS_OF_A_DOMAIN, PartitionedFleet.DOMAIN));
+            domains.addAll(Collections.nCopies(DAEMONS_OF_A_DOMAIN, "zone-b"));
+            return domains;
+        }
+
+        /** Guards against daemons that ask only those of their own domain. */
+        @ParameterizedTest
+        @EnumSource(names = {"SILENT", "RESET"})
+        void itsCallersAreServedThroughTheOther(LinkFault fault) throws Exception {
+            LinkFaultScenario scenario = LinkFaultScenario.of(fleet, DAEMONS_OF_A_DOMAIN, fault);
+            List<FirstTry> cut = scenario.during(t -> t.daemon() < DAEMONS_OF_A_DOMAIN);
+            List<FirstTry> others = scenario.during(t -> t.daemon() >= DAEMONS_OF_A_DOMAIN);
+            report(fault + " in one domain, cut off", cut);
+            report(fault + " in one domain, others", others);
+            assertAll(
+                    () -> assertEachKindServedLikeOthers(cut, others),
+                    () -> assertFewFail(cut),
+                    () -> assertFewFail(others),
+                    () -> assertNone("ran twice", scenario.ranTwice()),
+                    () -> assertNone("ran although refused", scenario.ranAlthoughRefused()));
+        }
+    }
+
+    /** Daemons are stopped as planned while some of them reach no target. */
+    @Nested
+    @TestInstance(TestInstance.Lifecycle.PER_CLASS)
+    final class PlannedStops extends Situation {
+        private static final int CUT_DAEMONS = 2;
+        private static final Duration STOP_TIME = Duration.ofSeconds(4);
+
+        /** A daemon that stops serves new connections for longer than this. */
+        private static final Duration SERVICE_TIME = Duration.ofSeconds(1);
+
+        @BeforeAll
+        void cutOff() throws Exception {
+            fleet.setFault(CUT_DAEMONS, LinkFault.RESET);
+            fleet.callAll(LinkFaultScenario.REACTION_TIME);
+        }
+
+        /** Guards against requests that are lost with the daemon to which they are passed on. */
+        @Test
+        void ofADaemonThatTakesRequestsCostNone() throws Exception {
+            fleet.stopDaemon(PartitionedFleet.DAEMONS - 1);
+            List<FirstTry> cut =
+                    fleet.callAll(STOP_TIME).stream().filter(t -> t.daemon() == 1).toList();
+            report("stop of another daemon, cut off", cut);
+            assertEquals(Map.of(), LinkFaultScenario.failures(cut));
+        }
+
+        /** Guards against a daemon out of reach that refuses as soon as it is told to stop. */
+        @Test
+        void ofADaemonOutOfReachCostNoneWhileItServes() throws Exception {
+            fleet.stopDaemon(0);
+            List<FirstTry> cut =
+                    fleet.callAll(SERVICE_TIME).stream().filter(t -> t.daemon() == 0).toList();
+            report("stop of a daemon out of reach", cut);
+            assertEquals(Map.of(), LinkFaultScenario.failures(cut));
+        }
+    }
+
     /** The limit of connections is checked only if these are found. */
     @Nested
     final class CountOfConnections {
