--- a/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/Refusal.java
@@ -82,7 +82,7 @@
         return RETRY_DELAY;
     }
 
-    /** Returns whether a target may have run the request. */
+    /** Returns whether the refusal leaves open what has become of an attempt at a target. */
     public boolean mayHaveRun() {
         return this == TARGET_FAILED || this == TIMED_OUT;
     }
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/CallerConnection.java
@@ -66,11 +66,13 @@
             Callers callers,
             Ticker ticker) {}
 
-    /** Who sends requests on connections. */
+    /**
+     * What the peers of a listener's connections are, which decides on the fields they may send.
+     */
     public enum Callers {
-        /** Callers of the fleet. */
+        /** Their fields for daemons are ignored. */
         CLIENTS,
-        /** Other daemons, which pass on what their callers have sent. */
+        /** Pass on what their own callers have sent. */
         DAEMONS
     }
 
--- a/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
+++ b/dispatch/src/main/java/org/godwithoist/dispatch/http/ConnectionLimit.java
@@ -26,7 +26,7 @@
         STATUS(17_000, 0.025, 0),
         /** Connections of the members of a large fleet to their leader. */
         RELAY(8_000, 0.06, 0),
-        /** Connections of daemons that pass requests on. */
+        /** Connections of daemons that reach no target themselves. */
         DAEMON(17_000, 0.08, 0);
 
         private final int bytesOfEach;
