--- a/catalog/src/main/java/org/godwithoist/catalog/Catalog.java
+++ b/catalog/src/main/java/org/godwithoist/catalog/Catalog.java
@@ -1,6 +1,8 @@
 package org.godwithoist.catalog;
 
+import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -61,6 +63,15 @@
         return routesByHost.values().stream().mapToInt(Map::size).sum();
     }
 
+    /** Returns the longest time limit of a route; zero without routes. */
+    public Duration longestTimeLimit() {
+        return routesByHost.values().stream()
+                .flatMap(routes -> routes.values().stream())
+                .map(Route::timeout)
+                .max(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+    }
+
     /**
      * Returns the route with the longest prefix of the path; empty if no route matches.
      *
--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -408,6 +408,7 @@
     }
 
     private void applyCatalog(Catalog next) {
+        streamOrigins.setLongestTimeLimit(next.longestTimeLimit());
         boolean adopted = catalogs.updateIfNewer(next);
         openGateIfReady();
         log.event("catalog")
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -47,7 +47,7 @@
     private final Map<ServiceId, ServedVersions> served = new HashMap<>();
     private final Map<OriginSource, LongAdder> found = new EnumMap<>(OriginSource.class);
 
-    /** Longest time after which a stream of this daemon may be taken up. */
+    /** Longest time after which a stream of any daemon may be taken up. */
     private volatile Duration streamLife = MIN_STREAM_LIFE;
 
     /**
@@ -74,9 +74,16 @@
     }
 
     private Duration life(Duration timeLeft) {
-        Duration life = timeLeft.plus(EXPIRY_MARGIN);
-        streamLife = Durations.max(streamLife, life);
-        return life;
+        setLongestTimeLimit(timeLeft);
+        return timeLeft.plus(EXPIRY_MARGIN);
+    }
+
+    /**
+     * Sets the longest time limit of the requests of all routes, which the streams of other daemons
+     * may have. A shorter one than before has no effect, since earlier streams have theirs.
+     */
+    public synchronized void setLongestTimeLimit(Duration limit) {
+        streamLife = Durations.max(streamLife, limit.plus(EXPIRY_MARGIN));
     }
 
     @Override
--- a/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
+++ b/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
@@ -367,6 +367,7 @@
         void versionThatLeftCountsForAsLongAsStreamsOfOtherDaemonsWait() {
             Daemon first = new Daemon("v1", "v2");
             Daemon second = new Daemon("v1", "v2");
+            second.origins.setLongestTimeLimit(LONG_TIME_LEFT);
             first.origins.began(stream("s"), origin("v2"), LONG_TIME_LEFT);
             pass(Duration.ofMillis(400), first, second);
             first.see("v1");
@@ -385,9 +386,11 @@
             pass(Duration.ofMillis(400), first);
             first.see("v1");
             pass(Duration.ofSeconds(40), first);
+            Daemon later = new Daemon("v1");
+            later.origins.setLongestTimeLimit(LONG_TIME_LEFT);
             assertEquals(
                     Optional.of(origin("v2")),
-                    new Daemon("v1").origins.find(stream("s"), Duration.ofSeconds(70)));
+                    later.origins.find(stream("s"), Duration.ofSeconds(70)));
         }
 
         /**
