--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -149,6 +149,7 @@
                                 rollout,
                                 streamOrigins::setTargets,
                                 this::openGateIfReady,
+                                streamOrigins::storeRegained,
                                 eras,
                                 calls,
                                 log,
--- a/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
+++ b/edge/src/main/java/org/godwithoist/edge/StoreFollowers.java
@@ -58,6 +58,7 @@
      * @param rollout receives orders and targets; empty if no versions are rolled out
      * @param onTargets receives all targets before a change of them applies
      * @param onTableRead called after a complete table was read
+     * @param onStoreRegained called when the store responds again after an outage
      * @param eras eras of the store, shared by all tables of this daemon
      * @param calls counts the requests to the store
      */
@@ -69,6 +70,7 @@
             Optional<VersionRollout> rollout,
             Consumer<Collection<TargetEntry>> onTargets,
             Runnable onTableRead,
+            Runnable onStoreRegained,
             StoreEras eras,
             StoreCalls calls,
             EventLog log,
@@ -234,6 +236,7 @@
      * because the same outage may have lost the request for the targets without an error.
      */
     private void refreshTargets() {
+        dependencies.onStoreRegained().run();
         targetFollower.restartRequest();
     }
 }
--- a/edge/src/test/java/org/godwithoist/edge/StoreReader.java
+++ b/edge/src/test/java/org/godwithoist/edge/StoreReader.java
@@ -65,6 +65,7 @@
                                 Optional.empty(),
                                 entries -> {},
                                 () -> {},
+                                () -> {},
                                 new StoreEras(new EraMonitor(log), Ticker.SYSTEM),
                                 new StoreCalls(),
                                 log,
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -177,6 +177,12 @@
         }
     }
 
+    /** Records that the store responds again, and that changes may have been missed before. */
+    public synchronized void storeRegained() {
+        long now = ticker.nanos();
+        served.values().forEach(s -> s.changesMissed(now));
+    }
+
     // ---- exchange with the other daemons
 
     /**
--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -74,6 +74,15 @@
         return true;
     }
 
+    /**
+     * Records that changes may have been missed until now, so that only the row tells which versions
+     * have served.
+     */
+    void changesMissed(long now) {
+        coveredSince = now;
+        rowRead = false;
+    }
+
     /** Makes the row be compared with this, because the store may have lost it. */
     void requestSync(long now) {
         syncAt = OptionalLong.of(now);
--- a/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
+++ b/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
@@ -530,6 +530,7 @@
             other.see("v1");
             pass(Duration.ofSeconds(5), other);
             cutOff.hearsOfVersions = true;
+            cutOff.origins.storeRegained();
             pass(Duration.ofMillis(400), cutOff);
             assertEquals(Optional.of(origin("v2")), cutOff.find("s"));
         }
