--- a/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
+++ b/streams/src/main/java/org/godwithoist/streams/ServedVersions.java
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Records that changes may have been missed until now, so that only the row tells which versions
-     * have served.
+     * Records that changes may have been missed until now, so that only the row tells which
+     * versions have served.
      */
     void changesMissed(long now) {
         coveredSince = now;
