Find the streams of many take-ups at once, again

Cause: take-ups asked the store one after the other on one connection and waited for 500 ms at most; of 300 at once 81 to 94 were found.

--- a/edge/src/main/java/org/godwithoist/edge/Edge.java
+++ b/edge/src/main/java/org/godwithoist/edge/Edge.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.godwithoist.catalog.Catalog;
 import org.godwithoist.catalog.CatalogState;
 import org.godwithoist.catalog.RequestLimits;
@@ -68,6 +69,9 @@
     /** Time that the stop leaves the caller's listener to accept what the kernel has queued. */
     private static final Duration MAX_DRAIN = Duration.ofMillis(100);
 
+    /** Connections to the store for take-ups of streams, many of which come together. */
+    private static final int STREAM_LOOKUP_CLIENTS = 4;
+
     private static final int HTTP_OK = 200;
     private static final int HTTP_UNAVAILABLE = 503;
     private static final int MAX_PORT = 65_535;
@@ -138,7 +142,11 @@
         eras = new StoreEras(eraMonitor, ticker);
         rollout = settings.bounds().rollout().map(this::createRollout);
         streamOrigins =
-                new RecordedOrigins(streamTable(), () -> exchange.hearsOfVersions(), log, ticker);
+                new RecordedOrigins(
+                        Stream.generate(this::streamTable).limit(STREAM_LOOKUP_CLIENTS).toList(),
+                        () -> exchange.hearsOfVersions(),
+                        log,
+                        ticker);
         followers =
                 new StoreFollowers(
                         new StoreFollowers.Dependencies(
--- a/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
+++ b/peers/src/test/java/org/godwithoist/peers/LoadExchangeTest.java
@@ -202,7 +202,8 @@
         Quarantine quarantine = new Quarantine(log, Ticker.SYSTEM);
         OverloadControl overload = overloadControl(directory, loads);
         RecordedOrigins origins =
-                new RecordedOrigins(new UnreachableOriginStore(), () -> true, log, Ticker.SYSTEM);
+                new RecordedOrigins(
+                        List.of(new UnreachableOriginStore()), () -> true, log, Ticker.SYSTEM);
         InMemoryTransport transport = network.transport(address);
         LoadExchange exchange =
                 new LoadExchange(
--- a/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
+++ b/streams/src/main/java/org/godwithoist/streams/RecordedOrigins.java
@@ -53,15 +53,18 @@
     /**
      * Creates an instance that knows no stream.
      *
-     * @param store used for the requests of callers only
+     * @param clients clients of the store, used for the requests of callers only
      * @param hearsOfVersions whether this daemon would hear of a new version from other daemons
      *     now; if not, the store is asked
      */
     public RecordedOrigins(
-            OriginStore store, BooleanSupplier hearsOfVersions, EventLog log, Ticker ticker) {
+            Collection<? extends OriginStore> clients,
+            BooleanSupplier hearsOfVersions,
+            EventLog log,
+            Ticker ticker) {
         this.hearsOfVersions = hearsOfVersions;
         this.ticker = ticker;
-        lookup = new OriginLookup(store, log);
+        lookup = new OriginLookup(clients, log);
         streams = new BegunStreams(ticker);
         for (OriginSource s : OriginSource.values()) {
             found.put(s, new LongAdder());
--- a/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
+++ b/streams/src/test/java/org/godwithoist/streams/RecordedOriginsTest.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -26,6 +27,7 @@
 final class RecordedOriginsTest {
     private static final ServiceId SERVICE = new ServiceId("models");
     private static final Duration TIME_LEFT = Duration.ofSeconds(15);
+    private static final int LOOKUP_CLIENTS = 4;
 
     private final VirtualTicker ticker = new VirtualTicker();
     private final FakeOriginStore store = new FakeOriginStore(ticker);
@@ -35,7 +37,11 @@
     private final class Daemon {
         private boolean hearsOfVersions = true;
         private final RecordedOrigins origins =
-                new RecordedOrigins(store, () -> hearsOfVersions, log, ticker);
+                new RecordedOrigins(
+                        Collections.nCopies(LOOKUP_CLIENTS, store),
+                        () -> hearsOfVersions,
+                        log,
+                        ticker);
         private final OriginTask task =
                 new OriginTask(origins, store, () -> 8, log, ticker, new SplittableRandom(1));
 
