Ask one target first whether targets are in reach

Cause: each request that gets no response may start a check of reach, once a second at each daemon, and each check asked five targets at once; with many targets at fault, 70 daemons asked up to 350 a second, although nearly all were in reach.

Change: a check asks one target, and four more only if it has not responded after 0.1 s; while none responds, two targets every 0.5 s. A check ends with the first response.

--- a/forwarding/src/main/java/org/godwithoist/forwarding/TargetReach.java
+++ b/forwarding/src/main/java/org/godwithoist/forwarding/TargetReach.java
@@ -5,8 +5,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.godwithoist.catalog.ServiceId;
@@ -20,15 +19,24 @@
 
 /**
  * Whether this daemon reaches any target. A target that does not respond is no sign of it, because
- * the target may be at fault. So a failure only starts a check, which asks several targets of
- * different services over new connections; if none responds, no target counts as reachable until
- * one does. Connections that were open before say nothing, since they may live on while new ones
- * are refused. Thread-safe.
+ * the target may be at fault. So a failure only starts a check, which asks targets of different
+ * services over new connections; if none responds, no target counts as reachable until one does.
+ * Connections that were open before say nothing, since they may live on while new ones are refused.
+ * Thread-safe.
  */
 public final class TargetReach {
-    /** Targets that are asked in a check, unless there are fewer. */
+    /** Targets that are asked in a check if the first one does not respond. */
     private static final int TARGETS_PER_CHECK = 5;
 
+    /** Targets that are asked in a check while no target responds. */
+    private static final int TARGETS_WHILE_LOST = 2;
+
+    /** Time after which the other targets are asked too; most respond within a few milliseconds. */
+    private static final Duration FIRST_RESPONSE_TIME = Duration.ofMillis(100);
+
+    /** Longer than any probe takes. */
+    private static final Duration MAX_PROBE_TIME = Duration.ofSeconds(5);
+
     /** Shortest time between two checks while targets respond. */
     private static final Duration MIN_INTERVAL = Duration.ofSeconds(1);
 
@@ -108,40 +116,85 @@
         return ticker.nanos() - lastResponseAt < RESPONSE_VALIDITY.toNanos();
     }
 
-    /** Asks some targets at the same time and records whether any of them responds. */
+    /**
+     * Asks a target, and some others if it does not respond soon, and records whether any of them
+     * responds.
+     */
     public void check() {
-        List<Target> asked = selectTargets();
-        boolean responded = asked.isEmpty() || anyResponds(asked);
+        List<Target> candidates = selectTargets();
+        Probes probes = new Probes();
+        boolean responded = candidates.isEmpty() || anyResponds(candidates, probes);
         if (lost == responded) {
             lost = !responded;
             log.event(lost ? "targets_out_of_reach" : "targets_in_reach")
-                    .with("asked", asked.size())
+                    .with("asked", probes.started())
                     .write();
         }
     }
 
-    private boolean anyResponds(List<Target> asked) {
-        AtomicBoolean responded = new AtomicBoolean();
-        CountDownLatch open = new CountDownLatch(asked.size());
-        for (Target t : asked) {
-            Tasks.start(
-                    "reach-" + t,
-                    () -> {
-                        try {
-                            if (probe.test(t)) {
-                                responded.set(true);
-                            }
-                        } finally {
-                            open.countDown();
-                        }
-                    });
+    private boolean anyResponds(List<Target> candidates, Probes probes) {
+        if (lost) {
+            candidates.stream().limit(TARGETS_WHILE_LOST).forEach(probes::start);
+            return probes.awaitResponse(MAX_PROBE_TIME);
+        }
+        // One is mostly enough, and checks are frequent while some targets are at fault.
+        probes.start(candidates.getFirst());
+        if (probes.awaitResponse(FIRST_RESPONSE_TIME)) {
+            return true;
+        }
+        candidates.stream().skip(1).forEach(probes::start);
+        return probes.awaitResponse(MAX_PROBE_TIME);
+    }
+
+    /** The probes of a check, each in a task of its own. */
+    private final class Probes {
+        private int started;
+        private int open;
+        private boolean responded;
+
+        synchronized int started() {
+            return started;
         }
-        try {
-            open.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+
+        synchronized void start(Target target) {
+            started++;
+            open++;
+            Tasks.start("reach-" + target, () -> run(target));
+        }
+
+        private void run(Target target) {
+            boolean response = false;
+            try {
+                response = probe.test(target);
+            } finally {
+                end(response);
+            }
+        }
+
+        private synchronized void end(boolean response) {
+            open--;
+            responded |= response;
+            notifyAll();
+        }
+
+        /**
+         * Waits until a target has responded, none can do so any more, or a time has passed.
+         *
+         * @return whether a target has responded; true also if the task was interrupted, which
+         *     tells nothing of the targets
+         */
+        synchronized boolean awaitResponse(Duration timeout) {
+            long endsAt = System.nanoTime() + timeout.toNanos();
+            try {
+                while (!responded && open > 0 && endsAt - System.nanoTime() > 0) {
+                    TimeUnit.NANOSECONDS.timedWait(this, endsAt - System.nanoTime());
+                }
+                return responded;
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return true;
+            }
         }
-        return responded.get();
     }
 
     /** Selects targets at random, of as many services as possible. */
--- a/forwarding/src/test/java/org/godwithoist/forwarding/TargetReachTest.java
+++ b/forwarding/src/test/java/org/godwithoist/forwarding/TargetReachTest.java
@@ -96,6 +96,29 @@
             assertEquals(5, asked.size(), asked::toString);
         }
 
+        /** Guards against many probes while some targets are at fault and all are in reach. */
+        @Test
+        void asksOneTargetIfItResponds() {
+            for (int i = 0; i < 8; i++) {
+                list("models", "a" + i);
+                responding.add("a" + i);
+            }
+            reach.check();
+            assertEquals(1, asked.size(), asked::toString);
+        }
+
+        /** Guards against many probes at targets that cannot be reached. */
+        @Test
+        void asksFewTargetsWhileNoneResponds() {
+            for (int i = 0; i < 8; i++) {
+                list("models", "a" + i);
+            }
+            reach.check();
+            asked.clear();
+            reach.check();
+            assertEquals(2, asked.size(), asked::toString);
+        }
+
         /** Guards against a daemon without targets that passes its requests on to others. */
         @Test
         void needsATarget() {
